--- /dev/null
+++ b/Source/Core/Core/Loading/EvictionPolicy.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Common/Identity/Ids.h"
+#include "Common/Time/Instant.h"
+#include "Core/Catalogue/EntrySpec.h"
+
+#include <map>
+#include <span>
+#include <vector>
+
+namespace sff::loading {
+
+/// A loaded replica that may be unloaded.
+struct LoadedReplica {
+  EntryName m_Entry;
+  std::int64_t m_Bytes = 0;
+  /// Expected time to load it again, in seconds.
+  double m_ReloadSeconds = 0;
+  catalogue::TrafficClass m_Class = catalogue::TrafficClass::Batch;
+  bool m_Busy = false; ///< Credits are lent, so it cannot be evicted.
+};
+
+struct EvictionWeights {
+  /// Price of one second of a caller's cold-start wait, in idle accelerator
+  /// seconds. The one setting that a deployment chooses.
+  double m_ColdStartWeight = 20;
+  /// An interactive caller's wait counts this many times a batch caller's.
+  double m_InteractiveFactor = 3;
+};
+
+/// Decides how long an idle replica stays loaded: while the expected cost of
+/// its next cold start exceeds the accelerator time that it idles away.
+/// Learns the gaps between requests of each entry. Thread safety: none.
+class EvictionPolicy {
+public:
+  explicit EvictionPolicy(EvictionWeights Weights) : m_Weights(Weights) {}
+
+  void onRequest(const EntryName &Entry, Instant Now);
+
+  /// Value of keeping the replica for the next moment; not positive means
+  /// that it should be unloaded now.
+  double keepValue(const LoadedReplica &Replica, Instant Now) const;
+
+  /// Idle replicas to unload now, because keeping them is not worth it.
+  std::vector<EntryName> chooseIdle(std::span<const LoadedReplica> Loaded,
+                                    Instant Now) const;
+  /// Cheapest idle replicas whose unloading frees \p Bytes; empty when the
+  /// idle replicas do not suffice.
+  std::vector<EntryName> chooseVictims(std::span<const LoadedReplica> Loaded,
+                                       std::int64_t Bytes, Instant Now) const;
+
+private:
+  struct History {
+    Instant m_LastRequest;
+    std::vector<double> m_GapSeconds; ///< Latest gaps, bounded.
+  };
+  EvictionWeights m_Weights;
+  std::map<EntryName, History> m_Histories;
+};
+
+} // namespace sff::loading
--- /dev/null
+++ b/Source/Core/Core/Routing/EndpointPicker.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Common/Identity/Ids.h"
+#include "Common/Time/Instant.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace sff::routing {
+
+/// Load of the replicas as the endpoints report it, corrected by what this
+/// router has sent since. Thread safety: none.
+class LoadView {
+public:
+  /// A report that the endpoint made \p Lag ago and this router read now.
+  void onReport(const EndpointId &Endpoint, std::int64_t RunningRequests,
+                Duration Lag, Instant Now);
+  void onDispatched(const EndpointId &Endpoint, Instant Now);
+  void onFinished(const EndpointId &Endpoint, Instant Now);
+  /// Estimated requests that run at the endpoint now.
+  double estimate(const EndpointId &Endpoint, Instant Now) const;
+  void forget(const EndpointId &Endpoint);
+
+private:
+  struct Entry {
+    std::int64_t m_Reported = 0;
+    Instant m_ReportMadeAt;
+    std::int64_t m_OwnRunning = 0;
+    /// Own dispatches and ends after the report was made.
+    std::vector<std::pair<Instant, int>> m_Changes;
+  };
+  std::map<EndpointId, Entry> m_Entries;
+};
+
+struct PickCandidate {
+  EndpointId m_Endpoint;
+  double m_Load = 0;               ///< From LoadView::estimate().
+  std::int64_t m_PrefixTokens = 0; ///< Cached prefix length for the request.
+  bool m_HasCredit = false;        ///< A free credit is held for it.
+};
+
+struct PickWeights {
+  /// Requests of load that one cached prefix token is worth.
+  double m_LoadPerPrefixToken = 0.002;
+  /// Requests of load that a credit at hand is worth.
+  double m_LoadPerCredit = 1.0;
+};
+
+/// Chooses the better of two random candidates, so that many routers with the
+/// same stale view do not all choose the same endpoint. With one candidate it
+/// is chosen; with none the result is empty. Thread safety: reentrant.
+std::optional<std::size_t> pickEndpoint(std::span<const PickCandidate> List,
+                                        const PickWeights &Weights,
+                                        std::mt19937_64 &Random);
+
+} // namespace sff::routing
