--- a/Source/Core/Core/Fold/ClusterState.h
+++ b/Source/Core/Core/Fold/ClusterState.h
@@ -25,6 +25,7 @@
   HostId m_Host;
   ZoneId m_Zone;
   std::string m_ControllerAddress;
+  std::string m_RouterAddress;
   Offset m_FirstRenewal = 0;
   Offset m_LastRenewal = 0;
   bool m_Released = false;
@@ -33,6 +34,7 @@
     return std::make_tuple(
         field("host", &Lease::m_Host), field("zone", &Lease::m_Zone),
         field("addr", &Lease::m_ControllerAddress),
+        field("router", &Lease::m_RouterAddress),
         field("first", &Lease::m_FirstRenewal),
         field("last", &Lease::m_LastRenewal), field("rel", &Lease::m_Released));
   }
--- a/Source/Core/Core/Fold/Records.h
+++ b/Source/Core/Core/Fold/Records.h
@@ -44,6 +44,7 @@
   HostId m_Host;
   ZoneId m_Zone;
   std::string m_ControllerAddress;
+  std::string m_RouterAddress; ///< Peer address of the host's router.
 
   static constexpr const char *Type = "lease_renewal";
   static constexpr auto describe() {
@@ -52,7 +53,8 @@
                            field("prev", &LeaseRenewal::m_Previous),
                            field("host", &LeaseRenewal::m_Host),
                            field("zone", &LeaseRenewal::m_Zone),
-                           field("addr", &LeaseRenewal::m_ControllerAddress));
+                           field("addr", &LeaseRenewal::m_ControllerAddress),
+                           field("router", &LeaseRenewal::m_RouterAddress));
   }
 };
 
--- /dev/null
+++ b/Source/Core/Net/Follower/StateFollower.cpp
@@ -0,0 +1,81 @@
+#include "Net/Follower/StateFollower.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace sff::follower {
+
+namespace {
+
+constexpr milliseconds SnapshotTimeout{5000};
+constexpr milliseconds SnapshotRetryPause{200};
+
+} // namespace
+
+StateFollower::StateFollower(timers::DutyLoop &Loop, RelayClient &Relays,
+                             Callbacks Handlers)
+    : m_Loop(Loop), m_Relays(Relays), m_Timers(Loop.context().get_executor()),
+      m_Handlers(std::move(Handlers)) {}
+
+StateFollower::~StateFollower() {
+  if (m_Stream)
+    m_Stream->stop();
+}
+
+void StateFollower::start() {
+  StreamFollower::Callbacks Handlers;
+  Handlers.m_OnRecord = [this](Offset Position, const nlohmann::json &Data) {
+    onRecord(Position, Data);
+  };
+  Handlers.m_OnBehind = [this](Offset) { onBehind(); };
+  Handlers.m_OnContact = m_Handlers.m_OnContact;
+  m_Stream = StreamFollower::start(m_Loop, m_Relays, ControlStream, 1,
+                                   std::move(Handlers));
+}
+
+void StateFollower::onRecord(Offset Position, const nlohmann::json &Data) {
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(Value, fold::fromJson(Data));
+        const fold::ApplyResult Result = m_State.apply(Position, Value);
+        if (m_Handlers.m_OnApplied)
+          m_Handlers.m_OnApplied(Position, Value, Result);
+        return {};
+      },
+      [&](const codec::DecodeError &Error) {
+        m_State.skip(Position);
+        log::warning(log::Category::Catalogue, "record.undecodable",
+                     {{"offset", Position}, {"detail", Error.m_Detail}});
+      },
+      [&] { m_State.skip(Position); });
+}
+
+void StateFollower::onBehind() {
+  m_Relays.call(messages::FetchSnapshot{}, SnapshotTimeout,
+                [this, Stream = std::weak_ptr(m_Stream)](auto Reply) {
+                  if (Stream.lock())
+                    onSnapshot(std::move(Reply));
+                });
+}
+
+void StateFollower::onSnapshot(
+    std::optional<messages::FetchSnapshotReply> Reply) {
+  const bool Installed =
+      Reply && Reply->m_Offset > m_State.appliedOffset() &&
+      boost::leaf::try_handle_all(
+          [&]() -> boost::leaf::result<bool> {
+            BOOST_LEAF_AUTO(State,
+                            fold::ClusterState::fromSnapshot(Reply->m_State));
+            m_State = std::move(State);
+            return true;
+          },
+          [] { return false; });
+  if (!Installed) {
+    m_Retry = m_Timers.after(SnapshotRetryPause, [this] { onBehind(); });
+    return;
+  }
+  if (m_Handlers.m_OnReplaced)
+    m_Handlers.m_OnReplaced();
+  m_Stream->continueFrom(m_State.appliedOffset() + 1);
+}
+
+} // namespace sff::follower
--- a/Source/UnitTests/Core/Fold/ClusterStateTest.cpp
+++ b/Source/UnitTests/Core/Fold/ClusterStateTest.cpp
@@ -35,10 +35,10 @@
   const IncarnationId First("i1");
   const IncarnationId Second("i2");
   const EndpointId Endpoint("e1");
-  State.apply(1, LeaseRenewal{RecordId("1"), First, 0, {}, {}, ""});
-  State.apply(2, LeaseRenewal{RecordId("2"), Second, 0, {}, {}, ""});
+  State.apply(1, LeaseRenewal{RecordId("1"), First, 0, {}, {}, "", ""});
+  State.apply(2, LeaseRenewal{RecordId("2"), Second, 0, {}, {}, "", ""});
   State.apply(3, OwnershipClaim{RecordId("3"), First, {{Endpoint, 0, 0}}});
-  State.apply(4, LeaseRenewal{RecordId("4"), First, 1, {}, {}, ""});
+  State.apply(4, LeaseRenewal{RecordId("4"), First, 1, {}, {}, "", ""});
   EXPECT_FALSE(
       State.apply(5, OwnershipClaim{RecordId("5"), Second, {{Endpoint, 3, 1}}})
           .m_Accepted);
@@ -54,7 +54,7 @@
   State.apply(
       1, CatalogueChange{RecordId("a"), EntryName("m"), 0, makeModel(1), "x"});
   State.apply(2, LeaseRenewal{RecordId("b"), IncarnationId("i"), 0, HostId("h"),
-                              ZoneId("z"), "127.0.0.1:1"});
+                              ZoneId("z"), "127.0.0.1:1", "127.0.0.1:2"});
   State.apply(3, OwnershipClaim{RecordId("c"),
                                 IncarnationId("i"),
                                 {{EndpointId("e"), 0, 0}}});
