--- a/Source/Core/Core/Fold/ClusterState.cpp
+++ b/Source/Core/Core/Fold/ClusterState.cpp
@@ -79,9 +79,13 @@
   if (It == m_Leases.end()) {
     if (Value.m_Previous != 0)
       return rejected(Value.m_Incarnation.str(), "the lease is unknown");
-    m_Leases[Value.m_Incarnation] = {
-        Value.m_Host, Value.m_Zone, Value.m_ControllerAddress,
-        Position,     Position,     false};
+    m_Leases[Value.m_Incarnation] = {Value.m_Host,
+                                     Value.m_Zone,
+                                     Value.m_ControllerAddress,
+                                     Value.m_RouterAddress,
+                                     Position,
+                                     Position,
+                                     false};
     return accepted();
   }
   Lease &Current = It->second;
