Add the relay

sff-relay follows the streams control and intents of the log, keeps bounded caches and the folded state, and serves both to local processes and to other relays. While its own path to the log is cut it fetches records from another relay and passes appends on, over at most two further relays. Heartbeats carry at most 16 entries; their period follows from the number of hosts. Intents that arrive while an append is under way share the next one; the offset of an item is its log offset times 1024 plus its position.

--- /dev/null
+++ b/Source/Core/Core/Membership/SnapshotRule.cpp
@@ -0,0 +1,40 @@
+#include "Core/Membership/SnapshotRule.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace sff::membership {
+
+namespace {
+
+constexpr Offset RankSteps = 8;
+
+/// FNV-1a followed by a mixing step; all builds must agree on the ranks, which
+/// std::hash does not promise.
+std::uint64_t rankHash(std::string_view Text, Offset Salt) {
+  std::uint64_t Hash = 14695981039346656037ULL ^ Salt;
+  for (const unsigned char Char : Text)
+    Hash = (Hash ^ Char) * 1099511628211ULL;
+  Hash ^= Hash >> 33;
+  Hash *= 0xff51afd7ed558ccdULL;
+  return Hash ^ (Hash >> 33);
+}
+
+} // namespace
+
+bool shouldWriteSnapshot(const HostId &Self, std::span<const HostId> Others,
+                         const SnapshotProgress &Progress) {
+  if (Progress.m_Applied < Progress.m_LastSnapshot + Progress.m_Records)
+    return false;
+  const std::uint64_t Own = rankHash(Self.str(), Progress.m_LastSnapshot);
+  const auto Rank =
+      static_cast<Offset>(std::ranges::count_if(Others, [&](const HostId &Id) {
+        const std::uint64_t Other = rankHash(Id.str(), Progress.m_LastSnapshot);
+        return Other < Own || (Other == Own && Id < Self);
+      }));
+  const Offset Step = std::max<Offset>(1, Progress.m_Records / RankSteps);
+  return Progress.m_Applied >=
+         Progress.m_LastSnapshot + Progress.m_Records + Rank * Step;
+}
+
+} // namespace sff::membership
--- a/Source/Core/Core/Messages/RelayMessages.h
+++ b/Source/Core/Core/Messages/RelayMessages.h
@@ -12,6 +12,12 @@
 
 using codec::field;
 
+/// Value of a hop count when no path to the log is known.
+inline constexpr std::int64_t NoLogPath = 1000;
+
+/// One record of a stream. The offset of a `control` record is its offset in
+/// the log. A log record of `intents` may hold a batch, so the offset of an
+/// item there is the log offset times 1024 plus its position in the batch.
 struct RecordAt {
   Offset m_Offset = 0;
   nlohmann::json m_Data;
@@ -30,12 +36,16 @@
   /// True while the relay has had contact with the log within its time-out.
   bool m_LogReachable = false;
   std::vector<RecordAt> m_Records;
+  /// Relays between the answering relay and the log; NoLogPath when none of
+  /// its paths works.
+  std::int64_t m_LogHops = NoLogPath;
 
   static constexpr auto describe() {
     return std::make_tuple(field("first", &FetchRecordsReply::m_First),
                            field("head", &FetchRecordsReply::m_Head),
                            field("log", &FetchRecordsReply::m_LogReachable),
-                           field("records", &FetchRecordsReply::m_Records));
+                           field("records", &FetchRecordsReply::m_Records),
+                           field("hops", &FetchRecordsReply::m_LogHops));
   }
 };
 
@@ -112,7 +122,8 @@
 };
 
 /// What relays tell each other about a host. A higher sequence replaces a
-/// lower one of the same incarnation.
+/// lower one. Sequences start at the wall-clock time in milliseconds, so that
+/// a new incarnation of a host replaces the earlier one.
 struct HostHeartbeat {
   HostId m_Host;
   ZoneId m_Zone;
@@ -122,16 +133,21 @@
   Offset m_AppliedOffset = 0; ///< Of the control stream.
   bool m_LogReachable = false;
   bool m_Leaving = false;
+  /// Offset of the newest snapshot that the relay knows to be stored.
+  Offset m_SnapshotOffset = 0;
 
+  // The keys are short because these entries dominate the control traffic of
+  // a large deployment.
   static constexpr auto describe() {
-    return std::make_tuple(field("host", &HostHeartbeat::m_Host),
-                           field("zone", &HostHeartbeat::m_Zone),
-                           field("inc", &HostHeartbeat::m_Incarnation),
-                           field("seq", &HostHeartbeat::m_Sequence),
-                           field("relay", &HostHeartbeat::m_RelayAddress),
-                           field("applied", &HostHeartbeat::m_AppliedOffset),
-                           field("log", &HostHeartbeat::m_LogReachable),
-                           field("leaving", &HostHeartbeat::m_Leaving));
+    return std::make_tuple(field("h", &HostHeartbeat::m_Host),
+                           field("z", &HostHeartbeat::m_Zone),
+                           field("i", &HostHeartbeat::m_Incarnation),
+                           field("s", &HostHeartbeat::m_Sequence),
+                           field("r", &HostHeartbeat::m_RelayAddress),
+                           field("a", &HostHeartbeat::m_AppliedOffset),
+                           field("l", &HostHeartbeat::m_LogReachable),
+                           field("e", &HostHeartbeat::m_Leaving),
+                           field("n", &HostHeartbeat::m_SnapshotOffset));
   }
 };
 
@@ -168,21 +184,26 @@
   Offset m_Head = 0;
   bool m_LogReachable = false;
   std::vector<HostStatus> m_Hosts;
+  bool m_Ready = false; ///< False until the relay holds a state.
+  std::int64_t m_LogHops = NoLogPath;
 
   static constexpr auto describe() {
     return std::make_tuple(field("applied", &RelayStatusReply::m_AppliedOffset),
                            field("head", &RelayStatusReply::m_Head),
                            field("log", &RelayStatusReply::m_LogReachable),
-                           field("hosts", &RelayStatusReply::m_Hosts));
+                           field("hosts", &RelayStatusReply::m_Hosts),
+                           field("ready", &RelayStatusReply::m_Ready),
+                           field("hops", &RelayStatusReply::m_LogHops));
   }
 };
 
 struct RelayStatus {
   using Reply = RelayStatusReply;
   static constexpr const char *Name = "relay_status";
-  bool m_Unused = false;
+  /// Leaves out all hosts but the relay's own.
+  bool m_OwnHostOnly = false;
   static constexpr auto describe() {
-    return std::make_tuple(field("unused", &RelayStatus::m_Unused));
+    return std::make_tuple(field("own", &RelayStatus::m_OwnHostOnly));
   }
 };
 
--- /dev/null
+++ b/Source/Core/Core/Relay/FetchQueue.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Common/Time/Instant.h"
+#include "Core/Messages/RelayMessages.h"
+
+#include <algorithm>
+#include <functional>
+#include <iterator>
+#include <vector>
+
+namespace sff::relay {
+
+/// Fetches that wait for records of one stream.
+/// Thread safety: none.
+class FetchQueue {
+public:
+  using Send = std::function<void(messages::FetchRecordsReply)>;
+
+  struct Waiting {
+    messages::FetchRecords m_Request;
+    Instant m_Deadline;
+    Send m_Send;
+  };
+
+  explicit FetchQueue(std::size_t Capacity) : m_Capacity(Capacity) {}
+
+  /// Returns false when the queue is full; the fetch is answered at once then.
+  bool add(Waiting Item) {
+    if (m_Items.size() >= m_Capacity)
+      return false;
+    m_Items.push_back(std::move(Item));
+    return true;
+  }
+
+  /// Removes the fetches for which \p IsReady holds.
+  template <typename Predicate> std::vector<Waiting> takeIf(Predicate IsReady) {
+    const auto Ready = std::stable_partition(
+        m_Items.begin(), m_Items.end(),
+        [&](const Waiting &Item) { return !IsReady(Item); });
+    std::vector<Waiting> Taken(std::make_move_iterator(Ready),
+                               std::make_move_iterator(m_Items.end()));
+    m_Items.erase(Ready, m_Items.end());
+    return Taken;
+  }
+
+  std::vector<Waiting> takeExpired(Instant Now) {
+    return takeIf([&](const Waiting &Item) { return Item.m_Deadline <= Now; });
+  }
+
+  std::size_t size() const { return m_Items.size(); }
+
+private:
+  std::size_t m_Capacity;
+  std::vector<Waiting> m_Items;
+};
+
+} // namespace sff::relay
--- a/Source/Core/Net/Peer/Transport.cpp
+++ b/Source/Core/Net/Peer/Transport.cpp
@@ -5,6 +5,8 @@
 #include <nng/protocol/reqrep0/req.h>
 
 #include <atomic>
+#include <condition_variable>
+#include <mutex>
 #include <stdexcept>
 #include <vector>
 
@@ -153,6 +155,34 @@
     : m_Impl(std::make_unique<Impl>(Address, Parallel, std::move(Handle))) {}
 RequestServer::~RequestServer() = default;
 
+namespace {
+
+/// Counts requests in progress, so that a client can wait for the last
+/// callback before the objects that the callbacks use are destroyed.
+class PendingCount {
+public:
+  void add() {
+    std::lock_guard Lock(m_Mutex);
+    ++m_Count;
+  }
+  void remove() {
+    std::lock_guard Lock(m_Mutex);
+    if (--m_Count == 0)
+      m_Zero.notify_all();
+  }
+  void waitForZero() {
+    std::unique_lock Lock(m_Mutex);
+    m_Zero.wait(Lock, [this] { return m_Count == 0; });
+  }
+
+private:
+  std::mutex m_Mutex;
+  std::condition_variable m_Zero;
+  std::size_t m_Count = 0;
+};
+
+} // namespace
+
 class RequestClient::Impl {
 public:
   explicit Impl(const std::string &Address) {
@@ -164,11 +194,16 @@
     nng_dial(m_Socket, ("tcp://" + Address).c_str(), nullptr,
              NNG_FLAG_NONBLOCK);
   }
-  ~Impl() { nng_close(m_Socket); }
+  ~Impl() {
+    // Closing aborts the requests; their callbacks run on threads of nng.
+    nng_close(m_Socket);
+    m_Pending->waitForZero();
+  }
 
   void send(Bytes Message, milliseconds Timeout, Callback Done) {
     auto *Call = new PendingCall;
     Call->m_Done = std::move(Done);
+    Call->m_Pending = m_Pending;
     Call->m_Deadline = std::chrono::steady_clock::now() + Timeout;
     if (nng_ctx_open(&Call->m_Context, m_Socket) != 0 ||
         nng_aio_alloc(&Call->m_Aio, &PendingCall::onComplete, Call) != 0) {
@@ -176,6 +211,7 @@
       delete Call;
       return;
     }
+    m_Pending->add();
     nng_aio_set_timeout(Call->m_Aio,
                         static_cast<nng_duration>(Timeout.count()));
     nng_aio_set_msg(Call->m_Aio, makeMessage(Message));
@@ -189,6 +225,7 @@
     nng_aio *m_Aio = nullptr;
     bool m_Receiving = false;
     Callback m_Done;
+    std::shared_ptr<PendingCount> m_Pending;
     Instant m_Deadline;
 
     static void onComplete(void *Argument) {
@@ -216,11 +253,14 @@
       nng_ctx_close(m_Context);
       // nng_aio_reap frees the operation outside this callback.
       nng_aio_reap(m_Aio);
+      const auto Pending = std::move(m_Pending);
       delete this;
+      Pending->remove();
     }
   };
 
   nng_socket m_Socket = NNG_SOCKET_INITIALIZER;
+  std::shared_ptr<PendingCount> m_Pending = std::make_shared<PendingCount>();
 };
 
 RequestClient::RequestClient(const std::string &Address)
--- a/Source/Core/Net/Peer/Transport.h
+++ b/Source/Core/Net/Peer/Transport.h
@@ -44,6 +44,8 @@
 
   /// Connects in the background and reconnects by itself.
   explicit RequestClient(const std::string &Address);
+  /// Aborts open requests and waits until their callbacks have returned.
+  /// Precondition: not called from a callback.
   ~RequestClient();
 
   /// Sends one request. A request may reach the peer twice after a reconnect,
--- /dev/null
+++ b/Source/Core/Relay/Gossip.cpp
@@ -0,0 +1,80 @@
+#include "Relay/Gossip.h"
+
+namespace sff::relay {
+
+namespace {
+
+constexpr int LeaveMessages = 3;
+/// Entries are kept for this many times the age at which a host counts as
+/// gone, so that a copy that is still in circulation does not revive it.
+constexpr int ForgetFactor = 2;
+
+Instant now() { return std::chrono::steady_clock::now(); }
+
+} // namespace
+
+Gossip::Gossip(timers::DutyLoop &Loop, PeerPool &Peers,
+               PeerDirectory &Directory, milliseconds PeerTimeout,
+               Callbacks Handlers)
+    : m_Peers(Peers), m_Directory(Directory),
+      m_Timers(Loop.context().get_executor()), m_PeerTimeout(PeerTimeout),
+      m_Handlers(std::move(Handlers)) {}
+
+void Gossip::start() { round(); }
+
+void Gossip::round() {
+  const membership::GossipPlan Plan = m_Directory.plan();
+  const Instant Now = now();
+  m_Directory.hosts().forget(Now, Plan.m_LiveAge * ForgetFactor);
+  if (Now - m_LastAdvance >= Plan.m_Refresh) {
+    m_Directory.hosts().advance();
+    m_LastAdvance = Now;
+  }
+  exchangeWith(m_Directory.randomPeer());
+  scheduleNext();
+}
+
+void Gossip::scheduleNext() {
+  m_Timer = m_Timers.after(m_Directory.plan().m_Period, [this] { round(); });
+}
+
+void Gossip::publishSoon() { m_LastAdvance = Instant(); }
+
+void Gossip::announceLeaving() {
+  m_Timer.reset();
+  m_Directory.hosts().leave();
+  for (int Count = 0; Count < LeaveMessages; ++Count)
+    exchangeWith(m_Directory.randomPeer());
+}
+
+std::vector<messages::HostHeartbeat>
+Gossip::select(std::span<const messages::HostHeartbeat> Received) {
+  m_Handlers.m_RefreshSelf();
+  const membership::GossipPlan Plan = m_Directory.plan();
+  return m_Directory.hosts().select(Plan.m_EntriesPerMessage, Received, now(),
+                                    Plan.m_LiveAge);
+}
+
+void Gossip::exchangeWith(const std::string &Address) {
+  if (Address.empty())
+    return;
+  m_Peers.at(Address).call(messages::Heartbeat{select({})}, m_PeerTimeout,
+                           [this](auto Reply) {
+                             if (Reply)
+                               mergeAll(Reply->m_Known);
+                           });
+}
+
+void Gossip::mergeAll(std::span<const messages::HostHeartbeat> Items) {
+  for (const messages::HostHeartbeat &Item : Items)
+    if (m_Directory.hosts().merge(Item, now()))
+      m_Handlers.m_OnNews(Item);
+}
+
+messages::HeartbeatReply
+Gossip::onHeartbeat(const messages::Heartbeat &Message) {
+  mergeAll(Message.m_Known);
+  return {select(Message.m_Known)};
+}
+
+} // namespace sff::relay
--- /dev/null
+++ b/Source/Core/Relay/PeerPool.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Net/Peer/Dispatcher.h"
+
+#include <list>
+#include <memory>
+#include <string>
+
+namespace sff::relay {
+
+/// Connections to other relays. Holds a bounded number; the one that was used
+/// least recently is closed for a new one.
+/// Thread safety: all calls from the loop's thread.
+class PeerPool {
+public:
+  PeerPool(timers::DutyLoop &Loop, std::size_t Capacity)
+      : m_Loop(Loop), m_Capacity(Capacity) {}
+
+  /// The connection to \p Address, made when there is none.
+  peer::Caller &at(const std::string &Address);
+
+private:
+  struct Entry {
+    std::string m_Address;
+    std::unique_ptr<peer::Caller> m_Caller;
+  };
+
+  timers::DutyLoop &m_Loop;
+  std::size_t m_Capacity;
+  std::list<Entry> m_Entries; ///< Most recently used first.
+};
+
+} // namespace sff::relay
--- /dev/null
+++ b/Source/UnitTests/Relay/MemoryLog.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Net/Http/Server.h"
+#include "Net/Timers/DutyLoop.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+namespace sff::test {
+
+/// A log in memory that speaks the platform's HTTP interface.
+class MemoryLog {
+public:
+  explicit MemoryLog(std::uint16_t Port);
+  ~MemoryLog();
+
+  /// Appends directly, without a relay.
+  void append(const std::string &Stream, nlohmann::json Data);
+  /// Drops all records of a stream but the newest \p Kept.
+  void retain(const std::string &Stream, std::size_t Kept);
+  std::vector<nlohmann::json> records(const std::string &Stream);
+
+  std::atomic<bool> m_Outage{false};
+  std::atomic<bool> m_LoseAnswers{false};
+  std::atomic<int> m_AppendDelayMs{0};
+
+private:
+  struct Stream {
+    std::uint64_t m_First = 1;
+    std::vector<nlohmann::json> m_Records;
+  };
+
+  boost::asio::awaitable<void> handle(http::Request Message,
+                                      http::Exchange &Caller);
+  boost::asio::awaitable<void> read(http::Request Message, std::string Name,
+                                    http::Exchange &Caller);
+  std::uint64_t store(const std::string &Name, nlohmann::json Data);
+
+  std::mutex m_Mutex;
+  std::map<std::string, Stream> m_Streams;
+  timers::DutyLoop m_Loop{"memory-log", 64};
+  std::unique_ptr<http::Server> m_Server;
+};
+
+} // namespace sff::test
--- /dev/null
+++ b/Source/UnitTests/Relay/RelayNodeTest.cpp
@@ -0,0 +1,319 @@
+#include "Relay/RelayNode.h"
+
+#include "Core/Relay/BatchRecord.h"
+#include "MemoryLog.h"
+#include "Relay/RelaySettings.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include <future>
+#include <thread>
+
+namespace sff::relay {
+namespace {
+
+constexpr milliseconds Patience{20000};
+constexpr milliseconds CallTimeout{5000};
+/// ctest runs each test as a process of its own, several at once, so each
+/// starts in its own part of the port range.
+constexpr int FirstPort = 42000;
+constexpr int PortsPerProcess = 8;
+constexpr int PortBlocks = 100;
+std::uint16_t NextPort = static_cast<std::uint16_t>(
+    FirstPort + getpid() % PortBlocks * PortsPerProcess);
+
+/// The range is also used for outgoing connections, so a port may be taken.
+std::uint16_t takeFreePort() {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context Context;
+  for (;;) {
+    const std::uint16_t Port = NextPort++;
+    boost::system::error_code Error;
+    tcp::socket Probe(Context, tcp::v4());
+    Probe.bind({boost::asio::ip::address_v4::loopback(), Port}, Error);
+    if (!Error)
+      return Port;
+  }
+}
+
+struct Endpoint {
+  std::uint16_t m_Port = takeFreePort();
+  std::string str() const { return "127.0.0.1:" + std::to_string(m_Port); }
+};
+
+/// One relay and a connection to it.
+class TestRelay {
+public:
+  TestRelay(std::string Host, const Endpoint &Listen, const Endpoint &Log,
+            std::vector<std::string> Peers, int SnapshotRecords = 1000) {
+    nlohmann::json Values;
+    Values["process"] = {{"host", Host}, {"zone", "z-" + Host}};
+    Values["relay"] = {
+        {"listen", Listen.str()}, {"peers", Peers}, {"peer_timeout_ms", 500}};
+    Values["log"] = {{"address", Log.str()},
+                     {"timeout_ms", 500},
+                     {"wait_ms", 300},
+                     {"retry_ms", 50}};
+    Values["snapshot"] = {{"records", SnapshotRecords}};
+    Values["gossip"] = {{"min_period_ms", 30}, {"bytes_per_second", 100000}};
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+          BOOST_LEAF_AUTO(Checked, makeSchema().check(Values, "test"));
+          m_Node = std::make_unique<RelayNode>(process::Context{
+              Checked, {"sff-relay", Host, "z-" + Host, makeRandomId()}});
+          return {};
+        },
+        [](const findings::FindingList &List) { ADD_FAILURE() << List; },
+        [] { ADD_FAILURE(); });
+    m_Node->start();
+    m_Caller = std::make_unique<peer::Caller>(m_Loop, Listen.str());
+  }
+
+  ~TestRelay() {
+    m_Node.reset();
+    m_Caller.reset();
+    m_Loop.stop();
+  }
+
+  template <typename Request>
+  std::optional<typename Request::Reply> call(const Request &Body) {
+    auto Done = std::make_shared<
+        std::promise<std::optional<typename Request::Reply>>>();
+    auto Answer = Done->get_future();
+    m_Caller->call(Body, CallTimeout,
+                   [Done](auto Reply) { Done->set_value(std::move(Reply)); });
+    return Answer.get();
+  }
+
+  Offset applied() {
+    const auto Status = call(messages::RelayStatus{true});
+    return Status ? Status->m_AppliedOffset : 0;
+  }
+
+  messages::AppendReply append(const std::string &Stream,
+                               const nlohmann::json &Record) {
+    return call(messages::Append{Stream, Record, 0})
+        .value_or(messages::AppendReply{});
+  }
+
+  std::vector<Offset> offsets(const std::string &Stream, Offset From) {
+    std::vector<Offset> Result;
+    const auto Reply =
+        call(messages::FetchRecords{Stream, From, 500, milliseconds(0)});
+    for (const auto &Item :
+         Reply ? Reply->m_Records : std::vector<messages::RecordAt>())
+      Result.push_back(Item.m_Offset);
+    return Result;
+  }
+
+  std::unique_ptr<RelayNode> m_Node;
+
+private:
+  timers::DutyLoop m_Loop{"test-caller", 256};
+  std::unique_ptr<peer::Caller> m_Caller;
+};
+
+template <typename Predicate> bool eventually(Predicate Holds) {
+  const Instant Deadline = std::chrono::steady_clock::now() + Patience;
+  while (std::chrono::steady_clock::now() < Deadline) {
+    if (Holds())
+      return true;
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return false;
+}
+
+nlohmann::json makeChange(const std::string &Name, Offset Base = 0) {
+  fold::CatalogueChange Change;
+  Change.m_Id = makeId<RecordId>();
+  Change.m_Entry = EntryName(Name);
+  Change.m_BaseVersion = Base;
+  Change.m_Spec.emplace();
+  Change.m_Spec->m_Team = "team";
+  Change.m_Spec->m_WeightBytes = 1;
+  Change.m_Spec->m_BytesPerToken = 1;
+  return fold::toJson(Change);
+}
+
+TEST(RelayNodeTest, AppendedRecordIsFoldedAndServed) {
+  const Endpoint Log, Listen;
+  test::MemoryLog Store(Log.m_Port);
+  TestRelay Relay("h1", Listen, Log, {});
+  ASSERT_TRUE(eventually([&] {
+    return Relay.append("control", makeChange("m1")).m_Outcome ==
+           messages::AppendOutcome::Appended;
+  }));
+  EXPECT_TRUE(eventually([&] { return Relay.applied() == 1; }));
+  EXPECT_EQ(Relay.offsets("control", 1), std::vector<Offset>{1});
+  const auto Snapshot = Relay.call(messages::FetchSnapshot{});
+  ASSERT_TRUE(Snapshot);
+  EXPECT_EQ(Snapshot->m_Offset, 1u);
+}
+
+// Guards against a zone that stops learning changes, or cannot append, while
+// any other relay still has a path to the log.
+TEST(RelayNodeTest, CutRelayReadsAndAppendsThroughAnother) {
+  const Endpoint Log, NoLog, First, Second, Third;
+  test::MemoryLog Store(Log.m_Port);
+  TestRelay Direct("h1", First, Log, {});
+  TestRelay Cut("h2", Second, NoLog, {First.str()});
+  // Reaches only the relay that is cut off itself.
+  TestRelay Far("h3", Third, NoLog, {Second.str()});
+  Store.append("control", makeChange("m1"));
+  EXPECT_TRUE(eventually([&] { return Cut.applied() == 1; }));
+  EXPECT_TRUE(eventually([&] { return Far.applied() == 1; }));
+  ASSERT_TRUE(eventually([&] {
+    return Far.append("control", makeChange("m2")).m_Outcome ==
+           messages::AppendOutcome::Appended;
+  }));
+  const Instant Start = std::chrono::steady_clock::now();
+  EXPECT_TRUE(eventually([&] { return Far.applied() == 2; }));
+  RecordProperty(
+      "far_delay_ms",
+      std::to_string(
+          toMilliseconds(std::chrono::steady_clock::now() - Start).count()));
+  EXPECT_EQ(Store.records("control").size(), 2u);
+}
+
+// Guards against two relays without a path to the log that take each other
+// for one.
+TEST(RelayNodeTest, RelaysWithoutAnyPathSaySo) {
+  const Endpoint Log, First, Second;
+  TestRelay One("h1", First, Log, {Second.str()});
+  TestRelay Two("h2", Second, Log, {First.str()});
+  std::this_thread::sleep_for(milliseconds(500));
+  const auto Status = One.call(messages::RelayStatus{});
+  ASSERT_TRUE(Status);
+  EXPECT_FALSE(Status->m_LogReachable);
+  EXPECT_FALSE(Status->m_Ready);
+  EXPECT_EQ(One.append("control", makeChange("m")).m_Outcome,
+            messages::AppendOutcome::NotAppended);
+}
+
+// Guards against an append that is repeated, or reported as not done, after
+// its answer was lost.
+TEST(RelayNodeTest, LostAppendAnswerIsUnknownAndNotRepeated) {
+  const Endpoint Log, Listen;
+  test::MemoryLog Store(Log.m_Port);
+  TestRelay Relay("h1", Listen, Log, {});
+  ASSERT_TRUE(eventually([&] {
+    const auto Status = Relay.call(messages::RelayStatus{});
+    return Status && Status->m_LogReachable;
+  }));
+  Store.m_LoseAnswers = true;
+  EXPECT_EQ(Relay.append("control", makeChange("m1")).m_Outcome,
+            messages::AppendOutcome::Unknown);
+  EXPECT_TRUE(eventually([&] { return Relay.applied() == 1; }));
+  EXPECT_EQ(Store.records("control").size(), 1u);
+}
+
+// Guards against a fresh relay that starts behind expired records, and checks
+// that snapshots are stored.
+TEST(RelayNodeTest, FreshRelayStartsFromAStoredSnapshot) {
+  const Endpoint Log, First, Second;
+  test::MemoryLog Store(Log.m_Port);
+  TestRelay Old("h1", First, Log, {}, 4);
+  ASSERT_TRUE(eventually([&] { return Old.applied() == 0; }));
+  for (int Number = 0; Number < 9; ++Number)
+    Store.append("control", makeChange("m" + std::to_string(Number)));
+  ASSERT_TRUE(eventually([&] { return !Store.records("snapshots").empty(); }));
+  ASSERT_TRUE(eventually([&] { return Old.applied() == 9; }));
+  const Offset Stored = Store.records("snapshots").back()["offset"];
+  Store.retain("control", 9 - Stored);
+  TestRelay Fresh("h2", Second, Log, {}, 1000);
+  EXPECT_TRUE(eventually([&] { return Fresh.applied() == 9; }));
+  EXPECT_EQ(Fresh.call(messages::FetchSnapshot{})->m_State,
+            Old.call(messages::FetchSnapshot{})->m_State);
+}
+
+TEST(RelayNodeTest, FreshRelayDoesNotStartFromAGap) {
+  const Endpoint Log, First, Second;
+  test::MemoryLog Store(Log.m_Port);
+  for (int Number = 0; Number < 9; ++Number)
+    Store.append("control", makeChange("m" + std::to_string(Number)));
+  TestRelay Old("h1", First, Log, {});
+  ASSERT_TRUE(eventually([&] { return Old.applied() == 9; }));
+  Store.retain("control", 2);
+  {
+    TestRelay Alone("h2", Second, Log, {});
+    std::this_thread::sleep_for(milliseconds(500));
+    EXPECT_FALSE(Alone.call(messages::RelayStatus{})->m_Ready);
+  }
+  const Endpoint Third;
+  TestRelay Fresh("h3", Third, Log, {First.str()});
+  EXPECT_TRUE(eventually([&] { return Fresh.applied() == 9; }));
+}
+
+// Guards against more than one append for intents that arrive together, and
+// against items of a batch that lose their order.
+TEST(RelayNodeTest, IntentsThatArriveTogetherShareAppends) {
+  const Endpoint Log, Listen;
+  test::MemoryLog Store(Log.m_Port);
+  TestRelay Relay("h1", Listen, Log, {});
+  ASSERT_TRUE(eventually([&] {
+    const auto Status = Relay.call(messages::RelayStatus{});
+    return Status && Status->m_LogReachable;
+  }));
+  Store.m_AppendDelayMs = 100;
+  constexpr int Count = 60;
+  std::vector<std::future<messages::AppendReply>> Replies;
+  for (int Number = 0; Number < Count; ++Number)
+    Replies.push_back(std::async(std::launch::async, [&Relay, Number] {
+      return Relay.append("intents", {{"n", Number}});
+    }));
+  std::vector<Offset> Given;
+  for (auto &Reply : Replies) {
+    const messages::AppendReply Result = Reply.get();
+    EXPECT_EQ(Result.m_Outcome, messages::AppendOutcome::Appended);
+    Given.push_back(Result.m_Offset);
+  }
+  std::ranges::sort(Given);
+  ASSERT_TRUE(eventually([&] {
+    return Relay.offsets("intents", BatchPositions).size() == Count;
+  }));
+  EXPECT_EQ(Relay.offsets("intents", BatchPositions), Given);
+  EXPECT_LT(Store.records("intents").size(), 20u);
+}
+
+TEST(RelayNodeTest, WaitingFetchIsAnsweredByTheNextRecord) {
+  const Endpoint Log, Listen;
+  test::MemoryLog Store(Log.m_Port);
+  TestRelay Relay("h1", Listen, Log, {});
+  ASSERT_TRUE(eventually([&] {
+    const auto Status = Relay.call(messages::RelayStatus{});
+    return Status && Status->m_Ready;
+  }));
+  auto Waiting = std::async(std::launch::async, [&] {
+    return Relay.call(
+        messages::FetchRecords{"control", 1, 10, milliseconds(4000)});
+  });
+  Store.append("control", makeChange("m1"));
+  const auto Reply = Waiting.get();
+  ASSERT_TRUE(Reply);
+  EXPECT_EQ(Reply->m_Records.size(), 1u);
+}
+
+// Guards against a stop that leaves the others to find out by age.
+TEST(RelayNodeTest, StoppedRelayIsKnownToLeave) {
+  const Endpoint Log, First, Second;
+  test::MemoryLog Store(Log.m_Port);
+  TestRelay Stays("h1", First, Log, {Second.str()});
+  TestRelay Leaves("h2", Second, Log, {First.str()});
+  ASSERT_TRUE(eventually([&] {
+    const auto Status = Stays.call(messages::RelayStatus{});
+    return Status && Status->m_Hosts.size() == 2;
+  }));
+  Leaves.m_Node->stop();
+  EXPECT_TRUE(eventually([&] {
+    const auto Status = Stays.call(messages::RelayStatus{});
+    return Status && Status->m_Hosts.size() == 2 &&
+           Status->m_Hosts[1].m_Heartbeat.m_Leaving;
+  }));
+}
+
+} // namespace
+} // namespace sff::relay
