Add stand-ins for the platform's services, engines and plain services

Router and controller work needs something to run against: the log, the weight store, the host list, engines and plain services, each with faults that POST /faults switches on. Exchange gains the number of its connection, so that a stand-in can freeze the connections that exist.

--- a/Source/Core/Net/Http/Server.cpp
+++ b/Source/Core/Net/Http/Server.cpp
@@ -34,6 +34,7 @@
   std::atomic<bool> m_Stopping{false};
   std::atomic<std::size_t> m_Connections{0};
   std::atomic<std::size_t> m_Active{0};
+  std::atomic<std::uint64_t> m_Accepted{0};
 };
 
 /// Adds one to a counter for the lifetime of a scope.
@@ -63,7 +64,7 @@
 public:
   Session(tcp::socket Socket, std::shared_ptr<Shared> State)
       : m_Stream(std::move(Socket)), m_State(std::move(State)),
-        m_Count(m_State->m_Connections) {}
+        m_Count(m_State->m_Connections), m_Number(++m_State->m_Accepted) {}
 
   asio::awaitable<void> run() {
     while (!m_State->m_Stopping && m_Stream.socket().is_open())
@@ -146,6 +147,8 @@
 
   bool started() const override { return m_Started; }
 
+  std::uint64_t connectionNumber() const override { return m_Number; }
+
 private:
   bool shouldKeepAlive() const { return m_KeepAlive && !m_State->m_Stopping; }
 
@@ -244,6 +247,7 @@
   beast::tcp_stream m_Stream;
   std::shared_ptr<Shared> m_State;
   ScopedCount m_Count;
+  std::uint64_t m_Number;
   beast::flat_buffer m_Buffer;
   bool m_KeepAlive = true;
   bool m_Started = false;
--- a/Source/Core/Net/Http/Server.h
+++ b/Source/Core/Net/Http/Server.h
@@ -43,6 +43,8 @@
   virtual bool callerGone() = 0;
   /// True once a status line has been sent.
   virtual bool started() const = 0;
+  /// Number of the connection, ascending in the order of acceptance.
+  virtual std::uint64_t connectionNumber() const = 0;
 };
 
 using Handler =
--- /dev/null
+++ b/Source/StandIns/Engine/ModelTable.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Common/Codec/Fields.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace sff::standin {
+
+/// An order of the endpoint's owner.
+struct Order {
+  std::string m_Id;
+  std::uint64_t m_FencingToken = 0;
+  std::string m_Kind;
+  std::string m_Model;
+  std::string m_Version;
+  std::int64_t m_Bytes = 0;
+  std::int64_t m_BytesPerToken = 0;
+  std::int64_t m_MaxTokens = 0; ///< Of one request; 0 for no limit.
+  std::string m_Base;           ///< Base model of an adapter.
+  std::string m_Role;
+
+  std::string weightKey() const { return m_Model + "/" + m_Version; }
+
+  static constexpr auto describe() {
+    return std::make_tuple(
+        codec::field("order_id", &Order::m_Id),
+        codec::field("fencing_token", &Order::m_FencingToken),
+        codec::field("kind", &Order::m_Kind),
+        codec::field("model", &Order::m_Model),
+        codec::field("version", &Order::m_Version),
+        codec::field("bytes", &Order::m_Bytes),
+        codec::field("bytes_per_token", &Order::m_BytesPerToken),
+        codec::field("max_tokens", &Order::m_MaxTokens),
+        codec::field("base", &Order::m_Base),
+        codec::field("role", &Order::m_Role));
+  }
+};
+
+/// Accelerator memory. Never refuses, but records each overcommitment, so
+/// that a test can show that the owner's accounting holds.
+/// Thread safety: use from one thread.
+class AcceleratorMemory {
+public:
+  explicit AcceleratorMemory(std::int64_t Capacity) : m_Capacity(Capacity) {}
+
+  void add(std::int64_t Bytes);
+  void remove(std::int64_t Bytes) { m_Used -= Bytes; }
+
+  std::int64_t m_Capacity;
+  std::int64_t m_Used = 0;
+  std::int64_t m_HighWater = 0;
+  /// Number of additions that went beyond the capacity.
+  std::int64_t m_Overcommitted = 0;
+};
+
+/// Models that are loaded or being loaded. Thread safety: use from one thread.
+class ModelTable {
+public:
+  struct Entry {
+    Order m_Order; ///< The load order.
+    bool m_Ready = false;
+    std::int64_t m_Requests = 0;
+  };
+
+  /// Returns null when the model is neither loaded nor being loaded.
+  Entry *find(const std::string &Model);
+  /// Returns null when the model cannot serve.
+  Entry *findReady(const std::string &Model);
+  bool hasAdapterOf(const std::string &Base) const;
+
+  void add(const Order &Load) { m_Entries[Load.m_Model] = {Load}; }
+  void remove(const std::string &Model) { m_Entries.erase(Model); }
+
+  nlohmann::json describe() const;
+
+private:
+  std::map<std::string, Entry> m_Entries;
+};
+
+} // namespace sff::standin
--- /dev/null
+++ b/Source/StandIns/Engine/WeightCache.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <list>
+#include <string>
+
+namespace sff::standin {
+
+/// Where the weights of a model version are.
+enum class WeightPlace { Memory, Disk, Remote };
+
+std::string toString(WeightPlace Place);
+
+/// Weights in host memory and on local disk; each place keeps a limited number
+/// of the most recently used. Thread safety: use from one thread.
+class WeightCache {
+public:
+  WeightCache(std::int64_t MemoryModels, std::int64_t DiskModels)
+      : m_MemoryModels(MemoryModels), m_DiskModels(DiskModels) {}
+
+  /// Nearest place that has the weights. \p Key is model/version.
+  WeightPlace locate(const std::string &Key) const;
+
+  void putOnDisk(const std::string &Key) { put(m_Disk, Key, m_DiskModels); }
+  void putInMemory(const std::string &Key) {
+    put(m_Memory, Key, m_MemoryModels);
+  }
+
+  /// List of model, version and place.
+  nlohmann::json describe() const;
+
+private:
+  using Keys = std::list<std::string>;
+  static void put(Keys &Place, const std::string &Key, std::int64_t Limit);
+
+  std::int64_t m_MemoryModels;
+  std::int64_t m_DiskModels;
+  Keys m_Memory;
+  Keys m_Disk;
+};
+
+} // namespace sff::standin
--- /dev/null
+++ b/Source/StandIns/HostList/HostService.cpp
@@ -0,0 +1,56 @@
+#include "StandIns/HostList/HostService.h"
+
+#include "StandIns/Support/Wait.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace sff::standin {
+
+namespace asio = boost::asio;
+
+HostService::HostService(asio::io_context &Context, milliseconds Lag,
+                         const nlohmann::json &Initial)
+    : m_Base(Context, {{"lag_ms", Lag.count()}}) {
+  apply(Initial);
+  m_Base.route("GET", "/v1/hosts", RouteKind::Control,
+               [this](Call &) -> asio::awaitable<Answer> {
+                 co_return http::makeJson(200, describe());
+               });
+  m_Base.route("POST", "/v1/hosts", RouteKind::Control,
+               [this](Call &Incoming) { return change(Incoming); });
+}
+
+void HostService::apply(const nlohmann::json &Hosts) {
+  for (const nlohmann::json &Item : Hosts) {
+    nlohmann::json &Target = m_Hosts[Item.at("host").get<std::string>()];
+    if (Target.is_null())
+      Target = {{"kind", "engine"}, {"state", "live"}};
+    Target.update(Item);
+  }
+}
+
+asio::awaitable<Answer> HostService::change(Call &Incoming) {
+  nlohmann::json Hosts = Incoming.json().at("hosts");
+  for (const nlohmann::json &Item : Hosts)
+    Item.at("host").get<std::string>();
+  const milliseconds Lag(m_Base.faults().get<std::int64_t>("lag_ms"));
+  asio::co_spawn(
+      m_Base.context(),
+      [](HostService *Self, milliseconds Delay,
+         nlohmann::json Change) -> asio::awaitable<void> {
+        co_await sleepFor(Delay);
+        Self->apply(Change);
+      }(this, Lag, std::move(Hosts)),
+      asio::detached);
+  co_return http::makeJson(200, {{"shows_after_ms", Lag.count()}});
+}
+
+nlohmann::json HostService::describe() const {
+  nlohmann::json Hosts = nlohmann::json::array();
+  for (const auto &[Name, Item] : m_Hosts)
+    Hosts.push_back(Item);
+  return {{"hosts", Hosts}};
+}
+
+} // namespace sff::standin
--- /dev/null
+++ b/Source/StandIns/PlatformLog/LogService.cpp
@@ -0,0 +1,101 @@
+#include "StandIns/PlatformLog/LogService.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace sff::standin {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::int64_t DefaultReadRecords = 1000;
+constexpr std::int64_t MaxReadRecords = 100000;
+constexpr milliseconds MaxReadWait{60000};
+
+http::Response makeRead(const LogStream &Log, Offset From, std::size_t Limit) {
+  return {200, {{"Content-Type", "application/json"}}, Log.read(From, Limit)};
+}
+
+} // namespace
+
+LogService::LogService(asio::io_context &Context, LogOptions Options)
+    : m_Base(Context, {{"late_append_ms", 0},
+                       {"duplicate_append", false},
+                       {"retention", Options.m_Retention}}),
+      m_Rate(Options.m_AppendsPerSecond) {
+  const std::string Records = "/v1/streams/{}/records";
+  m_Base.route("POST", Records, RouteKind::Work,
+               [this](Call &Incoming) { return append(Incoming); });
+  m_Base.route("GET", Records, RouteKind::Control,
+               [this](Call &Incoming) { return read(Incoming); });
+  m_Base.route("GET", "/v1/streams", RouteKind::Control,
+               [this](Call &) -> asio::awaitable<Answer> {
+                 co_return http::makeJson(200, describe());
+               });
+}
+
+Offset LogService::store(const std::string &Name, std::string Data) {
+  Stream &Target = m_Streams[Name];
+  const auto Kept =
+      std::max<std::int64_t>(1, m_Base.faults().get<std::int64_t>("retention"));
+  const auto Retention = static_cast<std::size_t>(Kept);
+  const bool Twice = m_Base.faults().take("duplicate_append");
+  const Offset At = Target.m_Log.append(Data, Retention);
+  if (Twice)
+    Target.m_Log.append(std::move(Data), Retention);
+  Target.m_Changed.notifyAll();
+  return At;
+}
+
+asio::awaitable<Answer> LogService::append(Call &Incoming) {
+  if (!m_Rate.tryTake(std::chrono::steady_clock::now()))
+    co_return http::makeProblem(429, "Too Many Requests", "append rate");
+  std::string Data = Incoming.json().dump();
+  const std::string &Name = Incoming.m_Captures.front();
+  const milliseconds Late(m_Base.faults().get<std::int64_t>("late_append_ms"));
+  if (Late.count() > 0) {
+    asio::co_spawn(
+        m_Base.context(),
+        [](LogService *Self, milliseconds Delay, std::string Stream,
+           std::string Text) -> asio::awaitable<void> {
+          co_await sleepFor(Delay);
+          Self->store(Stream, std::move(Text));
+        }(this, Late, Name, std::move(Data)),
+        asio::detached);
+    Incoming.m_Exchange.abort();
+    co_return std::nullopt;
+  }
+  const Offset At = store(Name, std::move(Data));
+  co_return http::makeJson(200, {{"offset", At}});
+}
+
+asio::awaitable<Answer> LogService::read(Call &Incoming) {
+  const auto From = static_cast<Offset>(
+      std::max<std::int64_t>(1, Incoming.number("from", 1)));
+  const auto Limit = static_cast<std::size_t>(std::clamp<std::int64_t>(
+      Incoming.number("max", DefaultReadRecords), 0, MaxReadRecords));
+  const Instant End =
+      std::chrono::steady_clock::now() +
+      std::min(milliseconds(Incoming.number("wait_ms", 0)), MaxReadWait);
+  Stream &Source = m_Streams[Incoming.m_Captures.front()];
+  while (Source.m_Log.head() < From) {
+    const Duration Left = End - std::chrono::steady_clock::now();
+    if (Left <= Duration::zero())
+      break;
+    co_await Source.m_Changed.wait(Left);
+  }
+  co_return makeRead(Source.m_Log, From, Limit);
+}
+
+nlohmann::json LogService::describe() const {
+  nlohmann::json Streams = nlohmann::json::object();
+  for (const auto &[Name, Item] : m_Streams)
+    Streams[Name] = {{"first", Item.m_Log.first()},
+                     {"head", Item.m_Log.head()}};
+  return {{"streams", Streams}};
+}
+
+} // namespace sff::standin
--- /dev/null
+++ b/Source/StandIns/Support/FaultBoard.cpp
@@ -0,0 +1,45 @@
+#include "StandIns/Support/FaultBoard.h"
+
+namespace sff::standin {
+
+namespace {
+
+bool isCounterOrSwitch(const nlohmann::json &Value) {
+  return Value.is_boolean() || Value.is_number_integer();
+}
+
+bool isSameKind(const nlohmann::json &Known, const nlohmann::json &Given) {
+  if (Known.is_boolean())
+    return isCounterOrSwitch(Given);
+  if (Known.is_number())
+    return Given.is_number();
+  return Known.type() == Given.type();
+}
+
+} // namespace
+
+std::optional<std::string> FaultBoard::update(const nlohmann::json &Change) {
+  if (!Change.is_object())
+    return "a JSON object is expected";
+  for (const auto &[Name, Value] : Change.items()) {
+    const auto Known = m_Initial.find(Name);
+    if (Known == m_Initial.end())
+      return "unknown fault: " + Name;
+    if (!isSameKind(*Known, Value))
+      return "wrong type of value: " + Name;
+  }
+  m_Values.update(Change);
+  return std::nullopt;
+}
+
+bool FaultBoard::take(std::string_view Name) {
+  nlohmann::json &Value = m_Values.at(std::string(Name));
+  if (Value.is_boolean())
+    return Value.get<bool>();
+  const auto Left = Value.get<std::int64_t>();
+  if (Left > 0)
+    Value = Left - 1;
+  return Left != 0;
+}
+
+} // namespace sff::standin
--- /dev/null
+++ b/Source/StandIns/Support/StandIn.cpp
@@ -0,0 +1,225 @@
+#include "StandIns/Support/StandIn.h"
+
+#include "StandIns/Support/Wait.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <charconv>
+#include <csignal>
+
+namespace sff::standin {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds ThawPollPeriod{20};
+
+std::vector<std::string> splitPath(std::string_view Path) {
+  std::vector<std::string> Segments;
+  while (!Path.empty()) {
+    Path.remove_prefix(1);
+    const std::size_t End = std::min(Path.find('/'), Path.size());
+    Segments.emplace_back(Path.substr(0, End));
+    Path.remove_prefix(End);
+  }
+  return Segments;
+}
+
+std::optional<std::vector<std::string>>
+matchSegments(const std::vector<std::string> &Pattern,
+              const std::vector<std::string> &Path) {
+  if (Pattern.size() != Path.size())
+    return std::nullopt;
+  std::vector<std::string> Captures;
+  for (std::size_t Index = 0; Index < Path.size(); ++Index) {
+    if (Pattern[Index] == "{}")
+      Captures.push_back(Path[Index]);
+    else if (Pattern[Index] != Path[Index])
+      return std::nullopt;
+  }
+  return Captures;
+}
+
+nlohmann::json addCommonFaults(nlohmann::json Faults) {
+  Faults["outage"] = false;
+  Faults["delay_ms"] = 0;
+  Faults["freeze"] = "none";
+  Faults["lose_answers"] = false;
+  Faults["late_answer_ms"] = 0;
+  return Faults;
+}
+
+milliseconds readDelay(const FaultBoard &Faults, std::string_view Name) {
+  return milliseconds(Faults.get<std::int64_t>(Name));
+}
+
+/// Closes the connection although an answer exists.
+Answer closeUnanswered(Call &Incoming) {
+  Incoming.m_Exchange.abort();
+  return std::nullopt;
+}
+
+} // namespace
+
+nlohmann::json Call::json() const {
+  return nlohmann::json::parse(m_Request.m_Body);
+}
+
+std::int64_t Call::number(std::string_view Name, std::int64_t Default) const {
+  const auto Text = m_Request.query(Name);
+  std::int64_t Value = Default;
+  if (Text)
+    std::from_chars(Text->data(), Text->data() + Text->size(), Value);
+  return Value;
+}
+
+std::string Call::header(std::string_view Name) const {
+  return m_Request.m_Headers.find(Name).value_or("");
+}
+
+void echoIds(const Call &Incoming, http::Response &Result) {
+  for (const char *Name : {"X-Request-Id", "X-Attempt-Id"})
+    if (const auto Value = Incoming.m_Request.m_Headers.find(Name))
+      Result.m_Headers.set(Name, *Value);
+}
+
+StandIn::StandIn(asio::io_context &Context, const nlohmann::json &Faults)
+    : m_Context(Context), m_Faults(addCommonFaults(Faults)),
+      m_Server(Context, {}, [this](http::Request Incoming, auto &Caller) {
+        return serve(std::move(Incoming), Caller);
+      }) {
+  route("GET", "/livez", RouteKind::Control,
+        [](Call &) -> asio::awaitable<Answer> {
+          co_return http::Response{200, {}, "ok\n"};
+        });
+}
+
+void StandIn::route(std::string Method, std::string Pattern, RouteKind Kind,
+                    Handler Handle) {
+  std::vector<std::string> Segments{Pattern};
+  if (Pattern != "*")
+    Segments = splitPath(Pattern);
+  m_Routes.push_back(
+      {std::move(Method), std::move(Segments), Kind, std::move(Handle)});
+}
+
+const StandIn::Route *StandIn::match(Call &Incoming) const {
+  const auto Path = splitPath(Incoming.m_Request.path());
+  for (const Route &Item : m_Routes) {
+    if (!Item.m_Method.empty() && Item.m_Method != Incoming.m_Request.m_Method)
+      continue;
+    if (Item.m_Segments.front() == "*")
+      return &Item;
+    if (auto Captures = matchSegments(Item.m_Segments, Path)) {
+      Incoming.m_Captures = std::move(*Captures);
+      return &Item;
+    }
+  }
+  return nullptr;
+}
+
+http::Response StandIn::answerFaults(const Call &Incoming) {
+  const std::string &Method = Incoming.m_Request.m_Method;
+  if (Method == "DELETE")
+    m_Faults.reset();
+  if (Method == "POST") {
+    if (const auto Finding = m_Faults.update(Incoming.json()))
+      return http::makeProblem(400, "Bad Request", *Finding);
+    m_LastFrozenConnection = m_LastConnection;
+  }
+  return http::makeJson(200, m_Faults.values());
+}
+
+bool StandIn::isFrozen(const http::Exchange &Caller) const {
+  const auto Mode = m_Faults.get<std::string>("freeze");
+  if (Mode == "existing")
+    return Caller.connectionNumber() <= m_LastFrozenConnection;
+  return Mode == "all";
+}
+
+asio::awaitable<bool> StandIn::waitUntilThawed(http::Exchange &Caller) {
+  while (isFrozen(Caller) && !Caller.callerGone())
+    co_await sleepFor(ThawPollPeriod);
+  co_return !Caller.callerGone();
+}
+
+asio::awaitable<void> StandIn::serve(http::Request Incoming,
+                                     http::Exchange &Caller) {
+  m_LastConnection = std::max(m_LastConnection, Caller.connectionNumber());
+  Call Current{std::move(Incoming), Caller, {}};
+  http::Response Refusal;
+  try {
+    if (Current.m_Request.path() == "/faults") {
+      Refusal = answerFaults(Current);
+    } else if (m_Faults.get<bool>("outage")) {
+      Refusal = http::makeProblem(503, "Service Unavailable", "outage");
+    } else if (const Route *Chosen = match(Current)) {
+      co_await serveRoute(*Chosen, Current);
+      co_return;
+    } else {
+      Refusal = http::makeProblem(404, "Not Found", "no such path");
+    }
+  } catch (const nlohmann::json::exception &Error) {
+    Refusal = http::makeProblem(400, "Bad Request", Error.what());
+  }
+  co_await Caller.respond(std::move(Refusal));
+}
+
+asio::awaitable<Answer> StandIn::runHandler(const Route &Chosen,
+                                            Call &Incoming) {
+  Answer Result = co_await Chosen.m_Handle(Incoming);
+  if (!Result || Chosen.m_Kind == RouteKind::Control)
+    co_return Result;
+  co_await sleepFor(readDelay(m_Faults, "late_answer_ms"));
+  if (m_Faults.take("lose_answers"))
+    co_return closeUnanswered(Incoming);
+  co_return Result;
+}
+
+asio::awaitable<void> StandIn::serveRoute(const Route &Chosen, Call &Incoming) {
+  co_await sleepFor(readDelay(m_Faults, "delay_ms"));
+  if (!co_await waitUntilThawed(Incoming.m_Exchange))
+    co_return;
+  Answer Result = co_await runHandler(Chosen, Incoming);
+  if (!Result)
+    co_return;
+  if (co_await waitUntilThawed(Incoming.m_Exchange))
+    co_await Incoming.m_Exchange.respond(std::move(*Result));
+}
+
+const settings::Setting<std::string> ListenSetting{
+    .m_Section = "http",
+    .m_Key = "listen",
+    .m_Default = "",
+    .m_Unit = "",
+    .m_Range = {},
+    .m_Doc = "Address on which the stand-in listens.",
+    .m_TextKind = settings::TextKind::Address,
+    .m_Required = true};
+
+int runProgram(int Count, const char *const *Arguments, const char *Name,
+               const char *Description, settings::Schema Schema,
+               const std::function<std::shared_ptr<void>(
+                   const process::Context &, asio::io_context &)> &Setup) {
+  process::addCommonSettings(Schema);
+  Schema.add(ListenSetting);
+  return process::run(
+      Count, Arguments, Name, Description, Schema,
+      [&Setup](const process::Context &Started) {
+        asio::io_context Context{1};
+        asio::signal_set Signals(Context, SIGTERM, SIGINT);
+        Signals.async_wait([&Context](auto, int) { Context.stop(); });
+        try {
+          const std::shared_ptr<void> Service = Setup(Started, Context);
+          Context.run();
+        } catch (const std::exception &Error) {
+          log::error(log::Category::Process, "process.failed",
+                     {{"detail", Error.what()}});
+          return process::ExitCode::Failure;
+        }
+        return process::ExitCode::Success;
+      });
+}
+
+} // namespace sff::standin
--- /dev/null
+++ b/Source/StandIns/WeightStore/WeightService.cpp
@@ -0,0 +1,75 @@
+#include "StandIns/WeightStore/WeightService.h"
+
+#include <algorithm>
+
+namespace sff::standin {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Running loads share the bandwidth anew after each step.
+constexpr milliseconds TransferStep{10};
+
+} // namespace
+
+WeightService::WeightService(asio::io_context &Context, WeightOptions Options)
+    : m_Base(Context, {{"slowdown", 1.0}}), m_Options(Options),
+      m_Rate(Options.m_LoadsPerSecond) {
+  m_Base.route("GET", "/v1/weights/{}/{}", RouteKind::Work,
+               [this](Call &Incoming) { return load(Incoming); });
+  m_Base.route("GET", "/v1/loads", RouteKind::Control,
+               [this](Call &) -> asio::awaitable<Answer> {
+                 co_return http::makeJson(200, describe());
+               });
+}
+
+double WeightService::bytesPerSecond() const {
+  const double Share =
+      std::min(1.0, static_cast<double>(m_Options.m_FullSpeedLoads) /
+                        static_cast<double>(m_Running));
+  return m_Options.m_BytesPerSecond * Share /
+         std::max(1.0, m_Base.faults().get<double>("slowdown"));
+}
+
+asio::awaitable<bool> WeightService::transfer(http::Exchange &Caller,
+                                              double Bytes) {
+  Instant Last = std::chrono::steady_clock::now();
+  while (Bytes > 0) {
+    const std::chrono::duration<double> Whole(Bytes / bytesPerSecond());
+    co_await sleepFor(std::min<Duration>(
+        TransferStep, std::chrono::duration_cast<Duration>(Whole)));
+    if (Caller.callerGone())
+      co_return false;
+    const Instant Now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> Step = Now - Last;
+    Bytes -= bytesPerSecond() * Step.count();
+    Last = Now;
+  }
+  co_return true;
+}
+
+asio::awaitable<Answer> WeightService::load(Call &Incoming) {
+  const std::string Model = Incoming.m_Captures.front();
+  const auto Bytes = static_cast<double>(Incoming.number("bytes", 0));
+  co_await sleepFor(m_Rate.reserve(std::chrono::steady_clock::now()));
+  if (Incoming.m_Exchange.callerGone())
+    co_return std::nullopt;
+  ++m_Started[Model];
+  m_PeakRunning = std::max(m_PeakRunning, ++m_Running);
+  const bool Complete = co_await transfer(Incoming.m_Exchange, Bytes);
+  --m_Running;
+  if (!Complete)
+    co_return std::nullopt;
+  ++m_Completed[Model];
+  co_return http::makeJson(200, {{"model", Model}, {"bytes", Bytes}});
+}
+
+nlohmann::json WeightService::describe() const {
+  return {{"started", m_Started},
+          {"completed", m_Completed},
+          {"running", m_Running},
+          {"peak_running", m_PeakRunning}};
+}
+
+} // namespace sff::standin
