Add the controller and its endpoint decisions

The controller holds the lease, claims endpoints, places slots, orders loads and lends credits. OwnedEndpoint decides without input or output; EndpointSupervisor sends.

--- /dev/null
+++ b/Source/Bench/CapacityBench/ClusterBuilder.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Core/Fold/ClusterState.h"
+#include "Core/Messages/ControllerMessages.h"
+
+#include <vector>
+
+namespace sff::bench {
+
+struct ClusterSize {
+  std::size_t m_Hosts = 0;
+  std::size_t m_Endpoints = 0;
+  std::size_t m_Entries = 0;
+};
+
+/// A folded state of a given size, built by appending records to it.
+class ClusterBuilder {
+public:
+  explicit ClusterBuilder(ClusterSize Size);
+
+  fold::ClusterState &state() { return m_State; }
+  const std::vector<messages::EndpointInfo> &endpoints() const {
+    return m_Endpoints;
+  }
+  static IncarnationId incarnation(std::size_t Host);
+  static EntryName entry(std::size_t Index);
+  static catalogue::EntrySpec spec();
+
+  /// The next renewal of a host's lease.
+  fold::LeaseRenewal renewal(std::size_t Host) const;
+  /// A change of an existing entry.
+  fold::CatalogueChange change(std::size_t Index) const;
+  Offset apply(const fold::Record &Value);
+
+private:
+  void addHosts(std::size_t Count);
+  void addEndpoints(std::size_t Count, std::size_t Hosts);
+  void addEntries(std::size_t Count);
+
+  fold::ClusterState m_State;
+  std::vector<messages::EndpointInfo> m_Endpoints;
+};
+
+} // namespace sff::bench
--- /dev/null
+++ b/Source/Core/Controller/Controller.cpp
@@ -0,0 +1,405 @@
+#include "Controller/Controller.h"
+
+#include "Core/Messages/CommonMessages.h"
+#include "Core/Ownership/KnownGone.h"
+#include "Core/Placement/SlotPlanner.h"
+
+#include <algorithm>
+#include <future>
+
+namespace sff::controller {
+
+namespace {
+
+constexpr std::size_t ControlRingCapacity = 8192;
+constexpr std::size_t EndpointRingCapacity = 1024;
+constexpr std::size_t ParallelPeerRequests = 256;
+constexpr milliseconds TickPeriod{50};
+constexpr milliseconds SlotPlanPeriod{200};
+constexpr milliseconds StopTimeout{10000};
+constexpr milliseconds StopPollPeriod{50};
+constexpr milliseconds ReleaseTimeout{2000};
+/// A lender in another availability zone answers within a few milliseconds;
+/// a longer wait would add to a cold start.
+constexpr milliseconds PermitTimeout{150};
+
+Instant now() { return std::chrono::steady_clock::now(); }
+
+} // namespace
+
+Controller::Controller(ControllerSettings Settings)
+    : m_Settings(std::move(Settings)),
+      m_Endpoints("endpoints", EndpointRingCapacity),
+      m_Control("control", ControlRingCapacity),
+      m_Timers(m_Control.context().get_executor()), m_Dispatcher(m_Control),
+      m_Relays(m_Control, m_Settings.m_Relays),
+      m_Follower(m_Control, m_Relays,
+                 {[this](Offset Position, const fold::Record &Record,
+                         const fold::ApplyResult &Result) {
+                    onApplied(Record, Result, Position);
+                  },
+                  [this] { onReplaced(); },
+                  [this](bool Reachable, Offset) { onContact(Reachable); }}),
+      m_Writer(m_Relays), m_Client(m_Endpoints, m_Control),
+      m_Supervisor(m_Settings, m_Client,
+                   [this](const EntryName &Entry, double Value,
+                          std::function<void(milliseconds)> Done) {
+                     requestPermit(Entry, Value, std::move(Done));
+                   }),
+      m_Lease(m_Settings.m_Lease), m_Observer(m_Settings.m_Lease),
+      m_Eviction(m_Settings.m_Eviction),
+      m_Permits(m_Settings.m_LoadsPerSecond, m_Settings.m_ParallelLoads,
+                m_Settings.m_ReservedShare) {}
+
+Controller::~Controller() {
+  m_Dispatcher.stop();
+  m_Endpoints.stop();
+  m_Control.stop();
+}
+
+void Controller::start() {
+  registerHandlers();
+  m_Dispatcher.start(m_Settings.m_PeerAddress, ParallelPeerRequests);
+  m_Control.postCompletion([this] { startOnLoop(); });
+}
+
+void Controller::registerHandlers() {
+  m_Dispatcher.on<messages::BorrowCredits>(
+      [this](messages::BorrowCredits Request, auto Send) {
+        onBorrow(std::move(Request), std::move(Send));
+      });
+  m_Dispatcher.on<messages::ReturnCredits>(
+      [this](const messages::ReturnCredits &Request, const auto &Send) {
+        m_Supervisor.returnCredits(Request, now());
+        Send(messages::Acknowledgement{});
+        serveWaiters(now());
+      });
+  m_Dispatcher.on<messages::AcquireLoadPermit>(
+      [this](const messages::AcquireLoadPermit &, const auto &Send) {
+        const milliseconds Wait = m_Permits.tryLend(now());
+        Send(messages::LoadPermitReply{Wait == milliseconds(0), Wait});
+      });
+  m_Dispatcher.on<messages::ControllerStatus>(
+      [this](const messages::ControllerStatus &, const auto &Send) {
+        Send(status());
+      });
+  m_Dispatcher.on<messages::ListEndpoints>(
+      [this](const messages::ListEndpoints &, const auto &Send) {
+        Send(messages::ListEndpointsReply{m_Hosts});
+      });
+  m_Dispatcher.on<messages::FetchEvents>(
+      [](const messages::FetchEvents &Request, const auto &Send) {
+        Send(messages::FetchEventsReply{log::recorder().eventsAfter(
+            Request.m_After, static_cast<std::size_t>(Request.m_Limit))});
+      });
+}
+
+void Controller::startOnLoop() {
+  m_Follower.start();
+  readHosts();
+  m_Subscriptions.push_back(m_Timers.every(TickPeriod, [this] { tick(); }));
+  m_Subscriptions.push_back(
+      m_Timers.every(m_Settings.m_HostListPeriod, [this] { readHosts(); }));
+}
+
+void Controller::stop() {
+  std::promise<void> Stopped;
+  m_Control.postCompletion(
+      [this, &Stopped] { beginStop([&Stopped] { Stopped.set_value(); }); });
+  Stopped.get_future().wait();
+}
+
+void Controller::beginStop(std::function<void()> Done) {
+  m_Stopping = true;
+  log::info(log::Category::Process, "controller.stopping");
+  serveWaiters(now());
+  const Instant GiveUpAt = now() + StopTimeout;
+  m_Subscriptions.push_back(m_Timers.every(
+      StopPollPeriod, [this, Done, GiveUpAt, Released = false]() mutable {
+        const bool Waiting =
+            m_Supervisor.hasOutstandingOrders() && now() < GiveUpAt;
+        if (Released || Waiting)
+          return;
+        Released = true;
+        releaseLease(Done);
+      }));
+}
+
+void Controller::releaseLease(const std::function<void()> &Done) {
+  const fold::LeaseRelease Release{makeId<RecordId>(),
+                                   m_Settings.m_Incarnation};
+  m_Relays.append(follower::ControlStream, fold::toJson(Release),
+                  ReleaseTimeout,
+                  [Done](const messages::AppendReply &) { Done(); });
+}
+
+void Controller::onApplied(const fold::Record &Record,
+                           const fold::ApplyResult &Result, Offset Position) {
+  const RecordId &Id = fold::idOf(Record);
+  m_Writer.onFolded(Id);
+  m_StateDirty = true;
+  for (const fold::Rejection &Item : Result.m_Rejections)
+    log::info(log::Category::Catalogue, "record.rejected",
+              {{"offset", Position},
+               {"id", Id},
+               {"subject", Item.m_Subject},
+               {"reason", Item.m_Reason}});
+  const auto *Renewal = std::get_if<fold::LeaseRenewal>(&Record);
+  if (!Renewal)
+    return;
+  if (!Result.m_Accepted) {
+    m_Lease.onRenewalRejected(Id);
+    return;
+  }
+  m_Observer.onRenewalRead(Renewal->m_Incarnation, Position, now());
+  if (Renewal->m_Incarnation != m_Settings.m_Incarnation)
+    return;
+  m_Lease.onRenewalAccepted(Id, Position);
+  if (!m_LeaseStarted)
+    m_LeaseStarted = now();
+}
+
+void Controller::onReplaced() {
+  m_StateDirty = true;
+  for (const auto &[Incarnation, Item] : m_Follower.state().leases())
+    m_Observer.onRenewalRead(Incarnation, Item.m_LastRenewal, now());
+}
+
+void Controller::onContact(bool LogReachable) {
+  if (LogReachable && !m_LogReachable) {
+    m_Observer.onLogRestored(now());
+    log::info(log::Category::Platform, "log.reachable");
+  }
+  if (!LogReachable && m_LogReachable)
+    log::warning(log::Category::Platform, "log.unreachable");
+  m_LogReachable = LogReachable;
+}
+
+void Controller::readHosts() {
+  if (m_HostsReadOpen)
+    return;
+  m_HostsReadOpen = true;
+  m_Client.readHosts(
+      m_Settings.m_HostListAddress,
+      [this](std::optional<std::vector<messages::EndpointInfo>> Hosts) {
+        m_HostsReadOpen = false;
+        if (!Hosts)
+          return;
+        m_Hosts = std::move(*Hosts);
+        m_Engines.clear();
+        std::ranges::copy_if(m_Hosts, std::back_inserter(m_Engines),
+                             [](const messages::EndpointInfo &Item) {
+                               return Item.m_Kind == "engine";
+                             });
+        m_StateDirty = true;
+      });
+}
+
+control::Authority Controller::authority(Instant Now) const {
+  return {m_Lease.isHeld(Now), m_Stopping};
+}
+
+std::vector<IncarnationId> Controller::knownGone() const {
+  return ownership::findKnownGone(m_Follower.state(), m_Hosts);
+}
+
+ownership::ClaimContext
+Controller::claimContext(std::span<const IncarnationId> Gone,
+                         Instant Now) const {
+  return {m_Follower.state(),       m_Observer, Gone, m_Engines,
+          m_Settings.m_Incarnation, Now};
+}
+
+void Controller::tick() {
+  const Instant Now = now();
+  if (!m_Stopping) {
+    renewLease(Now);
+    claimEndpoints(Now);
+    retireEndpoints(Now);
+  }
+  if (m_StateDirty)
+    m_Supervisor.adopt(m_Follower.state(), m_Engines);
+  if (!m_Stopping && Now >= m_NextSlotPlan)
+    planSlots(Now);
+  m_StateDirty = false;
+  m_Supervisor.drive(m_Follower.state(), m_Eviction, m_LeavingSlots,
+                     knownGone(), authority(Now), Now);
+  serveWaiters(Now);
+}
+
+void Controller::renewLease(Instant Now) {
+  if (!m_Lease.isRenewalDue(Now))
+    return;
+  fold::LeaseRenewal Renewal;
+  Renewal.m_Id = makeId<RecordId>();
+  Renewal.m_Incarnation = m_Settings.m_Incarnation;
+  Renewal.m_Previous = m_Lease.lastRenewal();
+  if (Renewal.m_Previous == 0) {
+    Renewal.m_Host = m_Settings.m_Host;
+    Renewal.m_Zone = m_Settings.m_Zone;
+    Renewal.m_ControllerAddress = m_Settings.m_PeerAddress;
+    Renewal.m_RouterAddress = m_Settings.m_RouterAddress;
+  }
+  m_Lease.onRenewalSent(Renewal.m_Id, Now);
+  m_Writer.append("lease", Renewal, Now,
+                  [this, Id = Renewal.m_Id] { m_Lease.onRenewalRejected(Id); });
+}
+
+void Controller::claimEndpoints(Instant Now) {
+  if (!m_LogReachable || !m_Lease.isHeld(Now) || !m_LeaseStarted ||
+      Now - *m_LeaseStarted < m_Settings.m_ClaimDelay ||
+      !m_Writer.isIdle("claim", Now))
+    return;
+  const auto Gone = knownGone();
+  auto Items = ownership::planClaims(claimContext(Gone, Now));
+  if (Items.empty())
+    return;
+  for (const fold::ClaimItem &Item : Items)
+    log::info(log::Category::Ownership, "claim.sent",
+              {{"endpoint", Item.m_Endpoint},
+               {"previous", Item.m_PreviousOwnership},
+               {"renewal_seen", Item.m_PredecessorRenewal}});
+  m_Writer.append("claim",
+                  fold::OwnershipClaim{makeId<RecordId>(),
+                                       m_Settings.m_Incarnation,
+                                       std::move(Items)},
+                  Now);
+}
+
+void Controller::retireEndpoints(Instant Now) {
+  if (!m_Lease.isHeld(Now) || !m_Writer.isIdle("retire", Now))
+    return;
+  for (const messages::EndpointInfo &Item : m_Engines) {
+    const control::OwnedEndpoint *Owned = m_Supervisor.find(Item.m_Endpoint);
+    if (!Owned || Item.m_State != "gone")
+      continue;
+    log::info(log::Category::Ownership, "endpoint.retired",
+              {{"endpoint", Item.m_Endpoint}});
+    m_Writer.append("retire",
+                    fold::EndpointRetired{makeId<RecordId>(),
+                                          m_Settings.m_Incarnation,
+                                          {Item.m_Endpoint, Owned->token()}},
+                    Now);
+    return;
+  }
+}
+
+void Controller::planSlots(Instant Now) {
+  m_NextSlotPlan = Now + SlotPlanPeriod;
+  const auto Gone = knownGone();
+  const placement::PlanContext Context{m_Follower.state(), m_Engines,
+                                       m_Settings.m_Incarnation};
+  std::vector<fold::SlotItem> Releasable;
+  m_LeavingSlots.clear();
+  for (const fold::SlotItem &Item : placement::planReleases(Context)) {
+    m_LeavingSlots[Item.m_Endpoint].insert(Item.m_Entry);
+    const control::OwnedEndpoint *Owned = m_Supervisor.find(Item.m_Endpoint);
+    if (Owned && Owned->stage() == control::Stage::Ready &&
+        Owned->stateOf(Item.m_Entry) == control::ReplicaState::Cold)
+      Releasable.push_back(Item);
+  }
+  if (!m_Lease.isHeld(Now) || !m_LogReachable)
+    return;
+  if (!Releasable.empty() && m_Writer.isIdle("slot_release", Now))
+    m_Writer.append("slot_release",
+                    fold::SlotRelease{makeId<RecordId>(),
+                                      m_Settings.m_Incarnation,
+                                      std::move(Releasable)},
+                    Now);
+  auto Grants = placement::planGrants(Context);
+  if (!Grants.empty() && m_Writer.isIdle("slot_grant", Now))
+    m_Writer.append("slot_grant",
+                    fold::SlotGrant{makeId<RecordId>(),
+                                    m_Settings.m_Incarnation,
+                                    std::move(Grants)},
+                    Now);
+}
+
+void Controller::onBorrow(
+    messages::BorrowCredits Request,
+    std::function<void(messages::BorrowCreditsReply)> Send) {
+  const Instant Now = now();
+  m_Eviction.onRequest(Request.m_Entry, Now);
+  if (auto *Owned = m_Supervisor.find(Request.m_Endpoint))
+    Owned->ledger().onRouterSeen(Request.m_Router);
+  Waiter Item{std::move(Request), std::move(Send), Now};
+  Item.m_AnswerBy += Item.m_Request.m_Wait;
+  if (!answerBorrow(Item, Now))
+    m_Waiters.push_back(std::move(Item));
+}
+
+bool Controller::answerBorrow(const Waiter &Item, Instant Now) {
+  const messages::BorrowCredits &Request = Item.m_Request;
+  control::OwnedEndpoint *Owned = m_Supervisor.find(Request.m_Endpoint);
+  messages::BorrowCreditsReply Reply;
+  if (!Owned) {
+    Reply.m_Reason = "not_owner";
+    Reply.m_RetryAfter = SlotPlanPeriod;
+    Item.m_Send(Reply);
+    return true;
+  }
+  if (auto Answer =
+          Owned->tryBorrow(Request, m_Follower.state(), authority(Now), Now)) {
+    Item.m_Send(*Answer);
+    return true;
+  }
+  if (Now < Item.m_AnswerBy)
+    return false;
+  Reply.m_Outcome = messages::BorrowOutcome::Loading;
+  Reply.m_ReadyIn = Owned->estimateReady(Request.m_Entry, Now);
+  Item.m_Send(Reply);
+  return true;
+}
+
+void Controller::serveWaiters(Instant Now) {
+  std::erase_if(m_Waiters,
+                [&](const Waiter &Item) { return answerBorrow(Item, Now); });
+}
+
+void Controller::requestPermit(const EntryName &Entry, double Value,
+                               std::function<void(milliseconds)> Done) {
+  const Instant Now = now();
+  std::vector<IncarnationId> Live;
+  for (const ownership::Candidate &Item :
+       ownership::liveControllers(claimContext(knownGone(), Now)))
+    Live.push_back(Item.m_Incarnation);
+  const IncarnationId Lender =
+      ownership::choosePermitLender(m_Follower.state(), Live);
+  if (Lender == m_Settings.m_Incarnation || Lender.empty()) {
+    Done(m_Permits.tryLend(Now));
+    return;
+  }
+  const fold::Lease &Lease = *m_Follower.state().findLease(Lender);
+  callerFor(Lease.m_ControllerAddress)
+      .call(messages::AcquireLoadPermit{m_Settings.m_Incarnation, Entry, Value},
+            PermitTimeout,
+            [this, Done](std::optional<messages::LoadPermitReply> Reply) {
+              if (!Reply)
+                Done(takeReservedPermit(now()));
+              else
+                Done(Reply->m_Granted ? milliseconds(0) : Reply->m_RetryAfter);
+            });
+}
+
+milliseconds Controller::takeReservedPermit(Instant Now) {
+  const auto Count = static_cast<std::size_t>(
+      std::ranges::count_if(m_Follower.state().leases(), [](const auto &Pair) {
+        return !Pair.second.m_Released;
+      }));
+  return m_Permits.tryReserved(std::max<std::size_t>(1, Count), Now);
+}
+
+peer::Caller &Controller::callerFor(const std::string &Address) {
+  auto &Known = m_Callers[Address];
+  if (!Known)
+    Known = std::make_unique<peer::Caller>(m_Control, Address);
+  return *Known;
+}
+
+messages::ControllerStatusReply Controller::status() const {
+  return {m_Settings.m_Host,        m_Settings.m_Zone,
+          m_Settings.m_Incarnation, m_Follower.state().appliedOffset(),
+          m_Lease.isHeld(now()),    m_Supervisor.status()};
+}
+
+} // namespace sff::controller
--- /dev/null
+++ b/Source/Core/Controller/EndpointClient.cpp
@@ -0,0 +1,136 @@
+#include "Controller/EndpointClient.h"
+
+#include "Common/Codec/Codec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace sff::controller {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A load answers when it is complete, which takes long on a slow store.
+constexpr milliseconds OrderTimeout{60000};
+constexpr milliseconds FenceTimeout{1000};
+constexpr milliseconds ReadTimeout{1000};
+constexpr milliseconds ConnectTimeout{500};
+
+struct HostListAnswer {
+  std::vector<messages::EndpointInfo> m_Hosts;
+  static constexpr auto describe() {
+    return std::make_tuple(codec::field("hosts", &HostListAnswer::m_Hosts));
+  }
+};
+
+template <typename T>
+std::optional<T> parseAnswer(const http::SendResult &Result) {
+  const auto *Answer = std::get_if<http::Response>(&Result);
+  if (!Answer || Answer->m_Status != 200)
+    return std::nullopt;
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<std::optional<T>> {
+        BOOST_LEAF_AUTO(Value, codec::parseJson<T>(Answer->m_Body));
+        return std::optional<T>(std::move(Value));
+      },
+      [] { return std::optional<T>(); });
+}
+
+bool isBusy(const std::string &Body) {
+  const auto Parsed = nlohmann::json::parse(Body, nullptr, false);
+  return Parsed.is_object() && Parsed.value("reason", "") == "busy";
+}
+
+control::OrderResult interpretOrder(const http::SendResult &Result) {
+  const auto *Answer = std::get_if<http::Response>(&Result);
+  if (!Answer)
+    return control::OrderResult::Unknown;
+  if (Answer->m_Status == 200)
+    return control::OrderResult::Done;
+  if (Answer->m_Status == 409)
+    return isBusy(Answer->m_Body) ? control::OrderResult::Busy
+                                  : control::OrderResult::Refused;
+  return control::OrderResult::Failed;
+}
+
+} // namespace
+
+EndpointClient::EndpointClient(timers::DutyLoop &Endpoints,
+                               timers::DutyLoop &Control)
+    : m_Endpoints(Endpoints), m_Control(Control),
+      m_Http(Endpoints.context().get_executor()) {}
+
+void EndpointClient::sendOrder(const std::string &Address,
+                               control::OrderRequest Order,
+                               std::function<void(control::OrderResult)> Done) {
+  const auto Remote = http::Address::parse(Address).value_or(http::Address{});
+  asio::co_spawn(
+      m_Endpoints.context(),
+      [this, Remote, Order = std::move(Order),
+       Done = std::move(Done)]() -> asio::awaitable<void> {
+        http::ClientOptions Options;
+        Options.m_ConnectTimeout = ConnectTimeout;
+        Options.m_ReadTimeout =
+            Order.m_Kind == "fence" ? FenceTimeout : OrderTimeout;
+        // A pooled connection may have gone silent, and an order would wait
+        // for its whole time-out on it.
+        Options.m_FreshConnection = true;
+        http::Request Message;
+        Message.m_Method = "POST";
+        Message.m_Target = "/control/orders";
+        Message.m_Headers.set("Content-Type", "application/json");
+        Message.m_Body = nlohmann::json(Order).dump();
+        const http::SendResult Result =
+            co_await m_Http.send(Remote, std::move(Message), Options);
+        m_Control.postCompletion(
+            [Done, Value = interpretOrder(Result)] { Done(Value); });
+      },
+      asio::detached);
+}
+
+template <typename T>
+void EndpointClient::get(const std::string &Address, std::string Target,
+                         std::function<void(std::optional<T>)> Done) {
+  const auto Remote = http::Address::parse(Address).value_or(http::Address{});
+  asio::co_spawn(
+      m_Endpoints.context(),
+      [this, Remote, Target = std::move(Target),
+       Done = std::move(Done)]() -> asio::awaitable<void> {
+        http::ClientOptions Options;
+        Options.m_ConnectTimeout = ConnectTimeout;
+        Options.m_ReadTimeout = ReadTimeout;
+        http::Request Message;
+        Message.m_Target = Target;
+        const http::SendResult Result =
+            co_await m_Http.send(Remote, std::move(Message), Options);
+        // After a failure the pooled connections may have gone silent as well.
+        if (std::holds_alternative<http::TransportFailure>(Result))
+          m_Http.dropIdle(Remote);
+        m_Control.postCompletion(
+            [Done, Value = parseAnswer<T>(Result)] { Done(Value); });
+      },
+      asio::detached);
+}
+
+void EndpointClient::readInventory(
+    const std::string &Address,
+    std::function<void(std::optional<control::Inventory>)> Done) {
+  get<control::Inventory>(Address, "/control/inventory", std::move(Done));
+}
+
+void EndpointClient::readHosts(
+    const std::string &Address,
+    std::function<void(std::optional<std::vector<messages::EndpointInfo>>)>
+        Done) {
+  get<HostListAnswer>(Address, "/v1/hosts",
+                      [Done](std::optional<HostListAnswer> Answer) {
+                        if (Answer)
+                          Done(std::move(Answer->m_Hosts));
+                        else
+                          Done(std::nullopt);
+                      });
+}
+
+} // namespace sff::controller
--- /dev/null
+++ b/Source/Core/Core/Control/EndpointProtocol.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "Common/Codec/Fields.h"
+#include "Common/Identity/Ids.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sff::control {
+
+using codec::field;
+
+/// One order to an engine, in the form of its control interface. An engine
+/// executes an order id once; repeating it returns the first result.
+struct OrderRequest {
+  std::string m_OrderId;
+  Offset m_FencingToken = 0;
+  std::string m_Kind; ///< load, unload, role or fence.
+  EntryName m_Model;
+  std::string m_Version;
+  std::int64_t m_Bytes = 0;
+  std::int64_t m_BytesPerToken = 0;
+  std::int64_t m_MaxTokens = 0;
+  EntryName m_Base;
+
+  static constexpr auto describe() {
+    return std::make_tuple(
+        field("order_id", &OrderRequest::m_OrderId),
+        field("fencing_token", &OrderRequest::m_FencingToken),
+        field("kind", &OrderRequest::m_Kind),
+        field("model", &OrderRequest::m_Model),
+        field("version", &OrderRequest::m_Version),
+        field("bytes", &OrderRequest::m_Bytes),
+        field("bytes_per_token", &OrderRequest::m_BytesPerToken),
+        field("max_tokens", &OrderRequest::m_MaxTokens),
+        field("base", &OrderRequest::m_Base));
+  }
+};
+
+struct InventoryModel {
+  EntryName m_Model;
+  std::string m_State; ///< loading or ready.
+  std::string m_Version;
+  std::int64_t m_Bytes = 0;
+
+  static constexpr auto describe() {
+    return std::make_tuple(field("model", &InventoryModel::m_Model),
+                           field("state", &InventoryModel::m_State),
+                           field("version", &InventoryModel::m_Version),
+                           field("bytes", &InventoryModel::m_Bytes));
+  }
+};
+
+struct InventoryRequest {
+  IncarnationId m_Router;
+  std::int64_t m_Bytes = 0;
+
+  static constexpr auto describe() {
+    return std::make_tuple(field("router", &InventoryRequest::m_Router),
+                           field("bytes", &InventoryRequest::m_Bytes));
+  }
+};
+
+/// Answer of `GET /control/inventory`.
+struct Inventory {
+  std::string m_Incarnation;
+  std::int64_t m_MemoryBytes = 0;
+  Offset m_HighestToken = 0;
+  std::vector<InventoryModel> m_Models;
+  std::vector<InventoryRequest> m_Running;
+  /// Where weights are kept besides accelerator memory: memory or disk.
+  std::map<std::string, std::string> m_Cached;
+
+  static constexpr auto describe() {
+    return std::make_tuple(field("incarnation", &Inventory::m_Incarnation),
+                           field("memory_bytes", &Inventory::m_MemoryBytes),
+                           field("highest_token", &Inventory::m_HighestToken),
+                           field("models", &Inventory::m_Models),
+                           field("running", &Inventory::m_Running),
+                           field("cached", &Inventory::m_Cached));
+  }
+};
+
+} // namespace sff::control
--- a/Source/Core/Core/Memory/CreditLedger.h
+++ b/Source/Core/Core/Memory/CreditLedger.h
@@ -29,6 +29,9 @@
   /// Reserves memory for weights. Returns false, without effect, when the
   /// memory is not free. Reserving an entry twice has no effect.
   bool reserveWeights(const EntryName &Entry, std::int64_t Bytes);
+  /// Counts weights that the endpoint reports as loaded or loading, even when
+  /// they exceed the free memory: the report is a fact.
+  void adoptWeights(const EntryName &Entry, std::int64_t Bytes);
   /// Call only after the endpoint has confirmed the unload.
   void releaseWeights(const EntryName &Entry);
 
--- a/Source/Core/Net/Peer/Dispatcher.h
+++ b/Source/Core/Net/Peer/Dispatcher.h
@@ -101,7 +101,7 @@
   void call(const Request &Body, milliseconds Timeout, Callback Done) {
     m_Client.send(seal(Request::Name, Body), Timeout,
                   [&Loop = m_Loop, Done](std::optional<Bytes> Result) {
-                    Loop.tryPost([Done, Result = std::move(Result)] {
+                    Loop.postCompletion([Done, Result = std::move(Result)] {
                       Done(open<typename Request::Reply>(Result));
                     });
                   });
--- a/Source/Core/Net/Timers/DutyLoop.h
+++ b/Source/Core/Net/Timers/DutyLoop.h
@@ -37,6 +37,14 @@
     return true;
   }
 
+  /// Queues the completion of an operation that this loop has started. It is
+  /// never rejected, because a lost completion would leave the operation open
+  /// for ever; the loop bounds the number of its operations itself.
+  /// Thread safety: any thread.
+  void postCompletion(Task Work) {
+    boost::asio::post(m_Context, std::move(Work));
+  }
+
   boost::asio::io_context &context() { return m_Context; }
 
   /// Stops the loop and waits for its thread. Thread safety: not from the
--- /dev/null
+++ b/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
@@ -0,0 +1,254 @@
+#include "Core/Control/OwnedEndpoint.h"
+
+#include <gtest/gtest.h>
+
+namespace sff::control {
+namespace {
+
+using messages::BorrowCredits;
+using messages::BorrowOutcome;
+using std::chrono::seconds;
+
+constexpr Offset Token = 3;
+constexpr std::int64_t MemoryBytes = 1000;
+const IncarnationId Self("self");
+const EndpointId Endpoint("e1");
+
+class OwnedEndpointTest : public ::testing::Test {
+protected:
+  OwnedEndpointTest() { makeOwned(true); }
+
+  void makeOwned(bool Fences) {
+    messages::EndpointInfo Info;
+    Info.m_Endpoint = Endpoint;
+    Info.m_Kind = "engine";
+    Info.m_State = "live";
+    Info.m_MemoryBytes = MemoryBytes;
+    m_Owned.emplace(Info, Token, Fences, EndpointTimes{});
+    m_State = fold::ClusterState();
+    m_State.apply(1, fold::LeaseRenewal{RecordId("l"), Self, 0, HostId("h"),
+                                        ZoneId("z"), "", ""});
+    m_State.skip(2);
+    m_State.apply(
+        3, fold::OwnershipClaim{RecordId("c"), Self, {{Endpoint, 0, 0}}});
+  }
+
+  /// Publishes an entry with one replica and grants its slot here.
+  void addModel(const std::string &Name, std::int64_t WeightBytes,
+                const std::string &Version = "1") {
+    const EntryName Entry(Name);
+    catalogue::EntrySpec Spec;
+    Spec.m_Team = "team";
+    Spec.m_Version = Version;
+    Spec.m_WeightBytes = WeightBytes;
+    Spec.m_BytesPerToken = 1;
+    Spec.m_MaxTokens = 10;
+    m_State.apply(nextOffset(),
+                  fold::CatalogueChange{makeId<RecordId>(), Entry,
+                                        m_State.versionOf(Entry), Spec, "op"});
+    if (m_State.endpointsOf(Entry).empty())
+      m_State.apply(
+          nextOffset(),
+          fold::SlotGrant{makeId<RecordId>(), Self, {{Entry, 0, Endpoint, 0}}});
+  }
+
+  Offset nextOffset() const { return m_State.appliedOffset() + 1; }
+
+  Inventory inventory() {
+    Inventory Result;
+    Result.m_Incarnation = m_Incarnation;
+    Result.m_MemoryBytes = MemoryBytes;
+    Result.m_HighestToken = Token;
+    return Result;
+  }
+
+  /// Completes the takeover, including the wait for the predecessor's loans.
+  void takeOver() {
+    m_Owned->onFenced(m_Now);
+    m_Now += seconds(5);
+    m_Owned->onInventory(inventory(), m_Now, m_Now);
+  }
+
+  std::optional<messages::BorrowCreditsReply> borrow(const std::string &Name) {
+    BorrowCredits Request;
+    Request.m_Loan = makeId<LoanId>();
+    Request.m_Router = IncarnationId("router");
+    Request.m_Entry = EntryName(Name);
+    Request.m_Endpoint = Endpoint;
+    Request.m_Waiting = 1;
+    Request.m_Deadline = seconds(10);
+    return m_Owned->tryBorrow(Request, m_State, m_Rights, m_Now);
+  }
+
+  std::vector<PlannedOrder> plan() {
+    return m_Owned->planOrders(m_State, m_Eviction, m_Leaving, m_Rights, m_Now);
+  }
+
+  void load(const std::string &Name) {
+    EXPECT_FALSE(borrow(Name));
+    const auto Orders = plan();
+    ASSERT_EQ(Orders.size(), 1u);
+    m_Owned->onOrderResult(Orders[0].m_Request.m_OrderId, OrderResult::Done,
+                           m_Now);
+  }
+
+  Instant m_Now = Instant() + std::chrono::hours(1);
+  std::string m_Incarnation = "first";
+  fold::ClusterState m_State;
+  loading::EvictionPolicy m_Eviction{loading::EvictionWeights{}};
+  std::set<EntryName> m_Leaving;
+  Authority m_Rights{true, false};
+  std::optional<OwnedEndpoint> m_Owned;
+};
+
+// Guards against orders or loans before the predecessor's work is known.
+TEST_F(OwnedEndpointTest, DoesNothingUntilTheTakeoverIsComplete) {
+  addModel("m", 100);
+  EXPECT_FALSE(borrow("m"));
+  EXPECT_TRUE(plan().empty());
+  m_Owned->onFenced(m_Now);
+  EXPECT_TRUE(plan().empty());
+  Inventory Report = inventory();
+  Report.m_Models.push_back({EntryName("m"), "ready", "1", 100});
+  m_Owned->onInventory(Report, m_Now, m_Now);
+  EXPECT_FALSE(borrow("m")) << "the predecessor's loans may still be live";
+  m_Now += seconds(5);
+  m_Owned->onInventory(Report, m_Now, m_Now);
+  EXPECT_EQ(borrow("m")->m_Outcome, BorrowOutcome::Granted);
+}
+
+TEST_F(OwnedEndpointTest, LoadsOnceForManyRequestsAndThenLends) {
+  takeOver();
+  addModel("m", 100);
+  EXPECT_FALSE(borrow("m"));
+  EXPECT_FALSE(borrow("m"));
+  const auto Orders = plan();
+  ASSERT_EQ(Orders.size(), 1u);
+  EXPECT_EQ(Orders[0].m_Request.m_Kind, "load");
+  EXPECT_TRUE(Orders[0].m_NeedsPermit);
+  EXPECT_TRUE(plan().empty()) << "the load is outstanding";
+  m_Owned->onOrderResult(Orders[0].m_Request.m_OrderId, OrderResult::Done,
+                         m_Now);
+  EXPECT_EQ(borrow("m")->m_Outcome, BorrowOutcome::Granted);
+}
+
+// Guards against loading over memory that another replica still uses.
+TEST_F(OwnedEndpointTest, UnloadsAnIdleReplicaBeforeLoadingAnother) {
+  takeOver();
+  addModel("a", 900);
+  addModel("b", 900);
+  load("a");
+  EXPECT_FALSE(borrow("b"));
+  auto Orders = plan();
+  ASSERT_EQ(Orders.size(), 1u);
+  EXPECT_EQ(Orders[0].m_Request.m_Kind, "unload");
+  EXPECT_TRUE(plan().empty());
+  m_Owned->onOrderResult(Orders[0].m_Request.m_OrderId, OrderResult::Done,
+                         m_Now);
+  Orders = plan();
+  ASSERT_EQ(Orders.size(), 1u);
+  EXPECT_EQ(Orders[0].m_Request.m_Model, EntryName("b"));
+}
+
+// Guards against an unload under running requests.
+TEST_F(OwnedEndpointTest, KeepsAReplicaWhileCreditsAreLent) {
+  takeOver();
+  addModel("a", 900);
+  addModel("b", 900);
+  load("a");
+  ASSERT_EQ(borrow("a")->m_Outcome, BorrowOutcome::Granted);
+  EXPECT_FALSE(borrow("b"));
+  EXPECT_TRUE(plan().empty());
+}
+
+// Guards against a paused owner that goes on after its lease, on an endpoint
+// that would execute its orders.
+TEST_F(OwnedEndpointTest, StopsWithoutLeaseWhereTokensAreIgnored) {
+  makeOwned(false);
+  takeOver();
+  addModel("a", 100);
+  addModel("b", 100);
+  load("a");
+  m_Rights.m_LeaseHeld = false;
+  EXPECT_EQ(borrow("a")->m_Outcome, BorrowOutcome::Refused);
+  EXPECT_FALSE(borrow("b"));
+  EXPECT_TRUE(plan().empty());
+}
+
+// Guards against a loan that outlives the wait of a successor.
+TEST_F(OwnedEndpointTest, ShortensLoansWithoutLeaseWhereTokensAreChecked) {
+  takeOver();
+  addModel("a", 100);
+  load("a");
+  m_Rights.m_LeaseHeld = false;
+  m_Now += seconds(1);
+  const auto Granted = borrow("a");
+  ASSERT_EQ(Granted->m_Outcome, BorrowOutcome::Granted);
+  EXPECT_EQ(Granted->m_TimeToLive,
+            EndpointTimes{}.m_LoanTimeToLive - milliseconds(1000));
+  m_Now += seconds(3);
+  EXPECT_EQ(borrow("a")->m_Outcome, BorrowOutcome::Refused);
+}
+
+// Guards against treating replicas as loaded after the engine restarted.
+TEST_F(OwnedEndpointTest, RestartOfTheEndpointEmptiesItAndFencesAgain) {
+  takeOver();
+  addModel("a", 100);
+  load("a");
+  m_Incarnation = "second";
+  m_Owned->onInventory(inventory(), m_Now, m_Now);
+  EXPECT_EQ(m_Owned->stage(), Stage::Fencing);
+  EXPECT_EQ(m_Owned->stateOf(EntryName("a")), ReplicaState::Cold);
+}
+
+// Guards against an inventory that was taken before an unload and arrives
+// after it.
+TEST_F(OwnedEndpointTest, OldReportDoesNotBringBackAnUnloadedReplica) {
+  takeOver();
+  addModel("a", 100);
+  load("a");
+  const Instant AskedAt = m_Now;
+  m_Now += seconds(1);
+  m_Leaving.insert(EntryName("a"));
+  const auto Orders = plan();
+  ASSERT_EQ(Orders.size(), 1u);
+  m_Owned->onOrderResult(Orders[0].m_Request.m_OrderId, OrderResult::Done,
+                         m_Now);
+  Inventory Report = inventory();
+  Report.m_Models.push_back({EntryName("a"), "ready", "1", 100});
+  m_Owned->onInventory(Report, AskedAt, m_Now);
+  EXPECT_EQ(m_Owned->stateOf(EntryName("a")), ReplicaState::Cold);
+}
+
+// Guards against giving up on a load that may still take effect.
+TEST_F(OwnedEndpointTest, UnknownResultKeepsTheMemoryReserved) {
+  takeOver();
+  addModel("a", 100);
+  EXPECT_FALSE(borrow("a"));
+  const auto Orders = plan();
+  ASSERT_EQ(Orders.size(), 1u);
+  const std::int64_t Used = m_Owned->ledger().usedBytes();
+  m_Owned->onOrderResult(Orders[0].m_Request.m_OrderId, OrderResult::Unknown,
+                         m_Now);
+  EXPECT_EQ(m_Owned->ledger().usedBytes(), Used);
+  EXPECT_TRUE(m_Owned->isOutstanding(Orders[0].m_Request.m_OrderId));
+}
+
+TEST_F(OwnedEndpointTest, NewVersionReplacesTheLoadedOne) {
+  takeOver();
+  addModel("a", 100);
+  load("a");
+  addModel("a", 100, "2");
+  auto Orders = plan();
+  ASSERT_EQ(Orders.size(), 1u);
+  EXPECT_EQ(Orders[0].m_Request.m_Kind, "unload");
+  m_Owned->onOrderResult(Orders[0].m_Request.m_OrderId, OrderResult::Done,
+                         m_Now);
+  EXPECT_FALSE(borrow("a"));
+  Orders = plan();
+  ASSERT_EQ(Orders.size(), 1u);
+  EXPECT_EQ(Orders[0].m_Request.m_Version, "2");
+}
+
+} // namespace
+} // namespace sff::control
