Fold the intents stream

A key is forgotten by the distance of its first record in offsets, so that hosts which started reading at different times agree. A batch that was appended as one record is folded whole.

--- /dev/null
+++ b/Source/Core/Core/Execution/IntentTable.cpp
@@ -0,0 +1,93 @@
+#include "Core/Execution/IntentTable.h"
+
+#include "Common/Codec/Tagged.h"
+
+namespace sff::execution {
+
+nlohmann::json toJson(const IntentRecord &Value) {
+  return codec::taggedToJson(Value);
+}
+
+boost::leaf::result<IntentRecord> intentFromJson(const nlohmann::json &Input) {
+  return codec::taggedFromJson<IntentRecord>(Input);
+}
+
+void IntentTable::apply(Offset Position, const IntentRecord &Value) {
+  apply(Position, std::span(&Value, 1));
+}
+
+void IntentTable::apply(Offset Position, std::span<const IntentRecord> Batch) {
+  if (!advance(Position))
+    return;
+  for (const IntentRecord &Value : Batch)
+    std::visit([&](const auto &Item) { applyOne(Position, Item); }, Value);
+}
+
+void IntentTable::skip(Offset Position) { advance(Position); }
+
+bool IntentTable::advance(Offset Position) {
+  if (Position <= m_Applied)
+    return false;
+  m_Applied = Position;
+  while (!m_Order.empty() && Position - m_Order.front().first > m_Retention) {
+    m_Keys.erase(m_Order.front().second);
+    m_Order.pop_front();
+  }
+  return true;
+}
+
+IntentTable::Key &IntentTable::keyAt(Offset Position,
+                                     const std::string &KeyHash) {
+  const auto [It, IsNew] = m_Keys.try_emplace(KeyHash);
+  if (IsNew)
+    m_Order.emplace_back(Position, KeyHash);
+  return It->second;
+}
+
+void IntentTable::applyOne(Offset Position, const Intent &Value) {
+  Key &Item = keyAt(Position, Value.m_KeyHash);
+  const auto Verdict =
+      Item.m_Valid ? AttemptVerdict::Lost : AttemptVerdict::Valid;
+  // A known attempt is a later copy, or was voided before it landed.
+  if (!Item.m_Attempts.emplace(Value.m_Attempt, Verdict).second)
+    return;
+  if (Verdict == AttemptVerdict::Valid)
+    Item.m_Valid = ValidIntent{Position, Value, false};
+}
+
+void IntentTable::applyOne(Offset Position, const IntentVoid &Value) {
+  Key &Item = keyAt(Position, Value.m_KeyHash);
+  const auto [It, IsNew] =
+      Item.m_Attempts.emplace(Value.m_Attempt, AttemptVerdict::Voided);
+  // An attempt that was executed cannot be given up any more.
+  if (IsNew || It->second != AttemptVerdict::Valid || Item.m_Valid->m_Done)
+    return;
+  It->second = AttemptVerdict::Voided;
+  Item.m_Valid.reset();
+}
+
+void IntentTable::applyOne(Offset, const IntentDone &Value) {
+  const auto It = m_Keys.find(Value.m_KeyHash);
+  if (It == m_Keys.end() || !It->second.m_Valid)
+    return;
+  ValidIntent &Valid = *It->second.m_Valid;
+  if (Valid.m_Intent.m_Attempt == Value.m_Attempt)
+    Valid.m_Done = true;
+}
+
+std::optional<ValidIntent> IntentTable::find(const std::string &KeyHash) const {
+  const auto It = m_Keys.find(KeyHash);
+  return It == m_Keys.end() ? std::nullopt : It->second.m_Valid;
+}
+
+AttemptVerdict IntentTable::verdictOf(const std::string &KeyHash,
+                                      const AttemptId &Attempt) const {
+  const auto It = m_Keys.find(KeyHash);
+  if (It == m_Keys.end())
+    return AttemptVerdict::Pending;
+  const auto Found = It->second.m_Attempts.find(Attempt);
+  return Found == It->second.m_Attempts.end() ? AttemptVerdict::Pending
+                                              : Found->second;
+}
+
+} // namespace sff::execution
--- a/Source/Core/Core/Execution/IntentTable.h
+++ b/Source/Core/Core/Execution/IntentTable.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
 
@@ -80,30 +81,43 @@
 };
 
 /// Fold of the intents stream. Validity is decided at a record's own offset
-/// and never changes. Keys are forgotten in order once more than the given
-/// number of intents is held, which depends on offsets only and so happens
+/// and never changes. A key is forgotten once its first record lies
+/// \p RetentionOffsets behind, which depends on offsets only and so happens
 /// alike on all hosts. Thread safety: none.
 class IntentTable {
 public:
-  explicit IntentTable(std::size_t MaxKeys) : m_MaxKeys(MaxKeys) {}
+  explicit IntentTable(Offset RetentionOffsets)
+      : m_Retention(RetentionOffsets) {}
 
   void apply(Offset Position, const IntentRecord &Value);
+  /// Folds a batch that was appended as one record, in order.
+  void apply(Offset Position, std::span<const IntentRecord> Batch);
   void skip(Offset Position);
   Offset appliedOffset() const { return m_Applied; }
 
   std::optional<ValidIntent> find(const std::string &KeyHash) const;
   AttemptVerdict verdictOf(const std::string &KeyHash,
                            const AttemptId &Attempt) const;
+  /// Number of keys held.
+  std::size_t size() const { return m_Keys.size(); }
 
 private:
   struct Key {
     std::optional<ValidIntent> m_Valid;
     std::map<AttemptId, AttemptVerdict> m_Attempts;
   };
-  std::size_t m_MaxKeys;
+
+  void applyOne(Offset Position, const Intent &Value);
+  void applyOne(Offset Position, const IntentVoid &Value);
+  void applyOne(Offset Position, const IntentDone &Value);
+  bool advance(Offset Position);
+  Key &keyAt(Offset Position, const std::string &KeyHash);
+
+  Offset m_Retention;
   Offset m_Applied = 0;
   std::map<std::string, Key> m_Keys;
-  std::deque<std::string> m_Order;
+  /// Keys by the offset of their first record, oldest first.
+  std::deque<std::pair<Offset, std::string>> m_Order;
 };
 
 } // namespace sff::execution
--- /dev/null
+++ b/Source/UnitTests/Core/Execution/IntentTableTest.cpp
@@ -0,0 +1,84 @@
+#include "Core/Execution/IntentTable.h"
+
+#include <gtest/gtest.h>
+
+namespace sff::execution {
+namespace {
+
+const std::string Key = "k";
+
+Intent intent(const std::string &Attempt, const std::string &KeyHash = Key) {
+  return {KeyHash, AttemptId(Attempt), IncarnationId("r"), "addr", "digest"};
+}
+IntentVoid voidOf(const std::string &Attempt) {
+  return {Key, AttemptId(Attempt)};
+}
+AttemptVerdict verdict(const IntentTable &Table, const std::string &Attempt) {
+  return Table.verdictOf(Key, AttemptId(Attempt));
+}
+
+// Guards against two attempts of a key that both may dispatch.
+TEST(IntentTableTest, FirstAttemptWinsAndLosersStayLost) {
+  IntentTable Table(100);
+  EXPECT_EQ(verdict(Table, "a"), AttemptVerdict::Pending);
+  Table.apply(1, intent("a"));
+  Table.apply(2, intent("b"));
+  Table.apply(3, intent("a"));
+  EXPECT_EQ(verdict(Table, "a"), AttemptVerdict::Valid);
+  EXPECT_EQ(verdict(Table, "b"), AttemptVerdict::Lost);
+  Table.apply(4, voidOf("a"));
+  Table.apply(5, intent("b"));
+  Table.apply(6, intent("a"));
+  EXPECT_EQ(verdict(Table, "a"), AttemptVerdict::Voided);
+  EXPECT_EQ(verdict(Table, "b"), AttemptVerdict::Lost);
+  EXPECT_FALSE(Table.find(Key));
+  Table.apply(7, intent("c"));
+  EXPECT_EQ(verdict(Table, "c"), AttemptVerdict::Valid);
+  EXPECT_EQ(Table.find(Key)->m_Offset, 7u);
+}
+
+// Guards against an intent that takes effect after its attempt was given up,
+// and against giving up an attempt that was executed.
+TEST(IntentTableTest, VoidsCoverLateIntentsButNotExecutedOnes) {
+  IntentTable Table(100);
+  Table.apply(1, voidOf("a"));
+  Table.apply(2, intent("a"));
+  EXPECT_EQ(verdict(Table, "a"), AttemptVerdict::Voided);
+  Table.apply(3, intent("b"));
+  Table.apply(4, IntentDone{Key, AttemptId("a")});
+  EXPECT_FALSE(Table.find(Key)->m_Done);
+  Table.apply(5, IntentDone{Key, AttemptId("b")});
+  Table.apply(6, voidOf("b"));
+  EXPECT_TRUE(Table.find(Key)->m_Done);
+  Table.apply(6, voidOf("c"));
+  EXPECT_EQ(verdict(Table, "c"), AttemptVerdict::Pending);
+}
+
+// Guards against tables that grow without bound or forget differently.
+TEST(IntentTableTest, KeysAreForgottenByOffset) {
+  IntentTable Table(10);
+  Table.apply(1, intent("a"));
+  Table.apply(2, intent("x", "other"));
+  Table.skip(11);
+  EXPECT_EQ(verdict(Table, "a"), AttemptVerdict::Valid);
+  Table.skip(12);
+  EXPECT_EQ(verdict(Table, "a"), AttemptVerdict::Pending);
+  EXPECT_EQ(Table.size(), 1u);
+}
+
+// Guards against a batch of which only the first record is folded, and against
+// a wire form that loses the type.
+TEST(IntentTableTest, BatchesAreFoldedWholeAndInOrder) {
+  IntentTable Table(100);
+  const std::vector<IntentRecord> Batch = {intent("a"), intent("b"),
+                                           voidOf("a")};
+  Table.apply(1, Batch);
+  EXPECT_EQ(verdict(Table, "a"), AttemptVerdict::Voided);
+  EXPECT_EQ(verdict(Table, "b"), AttemptVerdict::Lost);
+  const auto Restored = intentFromJson(toJson(Batch[2]));
+  ASSERT_TRUE(Restored);
+  EXPECT_TRUE(std::holds_alternative<IntentVoid>(*Restored));
+}
+
+} // namespace
+} // namespace sff::execution
