Account for endpoint memory and loans of credits

A lapsed loan stays counted whole until a report that was asked for after the lapse was read: the router may start requests until the end of the loan, and an earlier report does not show them. While a takeover is not settled, new weights are refused as well as loans, because loans of the predecessor are still live; weights that the inventory shows are adopted.

--- a/Source/Core/Core/Memory/CreditWallet.h
+++ b/Source/Core/Core/Memory/CreditWallet.h
@@ -24,7 +24,9 @@
   /// Adds a loan that was granted in answer to a message sent at \p SentAt.
   void onGranted(const EntryName &Entry,
                  const messages::BorrowCreditsReply &Grant, Instant SentAt);
-  /// The lender confirmed a return or renewal that was sent at \p SentAt.
+  /// The lender confirmed a return or renewal that was sent at \p SentAt. Call
+  /// it only for an acknowledgement that says "done"; the lender denies one for
+  /// a loan that has lapsed on its side.
   void onRenewed(const LoanId &Loan, Instant SentAt);
 
   /// Takes a credit for \p Entry at \p Endpoint, if a live one is free.
@@ -60,6 +62,9 @@
     Instant m_LiveFrom;
     Instant m_LastUse;
     Instant m_LastMessage;
+
+    std::int64_t freeCount() const { return m_Count - m_Returned - m_InUse; }
+    bool isLive(Instant Now) const { return Now - m_LiveFrom < m_TimeToLive; }
   };
   std::map<LoanId, Loan> m_Loans;
 };
--- /dev/null
+++ b/Source/UnitTests/Core/Memory/CreditLedgerTest.cpp
@@ -0,0 +1,83 @@
+#include "Core/Memory/CreditLedger.h"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+namespace sff::memory {
+namespace {
+
+using namespace std::chrono_literals;
+
+const Instant Start{1h};
+const LoanId Loan("l");
+const IncarnationId Router("r");
+const EntryName Entry("m");
+
+// Guards against credits beyond the memory, also for sizes whose product
+// overflows.
+TEST(CreditLedgerTest, LendsNoMoreThanIsFree) {
+  constexpr auto Max = std::numeric_limits<std::int64_t>::max();
+  CreditLedger Ledger(100, 1s);
+  EXPECT_TRUE(Ledger.reserveWeights(Entry, 40));
+  EXPECT_FALSE(Ledger.reserveWeights(EntryName("n"), 61));
+  EXPECT_FALSE(Ledger.reserveWeights(EntryName("n"), Max));
+  EXPECT_EQ(Ledger.lend(Loan, Router, Entry, 25, Max, Start), 2);
+  EXPECT_EQ(Ledger.lend(Loan, Router, Entry, 25, Max, Start), 2);
+  EXPECT_EQ(Ledger.lend(LoanId("k"), Router, Entry, Max, Max, Start), 0);
+  EXPECT_EQ(Ledger.usedBytes(), 90);
+  EXPECT_TRUE(Ledger.returnCredits(Loan, 1, Start));
+  EXPECT_TRUE(Ledger.returnCredits(Loan, 1, Start));
+  EXPECT_TRUE(Ledger.returnCredits(Loan, 0, Start));
+  EXPECT_EQ(Ledger.usedBytes(), 65);
+  EXPECT_EQ(Ledger.lentCount(Entry), 1);
+  Ledger.setHeadroom(Max);
+  EXPECT_EQ(Ledger.freeBytes(), 0);
+}
+
+// Guards against giving out memory in which requests of a lapsed loan run.
+TEST(CreditLedgerTest, LapsedLoanStaysCountedUntilALaterReport) {
+  CreditLedger Ledger(100, 1s);
+  ASSERT_EQ(Ledger.lend(Loan, Router, Entry, 10, 8, Start), 8);
+  Ledger.onReport({}, Start);
+  Ledger.expire(Start + 999ms);
+  EXPECT_TRUE(Ledger.returnCredits(Loan, 1, Start + 500ms));
+  Ledger.expire(Start + 1499ms);
+  EXPECT_EQ(Ledger.lentCount(Entry), 7);
+  Ledger.expire(Start + 1500ms);
+  EXPECT_EQ(Ledger.usedBytes(), 70);
+  EXPECT_FALSE(Ledger.returnCredits(Loan, 1, Start + 2s));
+  const std::vector<RunningRequest> Three(3, {Router, 10});
+  Ledger.onReport(Three, Start + 1499ms);
+  EXPECT_EQ(Ledger.usedBytes(), 70);
+  Ledger.onReport(Three, Start + 1500ms);
+  EXPECT_EQ(Ledger.usedBytes(), 30);
+  Ledger.onReport({}, Start + 2s);
+  EXPECT_EQ(Ledger.usedBytes(), 10);
+  Ledger.onReport(Three, Start + 3s);
+  EXPECT_EQ(Ledger.usedBytes(), 10);
+  Ledger.onReport({}, Start + 4s);
+  Ledger.onRouterSeen(Router);
+  EXPECT_EQ(Ledger.usedBytes(), 0);
+}
+
+// Guards against lending or loading after a takeover while routers may start
+// requests under loans of the predecessor.
+TEST(CreditLedgerTest, TakeoverSettlesAfterTheTimeToLiveAndAReport) {
+  CreditLedger Ledger(100, 1s);
+  Ledger.onTakeover(Start);
+  Ledger.adoptWeights(Entry, 30);
+  EXPECT_FALSE(Ledger.reserveWeights(EntryName("n"), 10));
+  const std::vector<RunningRequest> Running(2, {Router, 20});
+  Ledger.onReport(Running, Start + 999ms);
+  EXPECT_FALSE(Ledger.mayLend(Start + 2s));
+  Ledger.onReport(Running, Start + 1s);
+  EXPECT_TRUE(Ledger.mayLend(Start + 2s));
+  EXPECT_EQ(Ledger.lend(Loan, Router, Entry, 20, 9, Start + 2s), 1);
+  EXPECT_EQ(Ledger.usedBytes(), 90);
+  Ledger.onReport(std::span(Running).first(1), Start + 3s);
+  EXPECT_EQ(Ledger.usedBytes(), 70);
+}
+
+} // namespace
+} // namespace sff::memory
