Plan claims, slots and releases

Claims name the renewal that the observer has read. A claim may name lapsed owners that are known to be gone, which strikes them from the endpoint; before, an endpoint that had lost eight owners could not be claimed again. The fold indexes slots by endpoint. It keeps the largest weights that an entry ever had, which the headroom for late orders needs.

--- a/Source/Core/Core/Fold/ClusterState.cpp
+++ b/Source/Core/Core/Fold/ClusterState.cpp
@@ -11,8 +11,8 @@
 /// nothing, which does no harm.
 constexpr Offset LeaseRetentionOffsets = 100000;
 constexpr Offset PruneIntervalOffsets = 1024;
-/// An endpoint remembers this many lapsed owners; claims beyond it wait until
-/// one of them is known to be gone and the endpoint is given back or retired.
+/// An endpoint remembers this many lapsed owners. A claim beyond it has to name
+/// one that is known to be gone.
 constexpr std::size_t MaxLapsedOwners = 8;
 
 ApplyResult accepted() { return {{}, true}; }
@@ -42,6 +42,19 @@
   return Result;
 }
 
+/// Lapsed owners of an endpoint once a claim has taken effect.
+std::vector<IncarnationId> lapsedAfter(const Ownership &Current,
+                                       const ClaimItem &Item) {
+  std::vector<IncarnationId> Result = Current.m_LapsedOwners;
+  if (!Current.m_Owner.empty())
+    Result.push_back(Current.m_Owner);
+  std::erase_if(Result, [&](const IncarnationId &Owner) {
+    return std::ranges::find(Item.m_GoneOwners, Owner) !=
+           Item.m_GoneOwners.end();
+  });
+  return Result;
+}
+
 } // namespace
 
 ApplyResult ClusterState::apply(Offset Position, const Record &Value) {
@@ -70,7 +83,12 @@
     return rejected(Value.m_Entry.str(), "the specification is not valid");
   if (!Value.m_Spec && !findEntry(Value.m_Entry))
     return rejected(Value.m_Entry.str(), "there is no such entry");
-  m_Catalogue[Value.m_Entry] = {Position, Value.m_Spec};
+  CatalogueItem &Item = m_Catalogue[Value.m_Entry];
+  Item.m_Version = Position;
+  Item.m_Spec = Value.m_Spec;
+  if (Value.m_Spec)
+    Item.m_LargestWeightBytes =
+        std::max(Item.m_LargestWeightBytes, Value.m_Spec->m_WeightBytes);
   return accepted();
 }
 
@@ -119,7 +137,7 @@
     return "the ownership has changed";
   if (!Current || Current->m_Owner.empty())
     return nullptr;
-  if (Current->m_LapsedOwners.size() >= MaxLapsedOwners)
+  if (lapsedAfter(*Current, Item).size() > MaxLapsedOwners)
     return "too many lapsed owners";
   const Lease *Predecessor = findLease(Current->m_Owner);
   if (Predecessor && Predecessor->m_LastRenewal != Item.m_PredecessorRenewal)
@@ -136,8 +154,7 @@
       Value.m_Items, [&](const ClaimItem &Item) { return checkClaim(Item); },
       [&](const ClaimItem &Item) {
         Ownership &Current = m_Ownerships[Item.m_Endpoint];
-        if (!Current.m_Owner.empty())
-          Current.m_LapsedOwners.push_back(Current.m_Owner);
+        Current.m_LapsedOwners = lapsedAfter(Current, Item);
         Current.m_Owner = Value.m_Claimant;
         Current.m_Offset = Position;
         Current.m_Retired = false;
@@ -166,17 +183,44 @@
   if (!isOwner(Value.m_Author, Item.m_Endpoint, Item.m_Ownership))
     return rejected(Item.m_Endpoint.str(),
                     "the author does not own the endpoint");
-  for (auto &[Key, Current] : m_Slots)
-    if (Current.m_Endpoint == Item.m_Endpoint)
-      Current = {EndpointId(), Position};
+  for (const SlotKey &Key : slotsAt(Item.m_Endpoint))
+    setSlot(Key, EndpointId(), Position);
   m_Ownerships[Item.m_Endpoint] = {IncarnationId(), Position, true, {}};
   return accepted();
 }
 
 bool ClusterState::holdsSlotAt(const EntryName &Entry,
                                const EndpointId &Endpoint) const {
-  const auto Endpoints = endpointsOf(Entry);
-  return std::ranges::find(Endpoints, Endpoint) != Endpoints.end();
+  const auto It = m_SlotsAt.find(Endpoint);
+  if (It == m_SlotsAt.end())
+    return false;
+  const auto Held = It->second.lower_bound({Entry, 0});
+  return Held != It->second.end() && Held->first == Entry;
+}
+
+bool ClusterState::hasUsableSlotAt(const EntryName &Entry,
+                                   const EndpointId &Endpoint) const {
+  const catalogue::EntrySpec *Spec = findEntry(Entry);
+  const auto It = m_SlotsAt.find(Endpoint);
+  if (!Spec || It == m_SlotsAt.end())
+    return false;
+  const auto Held = It->second.lower_bound({Entry, 0});
+  return Held != It->second.end() && Held->first == Entry &&
+         Held->second < Spec->m_Replicas;
+}
+
+void ClusterState::setSlot(const SlotKey &Key, const EndpointId &Endpoint,
+                           Offset Position) {
+  Slot &Current = m_Slots[Key];
+  if (const auto It = m_SlotsAt.find(Current.m_Endpoint);
+      It != m_SlotsAt.end()) {
+    It->second.erase(Key);
+    if (It->second.empty())
+      m_SlotsAt.erase(It);
+  }
+  if (!Endpoint.empty())
+    m_SlotsAt[Endpoint].insert(Key);
+  Current = {Endpoint, Position};
 }
 
 const char *ClusterState::checkGrant(const IncarnationId &Author,
@@ -207,7 +251,7 @@
       Value.m_Items,
       [&](const SlotItem &Item) { return checkGrant(Value.m_Author, Item); },
       [&](const SlotItem &Item) {
-        m_Slots[{Item.m_Entry, Item.m_Index}] = {Item.m_Endpoint, Position};
+        setSlot({Item.m_Entry, Item.m_Index}, Item.m_Endpoint, Position);
       },
       describe);
 }
@@ -229,19 +273,18 @@
       Value.m_Items,
       [&](const SlotItem &Item) { return checkRelease(Value.m_Author, Item); },
       [&](const SlotItem &Item) {
-        m_Slots[{Item.m_Entry, Item.m_Index}] = {EndpointId(), Position};
+        setSlot({Item.m_Entry, Item.m_Index}, EndpointId(), Position);
       },
       describe);
 }
 
 void ClusterState::pruneLeases(Offset Position) {
+  std::set<IncarnationId> Owners;
+  for (const auto &[Endpoint, Item] : m_Ownerships)
+    Owners.insert(Item.m_Owner);
   std::erase_if(m_Leases, [&](const auto &Pair) {
-    const IncarnationId &Incarnation = Pair.first;
-    const Lease &Item = Pair.second;
-    const bool Owns = std::ranges::any_of(m_Ownerships, [&](const auto &Owned) {
-      return Owned.second.m_Owner == Incarnation;
-    });
-    return !Owns && Item.m_LastRenewal + LeaseRetentionOffsets < Position;
+    return !Owners.contains(Pair.first) &&
+           Pair.second.m_LastRenewal + LeaseRetentionOffsets < Position;
   });
 }
 
@@ -282,11 +325,10 @@
 }
 
 std::vector<SlotKey> ClusterState::slotsAt(const EndpointId &Endpoint) const {
-  std::vector<SlotKey> Result;
-  for (const auto &[Key, Item] : m_Slots)
-    if (Item.m_Endpoint == Endpoint)
-      Result.push_back(Key);
-  return Result;
+  const auto It = m_SlotsAt.find(Endpoint);
+  if (It == m_SlotsAt.end())
+    return {};
+  return {It->second.begin(), It->second.end()};
 }
 
 std::vector<EndpointId>
@@ -336,7 +378,8 @@
   Result.m_Catalogue = {Form.m_Catalogue.begin(), Form.m_Catalogue.end()};
   Result.m_Leases = {Form.m_Leases.begin(), Form.m_Leases.end()};
   Result.m_Ownerships = {Form.m_Ownerships.begin(), Form.m_Ownerships.end()};
-  Result.m_Slots = {Form.m_Slots.begin(), Form.m_Slots.end()};
+  for (const auto &[Key, Item] : Form.m_Slots)
+    Result.setSlot(Key, Item.m_Endpoint, Item.m_Offset);
   return Result;
 }
 
--- a/Source/Core/Core/Fold/ClusterState.h
+++ b/Source/Core/Core/Fold/ClusterState.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,10 +15,15 @@
 struct CatalogueItem {
   Offset m_Version = 0;
   std::optional<catalogue::EntrySpec> m_Spec;
+  /// Largest weights of any version so far. A late load order may name an
+  /// earlier version than the present one.
+  std::int64_t m_LargestWeightBytes = 0;
 
   static constexpr auto describe() {
-    return std::make_tuple(field("v", &CatalogueItem::m_Version),
-                           field("spec", &CatalogueItem::m_Spec));
+    return std::make_tuple(
+        field("v", &CatalogueItem::m_Version),
+        field("spec", &CatalogueItem::m_Spec),
+        field("max_weight", &CatalogueItem::m_LargestWeightBytes));
   }
 };
 
@@ -118,6 +124,11 @@
 
   /// Slots that are assigned to \p Endpoint.
   std::vector<SlotKey> slotsAt(const EndpointId &Endpoint) const;
+  /// True when \p Endpoint holds a slot of \p Entry.
+  bool holdsSlotAt(const EntryName &Entry, const EndpointId &Endpoint) const;
+  /// True when one of these slots is below the entry's replica count.
+  bool hasUsableSlotAt(const EntryName &Entry,
+                       const EndpointId &Endpoint) const;
   /// Endpoints that hold a slot of \p Entry, in index order.
   std::vector<EndpointId> endpointsOf(const EntryName &Entry) const;
 
@@ -142,7 +153,7 @@
                          const SlotItem &Item) const;
   const char *checkRelease(const IncarnationId &Author,
                            const SlotItem &Item) const;
-  bool holdsSlotAt(const EntryName &Entry, const EndpointId &Endpoint) const;
+  void setSlot(const SlotKey &Key, const EndpointId &Endpoint, Offset Position);
   void freeOwnership(Ownership &Item, Offset Position);
   void pruneLeases(Offset Position);
 
@@ -151,6 +162,8 @@
   std::map<IncarnationId, Lease> m_Leases;
   std::map<EndpointId, Ownership> m_Ownerships;
   std::map<SlotKey, Slot> m_Slots;
+  /// Index over m_Slots by endpoint; derived, so no part of the snapshot.
+  std::map<EndpointId, std::set<SlotKey>> m_SlotsAt;
 };
 
 } // namespace sff::fold
--- a/Source/Core/Core/Fold/Records.h
+++ b/Source/Core/Core/Fold/Records.h
@@ -76,11 +76,15 @@
   /// Last renewal that the claimant saw from the current owner; 0 when the
   /// endpoint is free.
   Offset m_PredecessorRenewal = 0;
+  /// Earlier owners that the claimant knows to be gone, so that no order of
+  /// theirs can still arrive. They are struck from the lapsed owners.
+  std::vector<IncarnationId> m_GoneOwners{};
 
   static constexpr auto describe() {
     return std::make_tuple(field("ep", &ClaimItem::m_Endpoint),
                            field("prev", &ClaimItem::m_PreviousOwnership),
-                           field("seen", &ClaimItem::m_PredecessorRenewal));
+                           field("seen", &ClaimItem::m_PredecessorRenewal),
+                           field("gone", &ClaimItem::m_GoneOwners));
   }
 };
 
--- a/Source/Core/Core/Ownership/ClaimPolicy.h
+++ b/Source/Core/Core/Ownership/ClaimPolicy.h
@@ -26,11 +26,20 @@
   Instant m_Now;
 };
 
+/// Notes the last renewal of every lease of \p State, as read at \p Now, and
+/// forgets leases that the fold has forgotten. Call it after each fold step
+/// and after a snapshot was taken over, before planClaims().
+void observeLeases(const fold::ClusterState &State, LeaseObserver &Observer,
+                   Instant Now);
+
 /// Lists the endpoints that this controller should claim now: free ones, and
 /// those whose owner's lease has lapsed, for which it ranks first among the
 /// live controllers (same availability zone first, then rendezvous hash).
 /// Leaving and gone endpoints are claimed too, because somebody has to drain
-/// or retire them. Thread safety: reentrant.
+/// or retire them; a gone endpoint only until it is retired. An owner counts
+/// as lapsed only if the observer has read its last folded renewal.
+/// Empty while this controller has no lease in the folded state.
+/// Thread safety: reentrant.
 std::vector<fold::ClaimItem> planClaims(const ClaimContext &Context);
 
 /// Controllers whose lease is neither released nor lapsed, this one included.
--- a/Source/Core/Core/Ownership/LeaseClock.h
+++ b/Source/Core/Core/Ownership/LeaseClock.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace sff::ownership {
 
@@ -23,7 +24,8 @@
 public:
   explicit LeaseClock(LeaseTimes Times) : m_Times(Times) {}
 
-  /// Notes that a renewal with this id was handed to the log.
+  /// Notes that a renewal with this id is about to be handed to the log.
+  /// When the answer is lost, the log may still accept it later.
   void onRenewalSent(const RecordId &Id, Instant Now);
   /// Notes that the fold accepted the renewal.
   void onRenewalAccepted(const RecordId &Id, Offset Position);
@@ -58,7 +60,12 @@
   /// renewed, so that owners can renew before anyone claims.
   void onLogRestored(Instant Now);
   /// True when lease and margin have passed since the last renewal was read.
+  /// False for an incarnation of which no renewal was read.
   bool isLapsed(const IncarnationId &Incarnation, Instant Now) const;
+  /// Offset of the last renewal read, 0 when none was.
+  Offset lastRead(const IncarnationId &Incarnation) const;
+  void forget(const IncarnationId &Incarnation);
+  std::vector<IncarnationId> known() const;
 
 private:
   struct Observation {
--- /dev/null
+++ b/Source/Core/Core/Placement/ReleasePlan.cpp
@@ -0,0 +1,172 @@
+#include "Core/Placement/SlotPlanner.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sff::placement {
+
+namespace {
+
+using ReplicaAt = std::pair<EndpointId, EntryName>;
+
+template <typename Range, typename Value>
+bool contains(const Range &List, const Value &Item) {
+  return std::ranges::find(List, Item) != List.end();
+}
+
+std::size_t countLateOwners(const PlanContext &Context,
+                            const EndpointId &Endpoint) {
+  const fold::Ownership *Owned = Context.m_State.findOwnership(Endpoint);
+  if (!Owned || contains(Context.m_Fencing, Endpoint))
+    return 0;
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Owned->m_LapsedOwners, [&](const IncarnationId &Owner) {
+        return !contains(Context.m_KnownGone, Owner);
+      }));
+}
+
+bool isOwn(const PlanContext &Context, const EndpointId &Endpoint) {
+  const fold::Ownership *Owned = Context.m_State.findOwnership(Endpoint);
+  return Owned && Owned->m_Owner == Context.m_Self;
+}
+
+bool isAdapter(const catalogue::EntrySpec *Spec) {
+  return Spec && Spec->m_Kind == catalogue::EntryKind::Adapter;
+}
+
+/// True when the slot has to be given up for a reason of its own, whatever
+/// becomes of the other slots of the endpoint.
+bool isUnwanted(const PlanContext &Context, const fold::SlotKey &Key,
+                const messages::EndpointInfo &Endpoint) {
+  const catalogue::EntrySpec *Spec = Context.m_State.findEntry(Key.first);
+  return Endpoint.m_State == "leaving" || !Spec || !Spec->isLoadable() ||
+         Key.second >= Spec->m_Replicas ||
+         !fits(Context.m_State, *Spec, Endpoint);
+}
+
+/// Slots of one endpoint that are given up, adapters first.
+std::vector<fold::SlotKey> unwantedAt(const PlanContext &Context,
+                                      const messages::EndpointInfo &Endpoint) {
+  std::vector<fold::SlotKey> Adapters;
+  std::vector<fold::SlotKey> Models;
+  std::set<EntryName> Kept;
+  const auto Slots = Context.m_State.slotsAt(Endpoint.m_Endpoint);
+  for (const fold::SlotKey &Key : Slots) {
+    if (isAdapter(Context.m_State.findEntry(Key.first)))
+      continue;
+    if (isUnwanted(Context, Key, Endpoint))
+      Models.push_back(Key);
+    else
+      Kept.insert(Key.first);
+  }
+  for (const fold::SlotKey &Key : Slots) {
+    const catalogue::EntrySpec *Spec = Context.m_State.findEntry(Key.first);
+    if (isAdapter(Spec) &&
+        (!Kept.contains(Spec->m_Base) || isUnwanted(Context, Key, Endpoint)))
+      Adapters.push_back(Key);
+  }
+  Adapters.insert(Adapters.end(), Models.begin(), Models.end());
+  return Adapters;
+}
+
+std::optional<UnloadReason> changeOf(const catalogue::EntrySpec &Spec,
+                                     const LoadedReplica &Replica) {
+  if (Spec.m_Version != Replica.m_Version)
+    return UnloadReason::VersionChanged;
+  if (Spec.m_Base != Replica.m_Base)
+    return UnloadReason::BaseChanged;
+  if (Spec.m_WeightBytes != Replica.m_WeightBytes)
+    return UnloadReason::WeightChanged;
+  return std::nullopt;
+}
+
+std::optional<UnloadReason> unloadReason(const PlanContext &Context,
+                                         const std::set<ReplicaAt> &GivenUp,
+                                         const LoadedReplica &Replica) {
+  const catalogue::EntrySpec *Spec = Context.m_State.findEntry(Replica.m_Entry);
+  if (!Context.m_State.holdsSlotAt(Replica.m_Entry, Replica.m_Endpoint))
+    return UnloadReason::SlotMissing;
+  if (!Spec || !Spec->isLoadable() ||
+      GivenUp.contains({Replica.m_Endpoint, Replica.m_Entry}))
+    return UnloadReason::SlotGivenUp;
+  return changeOf(*Spec, Replica);
+}
+
+} // namespace
+
+bool fits(const fold::ClusterState &State, const catalogue::EntrySpec &Spec,
+          const messages::EndpointInfo &Endpoint) {
+  std::int64_t Needed = Spec.m_WeightBytes + Spec.requestBytes();
+  if (Spec.m_Kind == catalogue::EntryKind::Adapter)
+    if (const catalogue::EntrySpec *Base = State.findEntry(Spec.m_Base))
+      Needed += Base->m_WeightBytes;
+  return Needed <= Endpoint.m_MemoryBytes;
+}
+
+bool mayReceiveLateOrders(const PlanContext &Context,
+                          const EndpointId &Endpoint) {
+  return countLateOwners(Context, Endpoint) > 0;
+}
+
+std::vector<fold::SlotItem> planReleases(const PlanContext &Context) {
+  std::vector<fold::SlotItem> Result;
+  for (const messages::EndpointInfo &Endpoint : Context.m_Endpoints) {
+    const EndpointId &Id = Endpoint.m_Endpoint;
+    // The slots of a gone endpoint are freed by its retirement.
+    if (Endpoint.m_State == "gone" || !isOwn(Context, Id) ||
+        mayReceiveLateOrders(Context, Id))
+      continue;
+    for (const fold::SlotKey &Key : unwantedAt(Context, Endpoint))
+      Result.push_back(
+          {Key.first, Key.second, Id,
+           Context.m_State.findSlot(Key.first, Key.second)->m_Offset});
+  }
+  return Result;
+}
+
+std::vector<UnloadItem> planUnloads(const PlanContext &Context,
+                                    std::span<const LoadedReplica> Loaded) {
+  std::set<ReplicaAt> GivenUp;
+  for (const fold::SlotItem &Item : planReleases(Context))
+    GivenUp.insert({Item.m_Endpoint, Item.m_Entry});
+  std::vector<UnloadItem> Adapters;
+  std::vector<UnloadItem> Models;
+  std::set<ReplicaAt> Kept;
+  for (const LoadedReplica &Replica : Loaded) {
+    if (!Replica.m_Base.empty() || !isOwn(Context, Replica.m_Endpoint))
+      continue;
+    if (const auto Reason = unloadReason(Context, GivenUp, Replica))
+      Models.push_back({Replica.m_Endpoint, Replica.m_Entry, *Reason});
+    else
+      Kept.insert({Replica.m_Endpoint, Replica.m_Entry});
+  }
+  for (const LoadedReplica &Replica : Loaded) {
+    if (Replica.m_Base.empty() || !isOwn(Context, Replica.m_Endpoint))
+      continue;
+    auto Reason = unloadReason(Context, GivenUp, Replica);
+    if (!Reason && !Kept.contains({Replica.m_Endpoint, Replica.m_Base}))
+      Reason = UnloadReason::BaseUnloaded;
+    if (Reason)
+      Adapters.push_back({Replica.m_Endpoint, Replica.m_Entry, *Reason});
+  }
+  Adapters.insert(Adapters.end(), Models.begin(), Models.end());
+  return Adapters;
+}
+
+std::int64_t requiredHeadroom(const PlanContext &Context,
+                              const EndpointId &Endpoint,
+                              std::span<const EntryName> Loaded) {
+  const auto LateOwners =
+      static_cast<std::int64_t>(countLateOwners(Context, Endpoint));
+  if (LateOwners == 0)
+    return 0;
+  std::int64_t Largest = 0;
+  for (const fold::SlotKey &Key : Context.m_State.slotsAt(Endpoint))
+    if (!contains(Loaded, Key.first))
+      Largest = std::max(
+          Largest,
+          Context.m_State.catalogue().at(Key.first).m_LargestWeightBytes);
+  return Largest * LateOwners;
+}
+
+} // namespace sff::placement
