Add retry, routing, eviction and load ordering policies

Retry budget and crash quarantine, load view with in-flight correction, best-of-two picker, prefix index, eviction by the expected cost of the next cold start, load order by loss per second of load, and load permits. The lender counts starts in a window of Parallel / Rate seconds instead of a token bucket, because a full bucket would let more loads run at once than the weight store serves at full speed.

--- a/Source/Core/Core/Loading/EvictionPolicy.h
+++ b/Source/Core/Core/Loading/EvictionPolicy.h
@@ -4,6 +4,7 @@
 #include "Common/Time/Instant.h"
 #include "Core/Catalogue/EntrySpec.h"
 
+#include <array>
 #include <map>
 #include <span>
 #include <vector>
@@ -17,7 +18,10 @@
   /// Expected time to load it again, in seconds.
   double m_ReloadSeconds = 0;
   catalogue::TrafficClass m_Class = catalogue::TrafficClass::Batch;
-  bool m_Busy = false; ///< Credits are lent, so it cannot be evicted.
+  /// Credits are lent, or an adapter is loaded on this base: it stays.
+  bool m_Busy = false;
+  /// Share of an accelerator that it occupies while idle.
+  double m_Share = 1;
 };
 
 struct EvictionWeights {
@@ -28,6 +32,9 @@
   double m_InteractiveFactor = 3;
 };
 
+/// Number of ranges into which idle periods are divided.
+constexpr std::size_t GapBuckets = 20;
+
 /// Decides how long an idle replica stays loaded: while the expected cost of
 /// its next cold start exceeds the accelerator time that it idles away.
 /// Learns the gaps between requests of each entry. Thread safety: none.
@@ -50,12 +57,27 @@
                                        std::int64_t Bytes, Instant Now) const;
 
 private:
+  /// For each range of idle time, how many idle periods reached it and how
+  /// many ended in it. Old evidence fades only when newer evidence of the same
+  /// range arrives, so the short gaps of a burst do not displace the long gap
+  /// before it.
+  struct GapStatistics {
+    std::array<double, GapBuckets> m_Reached{};
+    std::array<double, GapBuckets> m_Ended{};
+    void add(double GapSeconds);
+    /// Chance that an idle period that reached the range ends in it.
+    double hazard(std::size_t Bucket, double Prior) const;
+  };
   struct History {
     Instant m_LastRequest;
-    std::vector<double> m_GapSeconds; ///< Latest gaps, bounded.
+    GapStatistics m_Gaps;
   };
+  double valueAfter(const GapStatistics &Gaps, double Idle, double ColdStart,
+                    double IdlePrice) const;
+
   EvictionWeights m_Weights;
   std::map<EntryName, History> m_Histories;
+  GapStatistics m_AllGaps; ///< Of all entries; the prior of each.
 };
 
 } // namespace sff::loading
--- a/Source/Core/Core/Loading/LoadScheduler.h
+++ b/Source/Core/Core/Loading/LoadScheduler.h
@@ -5,6 +5,7 @@
 #include "Core/Catalogue/EntrySpec.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -47,8 +48,11 @@
   std::map<std::pair<EndpointId, EntryName>, LoadDemand> m_Demands;
 };
 
-/// Token bucket of the weight store's rate at the lender, and the reserved
-/// share of each other controller. Thread safety: none.
+/// Permits of the weight store's rate at the lender, and the reserved share
+/// of each other controller. A load at full speed lasts Parallel / Rate
+/// seconds, so the lender starts at most Parallel loads in any such window:
+/// this keeps both the rate and the limit on parallel loads without news of
+/// the loads' ends. Thread safety: none.
 class LoadPermits {
 public:
   /// \p Rate loads per second in all, \p Parallel at full speed. The lender
@@ -56,19 +60,19 @@
   /// reach it. Precondition: 0 <= ReservedShare <= 1.
   LoadPermits(double Rate, double Parallel, double ReservedShare);
 
-  /// Takes a permit as the lender. Returns the time to wait, zero if granted.
+  /// Takes a permit as the lender. Returns the time to wait, zero if granted;
+  /// milliseconds::max() when the share is empty.
   milliseconds tryLend(Instant Now);
-  /// Takes a permit from this controller's reserved share.
+  /// Takes a permit from this controller's reserved share, which is divided
+  /// among \p Controllers. Returns as tryLend().
   milliseconds tryReserved(std::size_t Controllers, Instant Now);
 
 private:
   double m_Rate;
   double m_Parallel;
   double m_ReservedShare;
-  double m_LenderTokens;
-  double m_ReservedTokens = 1;
-  std::optional<Instant> m_LenderUpdated;
-  std::optional<Instant> m_ReservedUpdated;
+  std::deque<Instant> m_Lent; ///< Starts in the latest window.
+  std::optional<Instant> m_ReservedUsed;
 };
 
 } // namespace sff::loading
--- a/Source/Core/Core/Retry/CrashQuarantine.h
+++ b/Source/Core/Core/Retry/CrashQuarantine.h
@@ -34,6 +34,11 @@
     std::int64_t m_Crashes = 0;
     Instant m_LastCrash;
   };
+  bool isForgotten(const Suspect &Entry, Instant Now) const;
+  Suspect &refresh(const std::string &Fingerprint, Instant Now);
+  /// Drops forgotten fingerprints, else the one that crashed longest ago.
+  void makeRoom(Instant Now);
+
   std::size_t m_MaxFingerprints;
   milliseconds m_Period;
   std::map<std::string, Suspect> m_Suspects;
--- a/Source/Core/Core/Retry/RetryBudget.h
+++ b/Source/Core/Core/Retry/RetryBudget.h
@@ -11,7 +11,8 @@
 class RetryBudget {
 public:
   /// \p Ratio retries per request, for example 0.1; \p Burst retries may be
-  /// saved up. Precondition: both are not negative.
+  /// saved up. A new budget holds one retry, so that the first failure of a
+  /// fresh router can be retried. Precondition: both are not negative.
   RetryBudget(double Ratio, double Burst);
 
   void onRequest(catalogue::TrafficClass Class);
--- a/Source/Core/Core/Routing/EndpointPicker.h
+++ b/Source/Core/Core/Routing/EndpointPicker.h
@@ -34,6 +34,8 @@
     /// Own dispatches and ends after the report was made.
     std::vector<std::pair<Instant, int>> m_Changes;
   };
+  static void addChange(Entry &Known, Instant Now, int Delta);
+
   std::map<EndpointId, Entry> m_Entries;
 };
 
--- a/Source/Core/Core/Routing/PrefixIndex.h
+++ b/Source/Core/Core/Routing/PrefixIndex.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -25,11 +26,15 @@
   /// a jump forgets the endpoint's earlier blocks, an old number is ignored.
   void onEvent(const EndpointId &Endpoint, std::uint64_t Sequence,
                std::uint64_t BlockHash, bool Stored);
+  /// Call when the endpoint restarts, because its sequence starts again.
   void forget(const EndpointId &Endpoint);
 
   /// Length of the cached prefix of \p Prompt at the endpoint, in blocks.
   std::size_t cachedBlocks(const EndpointId &Endpoint,
                            std::string_view Prompt) const;
+  /// The same for hashes from blockHashes(), to compare several endpoints.
+  std::size_t cachedBlocks(const EndpointId &Endpoint,
+                           std::span<const std::uint64_t> Hashes) const;
 
 private:
   struct Entry {
--- /dev/null
+++ b/Source/UnitTests/Core/Routing/RoutingTest.cpp
@@ -0,0 +1,97 @@
+#include "Core/Routing/EndpointPicker.h"
+#include "Core/Routing/PrefixIndex.h"
+
+#include <gtest/gtest.h>
+
+namespace sff::routing {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Instant Start{std::chrono::hours(1)};
+const EndpointId Endpoint("e");
+
+// Guards against a late report that hides requests sent after it was made.
+TEST(LoadViewTest, LateReportKeepsLaterDispatches) {
+  LoadView View;
+  View.onDispatched(Endpoint, Start);
+  View.onDispatched(Endpoint, Start + seconds(2));
+  View.onReport(Endpoint, 5, seconds(2), Start + seconds(3));
+  EXPECT_EQ(View.estimate(Endpoint, Start + seconds(3)), 6);
+  View.onFinished(Endpoint, Start + seconds(4));
+  EXPECT_EQ(View.estimate(Endpoint, Start + seconds(4)), 5);
+}
+
+// Guards against an older report that replaces a newer one.
+TEST(LoadViewTest, OlderReportIsIgnored) {
+  LoadView View;
+  View.onReport(Endpoint, 1, seconds(0), Start);
+  View.onReport(Endpoint, 9, seconds(5), Start + seconds(1));
+  EXPECT_EQ(View.estimate(Endpoint, Start + seconds(1)), 1);
+}
+
+// Guards against changes that pile up while an endpoint sends no reports.
+TEST(LoadViewTest, EstimateIsExactWithoutReports) {
+  LoadView View;
+  for (int Request = 0; Request < 5000; ++Request) {
+    View.onDispatched(Endpoint, Start);
+    if (Request >= 3)
+      View.onFinished(Endpoint, Start);
+  }
+  EXPECT_EQ(View.estimate(Endpoint, Start), 3);
+}
+
+// Guards against a pick that ignores load, prefix or credit.
+TEST(PickEndpointTest, BetterOfTwoWins) {
+  std::mt19937_64 Random(1);
+  const EndpointId Other("f");
+  const PickWeights Weights;
+  EXPECT_FALSE(pickEndpoint({}, Weights, Random));
+  for (int Round = 0; Round < 20; ++Round) {
+    EXPECT_EQ(pickEndpoint(std::vector<PickCandidate>{{Endpoint, 2, 0, false},
+                                                      {Other, 1, 0, false}},
+                           Weights, Random),
+              1u);
+    EXPECT_EQ(
+        pickEndpoint(std::vector<PickCandidate>{{Endpoint, 2, 1000, false},
+                                                {Other, 1, 0, false}},
+                     Weights, Random),
+        0u);
+    EXPECT_EQ(pickEndpoint(std::vector<PickCandidate>{{Endpoint, 1, 0, false},
+                                                      {Other, 1.5, 0, true}},
+                           Weights, Random),
+              1u);
+  }
+}
+
+// Guards against a hash that covers only its own block, so that equal blocks
+// after different beginnings count as cached.
+TEST(PrefixIndexTest, HashCoversAllTextBefore) {
+  const std::string Block(PrefixIndex::BlockBytes, 'x');
+  const std::string Other(PrefixIndex::BlockBytes, 'y');
+  const auto First = PrefixIndex::blockHashes(Block + Block + "rest");
+  ASSERT_EQ(First.size(), 2u);
+  EXPECT_NE(First[0], First[1]);
+  EXPECT_NE(First[1], PrefixIndex::blockHashes(Other + Block)[1]);
+  // FNV-1a of 64 times 'x', computed by an independent implementation.
+  EXPECT_EQ(First[0], 0xb96a5acbb56db825);
+}
+
+// Guards against a missed removal that keeps blocks which the engine dropped.
+TEST(PrefixIndexTest, GapForgetsEarlierBlocks) {
+  const std::string Prompt(PrefixIndex::BlockBytes * 2, 'x');
+  const auto Hashes = PrefixIndex::blockHashes(Prompt);
+  PrefixIndex Index;
+  Index.onEvent(Endpoint, 1, Hashes[0], true);
+  Index.onEvent(Endpoint, 2, Hashes[1], true);
+  EXPECT_EQ(Index.cachedBlocks(Endpoint, Prompt), 2u);
+  Index.onEvent(Endpoint, 2, Hashes[1], false);
+  EXPECT_EQ(Index.cachedBlocks(Endpoint, Prompt), 2u);
+  Index.onEvent(Endpoint, 4, Hashes[0], true);
+  EXPECT_EQ(Index.cachedBlocks(Endpoint, Prompt), 1u);
+  Index.onEvent(Endpoint, 5, Hashes[0], false);
+  EXPECT_EQ(Index.cachedBlocks(Endpoint, Prompt), 0u);
+}
+
+} // namespace
+} // namespace sff::routing
