Add the admission queue with promised retry times

A refusal promises a part of the capacity that becomes free later and its retry time is the start of that part. A caller that kept its time is marked (Waiting::m_KeptRetryTime) and goes before first arrivals, which share the rest while promises are open. promiseRetry() spreads the retry times of requests that are removed from the queue later.

--- a/Source/Core/Core/Admission/AdmissionQueue.h
+++ b/Source/Core/Core/Admission/AdmissionQueue.h
@@ -5,6 +5,7 @@
 #include "Core/Catalogue/EntrySpec.h"
 #include "Core/Execution/Outcome.h"
 
+#include <array>
 #include <optional>
 #include <set>
 #include <variant>
@@ -17,6 +18,9 @@
   catalogue::TrafficClass m_Class = catalogue::TrafficClass::Batch;
   Instant m_Deadline;
   Instant m_Arrival;
+  /// The caller was refused before, by any router, and kept the retry time
+  /// that it was told. It goes before requests that arrive the first time.
+  bool m_KeptRetryTime = false;
 };
 
 struct Refusal {
@@ -34,7 +38,12 @@
 
 /// Waiting requests of one entry at one router: bounded, interactive before
 /// batch, then earliest deadline first. Learns the service time from
-/// completed requests. Thread safety: none.
+/// completed requests.
+///
+/// Every refusal promises a part of the capacity that becomes free later, and
+/// its retry time is the start of that part. While promises are open,
+/// requests that arrive the first time are accepted only into the rest, so
+/// that those who come back find room. Thread safety: none.
 class AdmissionQueue {
 public:
   explicit AdmissionQueue(std::size_t MaxWaiting) : m_MaxWaiting(MaxWaiting) {}
@@ -67,21 +76,48 @@
   /// When to come back after a refusal.
   milliseconds retryAfter(catalogue::TrafficClass Class,
                           const CapacityEstimate &Capacity) const;
+  /// The same, and promises the capacity. For requests from takeExpired() and
+  /// takeDisplaced(), each of which needs a retry time of its own.
+  milliseconds promiseRetry(catalogue::TrafficClass Class,
+                            const CapacityEstimate &Capacity, Instant Now);
 
   std::size_t size() const { return m_Waiting.size(); }
   bool empty() const { return m_Waiting.empty(); }
   /// The most urgent deadline, for loads that are ordered by urgency.
   std::optional<Instant> earliestDeadline() const;
+  /// End of the period for which refused callers were told to come back; an
+  /// entry stays wanted until then.
+  Instant promisedUntil() const;
 
 private:
   struct Order {
     bool operator()(const Waiting &Left, const Waiting &Right) const;
   };
+  using Queue = std::multiset<Waiting, Order>;
+
+  bool fits(const Waiting &Item, const CapacityEstimate &Capacity,
+            Instant Now) const;
+  bool makeRoomFor(const Waiting &Item, Instant Now);
+  bool hasOpenPromises(catalogue::TrafficClass Class, Instant Now) const;
+  Refusal refuse(execution::Reason Reason, const Waiting &Item,
+                 const CapacityEstimate &Capacity, Instant Now);
+  /// Time in which \p Ahead requests start.
+  Duration drainTime(double Ahead, const CapacityEstimate &Capacity) const;
+  /// Share of the capacity that interactive requests leave to batch requests.
+  double batchShare(const CapacityEstimate &Capacity) const;
+  void noteInteractive(Instant Now);
+
   std::size_t m_MaxWaiting;
-  std::multiset<Waiting, Order> m_Waiting;
+  Queue m_Waiting;
   std::vector<Waiting> m_Displaced;
   Duration m_ServiceTime{0};
-  std::size_t m_Refused = 0;
+  bool m_HasServed = false;
+  /// For each class, the end of the capacity that is promised.
+  std::array<Instant, 2> m_PromisedUntil{};
+  Instant m_LatestOffer;
+  /// Accepted interactive requests, fading over InteractiveWindow.
+  double m_InteractiveRecent = 0;
+  Instant m_InteractiveNoted;
 };
 
 } // namespace sff::admission
