Merge the policy modules and connect the controller to both

The controller uses the planner's unloads, releases and headroom. A slot whose release was handed to the log is not used again at that offset, because the release may land after the replica count was raised again and free the slot under a loaded replica. SlotWithASentReleaseIsNotUsedAgain covers it.

--- a/Source/Core/Core/Control/OwnedEndpoint.cpp
+++ b/Source/Core/Core/Control/OwnedEndpoint.cpp
@@ -1,6 +1,7 @@
 #include "Core/Control/OwnedEndpoint.h"
 
 #include <algorithm>
+#include <set>
 
 namespace sff::control {
 
@@ -106,8 +107,8 @@
     if (!isReportCurrent(Item.m_Model, SentAt))
       continue;
     Replica &Known = m_Replicas[Item.m_Model];
-    Known.m_State = Item.m_State == "ready" ? ReplicaState::Ready
-                                            : ReplicaState::Loading;
+    Known.m_State =
+        Item.m_State == "ready" ? ReplicaState::Ready : ReplicaState::Loading;
     Known.m_Version = Item.m_Version;
     Known.m_Bytes = Item.m_Bytes;
     m_Ledger->adoptWeights(Item.m_Model, Item.m_Bytes);
@@ -177,6 +178,8 @@
   const auto Holders = State.endpointsOf(Request.m_Entry);
   if (std::ranges::find(Holders, m_Info.m_Endpoint) == Holders.end())
     return refuse("no_slot", NotOwnerRetryAfter);
+  if (isReleasePending(State, Request.m_Entry))
+    return refuse("no_slot", NotOwnerRetryAfter);
   if (m_Info.m_State != "live")
     return refuse("endpoint_leaving", NotOwnerRetryAfter);
   if (m_Stage == Stage::Silent)
@@ -292,42 +295,89 @@
   return Result;
 }
 
-std::vector<PlannedOrder> OwnedEndpoint::planOrders(
-    const fold::ClusterState &State, const loading::EvictionPolicy &Eviction,
-    const std::set<EntryName> &Leaving, const Authority &Rights, Instant Now) {
+placement::PlanContext
+OwnedEndpoint::planContext(const PlanInput &Input) const {
+  placement::PlanContext Context{Input.m_State, {&m_Info, 1}, Input.m_Self};
+  // An endpoint that has restarted fences again only after this stage.
+  if (m_Fences && m_Stage != Stage::Fencing)
+    Context.m_Fencing = {&m_Info.m_Endpoint, 1};
+  Context.m_KnownGone = Input.m_KnownGone;
+  return Context;
+}
+
+std::vector<EntryName> OwnedEndpoint::loadedEntries() const {
+  std::vector<EntryName> Result;
+  for (const auto &[Entry, Item] : m_Replicas)
+    if (Item.m_State != ReplicaState::Cold)
+      Result.push_back(Entry);
+  return Result;
+}
+
+std::vector<PlannedOrder> OwnedEndpoint::planOrders(const PlanInput &Input) {
   std::vector<PlannedOrder> Result;
   std::erase_if(m_Demands, [&](const auto &Pair) {
-    return Now - Pair.second.m_LastSeen > m_Times.m_DemandTimeToLive;
+    return Input.m_Now - Pair.second.m_LastSeen > m_Times.m_DemandTimeToLive;
   });
-  if (!mayOrder(Rights))
+  m_Ledger->expire(Input.m_Now);
+  m_Ledger->setHeadroom(placement::requiredHeadroom(
+      planContext(Input), m_Info.m_Endpoint, loadedEntries()));
+  if (!mayOrder(Input.m_Rights))
     return Result;
-  planUnwanted(State, Leaving, Now, Result);
-  planLoads(State, Eviction, Leaving, Now, Result);
-  auto Idle = idleReplicas();
-  for (auto &Item : Idle)
-    if (const auto *Spec = State.findEntry(Item.m_Entry))
-      Item.m_Class = Spec->m_Class;
-  for (const EntryName &Entry : Eviction.chooseIdle(Idle, Now))
-    addUnload(Entry, Now, Result);
+  planUnwanted(Input, Result);
+  planLoads(Input, Result);
+  planIdle(Input, Result);
   return Result;
 }
 
-void OwnedEndpoint::planUnwanted(const fold::ClusterState &State,
-                                 const std::set<EntryName> &Leaving,
-                                 Instant Now, std::vector<PlannedOrder> &Out) {
-  std::set<EntryName> Wanted;
-  for (const fold::SlotKey &Key : State.slotsAt(m_Info.m_Endpoint))
-    if (!Leaving.contains(Key.first))
-      Wanted.insert(Key.first);
-  std::vector<EntryName> Unwanted;
-  for (const auto &[Entry, Item] : m_Replicas) {
-    const catalogue::EntrySpec *Spec = State.findEntry(Entry);
-    if (Item.m_State == ReplicaState::Ready &&
-        (!Wanted.contains(Entry) || !Spec || Item.m_Version != Spec->m_Version))
-      Unwanted.push_back(Entry);
-  }
-  for (const EntryName &Entry : Unwanted)
-    addUnload(Entry, Now, Out);
+std::vector<fold::SlotItem>
+OwnedEndpoint::releasableSlots(const PlanInput &Input) const {
+  std::vector<fold::SlotItem> Result;
+  if (m_Stage != Stage::Ready)
+    return Result;
+  for (const fold::SlotItem &Item : placement::planReleases(planContext(Input)))
+    if (stateOf(Item.m_Entry) == ReplicaState::Cold)
+      Result.push_back(Item);
+  for (const auto &[Entry, Item] : m_SentReleases)
+    if (isReleasePending(Input.m_State, Entry) &&
+        std::ranges::find(Result, Entry, &fold::SlotItem::m_Entry) ==
+            Result.end())
+      Result.push_back(Item);
+  return Result;
+}
+
+void OwnedEndpoint::onReleaseSent(const fold::SlotItem &Item) {
+  m_SentReleases[Item.m_Entry] = Item;
+}
+
+bool OwnedEndpoint::isReleasePending(const fold::ClusterState &State,
+                                     const EntryName &Entry) const {
+  const auto Sent = m_SentReleases.find(Entry);
+  if (Sent == m_SentReleases.end())
+    return false;
+  const fold::Slot *Current = State.findSlot(Entry, Sent->second.m_Index);
+  return Current && Current->m_Offset == Sent->second.m_Previous;
+}
+
+void OwnedEndpoint::planUnwanted(const PlanInput &Input,
+                                 std::vector<PlannedOrder> &Out) {
+  std::vector<placement::LoadedReplica> Loaded;
+  for (const auto &[Entry, Item] : m_Replicas)
+    if (Item.m_State == ReplicaState::Ready)
+      Loaded.push_back({m_Info.m_Endpoint, Entry, Item.m_Version, Item.m_Base,
+                        Item.m_Bytes});
+  for (const placement::UnloadItem &Item :
+       placement::planUnloads(planContext(Input), Loaded))
+    addUnload(Item.m_Entry, Input.m_Now, Out);
+}
+
+void OwnedEndpoint::planIdle(const PlanInput &Input,
+                             std::vector<PlannedOrder> &Out) {
+  auto Idle = idleReplicas();
+  for (auto &Item : Idle)
+    if (const auto *Spec = Input.m_State.findEntry(Item.m_Entry))
+      Item.m_Class = Spec->m_Class;
+  for (const EntryName &Entry : Input.m_Eviction.chooseIdle(Idle, Input.m_Now))
+    addUnload(Entry, Input.m_Now, Out);
 }
 
 void OwnedEndpoint::addUnload(const EntryName &Entry, Instant Now,
@@ -368,14 +418,17 @@
   return Scheduler.ordered(Now);
 }
 
-void OwnedEndpoint::planLoads(const fold::ClusterState &State,
-                              const loading::EvictionPolicy &Eviction,
-                              const std::set<EntryName> &Leaving, Instant Now,
+void OwnedEndpoint::planLoads(const PlanInput &Input,
                               std::vector<PlannedOrder> &Out) {
+  const fold::ClusterState &State = Input.m_State;
+  const Instant Now = Input.m_Now;
+  std::set<EntryName> Leaving;
+  for (const fold::SlotItem &Item : placement::planReleases(planContext(Input)))
+    Leaving.insert(Item.m_Entry);
   for (const loading::LoadDemand &Demand : collectDemands(State, Now)) {
     const EntryName &Entry = Demand.m_Entry;
     const catalogue::EntrySpec &Spec = *State.findEntry(Entry);
-    if (Leaving.contains(Entry))
+    if (Leaving.contains(Entry) || isReleasePending(State, Entry))
       continue;
     const catalogue::EntrySpec *Base =
         Spec.m_Base.empty() ? nullptr : State.findEntry(Spec.m_Base);
@@ -392,7 +445,7 @@
     if (Missing <= 0)
       continue;
     for (const EntryName &Victim :
-         Eviction.chooseVictims(idleReplicas(), Missing, Now))
+         Input.m_Eviction.chooseVictims(idleReplicas(), Missing, Now))
       if (Victim != Spec.m_Base)
         addUnload(Victim, Now, Out);
   }
@@ -471,23 +524,6 @@
     m_Ledger->releaseWeights(Request.m_Model);
 }
 
-void OwnedEndpoint::updateHeadroom(const fold::ClusterState &State,
-                                   std::span<const IncarnationId> KnownGone) {
-  const fold::Ownership *Owned = State.findOwnership(m_Info.m_Endpoint);
-  if (m_Fences || !Owned)
-    return;
-  const auto Suspects = std::ranges::count_if(
-      Owned->m_LapsedOwners, [&](const IncarnationId &Owner) {
-        return std::ranges::find(KnownGone, Owner) == KnownGone.end();
-      });
-  std::int64_t Largest = 0;
-  for (const fold::SlotKey &Key : State.slotsAt(m_Info.m_Endpoint))
-    if (const auto *Spec = State.findEntry(Key.first);
-        Spec && stateOf(Key.first) == ReplicaState::Cold)
-      Largest = std::max(Largest, Spec->m_WeightBytes);
-  m_Ledger->setHeadroom(Suspects * Largest);
-}
-
 ReplicaState OwnedEndpoint::stateOf(const EntryName &Entry) const {
   const auto It = m_Replicas.find(Entry);
   return It == m_Replicas.end() ? ReplicaState::Cold : It->second.m_State;
--- a/Source/Core/Core/Messages/ControllerMessages.h
+++ b/Source/Core/Core/Messages/ControllerMessages.h
@@ -196,6 +196,8 @@
   std::string m_Service; ///< Service name, for services.
   std::int64_t m_MemoryBytes = 0;
 
+  friend bool operator==(const EndpointInfo &, const EndpointInfo &) = default;
+
   static constexpr auto describe() {
     return std::make_tuple(field("host", &EndpointInfo::m_Endpoint),
                            field("address", &EndpointInfo::m_Address),
