--- a/Source/Core/Controller/ControllerSettings.cpp
+++ b/Source/Core/Controller/ControllerSettings.cpp
@@ -9,7 +9,7 @@
 
 const Setting<std::string> PeerAddress{
     .m_Section = "controller",
-    .m_Key = "peer_address",
+    .m_Key = "listen",
     .m_Default = "",
     .m_Unit = "",
     .m_Range = {},
@@ -19,7 +19,7 @@
 
 const Setting<std::string> RouterAddress{
     .m_Section = "controller",
-    .m_Key = "router_peer_address",
+    .m_Key = "router_address",
     .m_Default = "",
     .m_Unit = "",
     .m_Range = {},
