Rank endpoints for slots without copying names

Placing 3,800 entries on 400 endpoints for the first time took 210 ms, most of it in comparing and copying endpoint names and in asking every endpoint for the base of each adapter; adapters now start from the base's slots.

--- a/Source/Core/Core/Placement/GrantPlan.cpp
+++ b/Source/Core/Core/Placement/GrantPlan.cpp
@@ -35,6 +35,7 @@
 struct Target {
   const messages::EndpointInfo *m_Info = nullptr;
   std::uint64_t m_Hash = 0;
+  std::size_t m_Zone = 0; ///< Number of the availability zone.
   std::int64_t m_PlacedBytes = 0;
   bool m_IsOwn = false;
 
@@ -44,6 +45,15 @@
   }
 };
 
+/// Position of a target in the order of preference; the least is the best.
+struct Rank {
+  std::size_t m_SlotsInZone = 0;
+  double m_Overload = 0; ///< 0 below the limit.
+  std::uint64_t m_InvertedWeight = 0;
+
+  auto operator<=>(const Rank &) const = default;
+};
+
 /// Places the free slots of all entries in a fixed order, so that all
 /// controllers with the same state and host list get the same plan.
 class GrantPlanner {
@@ -79,17 +89,25 @@
     if (!m_HaveTargets)
       collectTargets();
     const EntryName Name = Free.front().m_Entry;
-    std::map<ZoneId, int> ZoneCounts;
+    std::vector<std::size_t> SlotsInZone(m_ZoneNumbers.size());
+    std::vector<const Target *> Holders;
     for (const EndpointId &Endpoint : m_Context.m_State.endpointsOf(Name))
-      if (const auto It = m_IndexOf.find(Endpoint); It != m_IndexOf.end())
-        ++ZoneCounts[m_Targets[It->second].m_Info->m_Zone];
-    std::vector<Target *> Eligible = eligibleTargets(Name, Spec);
+      if (const Target *Holder = findTarget(Endpoint)) {
+        ++SlotsInZone[Holder->m_Zone];
+        Holders.push_back(Holder);
+      }
+    std::vector<Target *> Eligible = eligibleTargets(Spec);
+    std::erase_if(Eligible, [&](const Target *Candidate) {
+      return std::ranges::find(Holders, Candidate) != Holders.end();
+    });
+    const std::uint64_t KeyHash = hashText(Name.str());
     for (fold::SlotItem &Item : Free) {
-      const auto Best = choose(Item, Spec, Eligible, ZoneCounts);
+      const auto Best =
+          choose(KeyHash, Spec.m_WeightBytes, Eligible, SlotsInZone);
       if (Best == Eligible.end())
         return;
       assign(std::move(Item), **Best, Spec.m_WeightBytes);
-      ++ZoneCounts[(*Best)->m_Info->m_Zone];
+      ++SlotsInZone[(*Best)->m_Zone];
       Eligible.erase(Best);
     }
   }
@@ -103,61 +121,70 @@
           Info.m_MemoryBytes <= 0 || !Owned || Owned->m_Owner.empty())
         continue;
       m_IndexOf.emplace(Info.m_Endpoint, m_Targets.size());
-      m_Targets.push_back({&Info, hashText(Info.m_Endpoint.str()), 0,
-                           Owned->m_Owner == m_Context.m_Self});
+      const auto Zone =
+          m_ZoneNumbers.emplace(Info.m_Zone, m_ZoneNumbers.size()).first;
+      m_Targets.push_back({&Info, hashText(Info.m_Endpoint.str()), Zone->second,
+                           0, Owned->m_Owner == m_Context.m_Self});
       m_MemoryBytes += static_cast<double>(Info.m_MemoryBytes);
     }
     for (const auto &[Key, Slot] : m_Context.m_State.slots()) {
       const auto *Spec = m_Context.m_State.findEntry(Key.first);
-      const auto It = m_IndexOf.find(Slot.m_Endpoint);
-      if (Spec && It != m_IndexOf.end())
-        notePlaced(m_Targets[It->second], Spec->m_WeightBytes);
+      Target *Holder = findTarget(Slot.m_Endpoint);
+      if (Spec && Holder)
+        notePlaced(*Holder, Spec->m_WeightBytes);
     }
   }
 
-  std::vector<Target *> eligibleTargets(const EntryName &Name,
-                                        const catalogue::EntrySpec &Spec) {
+  Target *findTarget(const EndpointId &Endpoint) {
+    const auto It = m_IndexOf.find(Endpoint);
+    return It == m_IndexOf.end() ? nullptr : &m_Targets[It->second];
+  }
+
+  std::vector<Target *> eligibleTargets(const catalogue::EntrySpec &Spec) {
     std::vector<Target *> Result;
-    for (Target &Candidate : m_Targets)
-      if (isEligible(Candidate, Name, Spec))
+    if (Spec.m_Kind == catalogue::EntryKind::Adapter) {
+      for (const EndpointId &Endpoint :
+           m_Context.m_State.endpointsOf(Spec.m_Base))
+        if (Target *Candidate = findTarget(Endpoint);
+            Candidate &&
+            m_Context.m_State.hasUsableSlotAt(Spec.m_Base, Endpoint))
+          Result.push_back(Candidate);
+    } else {
+      for (Target &Candidate : m_Targets)
         Result.push_back(&Candidate);
+    }
+    const std::int64_t Needed = neededBytes(m_Context.m_State, Spec);
+    std::erase_if(Result, [&](const Target *Candidate) {
+      return Needed > Candidate->m_Info->m_MemoryBytes;
+    });
     return Result;
   }
 
-  bool isEligible(const Target &Candidate, const EntryName &Name,
-                  const catalogue::EntrySpec &Spec) const {
-    const EndpointId &Endpoint = Candidate.m_Info->m_Endpoint;
-    return fits(m_Context.m_State, Spec, *Candidate.m_Info) &&
-           (Spec.m_Kind != catalogue::EntryKind::Adapter ||
-            m_Context.m_State.hasUsableSlotAt(Spec.m_Base, Endpoint)) &&
-           !m_Context.m_State.holdsSlotAt(Name, Endpoint);
-  }
-
   /// The highest-ranked target of the availability zones with the fewest slots
   /// of the entry that is not loaded beyond the limit, or the least loaded.
   std::vector<Target *>::iterator
-  choose(const fold::SlotItem &Item, const catalogue::EntrySpec &Spec,
+  choose(std::uint64_t KeyHash, std::int64_t Bytes,
          std::vector<Target *> &Eligible,
-         const std::map<ZoneId, int> &ZoneCounts) const {
-    const auto CountAt = [&](const Target *Candidate) {
-      const auto It = ZoneCounts.find(Candidate->m_Info->m_Zone);
-      return It == ZoneCounts.end() ? 0 : It->second;
-    };
-    const double Limit =
-        MaxRelativeLoad *
-        (m_PlacedBytes + static_cast<double>(Spec.m_WeightBytes)) /
-        m_MemoryBytes;
-    const std::uint64_t KeyHash = hashText(Item.m_Entry.str());
-    const auto RankOf = [&](const Target *Candidate) {
-      const double Load = Candidate->relativeLoad(Spec.m_WeightBytes);
-      const std::uint64_t Weight = combine(KeyHash, Candidate->m_Hash);
+         const std::vector<std::size_t> &SlotsInZone) const {
+    const double Limit = MaxRelativeLoad *
+                         (m_PlacedBytes + static_cast<double>(Bytes)) /
+                         m_MemoryBytes;
+    auto Best = Eligible.end();
+    Rank BestRank;
+    for (auto It = Eligible.begin(); It != Eligible.end(); ++It) {
+      const Target &Candidate = **It;
+      const double Load = Candidate.relativeLoad(Bytes);
       // An empty endpoint is never over the limit; the mean may be below the
       // weight of one model while little is placed.
-      const bool IsOver = Candidate->m_PlacedBytes > 0 && Load > Limit;
-      return std::tuple(CountAt(Candidate), IsOver, IsOver ? Load : 0.0,
-                        ~Weight, Candidate->m_Info->m_Endpoint);
-    };
-    return std::ranges::min_element(Eligible, {}, RankOf);
+      const bool IsOver = Candidate.m_PlacedBytes > 0 && Load > Limit;
+      const Rank Own{SlotsInZone[Candidate.m_Zone], IsOver ? Load : 0.0,
+                     ~combine(KeyHash, Candidate.m_Hash)};
+      if (Best != Eligible.end() && !(Own < BestRank))
+        continue;
+      Best = It;
+      BestRank = Own;
+    }
+    return Best;
   }
 
   void assign(fold::SlotItem Item, Target &Chosen, std::int64_t Bytes) {
@@ -177,6 +204,7 @@
   bool m_HaveTargets = false;
   std::vector<Target> m_Targets;
   std::unordered_map<EndpointId, std::size_t> m_IndexOf;
+  std::map<ZoneId, std::size_t> m_ZoneNumbers;
   double m_MemoryBytes = 0;
   double m_PlacedBytes = 0;
   std::vector<fold::SlotItem> m_Grants;
--- a/Source/Core/Core/Placement/ReleasePlan.cpp
+++ b/Source/Core/Core/Placement/ReleasePlan.cpp
@@ -41,7 +41,7 @@
   const catalogue::EntrySpec *Spec = Context.m_State.findEntry(Key.first);
   return Endpoint.m_State == "leaving" || !Spec || !Spec->isLoadable() ||
          Key.second >= Spec->m_Replicas ||
-         !fits(Context.m_State, *Spec, Endpoint);
+         neededBytes(Context.m_State, *Spec) > Endpoint.m_MemoryBytes;
 }
 
 /// Slots of one endpoint that are given up, adapters first.
@@ -94,13 +94,13 @@
 
 } // namespace
 
-bool fits(const fold::ClusterState &State, const catalogue::EntrySpec &Spec,
-          const messages::EndpointInfo &Endpoint) {
+std::int64_t neededBytes(const fold::ClusterState &State,
+                         const catalogue::EntrySpec &Spec) {
   std::int64_t Needed = Spec.m_WeightBytes + Spec.requestBytes();
   if (Spec.m_Kind == catalogue::EntryKind::Adapter)
     if (const catalogue::EntrySpec *Base = State.findEntry(Spec.m_Base))
       Needed += Base->m_WeightBytes;
-  return Needed <= Endpoint.m_MemoryBytes;
+  return Needed;
 }
 
 bool mayReceiveLateOrders(const PlanContext &Context,
--- a/Source/Core/Core/Placement/SlotPlanner.h
+++ b/Source/Core/Core/Placement/SlotPlanner.h
@@ -24,10 +24,11 @@
   std::span<const IncarnationId> m_KnownGone{};
 };
 
-/// True when the endpoint's memory holds the weights, those of the base and the
-/// attention state of one request. Thread safety: reentrant.
-bool fits(const fold::ClusterState &State, const catalogue::EntrySpec &Spec,
-          const messages::EndpointInfo &Endpoint);
+/// Memory that an endpoint needs to serve an entry at all: the weights, those
+/// of an adapter's base and the attention state of one request, in bytes.
+/// Thread safety: reentrant.
+std::int64_t neededBytes(const fold::ClusterState &State,
+                         const catalogue::EntrySpec &Spec);
 
 /// Free slots that belong on endpoints of this controller. Slots of one entry
 /// are spread over availability zones; adapters go where the base has a slot.
