Reject stale, authorless and excessive slot records

Found by reviewing the fold against the record table. A lease clock can start anew after its lease was pruned; the renewals of a host that was cut off for long were rejected for ever.

--- a/Source/Core/Core/Fold/ClusterState.cpp
+++ b/Source/Core/Core/Fold/ClusterState.cpp
@@ -44,13 +44,15 @@
 
 /// Lapsed owners of an endpoint once a claim has taken effect.
 std::vector<IncarnationId> lapsedAfter(const Ownership &Current,
+                                       const IncarnationId &Claimant,
                                        const ClaimItem &Item) {
   std::vector<IncarnationId> Result = Current.m_LapsedOwners;
-  if (!Current.m_Owner.empty())
+  if (!Current.m_Owner.empty() &&
+      std::ranges::find(Result, Current.m_Owner) == Result.end())
     Result.push_back(Current.m_Owner);
   std::erase_if(Result, [&](const IncarnationId &Owner) {
-    return std::ranges::find(Item.m_GoneOwners, Owner) !=
-           Item.m_GoneOwners.end();
+    return Owner == Claimant || std::ranges::find(Item.m_GoneOwners, Owner) !=
+                                    Item.m_GoneOwners.end();
   });
   return Result;
 }
@@ -60,16 +62,23 @@
 ApplyResult ClusterState::apply(Offset Position, const Record &Value) {
   if (Position <= m_Applied)
     return rejected("", "offset already applied");
-  m_Applied = Position;
-  ApplyResult Result = std::visit(
-      [&](const auto &Item) { return applyOne(Position, Item); }, Value);
-  if (Position % PruneIntervalOffsets == 0)
-    pruneLeases(Position);
-  return Result;
+  advance(Position);
+  return std::visit([&](const auto &Item) { return applyOne(Position, Item); },
+                    Value);
 }
 
 void ClusterState::skip(Offset Position) {
-  m_Applied = std::max(m_Applied, Position);
+  if (Position > m_Applied)
+    advance(Position);
+}
+
+void ClusterState::advance(Offset Position) {
+  // Prunes at the boundary even if it held no usable record or was never read,
+  // so that the result depends on offsets only.
+  const Offset Boundary = Position - Position % PruneIntervalOffsets;
+  if (Boundary > m_Applied)
+    pruneLeases(Boundary);
+  m_Applied = Position;
 }
 
 ApplyResult ClusterState::applyOne(Offset Position,
@@ -93,6 +102,8 @@
 }
 
 ApplyResult ClusterState::applyOne(Offset Position, const LeaseRenewal &Value) {
+  if (Value.m_Incarnation.empty())
+    return rejected("", "no incarnation");
   const auto It = m_Leases.find(Value.m_Incarnation);
   if (It == m_Leases.end()) {
     if (Value.m_Previous != 0)
@@ -131,13 +142,18 @@
   return accepted();
 }
 
-const char *ClusterState::checkClaim(const ClaimItem &Item) const {
+const char *ClusterState::checkClaim(const IncarnationId &Claimant,
+                                     const ClaimItem &Item) const {
+  if (Item.m_Endpoint.empty())
+    return "no endpoint";
   const Ownership *Current = findOwnership(Item.m_Endpoint);
   if ((Current ? Current->m_Offset : 0) != Item.m_PreviousOwnership)
     return "the ownership has changed";
   if (!Current || Current->m_Owner.empty())
     return nullptr;
-  if (lapsedAfter(*Current, Item).size() > MaxLapsedOwners)
+  if (Current->m_Owner == Claimant)
+    return "the claimant owns the endpoint";
+  if (lapsedAfter(*Current, Claimant, Item).size() > MaxLapsedOwners)
     return "too many lapsed owners";
   const Lease *Predecessor = findLease(Current->m_Owner);
   if (Predecessor && Predecessor->m_LastRenewal != Item.m_PredecessorRenewal)
@@ -151,10 +167,11 @@
   if (!Claimant || Claimant->m_Released)
     return rejected(Value.m_Claimant.str(), "the claimant holds no lease");
   return applyEach(
-      Value.m_Items, [&](const ClaimItem &Item) { return checkClaim(Item); },
+      Value.m_Items,
+      [&](const ClaimItem &Item) { return checkClaim(Value.m_Claimant, Item); },
       [&](const ClaimItem &Item) {
         Ownership &Current = m_Ownerships[Item.m_Endpoint];
-        Current.m_LapsedOwners = lapsedAfter(Current, Item);
+        Current.m_LapsedOwners = lapsedAfter(Current, Value.m_Claimant, Item);
         Current.m_Owner = Value.m_Claimant;
         Current.m_Offset = Position;
         Current.m_Retired = false;
@@ -198,6 +215,23 @@
   return Held != It->second.end() && Held->first == Entry;
 }
 
+bool ClusterState::isBaseOfSlotsAt(const EntryName &Entry,
+                                   const EndpointId &Endpoint) const {
+  const auto IsAdapter = [](const catalogue::EntrySpec *Spec) {
+    return Spec && Spec->m_Kind == catalogue::EntryKind::Adapter;
+  };
+  // An entry that was turned into an adapter is no base any more. Otherwise two
+  // entries that name each other could never be released.
+  if (IsAdapter(findEntry(Entry)))
+    return false;
+  const auto It = m_SlotsAt.find(Endpoint);
+  return It != m_SlotsAt.end() &&
+         std::ranges::any_of(It->second, [&](const SlotKey &Key) {
+           const catalogue::EntrySpec *Spec = findEntry(Key.first);
+           return IsAdapter(Spec) && Spec->m_Base == Entry;
+         });
+}
+
 bool ClusterState::hasUsableSlotAt(const EntryName &Entry,
                                    const EndpointId &Endpoint) const {
   const catalogue::EntrySpec *Spec = findEntry(Entry);
@@ -235,13 +269,20 @@
     return "the slot has changed";
   if (Current && !Current->m_Endpoint.empty())
     return "the slot is assigned";
-  const Ownership *Owned = findOwnership(Item.m_Endpoint);
-  if (!Owned || Owned->m_Owner != Author)
+  if (!isOwner(Author, Item.m_Endpoint, Item.m_Ownership))
     return "the author does not own the endpoint";
+  const auto Assigned =
+      static_cast<std::int64_t>(endpointsOf(Item.m_Entry).size());
+  if (Assigned >= Spec->m_Replicas)
+    return "slots above a lowered count are still assigned";
   if (holdsSlotAt(Item.m_Entry, Item.m_Endpoint))
     return "the endpoint already holds a slot of the entry";
-  if (Spec->m_Kind == catalogue::EntryKind::Adapter &&
-      !holdsSlotAt(Spec->m_Base, Item.m_Endpoint))
+  if (Spec->m_Kind != catalogue::EntryKind::Adapter)
+    return nullptr;
+  const catalogue::EntrySpec *Base = findEntry(Spec->m_Base);
+  if (!Base || Base->m_Kind != catalogue::EntryKind::Model)
+    return "the base is not a model";
+  if (!holdsSlotAt(Spec->m_Base, Item.m_Endpoint))
     return "the base has no slot at the endpoint";
   return nullptr;
 }
@@ -262,9 +303,10 @@
   if (!Current || Current->m_Endpoint.empty() ||
       Current->m_Offset != Item.m_Previous)
     return "the slot has changed";
-  const Ownership *Owned = findOwnership(Current->m_Endpoint);
-  if (!Owned || Owned->m_Owner != Author)
+  if (!isOwner(Author, Current->m_Endpoint, Item.m_Ownership))
     return "the author does not own the endpoint";
+  if (isBaseOfSlotsAt(Item.m_Entry, Current->m_Endpoint))
+    return "adapters of the entry have slots at the endpoint";
   return nullptr;
 }
 
@@ -320,7 +362,7 @@
 bool ClusterState::isOwner(const IncarnationId &Incarnation,
                            const EndpointId &Endpoint, Offset Token) const {
   const Ownership *Current = findOwnership(Endpoint);
-  return Current && Current->m_Owner == Incarnation &&
+  return Current && !Incarnation.empty() && Current->m_Owner == Incarnation &&
          Current->m_Offset == Token;
 }
 
--- a/Source/Core/Core/Fold/ClusterState.h
+++ b/Source/Core/Core/Fold/ClusterState.h
@@ -50,8 +50,11 @@
   IncarnationId m_Owner; ///< Empty when the endpoint is free.
   Offset m_Offset = 0;   ///< Last valid ownership record; the fencing token.
   bool m_Retired = false;
-  /// Earlier owners that lost the endpoint without giving it back. Orders
-  /// that they sent may still arrive at an endpoint that does not fence.
+  /// Earlier owners that lost the endpoint without giving it back. An order
+  /// that they sent may still arrive at an endpoint that does not fence. Each
+  /// is listed once, and not while it owns the endpoint again: an incarnation
+  /// has at most one order outstanding at an endpoint, counted over all the
+  /// times that it owned it.
   std::vector<IncarnationId> m_LapsedOwners;
 
   static constexpr auto describe() {
@@ -139,6 +142,7 @@
   fromSnapshot(const nlohmann::json &Input);
 
 private:
+  void advance(Offset Position);
   ApplyResult applyOne(Offset Position, const CatalogueChange &Value);
   ApplyResult applyOne(Offset Position, const LeaseRenewal &Value);
   ApplyResult applyOne(Offset Position, const LeaseRelease &Value);
@@ -148,11 +152,14 @@
   ApplyResult applyOne(Offset Position, const SlotGrant &Value);
   ApplyResult applyOne(Offset Position, const SlotRelease &Value);
 
-  const char *checkClaim(const ClaimItem &Item) const;
+  const char *checkClaim(const IncarnationId &Claimant,
+                         const ClaimItem &Item) const;
   const char *checkGrant(const IncarnationId &Author,
                          const SlotItem &Item) const;
   const char *checkRelease(const IncarnationId &Author,
                            const SlotItem &Item) const;
+  bool isBaseOfSlotsAt(const EntryName &Entry,
+                       const EndpointId &Endpoint) const;
   void setSlot(const SlotKey &Key, const EndpointId &Endpoint, Offset Position);
   void freeOwnership(Ownership &Item, Offset Position);
   void pruneLeases(Offset Position);
--- a/Source/Core/Core/Fold/Records.h
+++ b/Source/Core/Core/Fold/Records.h
@@ -146,12 +146,16 @@
   EndpointId m_Endpoint;
   /// Offset of the slot's last valid record; 0 when it was never granted.
   Offset m_Previous = 0;
+  /// Offset of the ownership under which the author acts. A late copy must not
+  /// take effect after the author has lost the endpoint and got it back.
+  Offset m_Ownership = 0;
 
   static constexpr auto describe() {
     return std::make_tuple(field("e", &SlotItem::m_Entry),
                            field("i", &SlotItem::m_Index),
                            field("ep", &SlotItem::m_Endpoint),
-                           field("prev", &SlotItem::m_Previous));
+                           field("prev", &SlotItem::m_Previous),
+                           field("own", &SlotItem::m_Ownership));
   }
 };
 
@@ -170,7 +174,9 @@
 };
 
 /// Frees slots. Precondition for the author: the endpoint has confirmed that
-/// the replica is unloaded and that no load of it is in progress.
+/// the replica is unloaded and that no load of it is in progress. From the
+/// append on, the author orders no load under the slot until the fold has
+/// rejected the release, because the record may land late.
 struct SlotRelease {
   RecordId m_Id;
   IncarnationId m_Author;
--- a/Source/Core/Core/Ownership/LeaseClock.cpp
+++ b/Source/Core/Core/Ownership/LeaseClock.cpp
@@ -23,6 +23,12 @@
 
 void LeaseClock::onRenewalRejected(const RecordId &Id) { m_Pending.erase(Id); }
 
+void LeaseClock::onLeaseForgotten() {
+  m_LastRenewal = 0;
+  m_HeldFrom.reset();
+  m_Pending.clear();
+}
+
 bool LeaseClock::isHeld(Instant Now) const {
   return m_HeldFrom && Now - *m_HeldFrom < m_Times.m_Duration;
 }
--- a/Source/Core/Core/Ownership/LeaseClock.h
+++ b/Source/Core/Core/Ownership/LeaseClock.h
@@ -32,6 +32,10 @@
   /// Notes that the fold rejected it; the record has no effect.
   void onRenewalRejected(const RecordId &Id);
 
+  /// The folded state holds no lease of this incarnation any more, because it
+  /// owned nothing and did not renew for long. The next renewal is a first one.
+  void onLeaseForgotten();
+
   bool isHeld(Instant Now) const;
   /// True when the next renewal should be sent. False while one is pending
   /// that is younger than the renewal period.
--- a/Source/Core/Core/Placement/GrantPlan.cpp
+++ b/Source/Core/Core/Placement/GrantPlan.cpp
@@ -37,6 +37,7 @@
   std::uint64_t m_Hash = 0;
   std::size_t m_Zone = 0; ///< Number of the availability zone.
   std::int64_t m_PlacedBytes = 0;
+  Offset m_Ownership = 0;
   bool m_IsOwn = false;
 
   double relativeLoad(std::int64_t Bytes) const {
@@ -70,16 +71,29 @@
 private:
   void placeEntry(const EntryName &Name, const catalogue::EntrySpec &Spec) {
     const auto &Slots = m_Context.m_State.slots();
-    auto It = Slots.lower_bound({Name, 0});
     std::vector<fold::SlotItem> Free;
-    for (std::int64_t Index = 0; Index < Spec.m_Replicas; ++Index) {
-      const bool IsKnown = It != Slots.end() && It->first.first == Name &&
-                           It->first.second == Index;
-      if (!IsKnown || It->second.m_Endpoint.empty())
-        Free.push_back({Name, Index, {}, IsKnown ? It->second.m_Offset : 0});
-      if (IsKnown)
-        ++It;
+    std::int64_t Assigned = 0;
+    std::int64_t Next = 0;
+    const auto AddFree = [&](std::int64_t Index, Offset Previous) {
+      if (Index < Spec.m_Replicas)
+        Free.push_back({Name, Index, {}, Previous, 0});
+    };
+    for (auto It = Slots.lower_bound({Name, 0});
+         It != Slots.end() && It->first.first == Name; ++It) {
+      while (Next < It->first.second && Next < Spec.m_Replicas)
+        AddFree(Next++, 0);
+      Next = It->first.second + 1;
+      if (It->second.m_Endpoint.empty())
+        AddFree(It->first.second, It->second.m_Offset);
+      else
+        ++Assigned;
     }
+    while (Next < Spec.m_Replicas)
+      AddFree(Next++, 0);
+    // Slots above a lowered count count until they are released.
+    const auto Room = std::max<std::int64_t>(Spec.m_Replicas - Assigned, 0);
+    if (std::ssize(Free) > Room)
+      Free.resize(static_cast<std::size_t>(Room));
     if (!Free.empty())
       placeFree(Spec, std::move(Free));
   }
@@ -124,7 +138,8 @@
       const auto Zone =
           m_ZoneNumbers.emplace(Info.m_Zone, m_ZoneNumbers.size()).first;
       m_Targets.push_back({&Info, hashText(Info.m_Endpoint.str()), Zone->second,
-                           0, Owned->m_Owner == m_Context.m_Self});
+                           0, Owned->m_Offset,
+                           Owned->m_Owner == m_Context.m_Self});
       m_MemoryBytes += static_cast<double>(Info.m_MemoryBytes);
     }
     for (const auto &[Key, Slot] : m_Context.m_State.slots()) {
@@ -192,6 +207,7 @@
     if (!Chosen.m_IsOwn)
       return;
     Item.m_Endpoint = Chosen.m_Info->m_Endpoint;
+    Item.m_Ownership = Chosen.m_Ownership;
     m_Grants.push_back(std::move(Item));
   }
 
--- a/Source/Core/Core/Placement/ReleasePlan.cpp
+++ b/Source/Core/Core/Placement/ReleasePlan.cpp
@@ -119,7 +119,8 @@
     for (const fold::SlotKey &Key : unwantedAt(Context, Endpoint))
       Result.push_back(
           {Key.first, Key.second, Id,
-           Context.m_State.findSlot(Key.first, Key.second)->m_Offset});
+           Context.m_State.findSlot(Key.first, Key.second)->m_Offset,
+           Context.m_State.findOwnership(Id)->m_Offset});
   }
   return Result;
 }
--- a/Source/UnitTests/Core/CoreFixtures.h
+++ b/Source/UnitTests/Core/CoreFixtures.h
@@ -72,9 +72,11 @@
   }
   fold::SlotItem item(const std::string &Entry, std::int64_t Index,
                       const std::string &Endpoint) const {
+    const EndpointId Where(Endpoint);
     const fold::Slot *Slot = m_State.findSlot(EntryName(Entry), Index);
-    return {EntryName(Entry), Index, EndpointId(Endpoint),
-            Slot ? Slot->m_Offset : 0};
+    const fold::Ownership *Owned = m_State.findOwnership(Where);
+    return {EntryName(Entry), Index, Where, Slot ? Slot->m_Offset : 0,
+            Owned ? Owned->m_Offset : 0};
   }
   fold::ApplyResult grant(const std::string &Author, const std::string &Entry,
                           std::int64_t Index, const std::string &Endpoint) {
--- a/Source/UnitTests/Core/Fold/ClusterStateTest.cpp
+++ b/Source/UnitTests/Core/Fold/ClusterStateTest.cpp
@@ -60,7 +60,7 @@
                                 {{EndpointId("e"), 0, 0}}});
   State.apply(4, SlotGrant{RecordId("d"),
                            IncarnationId("i"),
-                           {{EntryName("m"), 0, EndpointId("e"), 0}}});
+                           {{EntryName("m"), 0, EndpointId("e"), 0, 3}}});
   const auto Document = State.toSnapshot();
   const auto Restored = ClusterState::fromSnapshot(Document);
   ASSERT_TRUE(Restored);
--- a/Source/UnitTests/Core/Ownership/LeaseClockTest.cpp
+++ b/Source/UnitTests/Core/Ownership/LeaseClockTest.cpp
@@ -50,6 +50,17 @@
   EXPECT_FALSE(Clock.isHeld(Start + 6s));
 }
 
+// Guards against a host that was cut off for long and can never renew again
+// because it names a renewal that the fold has pruned.
+TEST(LeaseClockTest, ForgottenLeaseStartsAnew) {
+  LeaseClock Clock(Times);
+  Clock.onRenewalSent(RecordId("a"), Start);
+  Clock.onRenewalAccepted(RecordId("a"), 7);
+  Clock.onLeaseForgotten();
+  EXPECT_FALSE(Clock.isHeld(Start));
+  EXPECT_EQ(Clock.lastRenewal(), 0u);
+}
+
 // Guards against claims right after a log outage, before owners could renew.
 TEST(LeaseObserverTest, LogRestoredCountsAsRenewal) {
   LeaseObserver Observer(Times);
