--- a/Source/Core/Core/Admission/AdmissionQueue.cpp
+++ b/Source/Core/Core/Admission/AdmissionQueue.cpp
@@ -47,7 +47,7 @@
 std::optional<Refusal> AdmissionQueue::offer(const Waiting &Item,
                                              const CapacityEstimate &Capacity,
                                              Instant Now) {
-  m_LatestOffer = std::max(m_LatestOffer, Now);
+  m_Latest = std::max(m_Latest, Now);
   if (Item.m_Deadline < Now)
     return refuse(Reason::DeadlineExpired, Item, Capacity, Now);
   if (!fits(Item, Capacity, Now))
@@ -127,6 +127,7 @@
 
 std::vector<Waiting>
 AdmissionQueue::takeExpired(const CapacityEstimate &Capacity, Instant Now) {
+  m_Latest = std::max(m_Latest, Now);
   std::vector<Waiting> Expired;
   double Ahead = 0;
   for (auto Item = m_Waiting.begin(); Item != m_Waiting.end();) {
@@ -174,7 +175,7 @@
 }
 
 double AdmissionQueue::batchShare(const CapacityEstimate &Capacity) const {
-  const Seconds Age = m_LatestOffer - m_InteractiveNoted;
+  const Seconds Age = m_Latest - m_InteractiveNoted;
   const double Rate = m_InteractiveRecent *
                       std::exp(-(Age / InteractiveWindow)) /
                       InteractiveWindow.count();
@@ -203,22 +204,22 @@
 milliseconds
 AdmissionQueue::retryAfter(TrafficClass Class,
                            const CapacityEstimate &Capacity) const {
-  Instant At = std::max(m_LatestOffer + predictWait(Class, Capacity),
+  Instant At = std::max(m_Latest + predictWait(Class, Capacity),
                         m_PromisedUntil[indexOf(TrafficClass::Interactive)]);
   if (Class == TrafficClass::Batch)
     At = std::max(At, m_PromisedUntil[indexOf(Class)]);
-  return std::clamp(std::chrono::ceil<milliseconds>(At - m_LatestOffer),
+  return std::clamp(std::chrono::ceil<milliseconds>(At - m_Latest),
                     MinRetryAfter, MaxRetryAfter);
 }
 
 milliseconds AdmissionQueue::promiseRetry(TrafficClass Class,
                                           const CapacityEstimate &Capacity,
                                           Instant Now) {
-  m_LatestOffer = std::max(m_LatestOffer, Now);
+  m_Latest = std::max(m_Latest, Now);
   const milliseconds After = retryAfter(Class, Capacity);
   const double Share = Class == TrafficClass::Batch ? batchShare(Capacity) : 1;
   m_PromisedUntil[indexOf(Class)] =
-      m_LatestOffer + After + drainTime(1 / (Share * PromisedShare), Capacity);
+      m_Latest + After + drainTime(1 / (Share * PromisedShare), Capacity);
   return After;
 }
 
--- a/Source/Core/Core/Admission/AdmissionQueue.h
+++ b/Source/Core/Core/Admission/AdmissionQueue.h
@@ -114,7 +114,7 @@
   bool m_HasServed = false;
   /// For each class, the end of the capacity that is promised.
   std::array<Instant, 2> m_PromisedUntil{};
-  Instant m_LatestOffer;
+  Instant m_Latest; ///< Latest time that was passed in.
   /// Accepted interactive requests, fading over InteractiveWindow.
   double m_InteractiveRecent = 0;
   Instant m_InteractiveNoted;
