--- /dev/null
+++ b/Source/Bench/PolicyBench/Report.cpp
@@ -0,0 +1,107 @@
+#include "Report.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <iostream>
+#include <numeric>
+
+namespace sff::bench {
+namespace {
+
+double mean(const std::vector<double> &Samples) {
+  return Samples.empty()
+             ? 0
+             : std::accumulate(Samples.begin(), Samples.end(), 0.0) /
+                   static_cast<double>(Samples.size());
+}
+
+std::string format(double Value) {
+  char Text[32];
+  std::snprintf(Text, sizeof(Text), Value >= 100 ? "%.0f" : "%.3g", Value);
+  return Text;
+}
+
+std::string format(const Figure &Item) {
+  const auto [Low, High] =
+      std::minmax_element(Item.m_Samples.begin(), Item.m_Samples.end());
+  std::string Text = format(mean(Item.m_Samples));
+  if (Item.m_Samples.size() > 1 && *Low != *High)
+    Text += " (" + format(*Low) + "-" + format(*High) + ")";
+  return Item.isMet() ? Text : Text + " !";
+}
+
+void printJson(const std::string &Title, const std::vector<Row> &Rows) {
+  nlohmann::json Out;
+  Out["title"] = Title;
+  Out["rows"] = nlohmann::json::array();
+  for (const Row &Line : Rows) {
+    nlohmann::json Figures;
+    for (const Figure &Item : Line.m_Figures) {
+      nlohmann::json Value;
+      Value["mean"] = mean(Item.m_Samples);
+      Value["samples"] = Item.m_Samples;
+      if (Item.m_Bound != Figure::Bound::None) {
+        Value["target"] = Item.m_Target;
+        Value["met"] = Item.isMet();
+      }
+      Figures[Item.m_Name] = Value;
+    }
+    nlohmann::json Entry;
+    Entry["label"] = Line.m_Label;
+    Entry["figures"] = Figures;
+    Out["rows"].push_back(Entry);
+  }
+  std::cout << Out.dump() << "\n";
+}
+
+void printLine(const std::vector<std::string> &Cells) {
+  for (const std::string &Cell : Cells)
+    std::cout << "| " << Cell << " ";
+  std::cout << "|\n";
+}
+
+} // namespace
+
+double percentile(std::vector<double> Samples, double Share) {
+  if (Samples.empty())
+    return 0;
+  const auto Place = static_cast<std::size_t>(
+      Share * static_cast<double>(Samples.size() - 1) + 0.5);
+  std::nth_element(Samples.begin(),
+                   Samples.begin() + static_cast<std::ptrdiff_t>(Place),
+                   Samples.end());
+  return Samples[Place];
+}
+
+bool Figure::isMet() const {
+  if (m_Bound == Bound::AtLeast)
+    return mean(m_Samples) >= m_Target;
+  return m_Bound == Bound::None || mean(m_Samples) <= m_Target;
+}
+
+void printReport(const std::string &Title, const std::vector<Row> &Rows,
+                 bool Json) {
+  if (Json) {
+    printJson(Title, Rows);
+    return;
+  }
+  std::cout << Title << "\n\n";
+  if (Rows.empty())
+    return;
+  std::vector<std::string> Head{""};
+  for (const Figure &Item : Rows.front().m_Figures)
+    Head.push_back(Item.m_Name);
+  printLine(Head);
+  printLine(std::vector<std::string>(Head.size(), "---"));
+  for (const Row &Line : Rows) {
+    std::vector<std::string> Cells{Line.m_Label};
+    for (const Figure &Item : Line.m_Figures)
+      Cells.push_back(format(Item));
+    printLine(Cells);
+  }
+  std::cout << "\n";
+}
+
+} // namespace sff::bench
