--- /dev/null
+++ b/Source/Core/Router/ClusterView.cpp
@@ -0,0 +1,138 @@
+#include "Router/ClusterView.h"
+
+#include <algorithm>
+
+namespace sff::router {
+
+namespace {
+
+constexpr milliseconds ListTimeout{1000};
+
+} // namespace
+
+ClusterView::ClusterView(timers::DutyLoop &Loop,
+                         follower::RelayClient &Relays,
+                         ControllerPool &Controllers, Options Chosen)
+    : m_Options(std::move(Chosen)), m_Controllers(Controllers),
+      m_Timers(Loop.context().get_executor()),
+      m_Follower(Loop, Relays,
+                 {.m_OnApplied = {},
+                  .m_OnReplaced = {},
+                  .m_OnContact = [this](bool Reachable, Offset) {
+                    m_Contact = m_Contact || Reachable ||
+                                state().appliedOffset() > 0;
+                  }}) {}
+
+void ClusterView::start() {
+  m_Follower.start();
+  m_ListTimer =
+      m_Timers.every(m_Options.m_ListPeriod, [this] { readEndpoints(); });
+}
+
+std::vector<EndpointId>
+ClusterView::endpointsOf(const EntryName &Entry,
+                         const catalogue::EntrySpec &Spec) const {
+  std::vector<EndpointId> Result;
+  if (Spec.isLoadable()) {
+    Result = state().endpointsOf(Entry);
+    std::erase_if(Result, [&](const EndpointId &Id) { return !takesWork(Id); });
+    return Result;
+  }
+  for (const auto &[Id, Info] : m_Endpoints)
+    if (Info.m_Service == Spec.m_Service && takesWork(Id))
+      Result.push_back(Id);
+  return Result;
+}
+
+bool ClusterView::takesWork(const EndpointId &Endpoint) const {
+  const auto It = m_Endpoints.find(Endpoint);
+  return It == m_Endpoints.end() || It->second.m_State == "live";
+}
+
+std::string ClusterView::addressOf(const EndpointId &Endpoint) const {
+  const auto It = m_Endpoints.find(Endpoint);
+  return It == m_Endpoints.end() ? std::string() : It->second.m_Address;
+}
+
+std::string ClusterView::ownerAddressOf(const EndpointId &Endpoint) const {
+  const fold::Ownership *Owned = state().findOwnership(Endpoint);
+  if (!Owned || Owned->m_Owner.empty())
+    return {};
+  const fold::Lease *Held = state().findLease(Owned->m_Owner);
+  return Held && !Held->m_Released ? Held->m_ControllerAddress : std::string();
+}
+
+bool ClusterView::isGone(const EndpointId &Endpoint) const {
+  const auto It = m_Endpoints.find(Endpoint);
+  return It != m_Endpoints.end() && It->second.m_State == "gone";
+}
+
+bool ClusterView::isEngine(const EndpointId &Endpoint) const {
+  const auto It = m_Endpoints.find(Endpoint);
+  return It != m_Endpoints.end() && It->second.m_Kind == "engine";
+}
+
+std::set<std::string> ClusterView::routerAddresses() const {
+  std::set<std::string> Result;
+  for (const auto &[Incarnation, Held] : state().leases())
+    if (!Held.m_Released && !Held.m_RouterAddress.empty())
+      Result.insert(Held.m_RouterAddress);
+  return Result;
+}
+
+std::vector<std::string> ClusterView::controllersByDistance() const {
+  std::vector<std::pair<int, std::string>> Ranked;
+  for (const auto &[Incarnation, Held] : state().leases()) {
+    if (Held.m_Released || Held.m_ControllerAddress.empty())
+      continue;
+    const int Distance = Held.m_Host == m_Options.m_Host   ? 0
+                         : Held.m_Zone == m_Options.m_Zone ? 1
+                                                           : 2;
+    Ranked.emplace_back(Distance, Held.m_ControllerAddress);
+  }
+  std::sort(Ranked.begin(), Ranked.end());
+  std::vector<std::string> Result;
+  for (auto &[Distance, Address] : Ranked)
+    Result.push_back(std::move(Address));
+  return Result;
+}
+
+void ClusterView::readEndpoints() {
+  const std::vector<std::string> Nearest = controllersByDistance();
+  if (m_ListPending || Nearest.empty())
+    return;
+  std::set<std::string> InUse = routerAddresses();
+  InUse.insert(Nearest.begin(), Nearest.end());
+  m_Controllers.keepOnly(InUse);
+  m_ListPending = true;
+  auto &Peer = m_Controllers.at(Nearest[m_NextController % Nearest.size()]);
+  Peer.call(messages::ListEndpoints{}, ListTimeout, [this](auto Reply) {
+    m_ListPending = false;
+    // A controller that does not answer, or does not know the host list yet,
+    // is passed over; the nearest one is tried first again later.
+    if (Reply && !Reply->m_Endpoints.empty()) {
+      m_NextController = 0;
+      onEndpoints(std::move(*Reply));
+      return;
+    }
+    ++m_NextController;
+  });
+}
+
+void ClusterView::onEndpoints(messages::ListEndpointsReply Reply) {
+  std::map<EndpointId, messages::EndpointInfo> Listed;
+  for (messages::EndpointInfo &Info : Reply.m_Endpoints) {
+    const EndpointId Id = Info.m_Endpoint;
+    Listed.insert_or_assign(Id, std::move(Info));
+  }
+  // An endpoint that left the list is gone; it stays known as such so that
+  // its slots get no work before they are released.
+  for (auto &[Id, Known] : m_Endpoints)
+    if (!Listed.contains(Id) && state().findOwnership(Id)) {
+      Known.m_State = "gone";
+      Listed.emplace(Id, Known);
+    }
+  m_Endpoints = std::move(Listed);
+}
+
+} // namespace sff::router
--- /dev/null
+++ b/Source/Core/Router/ControllerPool.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Net/Peer/Dispatcher.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace sff::router {
+
+/// Connections to controllers and other routers by address.
+/// Thread safety: all calls on the loop's thread.
+class ControllerPool {
+public:
+  explicit ControllerPool(timers::DutyLoop &Loop) : m_Loop(Loop) {}
+
+  peer::Caller &at(const std::string &Address) {
+    auto &Item = m_Callers[Address];
+    if (!Item)
+      Item = std::make_unique<peer::Caller>(m_Loop, Address);
+    return *Item;
+  }
+
+  /// Closes connections to addresses that are no longer in use.
+  void keepOnly(const std::set<std::string> &Addresses) {
+    std::erase_if(m_Callers, [&](const auto &Item) {
+      return !Addresses.contains(Item.first);
+    });
+  }
+
+private:
+  timers::DutyLoop &m_Loop;
+  std::map<std::string, std::unique_ptr<peer::Caller>> m_Callers;
+};
+
+} // namespace sff::router
--- /dev/null
+++ b/Source/Core/Router/Decisions.cpp
@@ -0,0 +1,116 @@
+#include "Router/Decisions.h"
+
+#include "Core/Messages/CommonMessages.h"
+#include "Router/RouterSettings.h"
+
+namespace sff::router {
+
+namespace {
+
+// Every open request has at most a few messages in the ring at once.
+constexpr std::size_t RingCapacity = 16384;
+constexpr std::size_t ParallelPeerRequests = 16;
+constexpr milliseconds FiguresPeriod{100};
+// Keeps a reply below the size that peers accept in one message.
+constexpr std::int64_t MaxEventsPerReply = 2000;
+
+ClusterView::Options viewOptions(const settings::Settings &Values,
+                                 const log::ProcessIdentity &Identity) {
+  return {HostId(Identity.m_Host), ZoneId(Identity.m_Zone),
+          Values.get(EndpointListPeriodSetting)};
+}
+
+CreditLine::Options creditOptions(const settings::Settings &Values,
+                                  const log::ProcessIdentity &Identity) {
+  return {IncarnationId(Identity.m_Incarnation), HostId(Identity.m_Host),
+          Values.get(BorrowWaitSetting), Values.get(OwnerRetrySetting),
+          Values.get(CreditIdleSetting)};
+}
+
+Broker::Options brokerOptions(const settings::Settings &Values) {
+  return {Values.get(MaxBorrowSetting), Values.get(OwnerRetrySetting),
+          Values.get(EndpointDownSetting), Values.get(QuarantinePeriodSetting)};
+}
+
+IntentService::Options intentOptions(const settings::Settings &Values,
+                                     const log::ProcessIdentity &Identity) {
+  IntentService::Options Result;
+  Result.m_Self = IncarnationId(Identity.m_Incarnation);
+  Result.m_PeerAddress = Values.get(PeerListenSetting);
+  Result.m_MaxKeys = static_cast<std::size_t>(Values.get(IntentKeysSetting));
+  Result.m_Wait = Values.get(IntentWaitSetting);
+  return Result;
+}
+
+} // namespace
+
+Decisions::Decisions(const settings::Settings &Values,
+                     const log::ProcessIdentity &Identity)
+    : m_Loop("decisions", RingCapacity), m_Peers(m_Loop),
+      m_Relays(m_Loop, Values.get(RelaysSetting)),
+      m_View(m_Loop, m_Relays, m_Peers, viewOptions(Values, Identity)),
+      m_Crashes(m_View, m_Peers, Values.get(PeerListenSetting),
+                static_cast<std::size_t>(Values.get(QuarantineSizeSetting)),
+                Values.get(QuarantinePeriodSetting)),
+      m_Credits(m_Loop, m_View, m_Peers, creditOptions(Values, Identity),
+                [this](const EntryName &Entry) { m_Broker.pump(Entry); }),
+      m_Broker(m_Loop, m_View, m_Credits, m_Book, m_Crashes.quarantine(),
+               brokerOptions(Values)),
+      m_Outcomes(static_cast<std::size_t>(Values.get(KeptAnswersSetting)),
+                 static_cast<std::size_t>(Values.get(KeptAnswerBytesSetting))),
+      m_Intents(m_Loop, m_Relays, m_Peers, m_Outcomes,
+                intentOptions(Values, Identity)),
+      m_Loads(m_Loop, m_View, m_Book, Values.get(LoadPeriodSetting)),
+      m_Dispatcher(m_Loop), m_PeerAddress(Values.get(PeerListenSetting)),
+      m_Timers(m_Loop.context().get_executor()) {
+  registerHandlers();
+}
+
+Decisions::~Decisions() { stop(); }
+
+void Decisions::registerHandlers() {
+  m_Dispatcher.on<messages::FetchEvents>(
+      [](const messages::FetchEvents &Request, auto Send) {
+        const auto Limit = std::clamp<std::int64_t>(Request.m_Limit, 0,
+                                                    MaxEventsPerReply);
+        Send({log::recorder().eventsAfter(Request.m_After,
+                                          static_cast<std::size_t>(Limit))});
+      });
+  m_Dispatcher.on<messages::FetchOutcome>(
+      [this](const messages::FetchOutcome &Request, auto Send) {
+        Send(m_Outcomes.find(Request.m_KeyHash));
+      });
+  m_Dispatcher.on<messages::CrashNotice>(
+      [this](const messages::CrashNotice &Request, auto Send) {
+        m_Crashes.onNotice(Request);
+        Send({});
+      });
+}
+
+void Decisions::start() {
+  m_Dispatcher.start(m_PeerAddress, ParallelPeerRequests);
+  m_Loop.tryPost([this] {
+    m_View.start();
+    m_Credits.start();
+    m_Broker.start();
+    m_Intents.start();
+    m_Loads.start();
+    m_FiguresTimer =
+        m_Timers.every(FiguresPeriod, [this] { refreshFigures(); });
+  });
+}
+
+void Decisions::stop() {
+  m_Dispatcher.stop();
+  m_Loop.stop();
+}
+
+void Decisions::refreshFigures() {
+  m_Figures.m_Contact = m_View.hasContact();
+  m_Figures.m_LogReachable = m_Intents.logReachable();
+  m_Figures.m_Waiting = static_cast<std::int64_t>(m_Broker.waiting());
+  m_Figures.m_Running = m_Broker.running();
+  m_Figures.m_AppliedOffset = m_View.state().appliedOffset();
+}
+
+} // namespace sff::router
--- /dev/null
+++ b/Source/Core/Router/EndpointLink.cpp
@@ -0,0 +1,121 @@
+#include "Router/EndpointLink.h"
+
+namespace sff::router {
+
+namespace {
+
+constexpr milliseconds CancelRetryPause{500};
+
+http::ClientOptions probeOptions(const FrontState &State) {
+  http::ClientOptions Options;
+  Options.m_ConnectTimeout = State.m_Options.m_ProbeTimeout;
+  Options.m_WriteTimeout = State.m_Options.m_ProbeTimeout;
+  Options.m_ReadTimeout = State.m_Options.m_ProbeTimeout;
+  Options.m_FreshConnection = true;
+  return Options;
+}
+
+bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
+
+boost::asio::awaitable<bool> isGone(FrontState &State, EndpointId Endpoint) {
+  Decisions &Peers = State.m_Decisions;
+  std::function<void(std::function<void(bool)>)> Look =
+      [&Peers, Endpoint](const std::function<void(bool)> &Done) {
+        Done(Peers.view().isGone(Endpoint));
+      };
+  const auto Gone = co_await ask<bool>(State, std::move(Look));
+  co_return Gone.value_or(false);
+}
+
+} // namespace
+
+boost::asio::awaitable<bool> probe(FrontState &State, http::Address Where) {
+  http::Request Message;
+  Message.m_Target = "/livez";
+  const auto Result = co_await State.m_Client.send(
+      std::move(Where), std::move(Message), probeOptions(State));
+  const auto *Answer = std::get_if<http::Response>(&Result);
+  co_return Answer &&isSuccess(Answer->m_Status);
+}
+
+boost::asio::awaitable<bool> cancel(FrontState &State, http::Address Where,
+                                    RequestId Request) {
+  constexpr int NotFound = 404;
+  http::Request Message;
+  Message.m_Method = "POST";
+  Message.m_Target = "/v1/requests/" + Request.str() + "/cancel";
+  const auto Result = co_await State.m_Client.send(
+      std::move(Where), std::move(Message), probeOptions(State));
+  const auto *Answer = std::get_if<http::Response>(&Result);
+  co_return Answer &&(isSuccess(Answer->m_Status) ||
+                      Answer->m_Status == NotFound);
+}
+
+boost::asio::awaitable<bool> runsAt(FrontState &State, http::Address Where,
+                                    RequestId Request) {
+  http::Request Message;
+  Message.m_Target = "/control/inventory";
+  const auto Result = co_await State.m_Client.send(
+      std::move(Where), std::move(Message), probeOptions(State));
+  const auto *Answer = std::get_if<http::Response>(&Result);
+  co_return Answer &&isSuccess(Answer->m_Status) &&
+      Answer->m_Body.find('"' + Request.str() + '"') != std::string::npos;
+}
+
+http::Request makeResume(const Placement &Used, std::int64_t Tokens) {
+  http::Request Message;
+  Message.m_Method = "POST";
+  Message.m_Target = "/v1/requests/" + Used.m_Request.str() +
+                     "/resume?from_token=" + std::to_string(Tokens);
+  addIds(Message.m_Headers, Used);
+  return Message;
+}
+
+void addIds(http::Headers &Headers, const Placement &Used) {
+  Headers.set("X-Request-Id", Used.m_Request.str());
+  Headers.set("X-Attempt-Id", Used.m_Attempt.str());
+}
+
+bool echoesIds(const http::Headers &Headers, const Placement &Used,
+               bool Required) {
+  const auto Request = Headers.find("X-Request-Id");
+  const auto Attempt = Headers.find("X-Attempt-Id");
+  if ((!Request || !Attempt) && Required)
+    return false;
+  return (!Request || *Request == Used.m_Request.str()) &&
+         (!Attempt || *Attempt == Used.m_Attempt.str());
+}
+
+boost::asio::awaitable<void> finish(FrontState &State, Placement Used,
+                                    AttemptReport Report) {
+  Decisions &Peers = State.m_Decisions;
+  co_await tell(State, [&Peers, Used, Report] {
+    Peers.broker().finish(Used, Report);
+  });
+}
+
+boost::asio::awaitable<void> releaseWhenStopped(FrontState &State,
+                                                Placement Used) {
+  const auto Where = http::Address::parse(Used.m_Address);
+  AttemptReport Report;
+  while (Where) {
+    if (co_await cancel(State, *Where, Used.m_Request))
+      break;
+    if (co_await isGone(State, Used.m_Endpoint))
+      break;
+    // A process that refuses connections has ended, and its memory with it.
+    http::Request Message;
+    Message.m_Target = "/livez";
+    const auto Result = co_await State.m_Client.send(*Where, std::move(Message),
+                                                     probeOptions(State));
+    const auto *Failure = std::get_if<http::TransportFailure>(&Result);
+    Report.m_EndpointDown = Failure && !Failure->m_TimedOut &&
+                            Failure->m_Stage == http::FailureStage::Connect;
+    if (Report.m_EndpointDown)
+      break;
+    co_await pause(State, CancelRetryPause);
+  }
+  co_await finish(State, std::move(Used), Report);
+}
+
+} // namespace sff::router
--- /dev/null
+++ b/Source/Core/Router/FrontState.cpp
@@ -0,0 +1,39 @@
+#include "Router/FrontState.h"
+
+#include "Router/RouterSettings.h"
+
+namespace sff::router {
+
+namespace {
+
+constexpr milliseconds FullRingPause{5};
+
+FrontState::Options optionsOf(const settings::Settings &Values) {
+  return {Values.get(ProgressTimeoutSetting), Values.get(ProbeTimeoutSetting),
+          Values.get(ServiceTimeoutSetting), Values.get(MaxDeadlineSetting),
+          Values.get(TeamRequestsSetting)};
+}
+
+} // namespace
+
+FrontState::FrontState(timers::DutyLoop &Http, Decisions &Peers,
+                       const settings::Settings &Values)
+    : m_Http(Http), m_Decisions(Peers), m_Options(optionsOf(Values)),
+      m_Client(Http.context().get_executor()),
+      m_Budget(Values.get(RetryRatioSetting), Values.get(RetryBurstSetting)) {}
+
+boost::asio::awaitable<void> pause(FrontState &State, milliseconds Length) {
+  boost::asio::steady_timer Timer(State.m_Http.context());
+  Timer.expires_after(Length);
+  boost::system::error_code Ignored;
+  co_await Timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, Ignored));
+}
+
+boost::asio::awaitable<void> tell(FrontState &State,
+                                  timers::DutyLoop::Task Work) {
+  while (!State.m_Decisions.loop().tryPost(Work))
+    co_await pause(State, FullRingPause);
+}
+
+} // namespace sff::router
--- /dev/null
+++ b/Source/Core/Router/IntentService.cpp
@@ -0,0 +1,199 @@
+#include "Router/IntentService.h"
+
+#include "Net/Follower/StateFollower.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace sff::router {
+
+using execution::AttemptVerdict;
+using execution::Intent;
+using execution::IntentDone;
+using execution::IntentVoid;
+
+namespace {
+
+constexpr milliseconds AppendTimeout{2500};
+constexpr milliseconds ExpiryPeriod{20};
+constexpr milliseconds VoidPeriod{1000};
+constexpr milliseconds FetchTimeout{1000};
+
+Instant now() { return std::chrono::steady_clock::now(); }
+
+} // namespace
+
+IntentService::IntentService(timers::DutyLoop &Loop,
+                             follower::RelayClient &Relays,
+                             ControllerPool &Peers, OutcomeStore &Store,
+                             Options Chosen)
+    : m_Loop(Loop), m_Relays(Relays), m_Peers(Peers), m_Store(Store),
+      m_Options(std::move(Chosen)), m_Timers(Loop.context().get_executor()),
+      m_Table(m_Options.m_MaxKeys) {}
+
+IntentService::~IntentService() {
+  if (m_Stream)
+    m_Stream->stop();
+}
+
+void IntentService::start() {
+  follower::StreamFollower::Callbacks Handlers;
+  Handlers.m_OnRecord = [this](Offset Position, const nlohmann::json &Data) {
+    onRecord(Position, Data);
+  };
+  // Older intents are beyond the log's retention on every host alike.
+  Handlers.m_OnBehind = [this](Offset FirstKept) {
+    m_Table.skip(FirstKept - 1);
+    m_Stream->continueFrom(FirstKept);
+  };
+  Handlers.m_OnContact = [this](bool Reachable, Offset) {
+    m_LogReachable = Reachable;
+  };
+  m_Stream = follower::StreamFollower::start(
+      m_Loop, m_Relays, follower::IntentsStream, 1, std::move(Handlers));
+  m_ExpiryTimer = m_Timers.every(ExpiryPeriod, [this] { expire(); });
+  m_VoidTimer = m_Timers.every(VoidPeriod, [this] { sendVoids(); });
+}
+
+IntentAnswer IntentService::look(const IntentCall &Call) const {
+  const auto Valid = m_Table.find(Call.m_KeyHash);
+  if (!Valid)
+    return IntentAbsent{};
+  if (Valid->m_Intent.m_Digest != Call.m_Digest)
+    return IntentRefused{execution::Reason::KeyConflict, milliseconds(0)};
+  return IntentTaken{*Valid};
+}
+
+IntentRefused IntentService::refusal() const {
+  return {execution::Reason::LogUnavailable, m_Options.m_RetryAfter};
+}
+
+void IntentService::announce(const IntentCall &Call, Done Answer) {
+  if (!m_LogReachable) {
+    Answer(refusal());
+    return;
+  }
+  m_Store.onStarted(Call.m_KeyHash);
+  m_Pending[Call.m_Attempt] = {
+      Call, std::move(Answer),
+      std::min(Call.m_Deadline, now() + m_Options.m_Wait)};
+  const Intent Record{Call.m_KeyHash, Call.m_Attempt, m_Options.m_Self,
+                      m_Options.m_PeerAddress, Call.m_Digest};
+  append(Record, [this, Attempt = Call.m_Attempt](messages::AppendReply Reply) {
+    const auto It = m_Pending.find(Attempt);
+    // After an unknown outcome the record may still land, so only the stream
+    // or the time-out decides.
+    if (It == m_Pending.end() ||
+        Reply.m_Outcome != messages::AppendOutcome::NotAppended)
+      return;
+    It->second.m_GiveUpAt = now();
+    expire();
+  });
+}
+
+void IntentService::append(const execution::IntentRecord &Value,
+                           std::function<void(messages::AppendReply)> Done) {
+  m_Relays.append(follower::IntentsStream, execution::toJson(Value),
+                  AppendTimeout, std::move(Done));
+}
+
+void IntentService::onRecord(Offset Position, const nlohmann::json &Data) {
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(Value, execution::intentFromJson(Data));
+        m_Table.apply(Position, Value);
+        return {};
+      },
+      [&](const codec::DecodeError &Error) {
+        m_Table.skip(Position);
+        log::warning(log::Category::Execution, "intent.undecodable",
+                     {{"offset", Position}, {"detail", Error.m_Detail}});
+      },
+      [&] { m_Table.skip(Position); });
+  settle();
+}
+
+void IntentService::settle() {
+  std::vector<std::pair<Pending, IntentAnswer>> Settled;
+  for (auto It = m_Pending.begin(); It != m_Pending.end();) {
+    const IntentCall &Call = It->second.m_Call;
+    const auto Verdict = m_Table.verdictOf(Call.m_KeyHash, Call.m_Attempt);
+    if (Verdict == AttemptVerdict::Pending) {
+      ++It;
+      continue;
+    }
+    IntentAnswer Answer = IntentGranted{};
+    if (Verdict != AttemptVerdict::Valid)
+      Answer = look(Call);
+    Settled.emplace_back(std::move(It->second), std::move(Answer));
+    It = m_Pending.erase(It);
+  }
+  for (auto &[Item, Answer] : Settled) {
+    const auto *Taken = std::get_if<IntentTaken>(&Answer);
+    const bool Ours = Taken && Taken->m_Valid.m_Intent.m_Router ==
+                                   m_Options.m_Self;
+    if (!std::holds_alternative<IntentGranted>(Answer) && !Ours)
+      m_Store.forget(Item.m_Call.m_KeyHash);
+    Item.m_Done(std::move(Answer));
+  }
+}
+
+void IntentService::expire() {
+  std::vector<Pending> Expired;
+  for (auto It = m_Pending.begin(); It != m_Pending.end();) {
+    if (It->second.m_GiveUpAt > now()) {
+      ++It;
+      continue;
+    }
+    Expired.push_back(std::move(It->second));
+    It = m_Pending.erase(It);
+  }
+  for (Pending &Item : Expired) {
+    giveUp(Item.m_Call);
+    Item.m_Done(refusal());
+  }
+}
+
+void IntentService::giveUp(const IntentCall &Call) {
+  // Another attempt of the key may be executing at this router.
+  const auto Valid = m_Table.find(Call.m_KeyHash);
+  if (!Valid || Valid->m_Intent.m_Attempt == Call.m_Attempt)
+    m_Store.forget(Call.m_KeyHash);
+  m_Voids[Call.m_Attempt] = Call.m_KeyHash;
+  sendVoids();
+}
+
+void IntentService::sendVoids() {
+  for (const auto &[Attempt, KeyHash] : m_Voids)
+    append(IntentVoid{KeyHash, Attempt},
+           [this, Attempt = Attempt](messages::AppendReply Reply) {
+             if (Reply.m_Outcome == messages::AppendOutcome::Appended)
+               m_Voids.erase(Attempt);
+           });
+}
+
+void IntentService::onExecuted(const IntentCall &Call,
+                               std::optional<execution::Answered> Answer) {
+  if (!Answer) {
+    m_Store.forget(Call.m_KeyHash);
+    return;
+  }
+  m_Store.onAnswered(Call.m_KeyHash, *Answer);
+  append(IntentDone{Call.m_KeyHash, Call.m_Attempt},
+         [](messages::AppendReply) {});
+}
+
+void IntentService::fetchFrom(
+    const execution::ValidIntent &Valid, const std::string &Key,
+    std::function<void(messages::FetchOutcomeReply)> Done) {
+  if (Valid.m_Intent.m_Router == m_Options.m_Self) {
+    Done(m_Store.find(Key));
+    return;
+  }
+  m_Peers.at(Valid.m_Intent.m_RouterAddress)
+      .call(messages::FetchOutcome{Key, Valid.m_Offset}, FetchTimeout,
+            [Done](auto Reply) {
+              Done(Reply.value_or(messages::FetchOutcomeReply()));
+            });
+}
+
+} // namespace sff::router
--- /dev/null
+++ b/Source/Core/Router/LoadPoller.cpp
@@ -0,0 +1,97 @@
+#include "Router/LoadPoller.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace sff::router {
+
+namespace {
+
+constexpr std::chrono::seconds InUsePeriod{10};
+constexpr milliseconds ReadTimeout{1000};
+
+Instant now() { return std::chrono::steady_clock::now(); }
+
+nlohmann::json bodyOf(const http::SendResult &Result) {
+  const auto *Answer = std::get_if<http::Response>(&Result);
+  if (!Answer || Answer->m_Status != 200)
+    return nullptr;
+  nlohmann::json Body = nlohmann::json::parse(Answer->m_Body, nullptr, false);
+  return Body.is_object() ? Body : nlohmann::json();
+}
+
+} // namespace
+
+LoadPoller::LoadPoller(timers::DutyLoop &Loop, ClusterView &View,
+                       EndpointBook &Book, milliseconds Period)
+    : m_Loop(Loop), m_View(View), m_Book(Book), m_Period(Period),
+      m_Timers(Loop.context().get_executor()),
+      m_Client(Loop.context().get_executor()) {}
+
+void LoadPoller::start() {
+  m_Timer = m_Timers.every(m_Period, [this] { poll(); });
+}
+
+void LoadPoller::poll() {
+  for (const EndpointId &Endpoint : m_Book.usedSince(now() - InUsePeriod)) {
+    const auto Where = http::Address::parse(m_View.addressOf(Endpoint));
+    Cursor &Item = m_Cursors[Endpoint];
+    if (Item.m_Busy || !Where)
+      continue;
+    Item.m_Busy = true;
+    boost::asio::co_spawn(m_Loop.context(), read(Endpoint, *Where),
+                          boost::asio::detached);
+  }
+}
+
+boost::asio::awaitable<void> LoadPoller::read(EndpointId Endpoint,
+                                              http::Address Where) {
+  http::ClientOptions Options;
+  Options.m_ConnectTimeout = ReadTimeout;
+  Options.m_ReadTimeout = ReadTimeout;
+  http::Request Load;
+  Load.m_Target = "/control/load";
+  auto Result = co_await m_Client.send(Where, std::move(Load), Options);
+  onLoad(Endpoint, bodyOf(Result));
+  if (m_View.isEngine(Endpoint)) {
+    http::Request Events;
+    Events.m_Target = "/control/cache-events?from=" +
+                      std::to_string(m_Cursors[Endpoint].m_NextEvent);
+    Result = co_await m_Client.send(Where, std::move(Events), Options);
+    onEvents(Endpoint, bodyOf(Result));
+  }
+  m_Cursors[Endpoint].m_Busy = false;
+}
+
+void LoadPoller::onLoad(const EndpointId &Endpoint,
+                        const nlohmann::json &Report) {
+  if (!Report.contains("running") || !Report["running"].is_number_integer())
+    return;
+  const auto Lag = Report.contains("lag_ms") && Report["lag_ms"].is_number()
+                       ? milliseconds(Report["lag_ms"].get<std::int64_t>())
+                       : milliseconds(0);
+  m_Book.loadView().onReport(Endpoint, Report["running"].get<std::int64_t>(),
+                             Lag, now());
+}
+
+void LoadPoller::onEvents(const EndpointId &Endpoint,
+                          const nlohmann::json &Report) {
+  if (!Report.contains("events") || !Report["events"].is_array())
+    return;
+  Cursor &Item = m_Cursors[Endpoint];
+  for (const nlohmann::json &Event : Report["events"]) {
+    try {
+      const auto Sequence = Event.at("sequence").get<std::uint64_t>();
+      m_Book.prefixIndex().onEvent(Endpoint, Sequence,
+                                   Event.at("block").get<std::uint64_t>(),
+                                   Event.at("stored").get<bool>());
+      Item.m_NextEvent = std::max(Item.m_NextEvent, Sequence + 1);
+    } catch (const nlohmann::json::exception &Error) {
+      log::warning(log::Category::Routing, "cache_event.malformed",
+                   {{"endpoint", Endpoint.str()}, {"detail", Error.what()}});
+      return;
+    }
+  }
+}
+
+} // namespace sff::router
--- /dev/null
+++ b/Source/Core/Router/LoadPoller.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Net/Http/Client.h"
+#include "Router/ClusterView.h"
+#include "Router/EndpointBook.h"
+
+namespace sff::router {
+
+/// Reads load reports and cache events of the endpoints in use.
+/// Thread safety: all calls on the loop's thread.
+class LoadPoller {
+public:
+  /// Precondition: all references outlive this object.
+  LoadPoller(timers::DutyLoop &Loop, ClusterView &View, EndpointBook &Book,
+             milliseconds Period);
+
+  void start();
+
+private:
+  struct Cursor {
+    bool m_Busy = false;
+    std::uint64_t m_NextEvent = 1;
+    std::string m_Address;
+  };
+
+  void poll();
+  boost::asio::awaitable<void> read(EndpointId Endpoint, http::Address Where);
+  void onLoad(const EndpointId &Endpoint, const nlohmann::json &Report);
+  void onEvents(const EndpointId &Endpoint, const nlohmann::json &Report);
+
+  timers::DutyLoop &m_Loop;
+  ClusterView &m_View;
+  EndpointBook &m_Book;
+  milliseconds m_Period;
+  timers::TimerService m_Timers;
+  timers::Subscription m_Timer;
+  http::Client m_Client;
+  std::map<EndpointId, Cursor> m_Cursors;
+};
+
+} // namespace sff::router
--- /dev/null
+++ b/Source/Core/Router/RouterMetrics.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Core/Catalogue/EntrySpec.h"
+#include "Core/Execution/Outcome.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+namespace sff::router {
+
+/// Metrics of the router. Labels are traffic class, outcome and reason only,
+/// because thousands of entries would make as many time series.
+/// Thread safety: any thread.
+class RouterMetrics {
+public:
+  RouterMetrics();
+
+  void onOutcome(catalogue::TrafficClass Class,
+                 const execution::Outcome &Value, Duration Taken);
+  /// A stream that reached its caller whole, or was cut.
+  void onStreamEnd(catalogue::TrafficClass Class, bool Whole, Duration Taken);
+  void onFirstToken(catalogue::TrafficClass Class, Duration Taken);
+
+  prometheus::Counter &retries() { return m_Retries; }
+  prometheus::Counter &resumes() { return m_Resumes; }
+  prometheus::Counter &crashes() { return m_Crashes; }
+  prometheus::Counter &mismatches() { return m_Mismatches; }
+  prometheus::Counter &cancels() { return m_Cancels; }
+  prometheus::Gauge &waiting() { return m_Waiting; }
+  prometheus::Gauge &running() { return m_Running; }
+  prometheus::Gauge &logReachable() { return m_LogReachable; }
+  prometheus::Gauge &appliedOffset() { return m_AppliedOffset; }
+
+  /// All metrics in the text format.
+  std::string serialize() const;
+
+private:
+  prometheus::Counter &counter(const std::string &Name,
+                               const std::string &Help);
+  prometheus::Gauge &gauge(const std::string &Name, const std::string &Help);
+  void count(catalogue::TrafficClass Class, std::string_view Outcome,
+             std::string_view Reason, Duration Taken);
+
+  prometheus::Registry m_Registry;
+  prometheus::Family<prometheus::Counter> &m_Requests;
+  prometheus::Family<prometheus::Histogram> &m_Durations;
+  prometheus::Family<prometheus::Histogram> &m_FirstTokens;
+  prometheus::Counter &m_Retries;
+  prometheus::Counter &m_Resumes;
+  prometheus::Counter &m_Crashes;
+  prometheus::Counter &m_Mismatches;
+  prometheus::Counter &m_Cancels;
+  prometheus::Gauge &m_Waiting;
+  prometheus::Gauge &m_Running;
+  prometheus::Gauge &m_LogReachable;
+  prometheus::Gauge &m_AppliedOffset;
+};
+
+} // namespace sff::router
