--- a/Source/Core/Core/Streaming/EventSplitter.cpp
+++ b/Source/Core/Core/Streaming/EventSplitter.cpp
@@ -1,9 +1,13 @@
 #include "Core/Streaming/EventSplitter.h"
 
+#include <nlohmann/json.hpp>
+
 namespace sff::streaming {
 
 namespace {
 
+constexpr std::string_view DataField = "data:";
+
 /// Position after the blank line that closes the first event, or npos.
 std::size_t endOfEvent(std::string_view Text) {
   const auto Plain = Text.find("\n\n");
@@ -13,19 +17,45 @@
   return Plain < Windows ? Plain + 2 : Windows + 4;
 }
 
+/// The finish reason of the first choice, or an empty string.
+std::string finishReasonOf(std::string_view Document) {
+  const auto Parsed = nlohmann::json::parse(Document, nullptr, false);
+  const nlohmann::json::json_pointer Place("/choices/0/finish_reason");
+  if (!Parsed.is_object() || !Parsed.contains(Place))
+    return {};
+  const nlohmann::json &Reason = Parsed.at(Place);
+  return Reason.is_string() ? Reason.get<std::string>() : std::string();
+}
+
+EventKind kindOf(std::string_view Event) {
+  if (!Event.starts_with(DataField))
+    return EventKind::Other;
+  Event.remove_prefix(DataField.size());
+  if (Event.find_first_not_of(' ') == Event.find("[DONE]"))
+    return EventKind::Done;
+  const std::string Reason = finishReasonOf(Event);
+  if (Reason.empty())
+    return EventKind::Token;
+  return Reason == "cancelled" ? EventKind::Cancelled : EventKind::Finish;
+}
+
 } // namespace
 
-std::optional<std::string> EventSplitter::next() {
+std::optional<StreamEvent> EventSplitter::next() {
   const std::size_t End = endOfEvent(m_Pending);
   if (End == std::string_view::npos)
     return std::nullopt;
-  std::string Event = m_Pending.substr(0, End);
+  StreamEvent Event;
+  Event.m_Text = m_Pending.substr(0, End);
   m_Pending.erase(0, End);
-  if (Event.starts_with("data: [DONE]") || Event.starts_with("data:[DONE]"))
-    m_Done = true;
-  else if (Event.starts_with("data:"))
+  Event.m_Kind = kindOf(Event.m_Text);
+  if (Event.m_Kind == EventKind::Token)
     ++m_Tokens;
   return Event;
 }
 
+bool isCancelledAnswer(std::string_view Body) {
+  return finishReasonOf(Body) == "cancelled";
+}
+
 } // namespace sff::streaming
--- a/Source/Core/Net/Follower/StreamFollower.cpp
+++ b/Source/Core/Net/Follower/StreamFollower.cpp
@@ -56,8 +56,10 @@
     m_Handlers.m_OnBehind(Reply->m_First);
     return;
   }
+  // Several records may share an offset, when a relay appended them as one.
+  const Offset First = m_Next;
   for (const messages::RecordAt &Item : Reply->m_Records) {
-    if (Item.m_Offset < m_Next)
+    if (Item.m_Offset < First)
       continue;
     m_Next = Item.m_Offset + 1;
     m_Handlers.m_OnRecord(Item.m_Offset, Item.m_Data);
--- /dev/null
+++ b/Source/Core/Router/Attempt.cpp
@@ -0,0 +1,275 @@
+#include "Router/Attempt.h"
+
+#include "Router/EndpointLink.h"
+
+namespace sff::router {
+
+namespace {
+
+// How often a session looks at its caller and its deadline.
+constexpr milliseconds WatchPeriod{50};
+// Resumptions in a row without a token, after which a stream is given up.
+constexpr int MaxIdleResumes = 5;
+// Keeps resumptions that end at once from following each other without rest.
+constexpr milliseconds ResumePause{10};
+// Time for an answer that was on its way while the inventory was read.
+constexpr milliseconds InventoryGrace{500};
+constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
+constexpr milliseconds DeadlineMargin{1000};
+constexpr int FirstServerError = 500;
+constexpr int NotFound = 404;
+
+/// Keeps a connection open while its endpoint is silent; the session decides
+/// by probes, not by a read time-out.
+constexpr std::chrono::hours StreamReadTimeout{1};
+
+} // namespace
+
+Attempt::Attempt(FrontState &State, const CallerRequest &Request,
+                 const Placement &Used, http::Exchange &Caller)
+    : m_State(State), m_Request(Request), m_Used(Used), m_Caller(Caller) {}
+
+http::Request Attempt::makeRequest() const {
+  http::Request Result = m_Request.m_Forward;
+  addIds(Result.m_Headers, m_Used);
+  Result.m_Headers.set(
+      "X-Priority",
+      nlohmann::json(m_Request.m_Ticket.m_Class).get<std::string>());
+  Result.m_Headers.set("X-Router-Incarnation", m_State.m_Incarnation.str());
+  return Result;
+}
+
+http::ClientOptions Attempt::makeOptions() const {
+  http::ClientOptions Options;
+  const auto Left =
+      toMilliseconds(m_Request.m_Ticket.m_Deadline - now()) + DeadlineMargin;
+  Options.m_ReadTimeout =
+      m_Request.m_Stream ? milliseconds(StreamReadTimeout) : Left;
+  Options.m_ConnectTimeout =
+      std::min(Options.m_ConnectTimeout, m_State.m_Options.m_ProgressTimeout);
+  return Options;
+}
+
+AttemptEnd Attempt::lost(std::string Detail) {
+  m_Detail = std::move(Detail);
+  if (m_Call)
+    m_Call->abandon();
+  return m_Caller.started() ? AttemptEnd::Torn : AttemptEnd::Lost;
+}
+
+Attempt::Task<AttemptEnd> Attempt::run() {
+  const auto Where = http::Address::parse(m_Used.m_Address);
+  if (!Where) {
+    m_Detail = "the endpoint's address is not known";
+    co_return AttemptEnd::NotSent;
+  }
+  m_Where = *Where;
+  m_LastProgress = now();
+  m_Call = EndpointCall::start(m_State, m_Where, makeRequest(), makeOptions());
+  const AttemptEnd Result = co_await watch();
+  m_Call->abandon();
+  co_return Result;
+}
+
+Attempt::Task<AttemptEnd> Attempt::watch() {
+  while (true) {
+    auto Event = co_await m_Call->next(WatchPeriod);
+    Next Result;
+    if (Event)
+      Result = co_await onEvent(std::move(*Event));
+    else
+      Result = co_await onQuiet();
+    if (Result)
+      co_return *Result;
+  }
+}
+
+Attempt::Task<Attempt::Next> Attempt::onEvent(CallEvent Event) {
+  if (auto *Failure = std::get_if<http::TransportFailure>(&Event))
+    co_return co_await onFailure(std::move(*Failure));
+  m_LastProgress = now();
+  if (auto *Head = std::get_if<http::Response>(&Event))
+    co_return co_await onHead(std::move(*Head));
+  if (auto *Piece = std::get_if<std::string>(&Event))
+    co_return co_await onPiece(std::move(*Piece));
+  co_return co_await onEnd();
+}
+
+Attempt::Task<Attempt::Next> Attempt::onHead(http::Response Head) {
+  if (!echoesIds(Head.m_Headers, m_Used,
+                 m_Request.m_Engine && Head.m_Status == 200)) {
+    m_State.m_Metrics.mismatches().Increment();
+    m_State.m_Client.dropIdle(m_Where);
+    co_return lost("the answer belongs to another request");
+  }
+  const bool Unloaded = Head.m_Status == NotFound;
+  if (m_Request.m_Engine && (Head.m_Status >= FirstServerError || Unloaded))
+    co_return lost("the endpoint answered with status " +
+                   std::to_string(Head.m_Status));
+  m_Status = Head.m_Status;
+  m_Answer.m_Status = Head.m_Status;
+  m_Answer.m_ContentType = Head.m_Headers.find("Content-Type").value_or("");
+  co_return std::nullopt;
+}
+
+Attempt::Task<Attempt::Next> Attempt::onPiece(std::string Piece) {
+  if (!isStreaming()) {
+    m_Answer.m_Body += Piece;
+    if (m_Answer.m_Body.size() > MaxAnswerBytes)
+      co_return lost("the answer exceeds the limit of this host");
+    co_return std::nullopt;
+  }
+  m_Events.append(Piece);
+  while (auto Event = m_Events.next()) {
+    if (Event->m_Kind == streaming::EventKind::Cancelled)
+      co_return co_await onDeadConnection();
+    if (!co_await deliver(std::move(*Event)))
+      co_return AttemptEnd::CallerGone;
+  }
+  co_return std::nullopt;
+}
+
+Attempt::Task<bool> Attempt::deliver(streaming::StreamEvent Event) {
+  if (!m_Caller.started()) {
+    http::Response Head;
+    Head.m_Headers.set("Content-Type", "text/event-stream");
+    Head.m_Headers.set("Cache-Control", "no-cache");
+    Head.m_Headers.set("X-Request-Id", m_Used.m_Request.str());
+    if (!co_await m_Caller.beginStream(std::move(Head)))
+      co_return false;
+    const Duration Taken = now() - m_Request.m_Ticket.m_Arrival;
+    m_State.m_Metrics.onFirstToken(m_Request.m_Ticket.m_Class, Taken);
+    log::request(log::Category::Http, "request.first_token",
+                 m_Used.m_Request.str(), m_Used.m_Entry.str(),
+                 {{"after_ms", toMilliseconds(Taken).count()}});
+  }
+  m_IdleResumes = 0;
+  m_Finished = m_Finished || Event.m_Kind == streaming::EventKind::Finish;
+  co_return co_await m_Caller.writeChunk(Event.m_Text);
+}
+
+Attempt::Task<Attempt::Next> Attempt::onEnd() {
+  if (!isStreaming()) {
+    if (m_Request.m_Engine && streaming::isCancelledAnswer(m_Answer.m_Body))
+      co_return lost("the endpoint gave the request up");
+    co_return AttemptEnd::Answered;
+  }
+  if (m_Events.hasPartial() || !m_Caller.started())
+    co_return co_await onDeadConnection();
+  if (!co_await m_Caller.endStream())
+    co_return AttemptEnd::CallerGone;
+  co_return AttemptEnd::Streamed;
+}
+
+Attempt::Task<Attempt::Next>
+Attempt::onFailure(http::TransportFailure Failure) {
+  if (Failure.provesNotSent()) {
+    m_EndpointDown = Failure.m_Stage == http::FailureStage::Connect;
+    m_Detail = Failure.m_Detail;
+    co_return AttemptEnd::NotSent;
+  }
+  if (!co_await probe(m_State, m_Where)) {
+    m_EndpointDown = true;
+    m_EndpointCrashed = !Failure.m_TimedOut;
+    co_return lost("the endpoint was lost: " + Failure.m_Detail);
+  }
+  co_return co_await onDeadConnection();
+}
+
+Attempt::Task<Attempt::Next> Attempt::onQuiet() {
+  if (m_Caller.callerGone())
+    co_return AttemptEnd::CallerGone;
+  if (now() >= m_Request.m_Ticket.m_Deadline && !m_Caller.started()) {
+    m_Detail = "the deadline passed before the answer";
+    co_return AttemptEnd::Expired;
+  }
+  if (now() - m_LastProgress >= m_State.m_Options.m_ProgressTimeout)
+    co_return co_await onSilence();
+  co_return std::nullopt;
+}
+
+Attempt::Task<Attempt::Next> Attempt::onSilence() {
+  const bool Alive = co_await probe(m_State, m_Where);
+  log::request(log::Category::Routing, "request.silence",
+               m_Used.m_Request.str(), m_Used.m_Entry.str(),
+               {{"endpoint", m_Used.m_Endpoint.str()}, {"alive", Alive}});
+  if (!Alive) {
+    m_EndpointDown = true;
+    co_return lost("the endpoint went silent");
+  }
+  m_LastProgress = now();
+  if (mayResume())
+    co_return co_await onDeadConnection();
+  // A whole answer may take long, so silence alone proves nothing.
+  if (m_Request.m_Engine)
+    co_return co_await checkInventory();
+  co_return std::nullopt;
+}
+
+Attempt::Task<Attempt::Next> Attempt::checkInventory() {
+  if (co_await runsAt(m_State, m_Where, m_Used.m_Request))
+    co_return std::nullopt;
+  if (auto Event = co_await m_Call->next(InventoryGrace))
+    co_return co_await onEvent(std::move(*Event));
+  m_State.m_Client.dropIdle(m_Where);
+  co_return lost("the connection to the endpoint went silent");
+}
+
+Attempt::Task<Attempt::Next> Attempt::onDeadConnection() {
+  m_State.m_Client.dropIdle(m_Where);
+  m_Events.dropPartial();
+  if (m_Finished) {
+    // Only the closing mark is missing.
+    if (!co_await m_Caller.writeChunk("data: [DONE]\n\n") ||
+        !co_await m_Caller.endStream())
+      co_return AttemptEnd::CallerGone;
+    co_return AttemptEnd::Streamed;
+  }
+  if (!mayResume() || !co_await resume())
+    co_return lost("the connection to the endpoint was lost");
+  co_return std::nullopt;
+}
+
+Attempt::Task<bool> Attempt::resume() {
+  const bool Expired = now() >= m_Request.m_Ticket.m_Deadline;
+  if (m_Caller.started() ? ++m_IdleResumes > MaxIdleResumes : Expired)
+    co_return false;
+  co_await pause(m_State, ResumePause);
+  auto Resumed = co_await openResumed();
+  if (!Resumed)
+    co_return false;
+  // The old connection is closed last, because an engine may take its end as
+  // the end of the caller's interest.
+  m_Call->abandon();
+  m_Call = std::move(Resumed);
+  m_LastProgress = now();
+  m_State.m_Metrics.resumes().Increment();
+  log::request(log::Category::Routing, "request.resumed",
+               m_Used.m_Request.str(), m_Used.m_Entry.str(),
+               {{"endpoint", m_Used.m_Endpoint.str()},
+                {"from_token", m_Events.tokens()}});
+  co_return true;
+}
+
+Attempt::Task<std::shared_ptr<EndpointCall>> Attempt::openResumed() {
+  http::ClientOptions Options = makeOptions();
+  Options.m_FreshConnection = true;
+  http::Request Message = makeResume(m_Used, m_Events.tokens());
+  Message.m_Headers.set("X-Router-Incarnation", m_State.m_Incarnation.str());
+  auto Opened =
+      EndpointCall::start(m_State, m_Where, std::move(Message), Options);
+  auto First = co_await Opened->next(m_State.m_Options.m_ProgressTimeout);
+  // No head yet: the engine has queued the request again.
+  if (!First)
+    co_return Opened;
+  const auto *Head = std::get_if<http::Response>(&*First);
+  if (Head && Head->m_Status == 200 &&
+      echoesIds(Head->m_Headers, m_Used, true)) {
+    m_Status = Head->m_Status;
+    co_return Opened;
+  }
+  Opened->abandon();
+  co_return nullptr;
+}
+
+} // namespace sff::router
--- a/Source/Core/Router/Broker.cpp
+++ b/Source/Core/Router/Broker.cpp
@@ -59,8 +59,8 @@
                {{"waiting", State.m_Queue.size()}, {"isolated", Isolated}});
   for (const auto &Displaced : State.m_Queue.takeDisplaced())
     refuse(Displaced.m_Request, Reason::QueueFull,
-           State.m_Queue.retryAfter(Displaced.m_Class,
-                                    capacityOf(Entry, State)));
+           State.m_Queue.promiseRetry(Displaced.m_Class,
+                                      capacityOf(Entry, State), now()));
   pump(Entry);
 }
 
@@ -83,8 +83,8 @@
   for (const EndpointId &Id : m_View.endpointsOf(Entry, State.m_Spec)) {
     Free += m_Credits.available(Entry, Id, Now);
     if (const auto *Known = m_Credits.find(Entry, Id))
-      ReadyAt = ReadyAt ? std::min(*ReadyAt, Known->m_ReadyAt)
-                        : Known->m_ReadyAt;
+      ReadyAt =
+          ReadyAt ? std::min(*ReadyAt, Known->m_ReadyAt) : Known->m_ReadyAt;
   }
   if (Free == 0 && State.m_Running == 0 && ReadyAt && *ReadyAt > Now)
     Result.m_ReadyIn = *ReadyAt - Now;
@@ -337,40 +337,45 @@
   Demand.m_Entry = Entry;
   Demand.m_Endpoint = Endpoint;
   Demand.m_Count = Count;
-  Demand.m_Waiting = static_cast<std::int64_t>(State.m_Queue.size() +
-                                               State.m_Special.size());
+  Demand.m_Waiting =
+      static_cast<std::int64_t>(State.m_Queue.size() + State.m_Special.size());
   Demand.m_Deadline = untilOf(Earliest, now());
   m_Credits.borrow(Demand);
 }
 
-std::optional<milliseconds>
-Broker::hopelessFor(const EntryName &Entry, const EntryState &State) const {
+Instant Broker::nextChanceAt(const EntryName &Entry, const EntryState &State,
+                             const EndpointId &Endpoint, Instant Now) const {
+  if (m_Book.isDown(Endpoint, Now))
+    return m_Book.downUntil(Endpoint);
+  if (!State.m_Spec.isLoadable() ||
+      m_Credits.available(Entry, Endpoint, Now) > 0)
+    return Now;
+  const auto *Known = m_Credits.find(Entry, Endpoint);
+  if (m_View.ownerAddressOf(Endpoint).empty())
+    return Now + m_Options.m_OwnerRetry;
+  // A short refusal is waited out, for example that of an owner that has just
+  // taken over; a series of them is not.
+  if (!Known || !Known->m_Refused ||
+      Now - Known->m_RefusedSince < m_Options.m_Patience)
+    return Now;
+  return std::max(Known->m_NotBefore, Now + m_Options.m_OwnerRetry);
+}
+
+std::optional<milliseconds> Broker::hopelessFor(const EntryName &Entry,
+                                                const EntryState &State) const {
   const Instant Now = now();
-  Instant Soonest = Now + m_Options.m_OwnerRetry;
-  bool First = true;
+  std::optional<Instant> Soonest;
   for (const EndpointId &Id : m_View.endpointsOf(Entry, State.m_Spec)) {
-    Instant Next = m_Book.downUntil(Id);
-    if (State.m_Spec.isLoadable() && Next <= Now) {
-      const auto *Known = m_Credits.find(Entry, Id);
-      if (m_Credits.available(Entry, Id, Now) > 0 ||
-          (Known && Known->m_InFlight))
-        return std::nullopt;
-      if (m_View.ownerAddressOf(Id).empty())
-        Next = Now + m_Options.m_OwnerRetry;
-      else if (Known && Known->m_Refused)
-        Next = Known->m_NotBefore;
-    }
+    const Instant Next = nextChanceAt(Entry, State, Id, Now);
     if (Next <= Now)
       return std::nullopt;
-    Soonest = First ? Next : std::min(Soonest, Next);
-    First = false;
+    Soonest = Soonest ? std::min(*Soonest, Next) : Next;
   }
-  return untilOf(Soonest, Now);
+  return Soonest ? untilOf(*Soonest, Now) : m_Options.m_OwnerRetry;
 }
 
 void Broker::refuseHopeless(const EntryName &Entry, EntryState &State) {
-  if (State.m_Running > 0 ||
-      (State.m_Queue.empty() && State.m_Special.empty()))
+  if (State.m_Running > 0 || (State.m_Queue.empty() && State.m_Special.empty()))
     return;
   const auto RetryAfter = hopelessFor(Entry, State);
   if (!RetryAfter)
@@ -392,7 +397,7 @@
     refuse(Item.m_Request,
            Item.m_Deadline <= Now ? Reason::DeadlineExpired
                                   : Reason::DeadlineUnreachable,
-           State.m_Queue.retryAfter(Item.m_Class, Capacity));
+           State.m_Queue.promiseRetry(Item.m_Class, Capacity, Now));
   const std::vector<RequestId> Waiting = State.m_Special;
   for (const RequestId &Id : Waiting) {
     const auto It = m_Jobs.find(Id);
--- a/Source/Core/Router/Broker.h
+++ b/Source/Core/Router/Broker.h
@@ -19,6 +19,7 @@
   struct Options {
     std::int64_t m_MaxBorrow = 8;
     milliseconds m_OwnerRetry{1000};
+    milliseconds m_Patience{2000};
     milliseconds m_EndpointDown{2000};
     milliseconds m_QuarantinePeriod{600000};
   };
@@ -80,6 +81,8 @@
   void refuseHopeless(const EntryName &Entry, EntryState &State);
   std::optional<milliseconds> hopelessFor(const EntryName &Entry,
                                           const EntryState &State) const;
+  Instant nextChanceAt(const EntryName &Entry, const EntryState &State,
+                       const EndpointId &Endpoint, Instant Now) const;
   void refuseExpired(const EntryName &Entry, EntryState &State);
   void refuse(const RequestId &Request, execution::Reason Why,
               milliseconds RetryAfter);
--- a/Source/Core/Router/CallerRequest.cpp
+++ b/Source/Core/Router/CallerRequest.cpp
@@ -14,18 +14,25 @@
 
 constexpr std::size_t MaxRequestIdLength = 64;
 
-constexpr std::array<std::string_view, 13> OwnHeaders{
-    "Connection",        "Host",         "Content-Length",
-    "Transfer-Encoding", "Keep-Alive",   "TE",
-    "Trailer",           "Upgrade",      "Expect",
-    "X-Request-Id",      "X-Attempt-Id", "X-Priority",
-    "X-Request-Timeout-Ms"};
+constexpr std::array<std::string_view, 13> OwnHeaders{"Connection",
+                                                      "Host",
+                                                      "Content-Length",
+                                                      "Transfer-Encoding",
+                                                      "Keep-Alive",
+                                                      "TE",
+                                                      "Trailer",
+                                                      "Upgrade",
+                                                      "Expect",
+                                                      "X-Request-Id",
+                                                      "X-Attempt-Id",
+                                                      "X-Priority",
+                                                      "X-Request-Timeout-Ms"};
 
 std::string textOf(const nlohmann::json &Value) {
   return Value.is_string() ? Value.get<std::string>() : Value.dump();
 }
 
-/// Text of a chat as engines see it: contents in order.
+/// Text of a chat as engines cache it: role and content of each message.
 std::string promptOf(const nlohmann::json &Body) {
   if (Body.contains("prompt"))
     return textOf(Body["prompt"]);
@@ -34,7 +41,8 @@
     return Result;
   for (const nlohmann::json &Message : Body["messages"])
     if (Message.is_object() && Message.contains("content"))
-      Result += textOf(Message["content"]) + "\n";
+      Result += (Message.contains("role") ? textOf(Message["role"]) : "") +
+                ": " + textOf(Message["content"]) + "\n";
   return Result;
 }
 
--- a/Source/Core/Router/CallerRequest.h
+++ b/Source/Core/Router/CallerRequest.h
@@ -11,7 +11,7 @@
   http::Request m_Forward; ///< What the endpoint receives, without ids.
   bool m_Stream = false;   ///< Wants server-sent events.
   bool m_Repeatable = true;
-  bool m_Engine = true;    ///< Engines echo ids and resume streams.
+  bool m_Engine = true; ///< Engines echo ids and resume streams.
   std::string m_IdempotencyKey;
 };
 
@@ -24,8 +24,7 @@
 
 /// Reads the body of a completion. Returns a description of the fault when it
 /// is not a JSON object with a model. Thread safety: reentrant.
-std::variant<CompletionBody, std::string>
-readCompletion(std::string_view Body);
+std::variant<CompletionBody, std::string> readCompletion(std::string_view Body);
 
 /// Hash of several texts, equal only for equal lists. Thread safety: reentrant.
 std::string hashOf(std::initializer_list<std::string_view> Parts);
--- a/Source/Core/Router/ClusterView.cpp
+++ b/Source/Core/Router/ClusterView.cpp
@@ -10,8 +10,7 @@
 
 } // namespace
 
-ClusterView::ClusterView(timers::DutyLoop &Loop,
-                         follower::RelayClient &Relays,
+ClusterView::ClusterView(timers::DutyLoop &Loop, follower::RelayClient &Relays,
                          ControllerPool &Controllers, Options Chosen)
     : m_Options(std::move(Chosen)), m_Controllers(Controllers),
       m_Timers(Loop.context().get_executor()),
@@ -19,8 +18,8 @@
                  {.m_OnApplied = {},
                   .m_OnReplaced = {},
                   .m_OnContact = [this](bool Reachable, Offset) {
-                    m_Contact = m_Contact || Reachable ||
-                                state().appliedOffset() > 0;
+                    m_Contact =
+                        m_Contact || Reachable || state().appliedOffset() > 0;
                   }}) {}
 
 void ClusterView::start() {
--- a/Source/Core/Router/CreditLine.cpp
+++ b/Source/Core/Router/CreditLine.cpp
@@ -19,8 +19,8 @@
                        ControllerPool &Controllers, Options Chosen,
                        Changed OnChange)
     : m_View(View), m_Controllers(Controllers), m_Options(std::move(Chosen)),
-      m_OnChange(std::move(OnChange)),
-      m_Timers(Loop.context().get_executor()) {}
+      m_OnChange(std::move(OnChange)), m_Timers(Loop.context().get_executor()) {
+}
 
 void CreditLine::start() {
   m_ReturnTimer = m_Timers.every(
@@ -74,15 +74,16 @@
   Standing &Item = m_Standings[Where];
   Item.m_InFlight = false;
   Item.m_Asked = 0;
-  Item.m_Refused = false;
   if (!Reply) {
     noteRefusal(Item, "the owner does not answer", m_Options.m_OwnerRetry);
   } else if (Reply->m_Outcome == messages::BorrowOutcome::Granted) {
     m_Wallet.onGranted(Where.first, *Reply, SentAt);
     Item.m_Loan = LoanId();
+    Item.m_Refused = false;
     Item.m_WarmUntil = now() + WarmPeriod;
     Item.m_ReadyAt = now();
   } else if (Reply->m_Outcome == messages::BorrowOutcome::Loading) {
+    Item.m_Refused = false;
     Item.m_ReadyAt = now() + Reply->m_ReadyIn;
     Item.m_NotBefore = now() + LoadingPause;
   } else {
@@ -102,6 +103,8 @@
 
 void CreditLine::noteRefusal(Standing &Item, std::string Reason,
                              milliseconds Pause) {
+  if (!Item.m_Refused)
+    Item.m_RefusedSince = now();
   Item.m_Refused = true;
   Item.m_Reason = std::move(Reason);
   Item.m_WarmUntil = Instant();
--- a/Source/Core/Router/CreditLine.h
+++ b/Source/Core/Router/CreditLine.h
@@ -29,12 +29,13 @@
   /// State of one entry at one endpoint.
   struct Standing {
     bool m_InFlight = false;
-    std::int64_t m_Asked = 0;  ///< Credits asked for by the open message.
-    LoanId m_Loan;             ///< Of a message whose answer is not known.
-    bool m_Refused = false;    ///< Refused, or no answer, until m_NotBefore.
-    Instant m_NotBefore;       ///< Earliest time of the next message.
-    Instant m_WarmUntil;       ///< A credit was granted not long ago.
-    Instant m_ReadyAt;         ///< Expected end of a load.
+    std::int64_t m_Asked = 0; ///< Credits asked for by the open message.
+    LoanId m_Loan;            ///< Of a message whose answer is not known.
+    bool m_Refused = false;   ///< Refused, or no answer, until m_NotBefore.
+    Instant m_RefusedSince;   ///< First of the refusals in a row.
+    Instant m_NotBefore;      ///< Earliest time of the next message.
+    Instant m_WarmUntil;      ///< A credit was granted not long ago.
+    Instant m_ReadyAt;        ///< Expected end of a load.
     std::string m_Reason;
   };
 
--- a/Source/Core/Router/Decisions.cpp
+++ b/Source/Core/Router/Decisions.cpp
@@ -29,7 +29,8 @@
 
 Broker::Options brokerOptions(const settings::Settings &Values) {
   return {Values.get(MaxBorrowSetting), Values.get(OwnerRetrySetting),
-          Values.get(EndpointDownSetting), Values.get(QuarantinePeriodSetting)};
+          Values.get(PatienceSetting), Values.get(EndpointDownSetting),
+          Values.get(QuarantinePeriodSetting)};
 }
 
 IntentService::Options intentOptions(const settings::Settings &Values,
@@ -37,7 +38,8 @@
   IntentService::Options Result;
   Result.m_Self = IncarnationId(Identity.m_Incarnation);
   Result.m_PeerAddress = Values.get(PeerListenSetting);
-  Result.m_MaxKeys = static_cast<std::size_t>(Values.get(IntentKeysSetting));
+  Result.m_RetentionOffsets =
+      static_cast<Offset>(Values.get(IntentRetentionSetting));
   Result.m_Wait = Values.get(IntentWaitSetting);
   return Result;
 }
@@ -71,8 +73,8 @@
 void Decisions::registerHandlers() {
   m_Dispatcher.on<messages::FetchEvents>(
       [](const messages::FetchEvents &Request, auto Send) {
-        const auto Limit = std::clamp<std::int64_t>(Request.m_Limit, 0,
-                                                    MaxEventsPerReply);
+        const auto Limit =
+            std::clamp<std::int64_t>(Request.m_Limit, 0, MaxEventsPerReply);
         Send({log::recorder().eventsAfter(Request.m_After,
                                           static_cast<std::size_t>(Limit))});
       });
--- a/Source/Core/Router/Decisions.h
+++ b/Source/Core/Router/Decisions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/Settings/Schema.h"
 #include "Router/Broker.h"
 #include "Router/CrashRegistry.h"
 #include "Router/IntentService.h"
--- a/Source/Core/Router/EndpointCall.h
+++ b/Source/Core/Router/EndpointCall.h
@@ -8,8 +8,8 @@
 struct CallEnd {};
 
 /// Head, piece of the body, end or failure of an answer.
-using CallEvent = std::variant<http::Response, std::string, CallEnd,
-                               http::TransportFailure>;
+using CallEvent =
+    std::variant<http::Response, std::string, CallEnd, http::TransportFailure>;
 
 /// One exchange with an endpoint that runs by itself, so that its session can
 /// watch the caller, the deadline and the endpoint's silence meanwhile.
--- a/Source/Core/Router/EndpointLink.cpp
+++ b/Source/Core/Router/EndpointLink.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr milliseconds CancelRetryPause{500};
+constexpr milliseconds CancelCheckPause{20};
+constexpr int MaxCancelChecks = 50;
 
 http::ClientOptions probeOptions(const FrontState &State) {
   http::ClientOptions Options;
@@ -17,6 +19,15 @@
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
+/// True when the answer to a cancel request names attempts that still run.
+bool stillCancels(const http::Response &Answer) {
+  const auto Body = nlohmann::json::parse(Answer.m_Body, nullptr, false);
+  const auto Count = Body.is_object() ? Body.find("cancelled") : Body.end();
+  return !isSuccess(Answer.m_Status) ||
+         (Body.is_object() && Count != Body.end() && Count->is_number() &&
+          Count->get<std::int64_t>() > 0);
+}
+
 boost::asio::awaitable<bool> isGone(FrontState &State, EndpointId Endpoint) {
   Decisions &Peers = State.m_Decisions;
   std::function<void(std::function<void(bool)>)> Look =
@@ -41,14 +52,22 @@
 boost::asio::awaitable<bool> cancel(FrontState &State, http::Address Where,
                                     RequestId Request) {
   constexpr int NotFound = 404;
-  http::Request Message;
-  Message.m_Method = "POST";
-  Message.m_Target = "/v1/requests/" + Request.str() + "/cancel";
-  const auto Result = co_await State.m_Client.send(
-      std::move(Where), std::move(Message), probeOptions(State));
-  const auto *Answer = std::get_if<http::Response>(&Result);
-  co_return Answer &&(isSuccess(Answer->m_Status) ||
-                      Answer->m_Status == NotFound);
+  // An engine confirms that it has marked the request; its memory is free once
+  // the request is no longer known as running.
+  for (int Try = 0; Try < MaxCancelChecks; ++Try) {
+    http::Request Message;
+    Message.m_Method = "POST";
+    Message.m_Target = "/v1/requests/" + Request.str() + "/cancel";
+    const auto Result = co_await State.m_Client.send(Where, std::move(Message),
+                                                     probeOptions(State));
+    const auto *Answer = std::get_if<http::Response>(&Result);
+    if (!Answer)
+      co_return false;
+    if (Answer->m_Status == NotFound || !stillCancels(*Answer))
+      co_return true;
+    co_await pause(State, CancelCheckPause);
+  }
+  co_return false;
 }
 
 boost::asio::awaitable<bool> runsAt(FrontState &State, http::Address Where,
@@ -89,11 +108,12 @@
 boost::asio::awaitable<void> finish(FrontState &State, Placement Used,
                                     AttemptReport Report) {
   Decisions &Peers = State.m_Decisions;
-  co_await tell(State, [&Peers, Used, Report] {
-    Peers.broker().finish(Used, Report);
-  });
+  co_await tell(
+      State, [&Peers, Used, Report] { Peers.broker().finish(Used, Report); });
 }
 
+namespace {
+
 boost::asio::awaitable<void> releaseWhenStopped(FrontState &State,
                                                 Placement Used) {
   const auto Where = http::Address::parse(Used.m_Address);
@@ -118,4 +138,17 @@
   co_await finish(State, std::move(Used), Report);
 }
 
+} // namespace
+
+void releaseInBackground(FrontState &State, Placement Used) {
+  State.m_OpenRequests.insert(Used.m_Request);
+  ++State.m_Background;
+  boost::asio::co_spawn(State.m_Http.context(), releaseWhenStopped(State, Used),
+                        [&State, Id = Used.m_Request](std::exception_ptr) {
+                          --State.m_Background;
+                          State.m_OpenRequests.erase(
+                              State.m_OpenRequests.find(Id));
+                        });
+}
+
 } // namespace sff::router
--- a/Source/Core/Router/EndpointLink.h
+++ b/Source/Core/Router/EndpointLink.h
@@ -27,9 +27,9 @@
                bool Required);
 
 /// Ends a placement once nothing of it runs at the endpoint any more: cancels
-/// until the endpoint confirms, is down or is gone, then finishes it.
-boost::asio::awaitable<void> releaseWhenStopped(FrontState &State,
-                                                Placement Used);
+/// until the endpoint confirms, is down or is gone, then finishes it. Until
+/// then the request id counts as in use.
+void releaseInBackground(FrontState &State, Placement Used);
 
 /// Finishes a placement at once.
 boost::asio::awaitable<void> finish(FrontState &State, Placement Used,
--- a/Source/Core/Router/FrontState.cpp
+++ b/Source/Core/Router/FrontState.cpp
@@ -17,9 +17,9 @@
 } // namespace
 
 FrontState::FrontState(timers::DutyLoop &Http, Decisions &Peers,
-                       const settings::Settings &Values)
+                       const settings::Settings &Values, IncarnationId Self)
     : m_Http(Http), m_Decisions(Peers), m_Options(optionsOf(Values)),
-      m_Client(Http.context().get_executor()),
+      m_Incarnation(std::move(Self)), m_Client(Http.context().get_executor()),
       m_Budget(Values.get(RetryRatioSetting), Values.get(RetryBurstSetting)) {}
 
 boost::asio::awaitable<void> pause(FrontState &State, milliseconds Length) {
--- a/Source/Core/Router/FrontState.h
+++ b/Source/Core/Router/FrontState.h
@@ -23,17 +23,18 @@
   };
 
   FrontState(timers::DutyLoop &Http, Decisions &Peers,
-             const settings::Settings &Values);
+             const settings::Settings &Values, IncarnationId Self);
 
   timers::DutyLoop &m_Http;
   Decisions &m_Decisions;
   Options m_Options;
+  IncarnationId m_Incarnation;
   http::Client m_Client;
   RouterMetrics m_Metrics;
   retry::RetryBudget m_Budget;
-  std::set<RequestId> m_OpenRequests;
+  std::multiset<RequestId> m_OpenRequests;
   std::map<std::string, std::int64_t> m_TeamOpen;
-  /// Executions that go on after their caller was answered.
+  /// Executions and releases that go on after their caller was answered.
   std::int64_t m_Background = 0;
   bool m_Draining = false;
 };
--- a/Source/Core/Router/IntentService.cpp
+++ b/Source/Core/Router/IntentService.cpp
@@ -28,7 +28,7 @@
                              Options Chosen)
     : m_Loop(Loop), m_Relays(Relays), m_Peers(Peers), m_Store(Store),
       m_Options(std::move(Chosen)), m_Timers(Loop.context().get_executor()),
-      m_Table(m_Options.m_MaxKeys) {}
+      m_Table(m_Options.m_RetentionOffsets) {}
 
 IntentService::~IntentService() {
   if (m_Stream)
@@ -45,8 +45,11 @@
     m_Table.skip(FirstKept - 1);
     m_Stream->continueFrom(FirstKept);
   };
+  // Called after the records of each answer; a batch is never split between
+  // two answers.
   Handlers.m_OnContact = [this](bool Reachable, Offset) {
     m_LogReachable = Reachable;
+    applyBatch();
   };
   m_Stream = follower::StreamFollower::start(
       m_Loop, m_Relays, follower::IntentsStream, 1, std::move(Handlers));
@@ -97,18 +100,26 @@
 }
 
 void IntentService::onRecord(Offset Position, const nlohmann::json &Data) {
+  if (Position != m_BatchPosition)
+    applyBatch();
+  m_BatchPosition = Position;
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(Value, execution::intentFromJson(Data));
-        m_Table.apply(Position, Value);
+        m_Batch.push_back(std::move(Value));
         return {};
       },
       [&](const codec::DecodeError &Error) {
-        m_Table.skip(Position);
         log::warning(log::Category::Execution, "intent.undecodable",
                      {{"offset", Position}, {"detail", Error.m_Detail}});
       },
-      [&] { m_Table.skip(Position); });
+      [] {});
+}
+
+void IntentService::applyBatch() {
+  if (m_BatchPosition > m_Table.appliedOffset())
+    m_Table.apply(m_BatchPosition, m_Batch);
+  m_Batch.clear();
   settle();
 }
 
@@ -129,8 +140,8 @@
   }
   for (auto &[Item, Answer] : Settled) {
     const auto *Taken = std::get_if<IntentTaken>(&Answer);
-    const bool Ours = Taken && Taken->m_Valid.m_Intent.m_Router ==
-                                   m_Options.m_Self;
+    const bool Ours =
+        Taken && Taken->m_Valid.m_Intent.m_Router == m_Options.m_Self;
     if (!std::holds_alternative<IntentGranted>(Answer) && !Ours)
       m_Store.forget(Item.m_Call.m_KeyHash);
     Item.m_Done(std::move(Answer));
--- a/Source/Core/Router/IntentService.h
+++ b/Source/Core/Router/IntentService.h
@@ -44,7 +44,7 @@
   struct Options {
     IncarnationId m_Self;
     std::string m_PeerAddress;
-    std::size_t m_MaxKeys = 100000;
+    Offset m_RetentionOffsets = 100000;
     milliseconds m_Wait{3000};
     milliseconds m_RetryAfter{2000};
   };
@@ -82,6 +82,7 @@
   };
 
   void onRecord(Offset Position, const nlohmann::json &Data);
+  void applyBatch();
   void settle();
   void expire();
   void sendVoids();
@@ -98,6 +99,9 @@
   timers::Subscription m_ExpiryTimer;
   timers::Subscription m_VoidTimer;
   execution::IntentTable m_Table;
+  /// Records of one offset; a relay appends several intents as one record.
+  Offset m_BatchPosition = 0;
+  std::vector<execution::IntentRecord> m_Batch;
   std::map<AttemptId, Pending> m_Pending;
   /// Voids that are not known to be in the log.
   std::map<AttemptId, std::string> m_Voids;
--- a/Source/Core/Router/LoadPoller.cpp
+++ b/Source/Core/Router/LoadPoller.cpp
@@ -67,8 +67,8 @@
                         const nlohmann::json &Report) {
   if (!Report.contains("running") || !Report["running"].is_number_integer())
     return;
-  const auto Lag = Report.contains("lag_ms") && Report["lag_ms"].is_number()
-                       ? milliseconds(Report["lag_ms"].get<std::int64_t>())
+  const auto Lag = Report.contains("age_ms") && Report["age_ms"].is_number()
+                       ? milliseconds(Report["age_ms"].get<std::int64_t>())
                        : milliseconds(0);
   m_Book.loadView().onReport(Endpoint, Report["running"].get<std::int64_t>(),
                              Lag, now());
@@ -79,6 +79,16 @@
   if (!Report.contains("events") || !Report["events"].is_array())
     return;
   Cursor &Item = m_Cursors[Endpoint];
+  const std::string Incarnation = Report.value("incarnation", "");
+  if (Item.m_Incarnation != Incarnation) {
+    // A restarted engine has an empty cache and counts its events anew.
+    m_Book.prefixIndex().forget(Endpoint);
+    const bool Restarted = !Item.m_Incarnation.empty();
+    Item.m_Incarnation = Incarnation;
+    Item.m_NextEvent = 1;
+    if (Restarted)
+      return;
+  }
   for (const nlohmann::json &Event : Report["events"]) {
     try {
       const auto Sequence = Event.at("sequence").get<std::uint64_t>();
--- a/Source/Core/Router/LoadPoller.h
+++ b/Source/Core/Router/LoadPoller.h
@@ -20,7 +20,7 @@
   struct Cursor {
     bool m_Busy = false;
     std::uint64_t m_NextEvent = 1;
-    std::string m_Address;
+    std::string m_Incarnation;
   };
 
   void poll();
--- a/Source/Core/Router/OutcomeResponse.cpp
+++ b/Source/Core/Router/OutcomeResponse.cpp
@@ -38,10 +38,9 @@
   nlohmann::json Extra = {{"outcome", Name},
                           {"reason", execution::toString(Why)},
                           {"retry_after_ms", RetryAfter.count()}};
-  http::Response Result =
-      http::makeProblem(Status, titleOf(Status),
-                        Detail.empty() ? execution::toString(Why) : Detail,
-                        std::move(Extra));
+  http::Response Result = http::makeProblem(
+      Status, titleOf(Status),
+      Detail.empty() ? execution::toString(Why) : Detail, std::move(Extra));
   if (RetryAfter.count() > 0) {
     // The header counts whole seconds; rounding down would invite a repeat
     // that comes too early.
--- a/Source/Core/Router/RouterMetrics.cpp
+++ b/Source/Core/Router/RouterMetrics.cpp
@@ -83,15 +83,13 @@
 }
 
 void RouterMetrics::onOutcome(catalogue::TrafficClass Class,
-                              const execution::Outcome &Value,
-                              Duration Taken) {
+                              const execution::Outcome &Value, Duration Taken) {
   count(Class, nameOf(Value), reasonOf(Value), Taken);
 }
 
-void RouterMetrics::onStreamEnd(catalogue::TrafficClass Class, bool Whole,
-                                Duration Taken) {
-  count(Class, Whole ? "answered" : "outcome_unknown",
-        Whole ? "" : "endpoint_lost", Taken);
+void RouterMetrics::onStreamEnd(catalogue::TrafficClass Class,
+                                std::string_view Outcome, Duration Taken) {
+  count(Class, Outcome, "", Taken);
 }
 
 void RouterMetrics::onFirstToken(catalogue::TrafficClass Class,
--- a/Source/Core/Router/RouterMetrics.h
+++ b/Source/Core/Router/RouterMetrics.h
@@ -19,10 +19,12 @@
 public:
   RouterMetrics();
 
-  void onOutcome(catalogue::TrafficClass Class,
-                 const execution::Outcome &Value, Duration Taken);
-  /// A stream that reached its caller whole, or was cut.
-  void onStreamEnd(catalogue::TrafficClass Class, bool Whole, Duration Taken);
+  void onOutcome(catalogue::TrafficClass Class, const execution::Outcome &Value,
+                 Duration Taken);
+  /// A stream that reached its caller whole or was cut, or a request whose
+  /// caller has gone.
+  void onStreamEnd(catalogue::TrafficClass Class, std::string_view Outcome,
+                   Duration Taken);
   void onFirstToken(catalogue::TrafficClass Class, Duration Taken);
 
   prometheus::Counter &retries() { return m_Retries; }
--- a/Source/Core/Router/RouterSettings.h
+++ b/Source/Core/Router/RouterSettings.h
@@ -112,6 +112,15 @@
     .m_Range = {10, 60000},
     .m_Doc = "Pause before an owner that did not answer is asked again."};
 
+inline const Setting<milliseconds> PatienceSetting{
+    .m_Section = "credits",
+    .m_Key = "patience_ms",
+    .m_Default = milliseconds(2000),
+    .m_Unit = "ms",
+    .m_Range = {0, 600000},
+    .m_Doc = "Time for which requests wait while all owners refuse credits or "
+             "do not answer; then they are refused."};
+
 inline const Setting<std::int64_t> MaxBorrowSetting{
     .m_Section = "credits",
     .m_Key = "max_borrow",
@@ -185,13 +194,14 @@
     .m_Range = {1, 1000000},
     .m_Doc = "Requests that crashed endpoints and are remembered."};
 
-inline const Setting<std::int64_t> IntentKeysSetting{
+inline const Setting<std::int64_t> IntentRetentionSetting{
     .m_Section = "intents",
-    .m_Key = "max_keys",
+    .m_Key = "retention_offsets",
     .m_Default = 100000,
-    .m_Unit = "keys",
+    .m_Unit = "offsets",
     .m_Range = {100, 10000000},
-    .m_Doc = "Idempotency keys that are remembered; the same on all hosts."};
+    .m_Doc = "Length of the intents stream for which keys are remembered; the "
+             "same on all hosts."};
 
 inline const Setting<milliseconds> IntentWaitSetting{
     .m_Section = "intents",
