--- a/Source/Core/Controller/Controller.cpp
+++ b/Source/Core/Controller/Controller.cpp
@@ -137,14 +137,19 @@
                            const fold::ApplyResult &Result, Offset Position) {
   const RecordId &Id = fold::idOf(Record);
   m_Writer.onFolded(Id);
-  m_StateDirty = true;
+  // A renewal of a known lease changes neither owners nor slots; at scale it
+  // is by far the most frequent record.
+  const auto *Renewal = std::get_if<fold::LeaseRenewal>(&Record);
+  if (!Renewal || Renewal->m_Previous == 0) {
+    m_OwnershipDirty = true;
+    m_SlotsDirty = true;
+  }
   for (const fold::Rejection &Item : Result.m_Rejections)
     log::info(log::Category::Catalogue, "record.rejected",
               {{"offset", Position},
                {"id", Id},
                {"subject", Item.m_Subject},
                {"reason", Item.m_Reason}});
-  const auto *Renewal = std::get_if<fold::LeaseRenewal>(&Record);
   if (!Renewal)
     return;
   if (!Result.m_Accepted) {
@@ -160,7 +165,8 @@
 }
 
 void Controller::onReplaced() {
-  m_StateDirty = true;
+  m_OwnershipDirty = true;
+  m_SlotsDirty = true;
   for (const auto &[Incarnation, Item] : m_Follower.state().leases())
     m_Observer.onRenewalRead(Incarnation, Item.m_LastRenewal, now());
 }
@@ -183,7 +189,7 @@
       m_Settings.m_HostListAddress,
       [this](std::optional<std::vector<messages::EndpointInfo>> Hosts) {
         m_HostsReadOpen = false;
-        if (!Hosts)
+        if (!Hosts || *Hosts == m_Hosts)
           return;
         m_Hosts = std::move(*Hosts);
         m_Engines.clear();
@@ -191,7 +197,8 @@
                              [](const messages::EndpointInfo &Item) {
                                return Item.m_Kind == "engine";
                              });
-        m_StateDirty = true;
+        m_OwnershipDirty = true;
+        m_SlotsDirty = true;
       });
 }
 
@@ -199,31 +206,31 @@
   return {m_Lease.isHeld(Now), m_Stopping};
 }
 
-std::vector<IncarnationId> Controller::knownGone() const {
-  return ownership::findKnownGone(m_Follower.state(), m_Hosts);
+ownership::ClaimContext Controller::claimContext(Instant Now) const {
+  return {m_Follower.state(),       m_Observer, m_KnownGone, m_Engines,
+          m_Settings.m_Incarnation, Now};
 }
 
-ownership::ClaimContext
-Controller::claimContext(std::span<const IncarnationId> Gone,
-                         Instant Now) const {
-  return {m_Follower.state(),       m_Observer, Gone, m_Engines,
-          m_Settings.m_Incarnation, Now};
+control::PlanInput Controller::planInput(Instant Now) const {
+  return {m_Follower.state(),       m_Eviction,  authority(Now),
+          m_Settings.m_Incarnation, m_KnownGone, Now};
 }
 
 void Controller::tick() {
   const Instant Now = now();
+  if (m_OwnershipDirty) {
+    m_OwnershipDirty = false;
+    m_KnownGone = ownership::findKnownGone(m_Follower.state(), m_Hosts);
+    m_Supervisor.adopt(m_Follower.state(), m_Engines);
+  }
   if (!m_Stopping) {
     renewLease(Now);
     claimEndpoints(Now);
     retireEndpoints(Now);
+    if (Now >= m_NextSlotPlan)
+      planSlots(Now);
   }
-  if (m_StateDirty)
-    m_Supervisor.adopt(m_Follower.state(), m_Engines);
-  if (!m_Stopping && Now >= m_NextSlotPlan)
-    planSlots(Now);
-  m_StateDirty = false;
-  m_Supervisor.drive(m_Follower.state(), m_Eviction, m_LeavingSlots,
-                     knownGone(), authority(Now), Now);
+  m_Supervisor.drive(planInput(Now));
   serveWaiters(Now);
 }
 
@@ -250,8 +257,7 @@
       Now - *m_LeaseStarted < m_Settings.m_ClaimDelay ||
       !m_Writer.isIdle("claim", Now))
     return;
-  const auto Gone = knownGone();
-  auto Items = ownership::planClaims(claimContext(Gone, Now));
+  auto Items = ownership::planClaims(claimContext(Now));
   if (Items.empty())
     return;
   for (const fold::ClaimItem &Item : Items)
@@ -286,33 +292,33 @@
 
 void Controller::planSlots(Instant Now) {
   m_NextSlotPlan = Now + SlotPlanPeriod;
-  const auto Gone = knownGone();
-  const placement::PlanContext Context{m_Follower.state(), m_Engines,
-                                       m_Settings.m_Incarnation};
-  std::vector<fold::SlotItem> Releasable;
-  m_LeavingSlots.clear();
-  for (const fold::SlotItem &Item : placement::planReleases(Context)) {
-    m_LeavingSlots[Item.m_Endpoint].insert(Item.m_Entry);
-    const control::OwnedEndpoint *Owned = m_Supervisor.find(Item.m_Endpoint);
-    if (Owned && Owned->stage() == control::Stage::Ready &&
-        Owned->stateOf(Item.m_Entry) == control::ReplicaState::Cold)
-      Releasable.push_back(Item);
-  }
   if (!m_Lease.isHeld(Now) || !m_LogReachable)
     return;
-  if (!Releasable.empty() && m_Writer.isIdle("slot_release", Now))
+  auto Releases = m_Supervisor.releasableSlots(planInput(Now));
+  if (!Releases.empty() && m_Writer.isIdle("slot_release", Now)) {
+    for (const fold::SlotItem &Item : Releases)
+      m_Supervisor.find(Item.m_Endpoint)->onReleaseSent(Item);
     m_Writer.append("slot_release",
                     fold::SlotRelease{makeId<RecordId>(),
                                       m_Settings.m_Incarnation,
-                                      std::move(Releasable)},
-                    Now);
-  auto Grants = placement::planGrants(Context);
-  if (!Grants.empty() && m_Writer.isIdle("slot_grant", Now))
-    m_Writer.append("slot_grant",
-                    fold::SlotGrant{makeId<RecordId>(),
-                                    m_Settings.m_Incarnation,
-                                    std::move(Grants)},
+                                      std::move(Releases)},
                     Now);
+  }
+  if (!m_SlotsDirty || !m_Writer.isIdle("slot_grant", Now))
+    return;
+  m_SlotsDirty = false;
+  const auto Fencing = m_Supervisor.fencedEndpoints();
+  auto Grants =
+      placement::planGrants({m_Follower.state(), m_Engines,
+                             m_Settings.m_Incarnation, Fencing, m_KnownGone});
+  if (Grants.empty())
+    return;
+  // The grant may fail to reach the log, so the plan is made again after it.
+  m_SlotsDirty = true;
+  m_Writer.append("slot_grant",
+                  fold::SlotGrant{makeId<RecordId>(), m_Settings.m_Incarnation,
+                                  std::move(Grants)},
+                  Now);
 }
 
 void Controller::onBorrow(
@@ -361,7 +367,7 @@
   const Instant Now = now();
   std::vector<IncarnationId> Live;
   for (const ownership::Candidate &Item :
-       ownership::liveControllers(claimContext(knownGone(), Now)))
+       ownership::liveControllers(claimContext(Now)))
     Live.push_back(Item.m_Incarnation);
   const IncarnationId Lender =
       ownership::choosePermitLender(m_Follower.state(), Live);
--- a/Source/Core/Controller/Controller.h
+++ b/Source/Core/Controller/Controller.h
@@ -51,9 +51,8 @@
   void claimEndpoints(Instant Now);
   void retireEndpoints(Instant Now);
   void planSlots(Instant Now);
-  std::vector<IncarnationId> knownGone() const;
-  ownership::ClaimContext claimContext(std::span<const IncarnationId> Gone,
-                                       Instant Now) const;
+  ownership::ClaimContext claimContext(Instant Now) const;
+  control::PlanInput planInput(Instant Now) const;
 
   void onBorrow(messages::BorrowCredits Request,
                 std::function<void(messages::BorrowCreditsReply)> Send);
@@ -86,10 +85,13 @@
   std::vector<messages::EndpointInfo> m_Engines;
   std::vector<Waiter> m_Waiters;
   std::map<std::string, std::unique_ptr<peer::Caller>> m_Callers;
-  std::map<EndpointId, std::set<EntryName>> m_LeavingSlots;
+  std::vector<IncarnationId> m_KnownGone;
   std::optional<Instant> m_LeaseStarted;
   Instant m_NextSlotPlan;
-  bool m_StateDirty = true;
+  /// Ownership or the host list has changed since the last tick.
+  bool m_OwnershipDirty = true;
+  /// Something that slots depend on has changed since they were last planned.
+  bool m_SlotsDirty = true;
   bool m_HostsReadOpen = false;
   bool m_LogReachable = false;
   bool m_Stopping = false;
--- a/Source/Core/Controller/EndpointSupervisor.cpp
+++ b/Source/Core/Controller/EndpointSupervisor.cpp
@@ -53,24 +53,32 @@
   }
 }
 
-void EndpointSupervisor::drive(
-    const fold::ClusterState &State, const loading::EvictionPolicy &Eviction,
-    const std::map<EndpointId, std::set<EntryName>> &Leaving,
-    std::span<const IncarnationId> KnownGone, const control::Authority &Rights,
-    Instant Now) {
-  static const std::set<EntryName> None;
+void EndpointSupervisor::drive(const control::PlanInput &Input) {
   for (const auto &[Endpoint, Item] : m_Endpoints) {
-    driveOne(Item, Now);
-    Item->m_Core.ledger().expire(Now);
-    Item->m_Core.updateHeadroom(State, KnownGone);
-    const auto Given = Leaving.find(Endpoint);
-    for (const control::PlannedOrder &Order : Item->m_Core.planOrders(
-             State, Eviction, Given == Leaving.end() ? None : Given->second,
-             Rights, Now))
+    driveOne(Item, Input.m_Now);
+    for (const control::PlannedOrder &Order : Item->m_Core.planOrders(Input))
       startOrder(Item, Order);
   }
 }
 
+std::vector<fold::SlotItem>
+EndpointSupervisor::releasableSlots(const control::PlanInput &Input) const {
+  std::vector<fold::SlotItem> Result;
+  for (const auto &[Endpoint, Item] : m_Endpoints)
+    std::ranges::copy(Item->m_Core.releasableSlots(Input),
+                      std::back_inserter(Result));
+  return Result;
+}
+
+std::vector<EndpointId> EndpointSupervisor::fencedEndpoints() const {
+  std::vector<EndpointId> Result;
+  for (const auto &[Endpoint, Item] : m_Endpoints)
+    if (Item->m_Core.fences() &&
+        Item->m_Core.stage() != control::Stage::Fencing)
+      Result.push_back(Endpoint);
+  return Result;
+}
+
 void EndpointSupervisor::driveOne(const DrivenPtr &Item, Instant Now) {
   if (Item->m_CallOpen || Now < Item->m_NextCall)
     return;
--- a/Source/Core/Controller/EndpointSupervisor.h
+++ b/Source/Core/Controller/EndpointSupervisor.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 
 namespace sff::controller {
 
@@ -28,11 +27,13 @@
              std::span<const messages::EndpointInfo> Endpoints);
 
   /// Sends what is due.
-  void drive(const fold::ClusterState &State,
-             const loading::EvictionPolicy &Eviction,
-             const std::map<EndpointId, std::set<EntryName>> &Leaving,
-             std::span<const IncarnationId> KnownGone,
-             const control::Authority &Rights, Instant Now);
+  void drive(const control::PlanInput &Input);
+
+  /// Slots that can be released now, over all endpoints.
+  std::vector<fold::SlotItem>
+  releasableSlots(const control::PlanInput &Input) const;
+  /// Endpoints that have confirmed the present token and refuse older ones.
+  std::vector<EndpointId> fencedEndpoints() const;
 
   /// The endpoint as owned by this controller, or null.
   control::OwnedEndpoint *find(const EndpointId &Endpoint);
@@ -68,7 +69,6 @@
   EndpointClient &m_Client;
   PermitSource m_Permits;
   std::map<EndpointId, DrivenPtr> m_Endpoints;
-  std::map<LoanId, EndpointId> m_Loans;
 };
 
 } // namespace sff::controller
--- a/Source/Core/Core/Control/OwnedEndpoint.h
+++ b/Source/Core/Core/Control/OwnedEndpoint.h
@@ -6,9 +6,9 @@
 #include "Core/Loading/LoadScheduler.h"
 #include "Core/Memory/CreditLedger.h"
 #include "Core/Messages/ControllerMessages.h"
+#include "Core/Placement/SlotPlanner.h"
 
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -31,6 +31,17 @@
   bool m_Stopping = false;
 };
 
+/// What one round of decisions is based on.
+struct PlanInput {
+  const fold::ClusterState &m_State;
+  const loading::EvictionPolicy &m_Eviction;
+  Authority m_Rights;
+  IncarnationId m_Self;
+  /// Controllers that have certainly ended.
+  std::span<const IncarnationId> m_KnownGone;
+  Instant m_Now;
+};
+
 enum class Stage {
   Fencing,    ///< The endpoint has to learn the new token first.
   Inspecting, ///< The inventory has to be read next.
@@ -88,21 +99,18 @@
   milliseconds estimateReady(const EntryName &Entry, Instant Now) const;
 
   /// Chooses orders to send now; their effect is reserved at once.
-  /// \p Leaving lists entries whose slots here are to be given up.
-  std::vector<PlannedOrder> planOrders(const fold::ClusterState &State,
-                                       const loading::EvictionPolicy &Eviction,
-                                       const std::set<EntryName> &Leaving,
-                                       const Authority &Rights, Instant Now);
+  std::vector<PlannedOrder> planOrders(const PlanInput &Input);
+  /// Slots that can be released now: they have to be given up, and nothing is
+  /// loaded for them.
+  std::vector<fold::SlotItem> releasableSlots(const PlanInput &Input) const;
+  /// The release of a slot was handed to the log. It may land at any later
+  /// time, so the slot is not used again unless it is granted anew.
+  void onReleaseSent(const fold::SlotItem &Item);
   /// The permit for a load was denied; the entry stays cold until \p RetryAt.
   void onPermitDenied(const std::string &OrderId, Instant RetryAt);
   void onOrderResult(const std::string &OrderId, OrderResult Result,
                      Instant Now);
 
-  /// Keeps memory free for one late order of each lapsed owner that may still
-  /// run, if the endpoint ignores fencing tokens.
-  void updateHeadroom(const fold::ClusterState &State,
-                      std::span<const IncarnationId> KnownGone);
-
   ReplicaState stateOf(const EntryName &Entry) const;
   /// True while an order is outstanding.
   bool hasOutstandingOrders() const { return !m_Orders.empty(); }
@@ -136,6 +144,9 @@
   };
 
   bool mayOrder(const Authority &Rights) const;
+  /// True when a sent release still names the slot's present offset.
+  bool isReleasePending(const fold::ClusterState &State,
+                        const EntryName &Entry) const;
   /// Longest time to live of a loan given now; zero when none may be given.
   milliseconds loanTimeToLive(const Authority &Rights, Instant Now) const;
   std::optional<messages::BorrowCreditsReply>
@@ -148,13 +159,11 @@
   double loadSeconds(loading::WeightLocation Location) const;
   std::vector<loading::LoadedReplica> idleReplicas() const;
 
-  void planUnwanted(const fold::ClusterState &State,
-                    const std::set<EntryName> &Leaving, Instant Now,
-                    std::vector<PlannedOrder> &Out);
-  void planLoads(const fold::ClusterState &State,
-                 const loading::EvictionPolicy &Eviction,
-                 const std::set<EntryName> &Leaving, Instant Now,
-                 std::vector<PlannedOrder> &Out);
+  placement::PlanContext planContext(const PlanInput &Input) const;
+  std::vector<EntryName> loadedEntries() const;
+  void planUnwanted(const PlanInput &Input, std::vector<PlannedOrder> &Out);
+  void planLoads(const PlanInput &Input, std::vector<PlannedOrder> &Out);
+  void planIdle(const PlanInput &Input, std::vector<PlannedOrder> &Out);
   std::vector<loading::LoadDemand>
   collectDemands(const fold::ClusterState &State, Instant Now);
   void addUnload(const EntryName &Entry, Instant Now,
@@ -180,6 +189,7 @@
   std::map<EntryName, Replica> m_Replicas;
   std::map<EntryName, Demand> m_Demands;
   std::map<std::string, Outstanding> m_Orders;
+  std::map<EntryName, fold::SlotItem> m_SentReleases;
   std::map<std::string, std::string> m_Cached;
   /// Sending time of the last inventory that showed our token as the highest.
   std::optional<Instant> m_TokenConfirmedAt;
--- a/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
+++ b/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
@@ -52,6 +52,14 @@
           fold::SlotGrant{makeId<RecordId>(), Self, {{Entry, 0, Endpoint, 0}}});
   }
 
+  void removeModel(const std::string &Name) {
+    const EntryName Entry(Name);
+    m_State.apply(
+        nextOffset(),
+        fold::CatalogueChange{
+            makeId<RecordId>(), Entry, m_State.versionOf(Entry), {}, "op"});
+  }
+
   Offset nextOffset() const { return m_State.appliedOffset() + 1; }
 
   Inventory inventory() {
@@ -81,7 +89,8 @@
   }
 
   std::vector<PlannedOrder> plan() {
-    return m_Owned->planOrders(m_State, m_Eviction, m_Leaving, m_Rights, m_Now);
+    return m_Owned->planOrders(
+        {m_State, m_Eviction, m_Rights, Self, {}, m_Now});
   }
 
   void load(const std::string &Name) {
@@ -96,7 +105,7 @@
   std::string m_Incarnation = "first";
   fold::ClusterState m_State;
   loading::EvictionPolicy m_Eviction{loading::EvictionWeights{}};
-  std::set<EntryName> m_Leaving;
+
   Authority m_Rights{true, false};
   std::optional<OwnedEndpoint> m_Owned;
 };
@@ -138,6 +147,7 @@
   addModel("a", 900);
   addModel("b", 900);
   load("a");
+  m_Now += seconds(5); // Until nobody asks for the first one any more.
   EXPECT_FALSE(borrow("b"));
   auto Orders = plan();
   ASSERT_EQ(Orders.size(), 1u);
@@ -209,7 +219,7 @@
   load("a");
   const Instant AskedAt = m_Now;
   m_Now += seconds(1);
-  m_Leaving.insert(EntryName("a"));
+  removeModel("a");
   const auto Orders = plan();
   ASSERT_EQ(Orders.size(), 1u);
   m_Owned->onOrderResult(Orders[0].m_Request.m_OrderId, OrderResult::Done,
@@ -234,6 +244,29 @@
   EXPECT_TRUE(m_Owned->isOutstanding(Orders[0].m_Request.m_OrderId));
 }
 
+// Guards against loading at a slot whose release lands after the count was
+// raised again.
+TEST_F(OwnedEndpointTest, SlotWithASentReleaseIsNotUsedAgain) {
+  takeOver();
+  addModel("a", 100);
+  const fold::Slot Slot = *m_State.findSlot(EntryName("a"), 0);
+  m_Owned->onReleaseSent({EntryName("a"), 0, Endpoint, Slot.m_Offset});
+  EXPECT_EQ(borrow("a")->m_Outcome, BorrowOutcome::Refused);
+  const PlanInput Input{m_State, m_Eviction, m_Rights, Self, {}, m_Now};
+  EXPECT_EQ(m_Owned->releasableSlots(Input).size(), 1u);
+  m_State.apply(nextOffset(),
+                fold::SlotRelease{makeId<RecordId>(),
+                                  Self,
+                                  {{EntryName("a"), 0, {}, Slot.m_Offset}}});
+  const Offset Freed = m_State.findSlot(EntryName("a"), 0)->m_Offset;
+  m_State.apply(nextOffset(),
+                fold::SlotGrant{makeId<RecordId>(),
+                                Self,
+                                {{EntryName("a"), 0, Endpoint, Freed}}});
+  EXPECT_FALSE(borrow("a"));
+  EXPECT_EQ(plan().size(), 1u);
+}
+
 TEST_F(OwnedEndpointTest, NewVersionReplacesTheLoadedOne) {
   takeOver();
   addModel("a", 100);
