--- a/Source/Core/Controller/Controller.cpp
+++ b/Source/Core/Controller/Controller.cpp
@@ -235,6 +235,9 @@
 }
 
 void Controller::renewLease(Instant Now) {
+    if (m_Lease.lastRenewal() != 0 &&
+      !m_Follower.state().findLease(m_Settings.m_Incarnation))
+    m_Lease.onLeaseForgotten();
   if (!m_Lease.isRenewalDue(Now))
     return;
   fold::LeaseRenewal Renewal;
--- a/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
+++ b/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
@@ -49,7 +49,7 @@
     if (m_State.endpointsOf(Entry).empty())
       m_State.apply(
           nextOffset(),
-          fold::SlotGrant{makeId<RecordId>(), Self, {{Entry, 0, Endpoint, 0}}});
+          fold::SlotGrant{makeId<RecordId>(), Self, {{Entry, 0, Endpoint, 0, Token}}});
   }
 
   void removeModel(const std::string &Name) {
@@ -250,19 +250,19 @@
   takeOver();
   addModel("a", 100);
   const fold::Slot Slot = *m_State.findSlot(EntryName("a"), 0);
-  m_Owned->onReleaseSent({EntryName("a"), 0, Endpoint, Slot.m_Offset});
+  m_Owned->onReleaseSent({EntryName("a"), 0, Endpoint, Slot.m_Offset, Token});
   EXPECT_EQ(borrow("a")->m_Outcome, BorrowOutcome::Refused);
   const PlanInput Input{m_State, m_Eviction, m_Rights, Self, {}, m_Now};
   EXPECT_EQ(m_Owned->releasableSlots(Input).size(), 1u);
   m_State.apply(nextOffset(),
                 fold::SlotRelease{makeId<RecordId>(),
                                   Self,
-                                  {{EntryName("a"), 0, {}, Slot.m_Offset}}});
+                                  {{EntryName("a"), 0, {}, Slot.m_Offset, Token}}});
   const Offset Freed = m_State.findSlot(EntryName("a"), 0)->m_Offset;
   m_State.apply(nextOffset(),
                 fold::SlotGrant{makeId<RecordId>(),
                                 Self,
-                                {{EntryName("a"), 0, Endpoint, Freed}}});
+                                {{EntryName("a"), 0, Endpoint, Freed, Token}}});
   EXPECT_FALSE(borrow("a"));
   EXPECT_EQ(plan().size(), 1u);
 }
