--- a/Source/Bench/CapacityBench/ClusterBuilder.cpp
+++ b/Source/Bench/CapacityBench/ClusterBuilder.cpp
@@ -73,7 +73,7 @@
                                 "operator"});
     const EndpointId &Endpoint =
         m_Endpoints[Index % m_Endpoints.size()].m_Endpoint;
-        const fold::Ownership &Owned = *m_State.findOwnership(Endpoint);
+    const fold::Ownership &Owned = *m_State.findOwnership(Endpoint);
     apply(fold::SlotGrant{makeId<RecordId>(),
                           Owned.m_Owner,
                           {{entry(Index), 0, Endpoint, 0, Owned.m_Offset}}});
--- a/Source/Core/Controller/Controller.cpp
+++ b/Source/Core/Controller/Controller.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t ParallelPeerRequests = 256;
 constexpr milliseconds TickPeriod{50};
 constexpr milliseconds SlotPlanPeriod{200};
+/// Planning claims takes about 0.4 ms at 2,000 endpoints.
+constexpr milliseconds ClaimPlanPeriod{250};
 constexpr milliseconds StopTimeout{10000};
 constexpr milliseconds StopPollPeriod{50};
 constexpr milliseconds ReleaseTimeout{2000};
@@ -235,7 +237,7 @@
 }
 
 void Controller::renewLease(Instant Now) {
-    if (m_Lease.lastRenewal() != 0 &&
+  if (m_Lease.lastRenewal() != 0 &&
       !m_Follower.state().findLease(m_Settings.m_Incarnation))
     m_Lease.onLeaseForgotten();
   if (!m_Lease.isRenewalDue(Now))
@@ -258,8 +260,9 @@
 void Controller::claimEndpoints(Instant Now) {
   if (!m_LogReachable || !m_Lease.isHeld(Now) || !m_LeaseStarted ||
       Now - *m_LeaseStarted < m_Settings.m_ClaimDelay ||
-      !m_Writer.isIdle("claim", Now))
+      !m_Writer.isIdle("claim", Now) || Now < m_NextClaimPlan)
     return;
+  m_NextClaimPlan = Now + ClaimPlanPeriod;
   auto Items = ownership::planClaims(claimContext(Now));
   if (Items.empty())
     return;
--- a/Source/Core/Controller/Controller.h
+++ b/Source/Core/Controller/Controller.h
@@ -88,6 +88,7 @@
   std::vector<IncarnationId> m_KnownGone;
   std::optional<Instant> m_LeaseStarted;
   Instant m_NextSlotPlan;
+  Instant m_NextClaimPlan;
   /// Ownership or the host list has changed since the last tick.
   bool m_OwnershipDirty = true;
   /// Something that slots depend on has changed since they were last planned.
--- a/Source/Core/Core/Control/OwnedEndpoint.cpp
+++ b/Source/Core/Core/Control/OwnedEndpoint.cpp
@@ -436,7 +436,7 @@
         Base && stateOf(Spec.m_Base) != ReplicaState::Ready ? Spec.m_Base
                                                             : Entry;
     const catalogue::EntrySpec &TargetSpec = Target == Entry ? Spec : *Base;
-        if (stateOf(Target) != ReplicaState::Cold || Leaving.contains(Target) ||
+    if (stateOf(Target) != ReplicaState::Cold || Leaving.contains(Target) ||
         isReleasePending(State, Target))
       continue;
     if (addLoad(Target, TargetSpec, Demand, Now, Out))
--- a/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
+++ b/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
@@ -47,9 +47,10 @@
                   fold::CatalogueChange{makeId<RecordId>(), Entry,
                                         m_State.versionOf(Entry), Spec, "op"});
     if (m_State.endpointsOf(Entry).empty())
-      m_State.apply(
-          nextOffset(),
-          fold::SlotGrant{makeId<RecordId>(), Self, {{Entry, 0, Endpoint, 0, Token}}});
+      m_State.apply(nextOffset(),
+                    fold::SlotGrant{makeId<RecordId>(),
+                                    Self,
+                                    {{Entry, 0, Endpoint, 0, Token}}});
   }
 
   void removeModel(const std::string &Name) {
@@ -254,10 +255,11 @@
   EXPECT_EQ(borrow("a")->m_Outcome, BorrowOutcome::Refused);
   const PlanInput Input{m_State, m_Eviction, m_Rights, Self, {}, m_Now};
   EXPECT_EQ(m_Owned->releasableSlots(Input).size(), 1u);
-  m_State.apply(nextOffset(),
-                fold::SlotRelease{makeId<RecordId>(),
-                                  Self,
-                                  {{EntryName("a"), 0, {}, Slot.m_Offset, Token}}});
+  m_State.apply(
+      nextOffset(),
+      fold::SlotRelease{makeId<RecordId>(),
+                        Self,
+                        {{EntryName("a"), 0, {}, Slot.m_Offset, Token}}});
   const Offset Freed = m_State.findSlot(EntryName("a"), 0)->m_Offset;
   m_State.apply(nextOffset(),
                 fold::SlotGrant{makeId<RecordId>(),
