--- a/Source/Core/Router/Attempt.cpp
+++ b/Source/Core/Router/Attempt.cpp
@@ -92,7 +92,9 @@
     co_return co_await onHead(std::move(*Head));
   if (auto *Piece = std::get_if<std::string>(&Event))
     co_return co_await onPiece(std::move(*Piece));
-  co_return co_await onEnd();
+  if (!isStreaming())
+    co_return endWhole();
+  co_return co_await endStream();
 }
 
 Attempt::Task<Attempt::Next> Attempt::onHead(http::Response Head) {
@@ -148,17 +150,17 @@
   co_return co_await m_Caller.writeChunk(Event.m_Text);
 }
 
-Attempt::Task<Attempt::Next> Attempt::onEnd() {
-  if (!isStreaming()) {
-    if (m_Request.m_Engine && streaming::isCancelledAnswer(m_Answer.m_Body))
-      co_return lost("the endpoint gave the request up");
-    co_return AttemptEnd::Answered;
-  }
+AttemptEnd Attempt::endWhole() {
+  if (m_Request.m_Engine && streaming::isCancelledAnswer(m_Answer.m_Body))
+    return lost("the endpoint gave the request up");
+  return AttemptEnd::Answered;
+}
+
+Attempt::Task<Attempt::Next> Attempt::endStream() {
   if (m_Events.hasPartial() || !m_Caller.started())
     co_return co_await onDeadConnection();
-  if (!co_await m_Caller.endStream())
-    co_return AttemptEnd::CallerGone;
-  co_return AttemptEnd::Streamed;
+  const bool Sent = co_await m_Caller.endStream();
+  co_return Sent ? AttemptEnd::Streamed : AttemptEnd::CallerGone;
 }
 
 Attempt::Task<Attempt::Next>
@@ -220,12 +222,15 @@
   m_Events.dropPartial();
   if (m_Finished) {
     // Only the closing mark is missing.
-    if (!co_await m_Caller.writeChunk("data: [DONE]\n\n") ||
-        !co_await m_Caller.endStream())
-      co_return AttemptEnd::CallerGone;
-    co_return AttemptEnd::Streamed;
+    bool Sent = co_await m_Caller.writeChunk("data: [DONE]\n\n");
+    if (Sent)
+      Sent = co_await m_Caller.endStream();
+    co_return Sent ? AttemptEnd::Streamed : AttemptEnd::CallerGone;
   }
-  if (!mayResume() || !co_await resume())
+  bool Resumed = false;
+  if (mayResume())
+    Resumed = co_await resume();
+  if (!Resumed)
     co_return lost("the connection to the endpoint was lost");
   co_return std::nullopt;
 }
--- a/Source/Core/Router/Attempt.h
+++ b/Source/Core/Router/Attempt.h
@@ -47,7 +47,8 @@
   Task<Next> onEvent(CallEvent Event);
   Task<Next> onHead(http::Response Head);
   Task<Next> onPiece(std::string Piece);
-  Task<Next> onEnd();
+  AttemptEnd endWhole();
+  Task<Next> endStream();
   Task<Next> onFailure(http::TransportFailure Failure);
   Task<Next> onQuiet();
   Task<Next> onSilence();
--- a/Source/Core/Router/EndpointLink.cpp
+++ b/Source/Core/Router/EndpointLink.cpp
@@ -108,8 +108,10 @@
 boost::asio::awaitable<void> finish(FrontState &State, Placement Used,
                                     AttemptReport Report) {
   Decisions &Peers = State.m_Decisions;
-  co_await tell(
-      State, [&Peers, Used, Report] { Peers.broker().finish(Used, Report); });
+  timers::DutyLoop::Task Work = [&Peers, Used, Report] {
+    Peers.broker().finish(Used, Report);
+  };
+  co_await tell(State, std::move(Work));
 }
 
 namespace {
--- a/Source/Core/Router/EndpointLink.h
+++ b/Source/Core/Router/EndpointLink.h
@@ -31,6 +31,10 @@
 /// then the request id counts as in use.
 void releaseInBackground(FrontState &State, Placement Used);
 
+/// Report of a placement that ended without an answer. GCC 12 miscompiles
+/// temporaries of aggregates and lambdas in co_await expressions.
+inline const AttemptReport NoReport;
+
 /// Finishes a placement at once.
 boost::asio::awaitable<void> finish(FrontState &State, Placement Used,
                                     AttemptReport Report);
--- a/Source/Core/Router/FrontState.h
+++ b/Source/Core/Router/FrontState.h
@@ -56,9 +56,10 @@
   std::function<void(T)> Done = [Box](T Value) { Box->put(std::move(Value)); };
   if (!State.m_Decisions.loop().tryPost([Start, Done] { Start(Done); }))
     co_return std::nullopt;
-  while (true)
-    if (auto Value = co_await Box->wait(WaitSlice))
-      co_return Value;
+  std::optional<T> Value;
+  while (!Value)
+    Value = co_await Box->wait(WaitSlice);
+  co_return Value;
 }
 
 /// Waits without blocking the duty.
--- a/Source/Core/Router/IntentSession.cpp
+++ b/Source/Core/Router/IntentSession.cpp
@@ -129,7 +129,7 @@
                 {"attempt", m_Call.m_Attempt.str()}});
   if (std::holds_alternative<IntentGranted>(Verdict))
     co_return co_await runGranted(std::move(First));
-  co_await finish(m_State, std::move(First), AttemptReport());
+  co_await finish(m_State, std::move(First), NoReport);
   if (const auto *Taken = std::get_if<IntentTaken>(&Verdict))
     co_return *Taken;
   if (const auto *Refused = std::get_if<IntentRefused>(&Verdict))
@@ -141,7 +141,7 @@
 IntentSession::runGranted(Placement First) {
   if (isExpired()) {
     co_await giveUp();
-    co_await finish(m_State, std::move(First), AttemptReport());
+    co_await finish(m_State, std::move(First), NoReport);
     co_return notRun(Reason::DeadlineExpired, RetryAfter);
   }
   co_return co_await dispatch(std::move(First));
@@ -204,24 +204,29 @@
 
 IntentSession::Task<void> IntentSession::giveUp() {
   Decisions &Peers = m_State.m_Decisions;
-  co_await tell(m_State,
-                [&Peers, Call = m_Call] { Peers.intents().giveUp(Call); });
+  timers::DutyLoop::Task Work = [&Peers, Call = m_Call] {
+    Peers.intents().giveUp(Call);
+  };
+  co_await tell(m_State, std::move(Work));
 }
 
 IntentSession::Task<void> IntentSession::noteCrash() {
   m_State.m_Metrics.crashes().Increment();
   Decisions &Peers = m_State.m_Decisions;
-  co_await tell(m_State, [&Peers, Print = m_Request.m_Ticket.m_Fingerprint] {
+  timers::DutyLoop::Task Work = [&Peers,
+                                 Print = m_Request.m_Ticket.m_Fingerprint] {
     Peers.crashes().onCrash(Print);
-  });
+  };
+  co_await tell(m_State, std::move(Work));
 }
 
 IntentSession::Task<void>
 IntentSession::noteExecuted(std::optional<execution::Answered> Answer) {
   Decisions &Peers = m_State.m_Decisions;
-  co_await tell(m_State, [&Peers, Call = m_Call, Answer] {
+  timers::DutyLoop::Task Work = [&Peers, Call = m_Call, Answer] {
     Peers.intents().onExecuted(Call, Answer);
-  });
+  };
+  co_await tell(m_State, std::move(Work));
 }
 
 IntentSession::Task<messages::FetchOutcomeReply>
--- a/Source/Core/Router/RequestSession.cpp
+++ b/Source/Core/Router/RequestSession.cpp
@@ -62,7 +62,8 @@
 RequestSession::Task<PlaceAnswer> RequestSession::awaitPlace() {
   auto Box = submit(m_State, m_Request.m_Ticket);
   if (!Box)
-    co_return admission::Refusal{Reason::QueueFull, OverloadRetryAfter};
+    co_return PlaceAnswer(
+        admission::Refusal{Reason::QueueFull, OverloadRetryAfter});
   bool Withdrawn = false;
   while (true) {
     auto Answer = co_await Box->wait(WatchPeriod);
@@ -77,10 +78,11 @@
 
 RequestSession::Task<void> RequestSession::withdraw() {
   Decisions &Peers = m_State.m_Decisions;
-  co_await tell(m_State, [&Peers, Entry = m_Request.m_Ticket.m_Entry,
-                          Id = m_Request.m_Ticket.m_Id] {
+  timers::DutyLoop::Task Work = [&Peers, Entry = m_Request.m_Ticket.m_Entry,
+                                 Id = m_Request.m_Ticket.m_Id] {
     Peers.broker().withdraw(Entry, Id);
-  });
+  };
+  co_await tell(m_State, std::move(Work));
 }
 
 RequestSession::Task<AttemptEnd> RequestSession::attempt(Placement Used) {
@@ -171,13 +173,13 @@
   const auto Where = http::Address::parse(Used.m_Address);
   for (int Try = 0; Where && m_Request.m_Engine && Try < MaxCancelTries; ++Try)
     if (co_await cancel(m_State, *Where, Used.m_Request)) {
-      co_await finish(m_State, std::move(Used), AttemptReport());
+      co_await finish(m_State, std::move(Used), NoReport);
       co_return true;
     }
   if (m_Request.m_Engine)
     co_return false;
   // Services know no cancellation; the broken connection ended the attempt.
-  co_await finish(m_State, std::move(Used), AttemptReport());
+  co_await finish(m_State, std::move(Used), NoReport);
   co_return true;
 }
 
@@ -195,11 +197,8 @@
   }
   if (tryRetry(Used))
     co_return true;
-  if (m_Guard.mayHaveBeenSent())
-    co_await respondUnknown(Reason::EndpointLost, m_Detail);
-  else
-    co_await respond(
-        NotRun(m_Guard, Reason::NoReplica, LostRetryAfter, m_Detail));
+  const admission::Refusal Why{Reason::EndpointLost, LostRetryAfter};
+  co_await refuse(Why);
   co_return false;
 }
 
@@ -223,7 +222,12 @@
     co_await respond(std::move(Unknown));
     co_return;
   }
-  co_await respond(NotRun(m_Guard, Why.m_Reason, Why.m_RetryAfter, ""));
+  // Nothing was lost when nothing was sent; there was no endpoint to reach.
+  if (Why.m_Reason == Reason::EndpointLost)
+    Why.m_Reason = Reason::NoReplica;
+  execution::Outcome Refused =
+      NotRun(m_Guard, Why.m_Reason, Why.m_RetryAfter, m_Detail);
+  co_await respond(std::move(Refused));
 }
 
 RequestSession::Task<void> RequestSession::respondUnknown(Reason Why,
--- /dev/null
+++ b/Source/UnitTests/Router/IntentTest.cpp
@@ -0,0 +1,134 @@
+#include "RouterFixture.h"
+
+namespace sff::router::testing {
+
+namespace {
+
+std::size_t countOf(FakeRelay &Relay, const std::string &Type) {
+  std::size_t Count = 0;
+  for (const auto &Item : Relay.records("intents"))
+    Count += Item.m_Data.value("type", "") == Type;
+  return Count;
+}
+
+} // namespace
+
+// Guards against a second execution for a repeated key, at the same router
+// and at another one, and against different answers to them.
+TEST_F(RouterTest, RepeatedKeyGetsTheSameAnswerOfOneExecution) {
+  const auto First = startRouter(0);
+  const auto Second = startRouter(1);
+  const auto Answer = get(call("k1", "{\"seat\":1}"));
+  EXPECT_EQ(Answer.m_Status, 200);
+  EXPECT_EQ(get(call("k1", "{\"seat\":1}")).m_Body, Answer.m_Body);
+  const auto Elsewhere = get(call("k1", "{\"seat\":1}"), 1);
+  EXPECT_EQ(Elsewhere.m_Status, 200);
+  EXPECT_EQ(Elsewhere.m_Body, Answer.m_Body);
+  EXPECT_EQ(m_Service.m_Executions, 1);
+  EXPECT_TRUE(eventually([&] { return countOf(m_Relay, "intent_done") == 1; }));
+}
+
+// Guards against two executions when both copies arrive at once.
+TEST_F(RouterTest, ConcurrentCallsWithOneKeyExecuteOnce) {
+  const auto First = startRouter(0);
+  const auto Second = startRouter(1);
+  m_Service.m_Hold = true;
+  auto One = sendLater(call("k2", "{}"), 0);
+  auto Two = sendLater(call("k2", "{}"), 1);
+  auto Three = sendLater(call("k2", "{}"), 0);
+  ASSERT_TRUE(eventually([&] { return countOf(m_Relay, "intent") >= 1; }));
+  ASSERT_TRUE(eventually([&] { return m_Service.m_Executions == 1; }));
+  m_Service.m_Hold = false;
+  for (auto *Pending : {&One, &Two, &Three}) {
+    const auto Result = Pending->get();
+    ASSERT_TRUE(std::holds_alternative<http::Response>(Result));
+    EXPECT_EQ(std::get<http::Response>(Result).m_Status, 200);
+  }
+  EXPECT_EQ(m_Service.m_Executions, 1);
+}
+
+// Guards against one key that stands for two different calls.
+TEST_F(RouterTest, OtherBodyForAKeyIsRefused) {
+  const auto Running = startRouter();
+  get(call("k3", "{\"seat\":1}"));
+  const auto Answer = get(call("k3", "{\"seat\":2}"));
+  EXPECT_EQ(Answer.m_Status, 422);
+  EXPECT_EQ(problemOf(Answer).value("reason", ""), "key_conflict");
+  EXPECT_EQ(m_Service.m_Executions, 1);
+}
+
+// Guards against dispatch without an intent while the log is down.
+TEST_F(RouterTest, UnreachableLogRefusesAtOnce) {
+  const auto Running = startRouter();
+  m_Relay.m_LogReachable = false;
+  const auto IsRefused = [&] {
+    const auto Answer = get(call("k4", "{}"));
+    return problemOf(Answer).value("reason", "") == "log_unavailable" &&
+           problemOf(Answer).value("outcome", "") == "not_run" &&
+           Answer.m_Headers.find("Retry-After").has_value();
+  };
+  EXPECT_TRUE(IsRefused());
+  EXPECT_EQ(m_Service.m_Executions, 0);
+}
+
+// Guards against a second append, or a refusal, when only the answer to the
+// append is lost.
+TEST_F(RouterTest, LostAppendAnswerIsResolvedByTheStream) {
+  const auto Running = startRouter();
+  m_Relay.m_LoseAppendAnswers = true;
+  EXPECT_EQ(get(call("k5", "{}")).m_Status, 200);
+  EXPECT_EQ(countOf(m_Relay, "intent"), 1u);
+  EXPECT_EQ(m_Service.m_Executions, 1);
+}
+
+// Guards against an intent that lands after its attempt was given up: it has
+// been voided, so that the key does not stay blocked.
+TEST_F(RouterTest, GivenUpAttemptIsVoided) {
+  const auto Running = startRouter();
+  m_Relay.m_SwallowAppends = true;
+  const auto Answer = get(call("k6", "{}"));
+  EXPECT_EQ(Answer.m_Status, 503);
+  EXPECT_EQ(problemOf(Answer).value("outcome", ""), "not_run");
+  m_Relay.m_SwallowAppends = false;
+  EXPECT_TRUE(eventually([&] { return countOf(m_Relay, "intent_void") == 1; }));
+  EXPECT_EQ(get(call("k6", "{}")).m_Status, 200);
+  EXPECT_EQ(m_Service.m_Executions, 1);
+}
+
+// Guards against losing all but the first intent of a batch, and against
+// executing a call whose key another router holds.
+TEST_F(RouterTest, KeyOfALostAuthorIsUnknownNotExecuted) {
+  const auto Running = startRouter();
+  const auto Key = [](const std::string &Name) {
+    return hashOf({"svc", Name});
+  };
+  const std::string Digest = hashOf({"POST", "/reserve", "{}"});
+  std::vector<nlohmann::json> Batch;
+  for (const char *Name : {"k7", "k8"})
+    Batch.push_back(execution::toJson(
+        execution::Intent{Key(Name), makeId<AttemptId>(), IncarnationId("lost"),
+                          addressAt(9), Digest}));
+  m_Relay.appendBatch("intents", std::move(Batch));
+  EXPECT_TRUE(eventually([&] {
+    http::Request Message = call("k8", "{}");
+    Message.m_Headers.set("X-Request-Timeout-Ms", "5000");
+    const auto Answer = get(std::move(Message));
+    return problemOf(Answer).value("outcome", "") == "outcome_unknown";
+  }));
+  EXPECT_EQ(m_Service.m_Executions, 0);
+}
+
+// Guards against a repeat of a call whose connection broke after dispatch.
+TEST_F(RouterTest, BrokenCallIsUnknownAndNotRepeated) {
+  const auto Running = startRouter();
+  m_Service.m_Crashes = true;
+  const auto Answer = get(call("k9", "crash"));
+  EXPECT_EQ(Answer.m_Status, 502);
+  EXPECT_EQ(problemOf(Answer).value("outcome", ""), "outcome_unknown");
+  EXPECT_EQ(m_Service.m_Executions, 1);
+  const auto Repeat = get(call("k9", "crash"));
+  EXPECT_EQ(problemOf(Repeat).value("outcome", ""), "outcome_unknown");
+  EXPECT_EQ(m_Service.m_Executions, 1);
+}
+
+} // namespace sff::router::testing
--- /dev/null
+++ b/Source/UnitTests/Router/OutcomeTest.cpp
@@ -0,0 +1,196 @@
+#include "RouterFixture.h"
+
+namespace sff::router::testing {
+
+TEST_F(RouterTest, AnswersACompletion) {
+  const auto Running = startRouter();
+  http::Request Message = completion("hello");
+  Message.m_Headers.set("X-Request-Id", "mine");
+  const auto Answer = get(std::move(Message));
+  EXPECT_EQ(Answer.m_Status, 200);
+  EXPECT_EQ(Answer.m_Body, "{\"text\":\"whole\"}");
+  EXPECT_EQ(Answer.m_Headers.find("X-Request-Id"), "mine");
+}
+
+TEST_F(RouterTest, PassesAStreamOn) {
+  const auto Running = startRouter();
+  const auto Answer = get(completion("hello", true));
+  EXPECT_EQ(Answer.m_Headers.find("Content-Type"), "text/event-stream");
+  EXPECT_EQ(Answer.m_Body, "data: 0\n\ndata: 1\n\ndata: 2\n\ndata: 3\n\n"
+                           "data: 4\n\ndata: [DONE]\n\n");
+}
+
+TEST_F(RouterTest, ListsModelsAndMetricsWithoutEntryLabels) {
+  const auto Running = startRouter();
+  get(completion("hello"));
+  const auto Models = get({"GET", "/v1/models", {}, ""});
+  EXPECT_NE(Models.m_Body.find("\"id\":\"m\""), std::string::npos);
+  const auto Metrics = get({"GET", "/metrics", {}, ""});
+  EXPECT_NE(Metrics.m_Body.find("sff_router_requests_total{"),
+            std::string::npos);
+  EXPECT_EQ(Metrics.m_Body.find("entry="), std::string::npos);
+}
+
+// Guards against refusals that share one answer or claim the wrong outcome.
+TEST_F(RouterTest, EachRefusalHasItsOwnAnswer) {
+  const auto Running = startRouter();
+  const auto Expect = [&](http::Request Message, int Status,
+                          const std::string &Reason) {
+    const auto Answer = get(std::move(Message));
+    EXPECT_EQ(Answer.m_Status, Status) << Answer.m_Body;
+    EXPECT_EQ(problemOf(Answer).value("reason", ""), Reason);
+    EXPECT_EQ(problemOf(Answer).value("outcome", ""), "not_run");
+    EXPECT_EQ(Answer.m_Headers.find("Content-Type"),
+              "application/problem+json");
+  };
+  Expect({"POST", "/v1/completions", {}, "{not json"}, 400, "malformed");
+  Expect({"POST", "/v1/completions", {}, "{\"model\":\"none\"}"}, 404,
+         "unknown_entry");
+  Expect({"GET", "/services/none/x", {}, ""}, 404, "unknown_entry");
+  Expect({"POST", "/services/svc/x", {}, "{}"}, 400, "malformed");
+  http::Request Late = completion("x");
+  Late.m_Headers.set("X-Request-Timeout-Ms", "0");
+  Expect(Late, 504, "deadline_expired");
+  Late.m_Headers.set("X-Request-Timeout-Ms", "soon");
+  Expect(Late, 400, "malformed");
+  EXPECT_EQ(m_EngineA.m_Executions + m_EngineB.m_Executions, 0);
+}
+
+// Guards against a request that waits although every owner refuses.
+TEST_F(RouterTest, RefusedCreditsAreToldAtOnceWithARetryTime) {
+  const auto Running = startRouter();
+  m_Controller.m_Refuse = true;
+  const auto Started = now();
+  const auto Answer = get(completion("x"));
+  EXPECT_EQ(Answer.m_Status, 503);
+  EXPECT_EQ(problemOf(Answer).value("reason", ""), "no_replica");
+  EXPECT_GE(problemOf(Answer).value("retry_after_ms", 0), 1000);
+  EXPECT_GE(std::stoi(Answer.m_Headers.find("Retry-After").value_or("0")), 1);
+  EXPECT_LT(now() - Started, std::chrono::seconds(10));
+}
+
+// Guards against holding a request for a load that ends after its deadline.
+TEST_F(RouterTest, LoadBeyondTheDeadlineIsRefusedBeforeTheDeadline) {
+  const auto Running = startRouter();
+  m_Controller.m_Loading = true;
+  const auto Started = now();
+  const auto Answer = get(completion("x"));
+  EXPECT_EQ(Answer.m_Status, 504);
+  EXPECT_EQ(problemOf(Answer).value("reason", ""), "deadline_unreachable");
+  EXPECT_LT(now() - Started, std::chrono::seconds(15));
+}
+
+// Guards against an unbounded queue and an unbounded share of one team.
+TEST_F(RouterTest, QueueAndTeamLimitsRefuseWithTooManyRequests) {
+  catalogue::EntrySpec Narrow;
+  Narrow.m_Kind = catalogue::EntryKind::Service;
+  Narrow.m_Team = "team";
+  Narrow.m_Service = "svc";
+  Narrow.m_MaxConcurrent = 1;
+  Narrow.m_MaxQueue = 1;
+  Narrow.m_Repeatable = true;
+  publish("narrow", Narrow);
+  const auto Running = startRouter(0, {{"admission", {{"team_requests", 3}}}});
+  m_Service.m_Hold = true;
+  const http::Request Message{"GET", "/services/narrow/x", {}, ""};
+  auto First = sendLater(Message);
+  ASSERT_TRUE(eventually([&] { return m_Service.m_Executions == 1; }));
+  auto Second = sendLater(Message);
+  // The second waits; the third finds the queue full, whoever comes first.
+  const auto Third = get(Message);
+  EXPECT_EQ(Third.m_Status, 429);
+  EXPECT_EQ(problemOf(Third).value("reason", ""), "queue_full");
+  auto Board = sendLater({"GET", "/services/board/x", {}, ""});
+  ASSERT_TRUE(eventually([&] { return m_Service.m_Executions == 2; }));
+  const auto Fourth = get({"GET", "/services/board/x", {}, ""});
+  EXPECT_EQ(problemOf(Fourth).value("reason", ""), "team_limit");
+  m_Service.m_Hold = false;
+  EXPECT_TRUE(std::holds_alternative<http::Response>(First.get()));
+  EXPECT_TRUE(std::holds_alternative<http::Response>(Second.get()));
+  EXPECT_TRUE(std::holds_alternative<http::Response>(Board.get()));
+}
+
+// Guards against giving a caller the answer to another request.
+TEST_F(RouterTest, WrongAnswerIsNeverDelivered) {
+  const auto Running = startRouter();
+  m_EngineA.m_WrongIds = true;
+  const auto Answer = get(completion("x"));
+  EXPECT_EQ(Answer.m_Status, 200);
+  EXPECT_EQ(m_EngineB.m_Executions, 1);
+  m_EngineB.m_WrongIds = true;
+  const auto Second = get(completion("y"));
+  EXPECT_EQ(Second.m_Status, 502);
+  EXPECT_EQ(problemOf(Second).value("outcome", ""), "outcome_unknown");
+}
+
+// Guards against a false "not run" and a needless failure when the endpoint
+// cannot be reached at all.
+TEST_F(RouterTest, UnreachableEndpointIsReplacedOrProvablyNotRun) {
+  const auto Running = startRouter();
+  m_EngineA.die();
+  EXPECT_EQ(get(completion("x")).m_Status, 200);
+  m_EngineB.die();
+  const auto Answer = get(completion("x"));
+  EXPECT_EQ(Answer.m_Status, 503);
+  EXPECT_EQ(problemOf(Answer).value("outcome", ""), "not_run");
+}
+
+// Guards against work that goes on for a caller that has gone, and against a
+// credit that is lent again while its request still runs.
+TEST_F(RouterTest, LostCallerCancelsAndFreesItsCredit) {
+  const auto Running = startRouter();
+  m_EngineA.m_Hold = true;
+  http::ClientOptions Short;
+  Short.m_ReadTimeout = milliseconds(300);
+  auto Gone = boost::asio::co_spawn(
+      m_Loop.context(),
+      m_Client.send({"127.0.0.1", static_cast<std::uint16_t>(m_BasePort + 2)},
+                    completion("x"), Short),
+      boost::asio::use_future);
+  EXPECT_TRUE(std::holds_alternative<http::TransportFailure>(Gone.get()));
+  EXPECT_TRUE(eventually([&] { return m_EngineA.m_Cancels >= 2; }));
+  EXPECT_TRUE(eventually(
+      [&] { return m_Controller.outstanding(EndpointId("a")) == 0; }));
+}
+
+// Guards against new work at an endpoint that leaves.
+TEST_F(RouterTest, LeavingEndpointGetsNoNewWork) {
+  const auto Running = startRouter();
+  auto Leaving = infoOf("a", m_EngineA);
+  Leaving.m_State = "leaving";
+  m_Controller.setEndpoint(Leaving);
+  EXPECT_TRUE(eventually([&] {
+    const int Before = m_EngineA.m_Executions;
+    get(completion("x"));
+    return m_EngineA.m_Executions == Before;
+  }));
+  const int Before = m_EngineA.m_Executions;
+  for (int Index = 0; Index < 5; ++Index)
+    EXPECT_EQ(get(completion("x")).m_Status, 200);
+  EXPECT_EQ(m_EngineA.m_Executions, Before);
+}
+
+// Guards against cutting off a request on a graceful stop, and against
+// credits that stay lent after it.
+TEST_F(RouterTest, GracefulStopFinishesRequestsAndReturnsCredits) {
+  auto Running = startRouter(0, {{"router", {{"drain_delay_ms", 1000}}}});
+  m_EngineA.m_Hold = true;
+  m_EngineB.m_Hold = true;
+  auto Open = sendLater(completion("x"));
+  ASSERT_TRUE(eventually(
+      [&] { return m_EngineA.m_Executions + m_EngineB.m_Executions == 1; }));
+  auto Stopped = std::async(std::launch::async, [&] { Running->stop(); });
+  EXPECT_TRUE(eventually([&] {
+    return get({"GET", "/readyz", {}, ""}).m_Status == 503;
+  }));
+  m_EngineA.m_Hold = false;
+  m_EngineB.m_Hold = false;
+  const auto Result = Open.get();
+  ASSERT_TRUE(std::holds_alternative<http::Response>(Result));
+  EXPECT_EQ(std::get<http::Response>(Result).m_Status, 200);
+  Stopped.get();
+  EXPECT_EQ(m_Controller.outstanding(EndpointId("a")), 0);
+  EXPECT_EQ(m_Controller.outstanding(EndpointId("b")), 0);
+}
+
+} // namespace sff::router::testing
--- /dev/null
+++ b/Source/UnitTests/Router/RouterFixture.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Fakes.h"
+
+#include "Net/Http/Client.h"
+#include "Router/Router.h"
+
+#include <boost/asio/use_future.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace sff::router::testing {
+
+/// A router with a fake relay, a fake controller, two engines that hold slots
+/// of the entry "m", and a plain service behind the entries "svc" (its calls
+/// must not be repeated) and "board".
+class RouterTest : public ::testing::Test {
+protected:
+  RouterTest();
+  ~RouterTest() override;
+
+  /// Starts a router with further settings; waits until it is ready.
+  std::unique_ptr<Router> startRouter(int Number = 0,
+                                      nlohmann::json Extra = {});
+  void publish(const std::string &Name, catalogue::EntrySpec Spec);
+  messages::EndpointInfo infoOf(const std::string &Name,
+                                const FakeEndpoint &Endpoint) const;
+
+  std::string addressAt(int Index) const;
+  http::SendResult send(http::Request Message, int Router = 0);
+  std::future<http::SendResult> sendLater(http::Request Message,
+                                          int Router = 0);
+  /// Sends and expects an answer.
+  http::Response get(http::Request Message, int Router = 0);
+  static http::Request completion(const std::string &Prompt,
+                                  bool Stream = false);
+  static http::Request call(const std::string &Key, const std::string &Body);
+  static nlohmann::json problemOf(const http::Response &Answer);
+  /// Waits for a condition with a generous bound.
+  static bool eventually(const std::function<bool()> &Condition);
+
+  int m_BasePort;
+  FakeRelay m_Relay;
+  FakeController m_Controller;
+  FakeEndpoint m_EngineA;
+  FakeEndpoint m_EngineB;
+  FakeEndpoint m_Service;
+  timers::DutyLoop m_Loop{"test-client", 256};
+  http::Client m_Client;
+  std::map<std::string, Offset> m_Versions;
+};
+
+} // namespace sff::router::testing
