--- a/Source/Core/Router/EndpointLink.cpp
+++ b/Source/Core/Router/EndpointLink.cpp
@@ -143,13 +143,13 @@
 } // namespace
 
 void releaseInBackground(FrontState &State, Placement Used) {
-  State.m_OpenRequests.insert(Used.m_Request);
+  State.m_Open->m_Requests.insert(Used.m_Request);
   ++State.m_Background;
   boost::asio::co_spawn(State.m_Http.context(), releaseWhenStopped(State, Used),
                         [&State, Id = Used.m_Request](std::exception_ptr) {
                           --State.m_Background;
-                          State.m_OpenRequests.erase(
-                              State.m_OpenRequests.find(Id));
+                          State.m_Open->m_Requests.erase(
+                              State.m_Open->m_Requests.find(Id));
                         });
 }
 
--- a/Source/Core/Router/FrontEnd.cpp
+++ b/Source/Core/Router/FrontEnd.cpp
@@ -23,36 +23,36 @@
   return Method == "GET" || Method == "HEAD";
 }
 
-/// Adds one to a counter of a map for the lifetime of a scope.
+/// Counts a request of a team for the lifetime of a scope.
 class TeamCount {
 public:
-  TeamCount(std::map<std::string, std::int64_t> &Counts, std::string Team)
-      : m_Counts(Counts), m_Team(std::move(Team)) {
-    ++m_Counts[m_Team];
+  TeamCount(std::shared_ptr<OpenWork> Open, std::string Team)
+      : m_Open(std::move(Open)), m_Team(std::move(Team)) {
+    ++m_Open->m_ByTeam[m_Team];
   }
   ~TeamCount() {
-    if (--m_Counts[m_Team] == 0)
-      m_Counts.erase(m_Team);
+    if (--m_Open->m_ByTeam[m_Team] == 0)
+      m_Open->m_ByTeam.erase(m_Team);
   }
   TeamCount(const TeamCount &) = delete;
   TeamCount &operator=(const TeamCount &) = delete;
 
 private:
-  std::map<std::string, std::int64_t> &m_Counts;
+  std::shared_ptr<OpenWork> m_Open;
   std::string m_Team;
 };
 
 /// Holds a request id for the lifetime of a scope.
 class OpenRequest {
 public:
-  OpenRequest(std::multiset<RequestId> &Open, const RequestId &Id)
-      : m_Open(Open), m_Place(Open.insert(Id)) {}
-  ~OpenRequest() { m_Open.erase(m_Place); }
+  OpenRequest(std::shared_ptr<OpenWork> Open, const RequestId &Id)
+      : m_Open(std::move(Open)), m_Place(m_Open->m_Requests.insert(Id)) {}
+  ~OpenRequest() { m_Open->m_Requests.erase(m_Place); }
   OpenRequest(const OpenRequest &) = delete;
   OpenRequest &operator=(const OpenRequest &) = delete;
 
 private:
-  std::multiset<RequestId> &m_Open;
+  std::shared_ptr<OpenWork> m_Open;
   std::multiset<RequestId>::iterator m_Place;
 };
 
@@ -139,7 +139,7 @@
   // Answers and cancellations are matched by id, so two open requests never
   // share one, whatever their callers sent.
   RequestId Id = requestIdOf(Headers);
-  while (m_State.m_OpenRequests.contains(Id))
+  while (m_State.m_Open->m_Requests.contains(Id))
     Id = makeId<RequestId>();
   return Id;
 }
@@ -211,7 +211,7 @@
                                      CallerRequest Request,
                                      http::Exchange &Caller) {
   Ticket &Asked = Request.m_Ticket;
-  const OpenRequest Open(m_State.m_OpenRequests, Asked.m_Id);
+  const OpenRequest Open(m_State.m_Open, Asked.m_Id);
   log::request(
       log::Category::Http, "request.received", Asked.m_Id.str(),
       Asked.m_Entry.str(),
@@ -247,14 +247,15 @@
 FrontEnd::Task<void> FrontEnd::runCounted(CallerRequest Request,
                                           http::Exchange &Caller) {
   const std::string Team = Request.m_Ticket.m_Spec.m_Team;
-  const auto Held = m_State.m_TeamOpen.find(Team);
-  if (Held != m_State.m_TeamOpen.end() &&
+  const auto &ByTeam = m_State.m_Open->m_ByTeam;
+  const auto Held = ByTeam.find(Team);
+  if (Held != ByTeam.end() &&
       Held->second >= m_State.m_Options.m_TeamRequests) {
     co_await refuse(Request.m_Ticket, Reason::TeamLimit, TeamRetryAfter, "",
                     Caller);
     co_return;
   }
-  const TeamCount Counted(m_State.m_TeamOpen, Team);
+  const TeamCount Counted(m_State.m_Open, Team);
   if (Request.m_Repeatable) {
     auto Session =
         std::make_shared<RequestSession>(m_State, std::move(Request), Caller);
--- a/Source/Core/Router/FrontState.h
+++ b/Source/Core/Router/FrontState.h
@@ -11,6 +11,13 @@
 
 namespace sff::router {
 
+/// Counts of open requests. Sessions share it, because those that a forced
+/// stop leaves behind are destroyed last, with the loop.
+struct OpenWork {
+  std::multiset<RequestId> m_Requests;
+  std::map<std::string, std::int64_t> m_ByTeam;
+};
+
 /// What all sessions of the HTTP duty share.
 /// Thread safety: use on the HTTP loop's thread only.
 struct FrontState {
@@ -32,8 +39,7 @@
   http::Client m_Client;
   RouterMetrics m_Metrics;
   retry::RetryBudget m_Budget;
-  std::multiset<RequestId> m_OpenRequests;
-  std::map<std::string, std::int64_t> m_TeamOpen;
+  std::shared_ptr<OpenWork> m_Open = std::make_shared<OpenWork>();
   /// Executions and releases that go on after their caller was answered.
   std::int64_t m_Background = 0;
   bool m_Draining = false;
