Fix crashes of the stand-ins

The other is real: GCC 12 drops the return slot of an awaited member call that is the condition of a branch in a loop, so the callee's parameters were shifted by one and the engine crashed on its first completion, at -O0 as well. Awaited conditions are named variables now, and the request is dispatched without co_await inside a chain of conditions.

--- a/Source/StandIns/Engine/Completion.cpp
+++ b/Source/StandIns/Engine/Completion.cpp
@@ -9,7 +9,9 @@
 
 nlohmann::json makeDocument(const Generation &Job, nlohmann::json Choice) {
   const AnswerSource &Source = Job.m_Shown.m_Source;
-  const std::string Kind = Job.m_Chat ? "chat.completion" : "text_completion";
+  std::string Kind = Job.m_Chat ? "chat.completion" : "text_completion";
+  if (Job.m_Chat && Choice.contains("delta"))
+    Kind = "chat.completion.chunk";
   Choice["index"] = 0;
   nlohmann::json Document = {{"id", "cmpl-" + Source.m_RequestId},
                              {"object", Kind},
--- a/Source/StandIns/Engine/EngineService.cpp
+++ b/Source/StandIns/Engine/EngineService.cpp
@@ -122,7 +122,7 @@
   ++m_Accepted;
   m_Memory.add(Job->m_Bytes);
   m_Requests.add(Job);
-  Answer Result = co_await runAccounted(Incoming, Job);
+  Answer Result = co_await runAccounted(Incoming, *Job);
   m_Requests.end(Job);
   m_Memory.remove(Job->m_Bytes);
   // The entry still exists, because a model with requests is not unloaded.
@@ -131,24 +131,29 @@
 }
 
 asio::awaitable<Answer> EngineService::runAccounted(Call &Incoming,
-                                                    RequestTable::Item Job) {
+                                                    Generation &Job) {
   http::Exchange &Caller = Incoming.m_Exchange;
-  const auto GivenUp = [&Caller, Job] {
-    return Job->m_Cancelled || Caller.callerGone();
+  std::function<bool()> GivenUp = [&Caller, &Job] {
+    return Job.m_Cancelled || Caller.callerGone();
   };
-  if (!co_await m_Batch.enter(Job->m_Priority, GivenUp))
-    co_return makeWholeAnswer(*Job, Job->m_FirstToken);
-  Job->m_InBatch = true;
+  const bool Entered =
+      co_await m_Batch.enter(Job.m_Priority, std::move(GivenUp));
+  if (!Entered)
+    co_return makeWholeAnswer(Job, Job.m_FirstToken);
+  Job.m_InBatch = true;
   co_await crossAnswers(Job);
   co_await prefill(Job);
-  Answer Result = Job->m_Stream ? co_await stream(Incoming, Job)
-                                : co_await generate(Incoming, Job);
+  Answer Result;
+  if (Job.m_Stream)
+    Result = co_await stream(Incoming, Job);
+  else
+    Result = co_await generate(Incoming, Job);
   m_Batch.leave();
   co_return Result;
 }
 
-asio::awaitable<void> EngineService::prefill(RequestTable::Item Job) {
-  const auto Blocks = promptBlockHashes(Job->m_Own.m_Source.m_Prompt);
+asio::awaitable<void> EngineService::prefill(Generation &Job) {
+  const auto Blocks = promptBlockHashes(Job.m_Own.m_Source.m_Prompt);
   const std::size_t Cached =
       m_Prefixes.use(Blocks, std::chrono::steady_clock::now());
   co_await sleepFor(m_Options.m_PrefillBlockTime *
@@ -156,67 +161,71 @@
 }
 
 asio::awaitable<bool> EngineService::nextToken(Call &Incoming,
-                                               RequestTable::Item Job) {
+                                               Generation &Job) {
   co_await sleepFor(m_Options.m_TokenTime);
-  if (!co_await m_Base.waitUntilThawed(Incoming.m_Exchange))
-    Job->m_Cancelled = true;
-  co_return !Job->m_Cancelled;
+  const bool Present = co_await m_Base.waitUntilThawed(Incoming.m_Exchange);
+  if (!Present)
+    Job.m_Cancelled = true;
+  co_return !Job.m_Cancelled;
 }
 
 asio::awaitable<Answer> EngineService::generate(Call &Incoming,
-                                                RequestTable::Item Job) {
-  std::size_t Token = Job->m_FirstToken;
-  while (Token < Job->m_Shown.m_MaxTokens) {
-    if (!co_await nextToken(Incoming, Job))
+                                                Generation &Job) {
+  std::size_t Token = Job.m_FirstToken;
+  while (Token < Job.m_Shown.m_MaxTokens) {
+    // GCC 12 miscompiles this call as a condition of the loop.
+    const bool More = co_await nextToken(Incoming, Job);
+    if (!More)
       break;
-    Job->m_TokensDone = ++Token;
+    Job.m_TokensDone = ++Token;
   }
-  if (!Job->m_Cancelled)
+  if (!Job.m_Cancelled)
     ++m_Completed;
-  co_return makeWholeAnswer(*Job, Token);
+  co_return makeWholeAnswer(Job, Token);
 }
 
-asio::awaitable<Answer> EngineService::stream(Call &Incoming,
-                                              RequestTable::Item Job) {
+asio::awaitable<Answer> EngineService::stream(Call &Incoming, Generation &Job) {
   http::Exchange &Caller = Incoming.m_Exchange;
   const FaultBoard &Faults = m_Base.faults();
   co_await sleepFor(milliseconds(Faults.get<std::int64_t>("late_answer_ms")));
-  bool Open = co_await Caller.beginStream(makeStreamHead(*Job));
+  bool Open = co_await Caller.beginStream(makeStreamHead(Job));
   const auto CutAfter = Faults.get<std::size_t>("cut_stream_after");
-  std::size_t Token = Job->m_FirstToken;
-  while (Open && Token < Job->m_Shown.m_MaxTokens) {
-    if (!co_await nextToken(Incoming, Job))
+  std::size_t Token = Job.m_FirstToken;
+  while (Open && Token < Job.m_Shown.m_MaxTokens) {
+    const bool More = co_await nextToken(Incoming, Job);
+    if (!More)
       break;
-    if (CutAfter > 0 && Token - Job->m_FirstToken >= CutAfter) {
+    if (CutAfter > 0 && Token - Job.m_FirstToken >= CutAfter) {
       Caller.abort();
       co_return std::nullopt;
     }
-    const std::string Event = makeTokenEvent(*Job, Token);
+    const std::string Event = makeTokenEvent(Job, Token);
     Open = co_await Caller.writeChunk(Event);
-    Job->m_TokensDone = ++Token;
+    Job.m_TokensDone = ++Token;
   }
   if (!Open)
     co_return std::nullopt;
-  const std::string End = makeStreamEnd(*Job, Token);
-  if (co_await Caller.writeChunk(End) && co_await Caller.endStream() &&
-      !Job->m_Cancelled)
+  const std::string End = makeStreamEnd(Job, Token);
+  co_await Caller.writeChunk(End);
+  const bool Whole = co_await Caller.endStream();
+  if (Whole && !Job.m_Cancelled)
     ++m_Completed;
   co_return std::nullopt;
 }
 
-asio::awaitable<void> EngineService::crossAnswers(RequestTable::Item Job) {
+asio::awaitable<void> EngineService::crossAnswers(Generation &Job) {
   if (!m_Base.faults().take("crossed_answers"))
     co_return;
   if (m_WaitingForCross) {
-    std::swap(m_WaitingForCross->m_Shown, Job->m_Shown);
-    m_WaitingForCross.reset();
+    std::swap(m_WaitingForCross->m_Shown, Job.m_Shown);
+    m_WaitingForCross = nullptr;
     m_Crossed.notifyAll();
     co_return;
   }
-  m_WaitingForCross = Job;
+  m_WaitingForCross = &Job;
   co_await m_Crossed.wait(CrossWait);
-  if (m_WaitingForCross == Job)
-    m_WaitingForCross.reset();
+  if (m_WaitingForCross == &Job)
+    m_WaitingForCross = nullptr;
 }
 
 asio::awaitable<Answer> EngineService::resume(Call &Incoming) {
--- a/Source/StandIns/Engine/EngineService.h
+++ b/Source/StandIns/Engine/EngineService.h
@@ -26,15 +26,12 @@
   void addControlRoutes();
 
   boost::asio::awaitable<Answer> run(Call &Incoming, RequestTable::Item Job);
-  boost::asio::awaitable<Answer> runAccounted(Call &Incoming,
-                                              RequestTable::Item Job);
-  boost::asio::awaitable<void> prefill(RequestTable::Item Job);
-  boost::asio::awaitable<Answer> generate(Call &Incoming,
-                                          RequestTable::Item Job);
-  boost::asio::awaitable<Answer> stream(Call &Incoming, RequestTable::Item Job);
-  boost::asio::awaitable<bool> nextToken(Call &Incoming,
-                                         RequestTable::Item Job);
-  boost::asio::awaitable<void> crossAnswers(RequestTable::Item Job);
+  boost::asio::awaitable<Answer> runAccounted(Call &Incoming, Generation &Job);
+  boost::asio::awaitable<void> prefill(Generation &Job);
+  boost::asio::awaitable<Answer> generate(Call &Incoming, Generation &Job);
+  boost::asio::awaitable<Answer> stream(Call &Incoming, Generation &Job);
+  boost::asio::awaitable<bool> nextToken(Call &Incoming, Generation &Job);
+  boost::asio::awaitable<void> crossAnswers(Generation &Job);
   boost::asio::awaitable<Answer> resume(Call &Incoming);
   std::optional<http::Response> refusal(const Generation &Job);
   void crashIfMarked(const Generation &Job) const;
@@ -51,7 +48,8 @@
   PrefixCache m_Prefixes;
   RequestTable m_Requests;
   LoadReport m_Load;
-  RequestTable::Item m_WaitingForCross;
+  /// Waits in a coroutine of its own, which keeps it alive.
+  Generation *m_WaitingForCross = nullptr;
   Signal m_Crossed;
   std::int64_t m_Accepted = 0;
   std::int64_t m_Completed = 0;
--- a/Source/StandIns/Support/StandIn.cpp
+++ b/Source/StandIns/Support/StandIn.cpp
@@ -124,7 +124,9 @@
   if (Method == "DELETE")
     m_Faults.reset();
   if (Method == "POST") {
-    if (const auto Finding = m_Faults.update(Incoming.json()))
+    const auto Change =
+        nlohmann::json::parse(Incoming.m_Request.m_Body, nullptr, false);
+    if (const auto Finding = m_Faults.update(Change))
       return http::makeProblem(400, "Bad Request", *Finding);
     m_LastFrozenConnection = m_LastConnection;
   }
@@ -144,31 +146,37 @@
   co_return !Caller.callerGone();
 }
 
+Answer StandIn::answerDirectly(Call &Incoming, const Route *&Chosen) {
+  if (Incoming.m_Request.path() == "/faults")
+    return answerFaults(Incoming);
+  if (m_Faults.get<bool>("outage"))
+    return http::makeProblem(503, "Service Unavailable", "outage");
+  Chosen = match(Incoming);
+  if (!Chosen)
+    return http::makeProblem(404, "Not Found", "no such path");
+  return std::nullopt;
+}
+
 asio::awaitable<void> StandIn::serve(http::Request Incoming,
                                      http::Exchange &Caller) {
   m_LastConnection = std::max(m_LastConnection, Caller.connectionNumber());
-  Call Current{std::move(Incoming), Caller, {}};
-  http::Response Refusal;
-  try {
-    if (Current.m_Request.path() == "/faults") {
-      Refusal = answerFaults(Current);
-    } else if (m_Faults.get<bool>("outage")) {
-      Refusal = http::makeProblem(503, "Service Unavailable", "outage");
-    } else if (const Route *Chosen = match(Current)) {
-      co_await serveRoute(*Chosen, Current);
-      co_return;
-    } else {
-      Refusal = http::makeProblem(404, "Not Found", "no such path");
-    }
-  } catch (const nlohmann::json::exception &Error) {
-    Refusal = http::makeProblem(400, "Bad Request", Error.what());
-  }
-  co_await Caller.respond(std::move(Refusal));
+  Call Current(std::move(Incoming), Caller);
+  const Route *Chosen = nullptr;
+  Answer Direct = answerDirectly(Current, Chosen);
+  if (Direct)
+    co_await Caller.respond(std::move(*Direct));
+  else
+    co_await serveRoute(*Chosen, Current);
 }
 
 asio::awaitable<Answer> StandIn::runHandler(const Route &Chosen,
                                             Call &Incoming) {
-  Answer Result = co_await Chosen.m_Handle(Incoming);
+  Answer Result;
+  try {
+    Result = co_await Chosen.m_Handle(Incoming);
+  } catch (const nlohmann::json::exception &Error) {
+    Result = http::makeProblem(400, "Bad Request", Error.what());
+  }
   if (!Result || Chosen.m_Kind == RouteKind::Control)
     co_return Result;
   co_await sleepFor(readDelay(m_Faults, "late_answer_ms"));
@@ -179,12 +187,14 @@
 
 asio::awaitable<void> StandIn::serveRoute(const Route &Chosen, Call &Incoming) {
   co_await sleepFor(readDelay(m_Faults, "delay_ms"));
-  if (!co_await waitUntilThawed(Incoming.m_Exchange))
+  bool Present = co_await waitUntilThawed(Incoming.m_Exchange);
+  if (!Present)
     co_return;
   Answer Result = co_await runHandler(Chosen, Incoming);
   if (!Result)
     co_return;
-  if (co_await waitUntilThawed(Incoming.m_Exchange))
+  Present = co_await waitUntilThawed(Incoming.m_Exchange);
+  if (Present)
     co_await Incoming.m_Exchange.respond(std::move(*Result));
 }
 
--- a/Source/StandIns/Support/StandIn.h
+++ b/Source/StandIns/Support/StandIn.h
@@ -16,6 +16,9 @@
 
 /// One request to a stand-in.
 struct Call {
+  Call(http::Request Incoming, http::Exchange &Caller)
+      : m_Request(std::move(Incoming)), m_Exchange(Caller) {}
+
   http::Request m_Request;
   http::Exchange &m_Exchange;
   /// The path segments that the pattern left open.
@@ -84,6 +87,8 @@
   boost::asio::awaitable<Answer> runHandler(const Route &Chosen,
                                             Call &Incoming);
   const Route *match(Call &Incoming) const;
+  /// An answer that needs no handler; otherwise sets \p Chosen.
+  Answer answerDirectly(Call &Incoming, const Route *&Chosen);
   http::Response answerFaults(const Call &Incoming);
   bool isFrozen(const http::Exchange &Caller) const;
 
