--- a/Source/UnitTests/Router/RouterFixture.cpp
+++ b/Source/UnitTests/Router/RouterFixture.cpp
@@ -47,7 +47,7 @@
         makeId<RecordId>(), IncarnationId("c" + std::to_string(Number + 1)), 0,
         HostId("h" + std::to_string(Number + 1)), ZoneId("z"), addressAt(1),
         addressAt(3 + 2 * Number)});
-  Append(
+  const Offset Token = Append(
       fold::OwnershipClaim{makeId<RecordId>(),
                            Owner,
                            {{EndpointId("a"), 0, 0}, {EndpointId("b"), 0, 0}}});
@@ -66,8 +66,8 @@
   publish("board", Service);
   Append(fold::SlotGrant{makeId<RecordId>(),
                          Owner,
-                         {{EntryName("m"), 0, EndpointId("a"), 0},
-                          {EntryName("m"), 1, EndpointId("b"), 0}}});
+                         {{EntryName("m"), 0, EndpointId("a"), 0, Token},
+                          {EntryName("m"), 1, EndpointId("b"), 0, Token}}});
   m_Controller.setEndpoint(infoOf("a", m_EngineA));
   m_Controller.setEndpoint(infoOf("b", m_EngineB));
   auto Plain = infoOf("s", m_Service);
