--- a/Source/Core/Router/Attempt.cpp
+++ b/Source/Core/Router/Attempt.cpp
@@ -50,85 +50,93 @@
   return Options;
 }
 
-AttemptEnd Attempt::lost(std::string Detail) {
+void Attempt::lose(std::string Detail) {
   m_Detail = std::move(Detail);
   if (m_Call)
     m_Call->abandon();
-  return m_Caller.started() ? AttemptEnd::Torn : AttemptEnd::Lost;
+  m_End = m_Caller.started() ? AttemptEnd::Torn : AttemptEnd::Lost;
 }
 
-Attempt::Task<AttemptEnd> Attempt::run() {
+Attempt::Task<void> Attempt::run() {
   const auto Where = http::Address::parse(m_Used.m_Address);
   if (!Where) {
     m_Detail = "the endpoint's address is not known";
-    co_return AttemptEnd::NotSent;
+    m_End = AttemptEnd::NotSent;
+    co_return;
   }
   m_Where = *Where;
   m_LastProgress = now();
   m_Call = EndpointCall::start(m_State, m_Where, makeRequest(), makeOptions());
-  const AttemptEnd Result = co_await watch();
-  m_Call->abandon();
-  co_return Result;
-}
-
-Attempt::Task<AttemptEnd> Attempt::watch() {
-  while (true) {
+  while (!m_End) {
     auto Event = co_await m_Call->next(WatchPeriod);
-    Next Result;
     if (Event)
-      Result = co_await onEvent(std::move(*Event));
+      co_await onEvent(std::move(*Event));
     else
-      Result = co_await onQuiet();
-    if (Result)
-      co_return *Result;
+      co_await onQuiet();
   }
+  m_Call->abandon();
 }
 
-Attempt::Task<Attempt::Next> Attempt::onEvent(CallEvent Event) {
-  if (auto *Failure = std::get_if<http::TransportFailure>(&Event))
-    co_return co_await onFailure(std::move(*Failure));
+Attempt::Task<void> Attempt::onEvent(CallEvent Event) {
+  if (const auto *Failure = std::get_if<http::TransportFailure>(&Event)) {
+    noteFailure(*Failure);
+    if (!m_End)
+      co_await onBrokenConnection();
+    co_return;
+  }
   m_LastProgress = now();
-  if (auto *Head = std::get_if<http::Response>(&Event))
-    co_return co_await onHead(std::move(*Head));
-  if (auto *Piece = std::get_if<std::string>(&Event))
-    co_return co_await onPiece(std::move(*Piece));
-  if (!isStreaming())
-    co_return endWhole();
-  co_return co_await endStream();
+  if (const auto *Head = std::get_if<http::Response>(&Event))
+    onHead(*Head);
+  else if (const auto *Piece = std::get_if<std::string>(&Event))
+    onPiece(*Piece);
+  else if (!isStreaming())
+    endWhole();
+  if (isStreaming() && !m_End)
+    co_await deliverEvents();
+  if (isStreaming() && !m_End && std::holds_alternative<CallEnd>(Event))
+    co_await endStream();
 }
 
-Attempt::Task<Attempt::Next> Attempt::onHead(http::Response Head) {
+void Attempt::onHead(const http::Response &Head) {
   if (!echoesIds(Head.m_Headers, m_Used,
                  m_Request.m_Engine && Head.m_Status == 200)) {
     m_State.m_Metrics.mismatches().Increment();
     m_State.m_Client.dropIdle(m_Where);
-    co_return lost("the answer belongs to another request");
+    lose("the answer belongs to another request");
+    return;
   }
   const bool Unloaded = Head.m_Status == NotFound;
-  if (m_Request.m_Engine && (Head.m_Status >= FirstServerError || Unloaded))
-    co_return lost("the endpoint answered with status " +
-                   std::to_string(Head.m_Status));
+  if (m_Request.m_Engine && (Head.m_Status >= FirstServerError || Unloaded)) {
+    lose("the endpoint answered with status " + std::to_string(Head.m_Status));
+    return;
+  }
   m_Status = Head.m_Status;
   m_Answer.m_Status = Head.m_Status;
   m_Answer.m_ContentType = Head.m_Headers.find("Content-Type").value_or("");
-  co_return std::nullopt;
 }
 
-Attempt::Task<Attempt::Next> Attempt::onPiece(std::string Piece) {
-  if (!isStreaming()) {
-    m_Answer.m_Body += Piece;
-    if (m_Answer.m_Body.size() > MaxAnswerBytes)
-      co_return lost("the answer exceeds the limit of this host");
-    co_return std::nullopt;
+void Attempt::onPiece(std::string_view Piece) {
+  if (isStreaming()) {
+    m_Events.append(Piece);
+    return;
   }
-  m_Events.append(Piece);
+  m_Answer.m_Body += Piece;
+  if (m_Answer.m_Body.size() > MaxAnswerBytes)
+    lose("the answer exceeds the limit of this host");
+}
+
+Attempt::Task<void> Attempt::deliverEvents() {
   while (auto Event = m_Events.next()) {
-    if (Event->m_Kind == streaming::EventKind::Cancelled)
-      co_return co_await onDeadConnection();
-    if (!co_await deliver(std::move(*Event)))
-      co_return AttemptEnd::CallerGone;
+    if (Event->m_Kind == streaming::EventKind::Cancelled) {
+      co_await onDeadConnection();
+      co_return;
+    }
+    const bool Sent = co_await deliver(std::move(*Event));
+    if (!Sent) {
+      m_End = AttemptEnd::CallerGone;
+      co_return;
+    }
   }
-  co_return std::nullopt;
 }
 
 Attempt::Task<bool> Attempt::deliver(streaming::StreamEvent Event) {
@@ -150,74 +158,84 @@
   co_return co_await m_Caller.writeChunk(Event.m_Text);
 }
 
-AttemptEnd Attempt::endWhole() {
+void Attempt::endWhole() {
   if (m_Request.m_Engine && streaming::isCancelledAnswer(m_Answer.m_Body))
-    return lost("the endpoint gave the request up");
-  return AttemptEnd::Answered;
+    lose("the endpoint gave the request up");
+  else
+    m_End = AttemptEnd::Answered;
 }
 
-Attempt::Task<Attempt::Next> Attempt::endStream() {
-  if (m_Events.hasPartial() || !m_Caller.started())
-    co_return co_await onDeadConnection();
+Attempt::Task<void> Attempt::endStream() {
+  if (m_Events.hasPartial() || !m_Caller.started()) {
+    co_await onDeadConnection();
+    co_return;
+  }
   const bool Sent = co_await m_Caller.endStream();
-  co_return Sent ? AttemptEnd::Streamed : AttemptEnd::CallerGone;
+  m_End = Sent ? AttemptEnd::Streamed : AttemptEnd::CallerGone;
 }
 
-Attempt::Task<Attempt::Next>
-Attempt::onFailure(http::TransportFailure Failure) {
-  if (Failure.provesNotSent()) {
-    m_EndpointDown = Failure.m_Stage == http::FailureStage::Connect;
-    m_Detail = Failure.m_Detail;
-    co_return AttemptEnd::NotSent;
-  }
-  if (!co_await probe(m_State, m_Where)) {
-    m_EndpointDown = true;
-    m_EndpointCrashed = !Failure.m_TimedOut;
-    co_return lost("the endpoint was lost: " + Failure.m_Detail);
+void Attempt::noteFailure(const http::TransportFailure &Failure) {
+  m_Detail = Failure.m_Detail;
+  m_TimedOut = Failure.m_TimedOut;
+  if (!Failure.provesNotSent())
+    return;
+  m_EndpointDown = Failure.m_Stage == http::FailureStage::Connect;
+  m_End = AttemptEnd::NotSent;
+}
+
+Attempt::Task<void> Attempt::onBrokenConnection() {
+  const bool Alive = co_await probe(m_State, m_Where);
+  if (Alive) {
+    co_await onDeadConnection();
+    co_return;
   }
-  co_return co_await onDeadConnection();
+  m_EndpointDown = true;
+  m_EndpointCrashed = !m_TimedOut;
+  lose("the endpoint was lost: " + m_Detail);
 }
 
-Attempt::Task<Attempt::Next> Attempt::onQuiet() {
-  if (m_Caller.callerGone())
-    co_return AttemptEnd::CallerGone;
-  if (now() >= m_Request.m_Ticket.m_Deadline && !m_Caller.started()) {
+Attempt::Task<void> Attempt::onQuiet() {
+  if (m_Caller.callerGone()) {
+    m_End = AttemptEnd::CallerGone;
+  } else if (now() >= m_Request.m_Ticket.m_Deadline && !m_Caller.started()) {
     m_Detail = "the deadline passed before the answer";
-    co_return AttemptEnd::Expired;
+    m_End = AttemptEnd::Expired;
+  } else if (now() - m_LastProgress >= m_State.m_Options.m_ProgressTimeout) {
+    co_await onSilence();
   }
-  if (now() - m_LastProgress >= m_State.m_Options.m_ProgressTimeout)
-    co_return co_await onSilence();
-  co_return std::nullopt;
 }
 
-Attempt::Task<Attempt::Next> Attempt::onSilence() {
+Attempt::Task<void> Attempt::onSilence() {
   const bool Alive = co_await probe(m_State, m_Where);
   log::request(log::Category::Routing, "request.silence",
                m_Used.m_Request.str(), m_Used.m_Entry.str(),
                {{"endpoint", m_Used.m_Endpoint.str()}, {"alive", Alive}});
+  m_LastProgress = now();
   if (!Alive) {
     m_EndpointDown = true;
-    co_return lost("the endpoint went silent");
+    lose("the endpoint went silent");
+  } else if (mayResume()) {
+    co_await onDeadConnection();
+  } else if (m_Request.m_Engine) {
+    // A whole answer may take long, so silence alone proves nothing.
+    co_await checkInventory();
   }
-  m_LastProgress = now();
-  if (mayResume())
-    co_return co_await onDeadConnection();
-  // A whole answer may take long, so silence alone proves nothing.
-  if (m_Request.m_Engine)
-    co_return co_await checkInventory();
-  co_return std::nullopt;
 }
 
-Attempt::Task<Attempt::Next> Attempt::checkInventory() {
-  if (co_await runsAt(m_State, m_Where, m_Used.m_Request))
-    co_return std::nullopt;
-  if (auto Event = co_await m_Call->next(InventoryGrace))
-    co_return co_await onEvent(std::move(*Event));
+Attempt::Task<void> Attempt::checkInventory() {
+  const bool Running = co_await runsAt(m_State, m_Where, m_Used.m_Request);
+  if (Running)
+    co_return;
+  auto Event = co_await m_Call->next(InventoryGrace);
+  if (Event) {
+    co_await onEvent(std::move(*Event));
+    co_return;
+  }
   m_State.m_Client.dropIdle(m_Where);
-  co_return lost("the connection to the endpoint went silent");
+  lose("the connection to the endpoint went silent");
 }
 
-Attempt::Task<Attempt::Next> Attempt::onDeadConnection() {
+Attempt::Task<void> Attempt::onDeadConnection() {
   m_State.m_Client.dropIdle(m_Where);
   m_Events.dropPartial();
   if (m_Finished) {
@@ -225,14 +243,14 @@
     bool Sent = co_await m_Caller.writeChunk("data: [DONE]\n\n");
     if (Sent)
       Sent = co_await m_Caller.endStream();
-    co_return Sent ? AttemptEnd::Streamed : AttemptEnd::CallerGone;
+    m_End = Sent ? AttemptEnd::Streamed : AttemptEnd::CallerGone;
+    co_return;
   }
   bool Resumed = false;
   if (mayResume())
     Resumed = co_await resume();
   if (!Resumed)
-    co_return lost("the connection to the endpoint was lost");
-  co_return std::nullopt;
+    lose("the connection to the endpoint was lost");
 }
 
 Attempt::Task<bool> Attempt::resume() {
--- a/Source/Core/Router/Attempt.h
+++ b/Source/Core/Router/Attempt.h
@@ -27,7 +27,10 @@
   Attempt(FrontState &State, const CallerRequest &Request,
           const Placement &Used, http::Exchange &Caller);
 
-  boost::asio::awaitable<AttemptEnd> run();
+  boost::asio::awaitable<void> run();
+
+  /// How it ended. Valid after run().
+  AttemptEnd end() const { return m_End.value_or(AttemptEnd::Lost); }
 
   /// Valid after AttemptEnd::Answered.
   const execution::Answered &answer() const { return m_Answer; }
@@ -38,26 +41,26 @@
   const std::string &detail() const { return m_Detail; }
 
 private:
-  using Next = std::optional<AttemptEnd>;
   template <typename T> using Task = boost::asio::awaitable<T>;
 
   http::Request makeRequest() const;
   http::ClientOptions makeOptions() const;
-  Task<AttemptEnd> watch();
-  Task<Next> onEvent(CallEvent Event);
-  Task<Next> onHead(http::Response Head);
-  Task<Next> onPiece(std::string Piece);
-  AttemptEnd endWhole();
-  Task<Next> endStream();
-  Task<Next> onFailure(http::TransportFailure Failure);
-  Task<Next> onQuiet();
-  Task<Next> onSilence();
-  Task<Next> onDeadConnection();
-  Task<Next> checkInventory();
+  Task<void> onEvent(CallEvent Event);
+  void onHead(const http::Response &Head);
+  void onPiece(std::string_view Piece);
+  Task<void> deliverEvents();
+  void endWhole();
+  Task<void> endStream();
+  void noteFailure(const http::TransportFailure &Failure);
+  Task<void> onBrokenConnection();
+  Task<void> onQuiet();
+  Task<void> onSilence();
+  Task<void> onDeadConnection();
+  Task<void> checkInventory();
   Task<bool> deliver(streaming::StreamEvent Event);
   Task<bool> resume();
   Task<std::shared_ptr<EndpointCall>> openResumed();
-  AttemptEnd lost(std::string Detail);
+  void lose(std::string Detail);
   bool isStreaming() const { return m_Request.m_Stream && m_Status == 200; }
   bool mayResume() const { return m_Request.m_Stream && m_Request.m_Engine; }
 
@@ -71,9 +74,12 @@
   execution::Answered m_Answer;
   std::string m_Detail;
   Instant m_LastProgress;
+  /// Set once the attempt has ended.
+  std::optional<AttemptEnd> m_End;
   int m_Status = 0;
   int m_IdleResumes = 0;
   bool m_Finished = false; ///< The finish event was delivered.
+  bool m_TimedOut = false;
   bool m_EndpointDown = false;
   bool m_EndpointCrashed = false;
 };
--- a/Source/Core/Router/RequestSession.cpp
+++ b/Source/Core/Router/RequestSession.cpp
@@ -93,7 +93,8 @@
                 {"why", Used.m_Why}});
   m_DispatchedAt = now();
   Attempt Running(m_State, m_Request, Used, m_Caller);
-  const AttemptEnd End = co_await Running.run();
+  co_await Running.run();
+  const AttemptEnd End = Running.end();
   if (End != AttemptEnd::NotSent)
     m_Guard.markSent();
   m_Answer = Running.answer();
