--- a/Source/Core/Core/Messages/RelayMessages.h
+++ b/Source/Core/Core/Messages/RelayMessages.h
@@ -15,9 +15,9 @@
 /// Value of a hop count when no path to the log is known.
 inline constexpr std::int64_t NoLogPath = 1000;
 
-/// One record of a stream. The offset of a `control` record is its offset in
-/// the log. A log record of `intents` may hold a batch, so the offset of an
-/// item there is the log offset times 1024 plus its position in the batch.
+/// One record of a stream at its offset in the log. A log record of `intents`
+/// may hold a batch; its items share the offset, follow in the order of the
+/// batch, and are never split between two answers.
 struct RecordAt {
   Offset m_Offset = 0;
   nlohmann::json m_Data;
@@ -59,12 +59,15 @@
   Offset m_From = 1;
   std::int64_t m_MaxRecords = 500;
   milliseconds m_Wait{0};
+  /// Leaves batches whole; relays ask each other so.
+  bool m_WholeBatches = false;
 
   static constexpr auto describe() {
     return std::make_tuple(field("stream", &FetchRecords::m_Stream),
                            field("from", &FetchRecords::m_From),
                            field("max", &FetchRecords::m_MaxRecords),
-                           field("wait_ms", &FetchRecords::m_Wait));
+                           field("wait_ms", &FetchRecords::m_Wait),
+                           field("whole", &FetchRecords::m_WholeBatches));
   }
 };
 
--- a/Source/Core/Core/Ownership/LeaseClock.h
+++ b/Source/Core/Core/Ownership/LeaseClock.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace sff::ownership {
 
@@ -23,13 +24,18 @@
 public:
   explicit LeaseClock(LeaseTimes Times) : m_Times(Times) {}
 
-  /// Notes that a renewal with this id was handed to the log.
+  /// Notes that a renewal with this id is about to be handed to the log.
+  /// When the answer is lost, the log may still accept it later.
   void onRenewalSent(const RecordId &Id, Instant Now);
   /// Notes that the fold accepted the renewal.
   void onRenewalAccepted(const RecordId &Id, Offset Position);
   /// Notes that the fold rejected it; the record has no effect.
   void onRenewalRejected(const RecordId &Id);
 
+  /// The folded state holds no lease of this incarnation any more, because it
+  /// owned nothing and did not renew for long. The next renewal is a first one.
+  void onLeaseForgotten();
+
   bool isHeld(Instant Now) const;
   /// True when the next renewal should be sent. False while one is pending
   /// that is younger than the renewal period.
@@ -58,7 +64,12 @@
   /// renewed, so that owners can renew before anyone claims.
   void onLogRestored(Instant Now);
   /// True when lease and margin have passed since the last renewal was read.
+  /// False for an incarnation of which no renewal was read.
   bool isLapsed(const IncarnationId &Incarnation, Instant Now) const;
+  /// Offset of the last renewal read, 0 when none was.
+  Offset lastRead(const IncarnationId &Incarnation) const;
+  void forget(const IncarnationId &Incarnation);
+  std::vector<IncarnationId> known() const;
 
 private:
   struct Observation {
--- a/Source/Core/Core/Relay/BatchRecord.cpp
+++ b/Source/Core/Core/Relay/BatchRecord.cpp
@@ -8,14 +8,6 @@
 
 } // namespace
 
-Offset toItemOffset(OffsetRule Rule, Offset LogOffset) {
-  return Rule == OffsetRule::Batched ? LogOffset * BatchPositions : LogOffset;
-}
-
-Offset toLogOffset(OffsetRule Rule, Offset ItemOffset) {
-  return Rule == OffsetRule::Batched ? ItemOffset / BatchPositions : ItemOffset;
-}
-
 nlohmann::json makeBatch(std::vector<nlohmann::json> Items) {
   nlohmann::json Result = nlohmann::json::object();
   Result["type"] = BatchType;
@@ -32,18 +24,21 @@
          Items->is_array();
 }
 
-void expand(OffsetRule Rule, Offset LogOffset, nlohmann::json Data,
-            std::vector<messages::RecordAt> &Out) {
-  Offset Position = toItemOffset(Rule, LogOffset);
-  const bool Split = Rule == OffsetRule::Batched && isBatch(Data) &&
-                     !Data["items"].empty() &&
-                     Data["items"].size() <= BatchPositions;
-  if (!Split) {
-    Out.push_back({Position, std::move(Data)});
-    return;
+std::vector<messages::RecordAt>
+expand(std::vector<messages::RecordAt> Records) {
+  std::vector<messages::RecordAt> Result;
+  for (messages::RecordAt &Record : Records) {
+    const bool Split = isBatch(Record.m_Data) &&
+                       !Record.m_Data["items"].empty() &&
+                       Record.m_Data["items"].size() <= MaxBatchItems;
+    if (!Split) {
+      Result.push_back(std::move(Record));
+      continue;
+    }
+    for (nlohmann::json &Item : Record.m_Data["items"])
+      Result.push_back({Record.m_Offset, std::move(Item)});
   }
-  for (nlohmann::json &Item : Data["items"])
-    Out.push_back({Position++, std::move(Item)});
+  return Result;
 }
 
 } // namespace sff::relay
--- a/Source/Core/Core/Relay/RecordCache.cpp
+++ b/Source/Core/Core/Relay/RecordCache.cpp
@@ -9,7 +9,6 @@
   m_Bytes = 0;
   m_First = Next;
   m_Next = Next;
-  m_Head = Next - 1;
 }
 
 RecordCache::Extension
@@ -32,8 +31,7 @@
 }
 
 void RecordCache::add(messages::RecordAt Record) {
-  m_Head = Record.m_Offset;
-  m_Next = m_Head + 1;
+  m_Next = Record.m_Offset + 1;
   const std::size_t Bytes = Record.m_Data.dump().size();
   m_Items.push_back({std::move(Record), Bytes});
   m_Bytes += Bytes;
--- a/Source/Core/Core/Relay/RecordCache.h
+++ b/Source/Core/Core/Relay/RecordCache.h
@@ -2,7 +2,6 @@
 
 #include "Core/Messages/RelayMessages.h"
 
-#include <algorithm>
 #include <deque>
 #include <vector>
 
@@ -38,9 +37,6 @@
                    std::vector<messages::RecordAt> Records,
                    std::vector<messages::RecordAt> &Added);
 
-  /// States that no record lies between next() and \p Next.
-  void passTo(Offset Next) { m_Next = std::max(m_Next, Next); }
-
   /// Records from \p From on, bounded by count and bytes, but at least one.
   std::vector<messages::RecordAt> read(Offset From, std::size_t MaxRecords,
                                        std::size_t MaxBytes) const;
@@ -49,8 +45,8 @@
   Offset first() const { return m_First; }
   /// Offset from which the next record is read.
   Offset next() const { return m_Next; }
-  /// Newest offset seen; 0 before the first.
-  Offset head() const { return m_Head; }
+  /// Newest offset held or passed; 0 before the first.
+  Offset head() const { return m_Next - 1; }
   bool holds(Offset From) const {
     return !m_Items.empty() && m_Items.back().m_Record.m_Offset >= From;
   }
@@ -68,7 +64,6 @@
   std::size_t m_Bytes = 0;
   Offset m_First = 1;
   Offset m_Next = 1;
-  Offset m_Head = 0;
 };
 
 } // namespace sff::relay
--- a/Source/Core/Relay/AppendPath.cpp
+++ b/Source/Core/Relay/AppendPath.cpp
@@ -1,5 +1,6 @@
 #include "Relay/AppendPath.h"
 
+#include "Core/Relay/BatchRecord.h"
 #include "Net/Follower/StateFollower.h"
 
 namespace sff::relay {
@@ -37,8 +38,7 @@
 
 void AppendPath::append(messages::Append Request, Done Reply) {
   if (Request.m_Stream == follower::ControlStream) {
-    appendOne(std::move(Request), m_Control, OffsetRule::Plain,
-              count(std::move(Reply)));
+    appendOne(std::move(Request), m_Control, count(std::move(Reply)));
     return;
   }
   if (Request.m_Stream != follower::IntentsStream) {
@@ -49,8 +49,7 @@
   }
   // Another relay has batched what it passes on.
   if (Request.m_Hops > 0 || isBatch(Request.m_Record)) {
-    appendOne(std::move(Request), m_Intents, OffsetRule::Batched,
-              count(std::move(Reply)));
+    appendOne(std::move(Request), m_Intents, count(std::move(Reply)));
     return;
   }
   queueIntent(std::move(Request.m_Record), count(std::move(Reply)));
@@ -69,7 +68,7 @@
 }
 
 void AppendPath::appendOne(messages::Append Request, const StreamFeed &Feed,
-                           OffsetRule Rule, Done Reply) {
+                           Done Reply) {
   if (!Feed.hasLogContact()) {
     forward(std::move(Request), relaysWithLog(Feed), std::move(Reply));
     return;
@@ -78,12 +77,11 @@
   nlohmann::json Record = Request.m_Record;
   m_Platform.append(
       std::move(Stream), std::move(Record),
-      [this, &Feed, Rule, Request = std::move(Request),
+      [this, &Feed, Request = std::move(Request),
        Reply = std::move(Reply)](platform::AppendResult Result) mutable {
         switch (Result.m_Status) {
         case platform::AppendStatus::Appended:
-          Reply({messages::AppendOutcome::Appended,
-                 toItemOffset(Rule, Result.m_Offset)});
+          Reply({messages::AppendOutcome::Appended, Result.m_Offset});
           return;
         case platform::AppendStatus::Unknown:
           Reply({messages::AppendOutcome::Unknown, 0});
@@ -132,7 +130,7 @@
     return;
   std::vector<nlohmann::json> Records;
   std::vector<Done> Replies;
-  while (!m_Queue.empty() && Records.size() < BatchPositions) {
+  while (!m_Queue.empty() && Records.size() < MaxBatchItems) {
     Records.push_back(std::move(m_Queue.front().m_Record));
     Replies.push_back(std::move(m_Queue.front().m_Reply));
     m_Queue.pop_front();
@@ -141,16 +139,11 @@
   messages::Append Request;
   Request.m_Stream = follower::IntentsStream;
   Request.m_Record = makeBatch(std::move(Records));
-  appendOne(std::move(Request), m_Intents, OffsetRule::Batched,
+  appendOne(std::move(Request), m_Intents,
             [this, Replies = std::move(Replies)](messages::AppendReply Result) {
               --m_BatchesInFlight;
-              for (std::size_t Position = 0; Position < Replies.size();
-                   ++Position) {
-                messages::AppendReply Item = Result;
-                if (Item.m_Outcome == messages::AppendOutcome::Appended)
-                  Item.m_Offset += Position;
-                Replies[Position](Item);
-              }
+              for (const Done &Reply : Replies)
+                Reply(Result);
               sendIntents();
             });
 }
--- a/Source/Core/Relay/AppendPath.h
+++ b/Source/Core/Relay/AppendPath.h
@@ -35,8 +35,7 @@
     Done m_Reply;
   };
 
-  void appendOne(messages::Append Request, const StreamFeed &Feed,
-                 OffsetRule Rule, Done Reply);
+  void appendOne(messages::Append Request, const StreamFeed &Feed, Done Reply);
   void forward(messages::Append Request, std::vector<std::string> Relays,
                Done Reply);
   std::vector<std::string> relaysWithLog(const StreamFeed &Feed);
--- a/Source/Core/Relay/RelayNode.cpp
+++ b/Source/Core/Relay/RelayNode.cpp
@@ -47,11 +47,11 @@
 }
 
 FeedOptions makeFeedOptions(const settings::Settings &Values,
-                            std::string Stream, OffsetRule Rule,
+                            std::string Stream, bool ReadThrough,
                             std::int64_t Records) {
   FeedOptions Options;
   Options.m_Stream = std::move(Stream);
-  Options.m_Rule = Rule;
+  Options.m_ReadThrough = ReadThrough;
   Options.m_Cache = {static_cast<std::size_t>(Records),
                      static_cast<std::size_t>(Values.get(CacheBytesSetting))};
   Options.m_LogWait = Values.get(LogWaitSetting);
@@ -76,8 +76,7 @@
       m_Directory(makeSelf(Started), m_Settings.get(PeersSetting),
                   makeLimits(m_Settings)),
       m_Control(m_Peer, m_Platform, m_Peers, m_Directory,
-                makeFeedOptions(m_Settings, follower::ControlStream,
-                                OffsetRule::Plain,
+                makeFeedOptions(m_Settings, follower::ControlStream, false,
                                 m_Settings.get(ControlCacheSetting)),
                 {[this](auto Records) { onControlRecords(Records); },
                  [this](Offset) {
@@ -86,8 +85,7 @@
                  },
                  [this] { m_Gossip.publishSoon(); }}),
       m_Intents(m_Peer, m_Platform, m_Peers, m_Directory,
-                makeFeedOptions(m_Settings, follower::IntentsStream,
-                                OffsetRule::Batched,
+                makeFeedOptions(m_Settings, follower::IntentsStream, true,
                                 m_Settings.get(IntentsCacheSetting)),
                 {{}, [this](Offset First) { m_Intents.start(First); }, [] {}}),
       m_State(m_Peer, m_Platform, m_Peers, m_Directory,
@@ -158,9 +156,7 @@
 
 /// Intents have no snapshot: reading starts at the oldest record that the log
 /// keeps, or that another relay holds, and the feed reports the gap before it.
-void RelayNode::startIntents() {
-  m_Intents.start(toItemOffset(OffsetRule::Batched, 1));
-}
+void RelayNode::startIntents() { m_Intents.start(1); }
 
 void RelayNode::onControlRecords(std::span<const messages::RecordAt> Records) {
   m_State.apply(Records);
--- a/Source/Core/Relay/RelaySettings.h
+++ b/Source/Core/Relay/RelaySettings.h
@@ -92,7 +92,8 @@
     .m_Default = 60000,
     .m_Unit = "records",
     .m_Range = {16, 1000000},
-    .m_Doc = "Records of the intents stream that are kept."};
+    .m_Doc = "Appends to the intents stream that are kept; older ones are read "
+             "from the log when a process asks for them."};
 
 inline const settings::Setting<std::int64_t> CacheBytesSetting{
     .m_Section = "cache",
--- a/Source/Core/Relay/StreamFeed.cpp
+++ b/Source/Core/Relay/StreamFeed.cpp
@@ -1,5 +1,7 @@
 #include "Relay/StreamFeed.h"
 
+#include "Core/Relay/BatchRecord.h"
+
 namespace sff::relay {
 
 namespace {
@@ -18,6 +20,14 @@
 
 Instant now() { return std::chrono::steady_clock::now(); }
 
+std::vector<messages::RecordAt>
+toRecords(std::vector<platform::StoredRecord> Stored) {
+  std::vector<messages::RecordAt> Result;
+  for (platform::StoredRecord &Item : Stored)
+    Result.push_back({Item.m_Offset, std::move(Item.m_Data)});
+  return Result;
+}
+
 } // namespace
 
 StreamFeed::StreamFeed(timers::DutyLoop &Loop, PlatformSide &Platform,
@@ -48,15 +58,19 @@
 
 Offset StreamFeed::head() const { return std::max(m_Cache.head(), m_LogHead); }
 
+Offset StreamFeed::first() const {
+  return m_Options.m_ReadThrough ? m_LogFirst : m_Cache.first();
+}
+
 void StreamFeed::readLog() {
   if (m_LogReadActive || m_InGap)
     return;
   m_LogReadActive = true;
-  const Offset LogFrom = toLogOffset(m_Options.m_Rule, m_Cache.next());
-  m_Platform.read(m_Options.m_Stream, LogFrom, RecordsPerRead,
-                  m_Options.m_LogWait, [this, LogFrom](auto Result) {
+  const Offset From = m_Cache.next();
+  m_Platform.read(m_Options.m_Stream, From, RecordsPerRead, m_Options.m_LogWait,
+                  [this, From](auto Result) {
                     m_LogReadActive = false;
-                    onLogRead(LogFrom, std::move(Result));
+                    onLogRead(From, std::move(Result));
                   });
 }
 
@@ -68,28 +82,20 @@
   m_LogPause = m_Timers.after(Delay, [this] { readLog(); });
 }
 
-void StreamFeed::onLogRead(Offset LogFrom,
+void StreamFeed::onLogRead(Offset From,
                            std::optional<platform::ReadResult> Result) {
   setLogContact(Result.has_value());
   if (!Result) {
     readLogAfter(m_Options.m_LogRetry);
     return;
   }
-  const OffsetRule Rule = m_Options.m_Rule;
-  const Offset From = toItemOffset(Rule, LogFrom);
-  Offset Passed = From;
-  std::vector<messages::RecordAt> Records;
-  for (platform::StoredRecord &Item : Result->m_Records) {
-    expand(Rule, Item.m_Offset, std::move(Item.m_Data), Records);
-    Passed = toItemOffset(Rule, Item.m_Offset + 1);
-  }
-  m_LogHead = std::max(m_LogHead, toItemOffset(Rule, Result->m_Head));
-  const bool Any = !Records.empty();
-  if (!accept(From, toItemOffset(Rule, Result->m_First), std::move(Records)))
+  m_LogHead = std::max(m_LogHead, Result->m_Head);
+  const bool Any = !Result->m_Records.empty();
+  if (!accept(From, Result->m_First, toRecords(std::move(Result->m_Records))))
     return;
-  // The log returns whole records, so nothing follows within the last one.
-  m_Cache.passTo(Passed);
-  readLogAfter(Any ? m_Directory.plan().m_PollPause : milliseconds(0));
+  const bool CaughtUp = m_Cache.next() > m_LogHead;
+  readLogAfter(Any && CaughtUp ? m_Directory.plan().m_PollPause
+                               : milliseconds(0));
 }
 
 void StreamFeed::setLogContact(bool Value) {
@@ -109,6 +115,7 @@
                         std::vector<messages::RecordAt> Records) {
   if (m_InGap)
     return false;
+  m_LogFirst = std::max(m_LogFirst, First);
   std::vector<messages::RecordAt> Added;
   const auto Effect = m_Cache.extend(From, First, std::move(Records), Added);
   if (Effect == RecordCache::Extension::Gap) {
@@ -143,7 +150,7 @@
   m_PeerFetchActive = true;
   m_PeerFetchSince = now();
   const messages::FetchRecords Request{m_Options.m_Stream, m_Cache.next(),
-                                       RecordsPerRead, PeerWait};
+                                       RecordsPerRead, PeerWait, true};
   m_Peers.at(m_Source).call(
       Request, PeerWait + m_Options.m_PeerTimeout,
       [this, From = Request.m_From](
@@ -189,7 +196,7 @@
     return;
   m_CatchUpActive = true;
   const messages::FetchRecords Request{m_Options.m_Stream, m_Cache.next(),
-                                       RecordsPerRead, milliseconds(0)};
+                                       RecordsPerRead, milliseconds(0), true};
   m_Peers.at(Address).call(
       Request, m_Options.m_PeerTimeout,
       [this, From = Request.m_From](
@@ -203,19 +210,59 @@
 
 void StreamFeed::fetch(messages::FetchRecords Request, FetchQueue::Send Send) {
   const bool Behind = m_Started && Request.m_From < m_Cache.first();
+  const bool Kept = m_Options.m_ReadThrough && Request.m_From >= m_LogFirst;
   FetchQueue::Waiting Item{std::move(Request), now(), std::move(Send)};
   Item.m_Deadline += Item.m_Request.m_Wait;
-  if (Behind || m_Cache.holds(Item.m_Request.m_From) ||
-      Item.m_Request.m_Wait.count() <= 0 || !m_Waiting.add(Item))
+  if (Behind && Kept)
+    serveOld(std::move(Item));
+  else if (Behind || m_Cache.holds(Item.m_Request.m_From) ||
+           Item.m_Request.m_Wait.count() <= 0 || !m_Waiting.add(Item))
     answer(Item);
 }
 
+/// Serves records that the cache has dropped, from the log or, while the path
+/// to it is cut, from the relay that this one reads from.
+void StreamFeed::serveOld(FetchQueue::Waiting Item) {
+  if (m_LogContact) {
+    serveOldFromLog(std::move(Item));
+    return;
+  }
+  if (m_Source.empty() || m_SourceHops > MaxLogHops) {
+    // Held, so that the reader does not ask again at once.
+    if (!m_Waiting.add(Item))
+      send(Item, {});
+    return;
+  }
+  messages::FetchRecords Request = Item.m_Request;
+  Request.m_Wait = milliseconds(0);
+  m_Peers.at(m_Source).call(
+      Request, m_Options.m_PeerTimeout,
+      [Item](std::optional<messages::FetchRecordsReply> Reply) {
+        Item.m_Send(Reply.value_or(messages::FetchRecordsReply{}));
+      });
+}
+
+void StreamFeed::serveOldFromLog(FetchQueue::Waiting Item) {
+  const Offset From = Item.m_Request.m_From;
+  m_Platform.read(m_Options.m_Stream, From, RecordsPerRead, milliseconds(0),
+                  [this, Item = std::move(Item)](
+                      std::optional<platform::ReadResult> Result) {
+                    messages::FetchRecordsReply Reply;
+                    if (Result) {
+                      Reply = makeReply(Item.m_Request);
+                      Reply.m_First = Result->m_First;
+                      Reply.m_Records = toRecords(std::move(Result->m_Records));
+                    }
+                    send(Item, std::move(Reply));
+                  });
+}
+
 messages::FetchRecordsReply
 StreamFeed::makeReply(const messages::FetchRecords &Request) const {
   messages::FetchRecordsReply Reply;
   if (!m_Started)
     return Reply;
-  Reply.m_First = m_Cache.first();
+  Reply.m_First = first();
   Reply.m_Head = head();
   Reply.m_LogHops = logHops();
   Reply.m_LogReachable = logHops() <= MaxLogHops;
@@ -229,7 +276,14 @@
 }
 
 void StreamFeed::answer(const FetchQueue::Waiting &Item) const {
-  Item.m_Send(makeReply(Item.m_Request));
+  send(Item, makeReply(Item.m_Request));
+}
+
+void StreamFeed::send(const FetchQueue::Waiting &Item,
+                      messages::FetchRecordsReply Reply) {
+  if (!Item.m_Request.m_WholeBatches)
+    Reply.m_Records = expand(std::move(Reply.m_Records));
+  Item.m_Send(std::move(Reply));
 }
 
 void StreamFeed::tick(Instant Now) {
--- a/Source/Core/Relay/StreamFeed.h
+++ b/Source/Core/Relay/StreamFeed.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Core/Relay/BatchRecord.h"
 #include "Core/Relay/FetchQueue.h"
 #include "Core/Relay/RecordCache.h"
 #include "Net/Timers/TimerService.h"
@@ -14,7 +13,9 @@
 
 struct FeedOptions {
   std::string m_Stream;
-  OffsetRule m_Rule = OffsetRule::Plain;
+  /// The stream has no snapshots: its readers need every record that the log
+  /// keeps, so those older than the cache are read from the log for them.
+  bool m_ReadThrough = false;
   CacheLimits m_Cache;
   milliseconds m_LogWait{0};
   milliseconds m_LogRetry{0};
@@ -55,6 +56,9 @@
   /// path to the log has gone silent and the time-out has not yet shown it.
   void catchUpFrom(const std::string &Address);
 
+  /// Oldest offset from which a reader can be served.
+  Offset first() const;
+
   /// Answers the fetches whose wait has passed.
   void tick(Instant Now);
   /// Answers all waiting fetches.
@@ -84,7 +88,11 @@
                    std::optional<messages::FetchRecordsReply> Reply);
   void chooseSource();
 
+  void serveOld(FetchQueue::Waiting Item);
+  void serveOldFromLog(FetchQueue::Waiting Item);
   void answer(const FetchQueue::Waiting &Item) const;
+  static void send(const FetchQueue::Waiting &Item,
+                   messages::FetchRecordsReply Reply);
   messages::FetchRecordsReply makeReply(const messages::FetchRecords &) const;
 
   PlatformSide &m_Platform;
@@ -98,7 +106,8 @@
 
   RecordCache m_Cache;
   FetchQueue m_Waiting;
-  Offset m_LogHead = 0; ///< As item offset.
+  Offset m_LogFirst = 0; ///< 0 until a source has told it.
+  Offset m_LogHead = 0;
   bool m_Started = false;
   bool m_InGap = false;
   bool m_LogContact = false;
