--- a/Source/Core/Core/Messages/RelayMessages.h
+++ b/Source/Core/Core/Messages/RelayMessages.h
@@ -210,4 +210,35 @@
   }
 };
 
+struct ChangeVerdictReply {
+  bool m_Known = false; ///< The relay has folded the record.
+  Offset m_Offset = 0;
+  RecordId m_Id;
+  bool m_Accepted = false;
+  std::string m_Reason; ///< Why it was rejected.
+
+  static constexpr auto describe() {
+    return std::make_tuple(field("known", &ChangeVerdictReply::m_Known),
+                           field("offset", &ChangeVerdictReply::m_Offset),
+                           field("id", &ChangeVerdictReply::m_Id),
+                           field("accepted", &ChangeVerdictReply::m_Accepted),
+                           field("reason", &ChangeVerdictReply::m_Reason));
+  }
+};
+
+/// Asks a relay how a recent catalogue change was judged, by its id or, when
+/// the id is empty, by its offset. The first copy of an id counts.
+struct ChangeVerdict {
+  using Reply = ChangeVerdictReply;
+  static constexpr const char *Name = "change_verdict";
+
+  RecordId m_Id;
+  Offset m_Offset = 0;
+
+  static constexpr auto describe() {
+    return std::make_tuple(field("id", &ChangeVerdict::m_Id),
+                           field("offset", &ChangeVerdict::m_Offset));
+  }
+};
+
 } // namespace sff::messages
--- /dev/null
+++ b/Source/Core/Ctl/SettingsReference.cpp
@@ -0,0 +1,19 @@
+#include "Controller/ControllerSettings.h"
+#include "Ctl/Commands.h"
+#include "Relay/RelaySettings.h"
+#include "Router/RouterSettings.h"
+
+namespace sff::ctl {
+
+void settingsReference(std::ostream &Out) {
+  const std::pair<const char *, settings::Schema> Programs[] = {
+      {"sff-relay", relay::makeSchema()},
+      {"sff-controller", controller::makeSchema()},
+      {"sff-router", router::makeSchema()},
+  };
+  Out << "# Settings\n\nThis page is written by `sffctl settings-reference`.\n";
+  for (const auto &[Name, Schema] : Programs)
+    Out << "\n## " << Name << "\n\n" << Schema.referencePage();
+}
+
+} // namespace sff::ctl
--- a/Source/Core/Relay/StateKeeper.cpp
+++ b/Source/Core/Relay/StateKeeper.cpp
@@ -10,6 +10,8 @@
 
 constexpr milliseconds RecoveryPause{300};
 constexpr std::size_t RelaysToAsk = 4;
+/// More than half a day of changes at the largest planned rate.
+constexpr std::size_t KeptVerdicts = 4096;
 /// Share of the snapshot interval to wait after a failed attempt to store.
 constexpr Offset StoreRetryShare = 8;
 
@@ -50,19 +52,16 @@
   return Newest;
 }
 
-void applyRecord(fold::ClusterState &State, const messages::RecordAt &Item) {
-  boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_AUTO(Value, fold::fromJson(Item.m_Data));
-        State.apply(Item.m_Offset, Value);
-        return {};
-      },
-      [&](const codec::DecodeError &Error) {
-        State.skip(Item.m_Offset);
-        log::warning(log::Category::Catalogue, "record.undecodable",
-                     {{"offset", Item.m_Offset}, {"detail", Error.m_Detail}});
-      },
-      [&] { State.skip(Item.m_Offset); });
+messages::ChangeVerdictReply makeVerdict(Offset Position,
+                                         const fold::CatalogueChange &Change,
+                                         const fold::ApplyResult &Result) {
+  messages::ChangeVerdictReply Verdict;
+  Verdict.m_Offset = Position;
+  Verdict.m_Id = Change.m_Id;
+  Verdict.m_Accepted = Result.m_Accepted;
+  for (const fold::Rejection &Item : Result.m_Rejections)
+    Verdict.m_Reason = Item.m_Reason;
+  return Verdict;
 }
 
 } // namespace
@@ -72,7 +71,8 @@
                          Offset SnapshotRecords, milliseconds PeerTimeout)
     : m_Platform(Platform), m_Peers(Peers), m_Directory(Directory),
       m_Timers(Loop.context().get_executor()),
-      m_SnapshotRecords(SnapshotRecords), m_PeerTimeout(PeerTimeout) {}
+      m_SnapshotRecords(SnapshotRecords), m_PeerTimeout(PeerTimeout),
+      m_Verdicts(KeptVerdicts) {}
 
 void StateKeeper::recover(Installed Done) {
   m_Done = std::move(Done);
@@ -148,7 +148,24 @@
 
 void StateKeeper::apply(std::span<const messages::RecordAt> Records) {
   for (const messages::RecordAt &Item : Records)
-    applyRecord(m_State, Item);
+    applyOne(Item);
+}
+
+void StateKeeper::applyOne(const messages::RecordAt &Item) {
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(Value, fold::fromJson(Item.m_Data));
+        const fold::ApplyResult Result = m_State.apply(Item.m_Offset, Value);
+        if (const auto *Change = std::get_if<fold::CatalogueChange>(&Value))
+          m_Verdicts.add(makeVerdict(Item.m_Offset, *Change, Result));
+        return {};
+      },
+      [&](const codec::DecodeError &Error) {
+        m_State.skip(Item.m_Offset);
+        log::warning(log::Category::Catalogue, "record.undecodable",
+                     {{"offset", Item.m_Offset}, {"detail", Error.m_Detail}});
+      },
+      [&] { m_State.skip(Item.m_Offset); });
 }
 
 void StateKeeper::storeIfDue(bool LogContact) {
--- a/Source/Core/Relay/StateKeeper.h
+++ b/Source/Core/Relay/StateKeeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Fold/ClusterState.h"
+#include "Core/Relay/VerdictList.h"
 #include "Relay/StreamFeed.h"
 
 namespace sff::relay {
@@ -31,6 +32,7 @@
 
   bool isReady() const { return m_Ready; }
   const fold::ClusterState &state() const { return m_State; }
+  const VerdictList &verdicts() const { return m_Verdicts; }
 
 private:
   void onStored(std::optional<StoredSnapshots> Found);
@@ -40,6 +42,7 @@
   installFromPeer(const std::optional<messages::FetchSnapshotReply> &Reply);
   void install(fold::ClusterState State, const char *Source);
   void retryLater();
+  void applyOne(const messages::RecordAt &Item);
 
   PlatformSide &m_Platform;
   PeerPool &m_Peers;
@@ -50,6 +53,7 @@
   milliseconds m_PeerTimeout;
   Installed m_Done;
   fold::ClusterState m_State;
+  VerdictList m_Verdicts;
   bool m_Ready = false;
   Offset m_ControlFirst = 0; ///< Oldest control offset seen at the log.
   bool m_Storing = false;
--- /dev/null
+++ b/Source/UnitTests/Relay/RelayFixture.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "Core/Fold/Records.h"
+#include "Relay/RelayNode.h"
+#include "Relay/RelaySettings.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include <future>
+#include <thread>
+
+namespace sff::test {
+
+constexpr milliseconds Patience{20000};
+constexpr milliseconds CallTimeout{5000};
+/// ctest runs each test as a process of its own, several at once, so each
+/// starts in its own part of the port range.
+constexpr int FirstPort = 42000;
+constexpr int PortsPerProcess = 8;
+constexpr int PortBlocks = 100;
+inline std::uint16_t NextPort = static_cast<std::uint16_t>(
+    FirstPort + getpid() % PortBlocks * PortsPerProcess);
+
+/// The range is also used for outgoing connections, so a port may be taken.
+inline std::uint16_t takeFreePort() {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context Context;
+  for (;;) {
+    const std::uint16_t Port = NextPort++;
+    boost::system::error_code Error;
+    tcp::socket Probe(Context, tcp::v4());
+    Probe.bind({boost::asio::ip::address_v4::loopback(), Port}, Error);
+    if (!Error)
+      return Port;
+  }
+}
+
+struct Endpoint {
+  std::uint16_t m_Port = takeFreePort();
+  std::string str() const { return "127.0.0.1:" + std::to_string(m_Port); }
+};
+
+/// One relay and a connection to it.
+class TestRelay {
+public:
+  TestRelay(std::string Host, const Endpoint &Listen, const Endpoint &Log,
+            std::vector<std::string> Peers, int SnapshotRecords = 1000) {
+    nlohmann::json Values;
+    Values["process"] = {{"host", Host}, {"zone", "z-" + Host}};
+    Values["relay"] = {
+        {"listen", Listen.str()}, {"peers", Peers}, {"peer_timeout_ms", 500}};
+    Values["log"] = {{"address", Log.str()},
+                     {"timeout_ms", 500},
+                     {"wait_ms", 300},
+                     {"retry_ms", 50}};
+    Values["snapshot"] = {{"records", SnapshotRecords}};
+    Values["cache"] = {{"intent_records", 16}};
+    Values["gossip"] = {{"min_period_ms", 30}, {"bytes_per_second", 100000}};
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+          BOOST_LEAF_AUTO(Checked, relay::makeSchema().check(Values, "test"));
+          m_Node = std::make_unique<relay::RelayNode>(process::Context{
+              Checked, {"sff-relay", Host, "z-" + Host, makeRandomId()}});
+          return {};
+        },
+        [](const findings::FindingList &List) { ADD_FAILURE() << List; },
+        [] { ADD_FAILURE(); });
+    m_Node->start();
+    m_Caller = std::make_unique<peer::Caller>(m_Loop, Listen.str());
+  }
+
+  ~TestRelay() {
+    m_Node.reset();
+    m_Caller.reset();
+    m_Loop.stop();
+  }
+
+  template <typename Request>
+  std::optional<typename Request::Reply> call(const Request &Body) {
+    auto Done = std::make_shared<
+        std::promise<std::optional<typename Request::Reply>>>();
+    auto Answer = Done->get_future();
+    m_Caller->call(Body, CallTimeout,
+                   [Done](auto Reply) { Done->set_value(std::move(Reply)); });
+    return Answer.get();
+  }
+
+  Offset applied() {
+    const auto Status = call(messages::RelayStatus{true});
+    return Status ? Status->m_AppliedOffset : 0;
+  }
+
+  messages::AppendReply append(const std::string &Stream,
+                               const nlohmann::json &Record) {
+    return call(messages::Append{Stream, Record, 0})
+        .value_or(messages::AppendReply{});
+  }
+
+  std::vector<Offset> offsets(const std::string &Stream, Offset From) {
+    std::vector<Offset> Result;
+    const auto Reply =
+        call(messages::FetchRecords{Stream, From, 500, milliseconds(0)});
+    for (const auto &Item :
+         Reply ? Reply->m_Records : std::vector<messages::RecordAt>())
+      Result.push_back(Item.m_Offset);
+    return Result;
+  }
+
+  std::unique_ptr<relay::RelayNode> m_Node;
+
+private:
+  timers::DutyLoop m_Loop{"test-caller", 256};
+  std::unique_ptr<peer::Caller> m_Caller;
+};
+
+template <typename Predicate> bool eventually(Predicate Holds) {
+  const Instant Deadline = std::chrono::steady_clock::now() + Patience;
+  while (std::chrono::steady_clock::now() < Deadline) {
+    if (Holds())
+      return true;
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return false;
+}
+
+inline nlohmann::json makeChange(const std::string &Name, Offset Base = 0) {
+  fold::CatalogueChange Change;
+  Change.m_Id = makeId<RecordId>();
+  Change.m_Entry = EntryName(Name);
+  Change.m_BaseVersion = Base;
+  Change.m_Spec.emplace();
+  Change.m_Spec->m_Team = "team";
+  Change.m_Spec->m_WeightBytes = 1;
+  Change.m_Spec->m_BytesPerToken = 1;
+  return fold::toJson(Change);
+}
+
+} // namespace sff::test
