--- /dev/null
+++ b/Source/ProcessTests/StandIns/PlainServiceTest.cpp
@@ -0,0 +1,57 @@
+#include "ProcessTests/Support/ProcessTest.h"
+
+namespace sff::test {
+namespace {
+
+class PlainServiceTest : public ProcessTest {
+protected:
+  void SetUp() override {
+    m_Service = startStandIn("board", "standin-service");
+  }
+  Reply reserve(const std::string &Key) {
+    return m_Http.post(m_Service, "/boards/7?bay=2", {{"n", 1}},
+                       {{"Idempotency-Key", Key}, {"X-Request-Id", "r1"}});
+  }
+  nlohmann::json executions() {
+    return m_Http.get(m_Service, "/control/executions").json();
+  }
+
+  http::Address m_Service;
+};
+
+TEST_F(PlainServiceTest, CountsExecutionsByKey) {
+  const Reply First = reserve("a");
+  EXPECT_EQ(First.json().at("target"), "/boards/7?bay=2");
+  EXPECT_EQ(First.m_Answer.m_Headers.find("X-Request-Id"), "r1");
+  reserve("a");
+  reserve("b");
+  EXPECT_EQ(executions().at("by_key").at("a"), 2);
+  EXPECT_EQ(executions().at("by_key").at("b"), 1);
+  EXPECT_EQ(executions().at("total"), 3);
+  EXPECT_EQ(m_Http.get(m_Service, "/control/load").json().at("running"), 0);
+}
+
+// Guards against a lost answer that is mistaken for one that never ran.
+TEST_F(PlainServiceTest, LostAnswerHasExecuted) {
+  setFaults(m_Service, {{"lose_answers", 1}});
+  EXPECT_EQ(reserve("a").status(), 0);
+  EXPECT_EQ(executions().at("by_key").at("a"), 1);
+}
+
+TEST_F(PlainServiceTest, LateAnswerHasExecutedBefore) {
+  setFaults(m_Service, {{"late_answer_ms", 30000}});
+  HttpCaller Impatient(milliseconds(300));
+  EXPECT_TRUE(Impatient.get(m_Service, "/x").m_Failure->m_TimedOut);
+  EXPECT_EQ(executions().at("total"), 1);
+}
+
+TEST_F(PlainServiceTest, FrozenServiceAnswersNothing) {
+  setFaults(m_Service, {{"freeze", "all"}});
+  HttpCaller Impatient(milliseconds(300));
+  EXPECT_TRUE(Impatient.get(m_Service, "/x").m_Failure->m_TimedOut);
+  setFaults(m_Service, {{"freeze", "none"}});
+  EXPECT_EQ(m_Http.get(m_Service, "/x").status(), 200);
+}
+
+} // namespace
+} // namespace sff::test
--- /dev/null
+++ b/Source/ProcessTests/Support/CutProxy.cpp
@@ -0,0 +1,142 @@
+#include "ProcessTests/Support/CutProxy.h"
+
+#include "StandIns/Support/Wait.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <future>
+
+namespace sff::test {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr milliseconds SilencePollPeriod{10};
+constexpr std::size_t PumpBytes = 16 * 1024;
+
+asio::ip::tcp::endpoint toEndpoint(const http::Address &Where) {
+  return {asio::ip::make_address(Where.m_Host), Where.m_Port};
+}
+
+auto orError(error_code &Error) {
+  return asio::redirect_error(asio::use_awaitable, Error);
+}
+
+} // namespace
+
+struct CutProxy::Link {
+  Link(Tcp::socket Caller, asio::io_context &Context)
+      : m_Caller(std::move(Caller)), m_Server(Context) {}
+
+  void close() {
+    error_code Ignored;
+    m_Caller.close(Ignored);
+    m_Server.close(Ignored);
+  }
+
+  Tcp::socket m_Caller;
+  Tcp::socket m_Server;
+  bool m_Silent = false;
+};
+
+CutProxy::CutProxy(const http::Address &Local, const http::Address &Remote)
+    : m_Local(toEndpoint(Local)), m_Remote(toEndpoint(Remote)) {
+  runInLoop([this] { listen(); });
+}
+
+CutProxy::~CutProxy() { m_Loop.stop(); }
+
+void CutProxy::runInLoop(std::function<void()> Work) {
+  std::promise<void> Done;
+  m_Loop.tryPost([&] {
+    Work();
+    Done.set_value();
+  });
+  Done.get_future().wait();
+}
+
+void CutProxy::listen() {
+  m_Acceptor = Tcp::acceptor(m_Loop.context(), m_Local);
+  asio::co_spawn(m_Loop.context(), acceptLoop(), asio::detached);
+}
+
+void CutProxy::setNewConnections(Mode Next) {
+  runInLoop([this, Next] {
+    m_NewConnections = Next;
+    if (Next == Mode::Refuse)
+      m_Acceptor.close();
+    else if (!m_Acceptor.is_open())
+      listen();
+  });
+}
+
+void CutProxy::setExistingSilent(bool Silent) {
+  runInLoop([this, Silent] {
+    for (const auto &Weak : m_Links)
+      if (const auto Live = Weak.lock())
+        Live->m_Silent = Silent;
+  });
+}
+
+void CutProxy::cutExisting() {
+  runInLoop([this] {
+    for (const auto &Weak : m_Links)
+      if (const auto Live = Weak.lock())
+        Live->close();
+    m_Links.clear();
+  });
+}
+
+asio::awaitable<void> CutProxy::acceptLoop() {
+  while (true) {
+    error_code Error;
+    Tcp::socket Caller = co_await m_Acceptor.async_accept(orError(Error));
+    if (Error)
+      co_return;
+    auto Opened = std::make_shared<Link>(std::move(Caller), m_Loop.context());
+    Opened->m_Silent = m_NewConnections == Mode::Silent;
+    m_Links.remove_if([](const auto &Weak) { return Weak.expired(); });
+    m_Links.push_back(Opened);
+    asio::co_spawn(m_Loop.context(), openLink(Opened), asio::detached);
+  }
+}
+
+asio::awaitable<void> CutProxy::openLink(std::shared_ptr<Link> Opened) {
+  error_code Error;
+  co_await Opened->m_Server.async_connect(m_Remote, orError(Error));
+  if (Error) {
+    Opened->close();
+    co_return;
+  }
+  asio::co_spawn(m_Loop.context(),
+                 pump(Opened, Opened->m_Caller, Opened->m_Server),
+                 asio::detached);
+  asio::co_spawn(m_Loop.context(),
+                 pump(Opened, Opened->m_Server, Opened->m_Caller),
+                 asio::detached);
+}
+
+asio::awaitable<void> CutProxy::pump(std::shared_ptr<Link> Owner,
+                                     Tcp::socket &From, Tcp::socket &To) {
+  std::array<char, PumpBytes> Buffer{};
+  error_code Error;
+  while (!Error) {
+    const std::size_t Read =
+        co_await From.async_read_some(asio::buffer(Buffer), orError(Error));
+    while (Owner->m_Silent && From.is_open())
+      co_await standin::sleepFor(SilencePollPeriod);
+    if (!Error)
+      co_await asio::async_write(To, asio::buffer(Buffer.data(), Read),
+                                 orError(Error));
+  }
+  Owner->close();
+}
+
+} // namespace sff::test
--- /dev/null
+++ b/Source/ProcessTests/Support/HttpCaller.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Net/Http/Client.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace sff::test {
+
+/// Result of a call. Status 0 means that no whole answer arrived.
+struct Reply {
+  http::Response m_Answer;
+  std::optional<http::TransportFailure> m_Failure;
+
+  int status() const { return m_Failure ? 0 : m_Answer.m_Status; }
+  /// The body as JSON; a discarded value when it is not JSON.
+  nlohmann::json json() const {
+    return nlohmann::json::parse(m_Answer.m_Body, nullptr, false);
+  }
+};
+
+/// Blocking HTTP client; keeps connections between calls of one object.
+/// Thread safety: none; use one object for each thread.
+class HttpCaller {
+public:
+  explicit HttpCaller(milliseconds Timeout = milliseconds(20000))
+      : m_Timeout(Timeout) {}
+
+  Reply send(const http::Address &Target, http::Request Message);
+  Reply get(const http::Address &Target, const std::string &Path);
+  Reply post(const http::Address &Target, const std::string &Path,
+             const nlohmann::json &Body, http::Headers Fields = {});
+
+private:
+  milliseconds m_Timeout;
+  boost::asio::io_context m_Context{1};
+  http::Client m_Client{m_Context.get_executor()};
+};
+
+} // namespace sff::test
