--- a/Source/Core/Router/EndpointLink.cpp
+++ b/Source/Core/Router/EndpointLink.cpp
@@ -108,8 +108,10 @@
 boost::asio::awaitable<void> finish(FrontState &State, Placement Used,
                                     AttemptReport Report) {
   Decisions &Peers = State.m_Decisions;
-  co_await tell(
-      State, [&Peers, Used, Report] { Peers.broker().finish(Used, Report); });
+  timers::DutyLoop::Task Work = [&Peers, Used, Report] {
+    Peers.broker().finish(Used, Report);
+  };
+  co_await tell(State, std::move(Work));
 }
 
 namespace {
@@ -141,13 +143,13 @@
 } // namespace
 
 void releaseInBackground(FrontState &State, Placement Used) {
-  State.m_OpenRequests.insert(Used.m_Request);
+  State.m_Open->m_Requests.insert(Used.m_Request);
   ++State.m_Background;
   boost::asio::co_spawn(State.m_Http.context(), releaseWhenStopped(State, Used),
                         [&State, Id = Used.m_Request](std::exception_ptr) {
                           --State.m_Background;
-                          State.m_OpenRequests.erase(
-                              State.m_OpenRequests.find(Id));
+                          State.m_Open->m_Requests.erase(
+                              State.m_Open->m_Requests.find(Id));
                         });
 }
 
