--- a/Source/Core/Core/Memory/CreditLedger.cpp
+++ b/Source/Core/Core/Memory/CreditLedger.cpp
@@ -122,12 +122,16 @@
 void CreditLedger::onTakeover(Instant Now) {
   m_Loans.clear();
   m_ReportedBytes.clear();
+  m_LastReport.reset();
   m_InheritedBytes.clear();
   m_LendFrom = Now + m_TimeToLive;
 }
 
 void CreditLedger::onReport(std::span<const RunningRequest> Running,
                             Instant AskedAt) {
+  if (m_LastReport && AskedAt < *m_LastReport)
+    return;
+  m_LastReport = AskedAt;
   m_ReportedBytes.clear();
   for (const RunningRequest &Request : Running) {
     std::int64_t &Sum = m_ReportedBytes[Request.m_Router];
--- a/Source/Core/Core/Memory/CreditLedger.h
+++ b/Source/Core/Core/Memory/CreditLedger.h
@@ -65,7 +65,8 @@
   /// asked for later was read.
   void onTakeover(Instant Now);
   /// Takes notice of the endpoint's own report. \p AskedAt is the time at
-  /// which the report was asked for, not the time at which it arrived.
+  /// which the report was asked for, not the time at which it arrived. A
+  /// report that was asked for before the last one is ignored.
   void onReport(std::span<const RunningRequest> Running, Instant AskedAt);
   /// Memory kept free for one late order of each lapsed predecessor, bytes.
   void setHeadroom(std::int64_t Bytes);
@@ -113,6 +114,7 @@
   std::map<EntryName, std::int64_t> m_Weights;
   std::map<LoanId, Loan> m_Loans;
   std::map<IncarnationId, std::int64_t> m_ReportedBytes;
+  std::optional<Instant> m_LastReport;
   /// Running requests at takeover that belong to no loan of this ledger.
   std::map<IncarnationId, std::int64_t> m_InheritedBytes;
   /// Set while a takeover is not settled.
--- a/Source/Core/Core/Memory/CreditWallet.cpp
+++ b/Source/Core/Core/Memory/CreditWallet.cpp
@@ -28,10 +28,8 @@
   if (It == m_Loans.end())
     return;
   It->second.m_LiveFrom = std::max(It->second.m_LiveFrom, SentAt);
-  // The lender has taken notice of the last return.
-  if (It->second.m_Returned == It->second.m_Count &&
-      SentAt >= It->second.m_LastMessage)
-    m_Loans.erase(It);
+  It->second.m_IsSettled |=
+      It->second.hasEnded() && SentAt >= It->second.m_LastMessage;
 }
 
 std::optional<Credit> CreditWallet::take(const EntryName &Entry,
@@ -70,14 +68,18 @@
 std::vector<CreditWallet::DueReturn>
 CreditWallet::collectDue(const IncarnationId &Self, milliseconds IdleLimit,
                          Instant Now) {
-  // The last return of a dead loan needs no confirmation: the lender has
-  // lapsed the loan or will, and settles it by the endpoint's own report.
+  // An ended loan is remembered while a repeated grant could revive it. Its
+  // last return needs no confirmation once it is dead: the lender has lapsed
+  // the loan or will, and settles it by the endpoint's own report.
   std::erase_if(m_Loans, [&](const auto &Pair) {
-    return Pair.second.m_Returned == Pair.second.m_Count &&
-           !Pair.second.isLive(Now);
+    const Loan &Item = Pair.second;
+    return Item.hasEnded() && !Item.isLive(Now) &&
+           Now - Item.m_LastMessage >= Item.m_TimeToLive;
   });
   std::vector<DueReturn> Result;
   for (auto &[Id, Item] : m_Loans) {
+    if (Item.m_IsSettled || (Item.hasEnded() && !Item.isLive(Now)))
+      continue;
     const bool ReturnsFree =
         Item.freeCount() > 0 &&
         (Now - Item.m_LastUse >= IdleLimit || !Item.isLive(Now));
--- a/Source/Core/Core/Memory/CreditWallet.h
+++ b/Source/Core/Core/Memory/CreditWallet.h
@@ -21,7 +21,10 @@
 /// Thread safety: none.
 class CreditWallet {
 public:
-  /// Adds a loan that was granted in answer to a message sent at \p SentAt.
+  /// Adds a loan that was granted in answer to a message sent at \p SentAt. A
+  /// repeated grant has no other effect than a renewal. Precondition: the
+  /// router asks with a fresh loan id, and with the same one again only while
+  /// it has no answer.
   void onGranted(const EntryName &Entry,
                  const messages::BorrowCreditsReply &Grant, Instant SentAt);
   /// The lender confirmed a return or renewal that was sent at \p SentAt. Call
@@ -62,7 +65,10 @@
     Instant m_LiveFrom;
     Instant m_LastUse;
     Instant m_LastMessage;
+    /// The lender has confirmed the return of all credits.
+    bool m_IsSettled = false;
 
+    bool hasEnded() const { return m_Returned == m_Count; }
     std::int64_t freeCount() const { return m_Count - m_Returned - m_InUse; }
     bool isLive(Instant Now) const { return Now - m_LiveFrom < m_TimeToLive; }
   };
--- a/Source/UnitTests/Core/Memory/CreditLedgerTest.cpp
+++ b/Source/UnitTests/Core/Memory/CreditLedgerTest.cpp
@@ -61,6 +61,19 @@
   EXPECT_EQ(Ledger.usedBytes(), 0);
 }
 
+// Guards against a report that arrives after a later one and shows fewer
+// requests than run, because they started in between.
+TEST(CreditLedgerTest, ReportsThatArriveLateAreIgnored) {
+  CreditLedger Ledger(100, 1s);
+  ASSERT_EQ(Ledger.lend(Loan, Router, Entry, 10, 8, Start), 8);
+  Ledger.expire(Start + 1s);
+  const std::vector<RunningRequest> Five(5, {Router, 10});
+  Ledger.onReport(Five, Start + 1s);
+  Ledger.onReport({}, Start + 500ms);
+  Ledger.onRouterSeen(Router);
+  EXPECT_EQ(Ledger.usedBytes(), 50);
+}
+
 // Guards against lending or loading after a takeover while routers may start
 // requests under loans of the predecessor.
 TEST(CreditLedgerTest, TakeoverSettlesAfterTheTimeToLiveAndAReport) {
--- a/Source/UnitTests/Core/Memory/CreditWalletTest.cpp
+++ b/Source/UnitTests/Core/Memory/CreditWalletTest.cpp
@@ -38,6 +38,17 @@
   EXPECT_EQ(Wallet.available(Entry, Endpoint, Start + 1s), 0);
 }
 
+// Guards against a repeated grant that revives credits which were returned.
+TEST(CreditWalletTest, RepeatedGrantDoesNotReviveAReturnedLoan) {
+  CreditWallet Wallet;
+  Wallet.onGranted(Entry, grantOf(1), Start);
+  ASSERT_EQ(Wallet.collectDue(Self, 0ms, Start).size(), 1u);
+  Wallet.onRenewed(Loan, Start);
+  EXPECT_TRUE(Wallet.collectDue(Self, 0ms, Start + 400ms).empty());
+  Wallet.onGranted(Entry, grantOf(1), Start);
+  EXPECT_FALSE(Wallet.take(Entry, Endpoint, Start));
+}
+
 // Guards against credits that are used after they were returned, and against
 // loans in use that nobody renews.
 TEST(CreditWalletTest, RenewsLoansInUseAndReturnsIdleCredits) {
