Price cold starts by the callers that wait, and choose victims by rate

Cause: every cold start counted one caller, and a victim was chosen by the total value of keeping it. With a high weight that value is about the same for all entries, whenever their next request comes, so victims were random. Now each range of gaps learns how many callers come together, and a replica is worth the cold-start cost that it saves for each idle second; keeping is worth it while this exceeds the idle price, and victims have the least for each byte. The prior of all entries is taken over about 10000 gaps; 20 gaps were noise.

--- a/Source/Core/Core/Loading/EvictionPolicy.cpp
+++ b/Source/Core/Core/Loading/EvictionPolicy.cpp
@@ -12,31 +12,45 @@
 /// Share of the earlier evidence that stays after each new gap; about the
 /// latest 20 gaps count.
 constexpr double EvidenceKept = 0.95;
+/// The same over all entries, for the prior of each.
+constexpr double PooledEvidenceKept = 0.9999;
 /// Gaps that the entry's own history has to outweigh.
-constexpr double PriorGaps = 2;
-/// Chance that an idle period ends before it doubles, when nothing is known.
-constexpr double PriorHazard = 0.3;
+constexpr double PriorGaps = 1;
+/// Chance that an idle period ends before it grows by half, when nothing is
+/// known.
+constexpr double PriorHazard = 0.15;
 
-/// Buckets double from one second, so the last starts at six days.
+/// Callers for one cold start, when nothing is known.
+constexpr double PriorCallers = 1;
+/// Callers that come in this time after the first one share its cold start.
+constexpr Seconds TogetherPeriod(5);
+/// Shortest idle time of the second bucket, in seconds.
+constexpr double FirstGap = 2;
+
+/// Two buckets for each doubling, so the last starts at twelve days.
 double bucketStart(std::size_t Bucket) {
-  return Bucket == 0 ? 0 : std::ldexp(1.0, static_cast<int>(Bucket));
+  return Bucket == 0
+             ? 0
+             : FirstGap * std::exp2(static_cast<double>(Bucket - 1) / 2);
 }
 
 std::size_t bucketOf(double GapSeconds) {
-  if (GapSeconds < 2)
+  if (GapSeconds < FirstGap)
     return 0;
-  return std::min(GapBuckets - 1,
-                  static_cast<std::size_t>(std::log2(GapSeconds)));
+  const double Place = 1 + 2 * std::log2(GapSeconds / FirstGap);
+  return std::min(GapBuckets - 1, static_cast<std::size_t>(Place));
 }
 
 } // namespace
 
-void EvictionPolicy::GapStatistics::add(double GapSeconds) {
-  const std::size_t Last = bucketOf(GapSeconds);
+void EvictionPolicy::GapStatistics::add(std::size_t Last, double Kept) {
   for (std::size_t Bucket = 0; Bucket <= Last; ++Bucket) {
-    m_Reached[Bucket] = m_Reached[Bucket] * EvidenceKept + 1;
-    m_Ended[Bucket] = m_Ended[Bucket] * EvidenceKept + (Bucket == Last ? 1 : 0);
+    m_Reached[Bucket] = m_Reached[Bucket] * Kept + 1;
+    m_Ended[Bucket] *= Kept;
+    m_Callers[Bucket] *= Kept;
   }
+  m_Ended[Last] += 1;
+  m_Callers[Last] += 1;
 }
 
 double EvictionPolicy::GapStatistics::hazard(std::size_t Bucket,
@@ -45,19 +59,35 @@
          (m_Reached[Bucket] + PriorGaps);
 }
 
+double EvictionPolicy::GapStatistics::callers(std::size_t Bucket,
+                                              double Prior) const {
+  return (m_Callers[Bucket] + PriorGaps * Prior) /
+         (m_Ended[Bucket] + PriorGaps);
+}
+
 void EvictionPolicy::onRequest(const EntryName &Entry, Instant Now) {
   const auto [Found, Fresh] = m_Histories.try_emplace(Entry);
   History &Known = Found->second;
-  if (!Fresh) {
-    const double Gap = Seconds(Now - Known.m_LastRequest).count();
-    Known.m_Gaps.add(Gap);
-    m_AllGaps.add(Gap);
+  if (!Fresh && Now - Known.m_WokenAt < TogetherPeriod) {
+    Known.m_Gaps.addCaller(Known.m_WokenBucket);
+    m_AllGaps.addCaller(Known.m_WokenBucket);
+  } else if (!Fresh) {
+    Known.m_WokenBucket = bucketOf(Seconds(Now - Known.m_LastRequest).count());
+    Known.m_Gaps.add(Known.m_WokenBucket, EvidenceKept);
+    m_AllGaps.add(Known.m_WokenBucket, PooledEvidenceKept);
   }
+  if (Fresh || Now - Known.m_WokenAt >= TogetherPeriod)
+    Known.m_WokenAt = Now;
   Known.m_LastRequest = Now;
 }
 
 double EvictionPolicy::keepValue(const LoadedReplica &Replica,
                                  Instant Now) const {
+  return savedRate(Replica, Now) - Replica.m_Share;
+}
+
+double EvictionPolicy::savedRate(const LoadedReplica &Replica,
+                                 Instant Now) const {
   if (Replica.m_Busy)
     return std::numeric_limits<double>::infinity();
   static const History Unknown;
@@ -66,33 +96,38 @@
   const History &Known = Seen ? Found->second : Unknown;
   const double Idle =
       Seen ? std::max(0.0, Seconds(Now - Known.m_LastRequest).count()) : 0;
-  const double ColdStart =
-      m_Weights.m_ColdStartWeight * Replica.m_ReloadSeconds *
-      (Replica.m_Class == catalogue::TrafficClass::Interactive
-           ? m_Weights.m_InteractiveFactor
-           : 1);
-  return valueAfter(Known.m_Gaps, Idle, ColdStart, Replica.m_Share);
+  const double Weight =
+      Replica.m_Class == catalogue::TrafficClass::Interactive
+          ? m_Weights.m_ColdStartWeight * m_Weights.m_InteractiveFactor
+          : m_Weights.m_ColdStartWeight;
+  return Weight * Replica.m_ReloadSeconds *
+         callersPerSecond(Known.m_Gaps, Idle);
 }
 
-/// Backward over the buckets: within one, the time to the next request is
-/// taken as exponential with the rate that gives the bucket's hazard.
-double EvictionPolicy::valueAfter(const GapStatistics &Gaps, double Idle,
-                                  double ColdStart, double IdlePrice) const {
+/// Within a bucket the time to the next request is taken as exponential with
+/// the rate that gives the bucket's hazard.
+double EvictionPolicy::callersPerSecond(const GapStatistics &Gaps,
+                                        double Idle) const {
   const std::size_t First = bucketOf(Idle);
-  double Value = 0;
-  for (std::size_t Bucket = GapBuckets; Bucket-- > First;) {
-    const double Later = std::max(0.0, Value);
-    const double Start = bucketStart(Bucket);
-    const double Width = bucketStart(Bucket + 1) - Start;
+  double Reached = 1; // Chance that no request has come before the bucket.
+  double Callers = 0;
+  double Time = 0;
+  double Best = 0;
+  for (std::size_t Bucket = First; Bucket < GapBuckets; ++Bucket) {
+    const double End = bucketStart(Bucket + 1);
+    const double Width = End - bucketStart(Bucket);
     const double Left =
-        Bucket == First ? std::max(Start + Width - Idle, Width / 64) : Width;
+        Bucket == First ? std::max(End - Idle, Width / 64) : Width;
     const double Prior = m_AllGaps.hazard(Bucket, PriorHazard);
     const double Rate = -std::log1p(-Gaps.hazard(Bucket, Prior)) / Width;
     const double Returns = -std::expm1(-Rate * Left);
-    Value = Returns * ColdStart - IdlePrice * Returns / Rate +
-            (1 - Returns) * Later;
+    Callers += Reached * Returns *
+               Gaps.callers(Bucket, m_AllGaps.callers(Bucket, PriorCallers));
+    Time += Reached * Returns / Rate;
+    Best = std::max(Best, Callers / Time);
+    Reached *= 1 - Returns;
   }
-  return Value;
+  return Best;
 }
 
 std::vector<EntryName>
@@ -116,7 +151,7 @@
   for (const LoadedReplica &Replica : Loaded)
     if (!Replica.m_Busy)
       Idle.push_back(
-          {keepValue(Replica, Now) /
+          {savedRate(Replica, Now) /
                static_cast<double>(std::max<std::int64_t>(Replica.m_Bytes, 1)),
            &Replica});
   std::stable_sort(Idle.begin(), Idle.end(), [](const auto &A, const auto &B) {
--- a/Source/Core/Core/Loading/EvictionPolicy.h
+++ b/Source/Core/Core/Loading/EvictionPolicy.h
@@ -33,7 +33,7 @@
 };
 
 /// Number of ranges into which idle periods are divided.
-constexpr std::size_t GapBuckets = 20;
+constexpr std::size_t GapBuckets = 40;
 
 /// Decides how long an idle replica stays loaded: while the expected cost of
 /// its next cold start exceeds the accelerator time that it idles away.
@@ -44,8 +44,8 @@
 
   void onRequest(const EntryName &Entry, Instant Now);
 
-  /// Value of keeping the replica for the next moment; not positive means
-  /// that it should be unloaded now.
+  /// Value of keeping the replica for the next second, in idle accelerator
+  /// seconds; not positive means that it should be unloaded now.
   double keepValue(const LoadedReplica &Replica, Instant Now) const;
 
   /// Idle replicas to unload now, because keeping them is not worth it.
@@ -64,16 +64,29 @@
   struct GapStatistics {
     std::array<double, GapBuckets> m_Reached{};
     std::array<double, GapBuckets> m_Ended{};
-    void add(double GapSeconds);
+    /// Callers that came together at the ends of the periods counted above.
+    std::array<double, GapBuckets> m_Callers{};
+    /// Adds a period that ended in \p Last; the share \p Kept of the earlier
+    /// evidence stays.
+    void add(std::size_t Last, double Kept);
+    void addCaller(std::size_t Bucket) { m_Callers[Bucket] += 1; }
     /// Chance that an idle period that reached the range ends in it.
     double hazard(std::size_t Bucket, double Prior) const;
+    /// Callers that one cold start keeps waiting after such a period.
+    double callers(std::size_t Bucket, double Prior) const;
   };
   struct History {
     Instant m_LastRequest;
+    Instant m_WokenAt; ///< First request after the latest longer gap.
+    std::size_t m_WokenBucket = 0;
     GapStatistics m_Gaps;
   };
-  double valueAfter(const GapStatistics &Gaps, double Idle, double ColdStart,
-                    double IdlePrice) const;
+  /// Cold-start cost that keeping the replica avoids, for each second that it
+  /// idles, over the best period to keep it.
+  double savedRate(const LoadedReplica &Replica, Instant Now) const;
+  /// Callers that find the replica loaded for each second that it idles, when
+  /// it is kept from \p Idle seconds of idle time to the best later time.
+  double callersPerSecond(const GapStatistics &Gaps, double Idle) const;
 
   EvictionWeights m_Weights;
   std::map<EntryName, History> m_Histories;
