Believe load reports less the older they are

Cause: a report is as old as a request lasts, so what it says about other routers' requests is mostly gone. Now this part decays towards its mean with the service time, which the router learns from its own requests.

--- a/Source/Core/Core/Routing/EndpointPicker.cpp
+++ b/Source/Core/Core/Routing/EndpointPicker.cpp
@@ -1,13 +1,22 @@
 #include "Core/Routing/EndpointPicker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sff::routing {
 namespace {
 
-/// Changes kept while an endpoint sends no reports; older ones are folded
-/// into the reported number.
+using Seconds = std::chrono::duration<double>;
+
+/// Changes kept while an endpoint sends no reports. Dropping older ones only
+/// matters for a report that is older than all of them.
 constexpr std::size_t MaxChanges = 1024;
+/// Weight of the latest report in the mean load of other routers.
+constexpr double ReportWeight = 0.1;
+/// Share of the evidence on service times that stays after each request.
+constexpr double ServiceEvidenceKept = 0.99;
+/// Assumed until a request has ended.
+constexpr double DefaultServiceSeconds = 1;
 
 double score(const PickCandidate &Candidate, const PickWeights &Weights) {
   return Candidate.m_Load -
@@ -23,36 +32,53 @@
                         Instant Now) {
   Entry &Known = m_Entries[Endpoint];
   const Instant MadeAt = Now - Lag;
-  if (MadeAt < Known.m_ReportMadeAt)
+  if (Known.m_HasReport && MadeAt < Known.m_ReportMadeAt)
     return;
-  Known.m_Reported = RunningRequests;
+  while (!Known.m_Changes.empty() && Known.m_Changes.front().first <= MadeAt)
+    Known.m_Changes.pop_front();
+  std::int64_t OwnThen = Known.m_OwnRunning;
+  for (const auto &[Time, Delta] : Known.m_Changes)
+    OwnThen -= Delta;
+  Known.m_Others =
+      static_cast<double>(std::max<std::int64_t>(0, RunningRequests - OwnThen));
+  Known.m_OthersMean =
+      Known.m_HasReport
+          ? Known.m_OthersMean +
+                ReportWeight * (Known.m_Others - Known.m_OthersMean)
+          : Known.m_Others;
   Known.m_ReportMadeAt = MadeAt;
-  std::erase_if(Known.m_Changes,
-                [&](const auto &Change) { return Change.first <= MadeAt; });
+  Known.m_HasReport = true;
 }
 
 void LoadView::onDispatched(const EndpointId &Endpoint, Instant Now) {
-  Entry &Known = m_Entries[Endpoint];
-  ++Known.m_OwnRunning;
-  addChange(Known, Now, 1);
+  addChange(m_Entries[Endpoint], Now, 1);
 }
 
 void LoadView::onFinished(const EndpointId &Endpoint, Instant Now) {
   const auto Found = m_Entries.find(Endpoint);
   if (Found == m_Entries.end() || Found->second.m_OwnRunning == 0)
     return;
-  --Found->second.m_OwnRunning;
   addChange(Found->second, Now, -1);
+  m_OwnFinished = m_OwnFinished * ServiceEvidenceKept + 1;
+  m_OwnBusySeconds *= ServiceEvidenceKept;
 }
 
 void LoadView::addChange(Entry &Known, Instant Now, int Delta) {
+  if (Known.m_OwnRunning > 0)
+    m_OwnBusySeconds += static_cast<double>(Known.m_OwnRunning) *
+                        Seconds(Now - Known.m_OwnSince).count();
+  Known.m_OwnSince = Now;
+  Known.m_OwnRunning += Delta;
   Known.m_Changes.emplace_back(Now, Delta);
-  if (Known.m_Changes.size() <= MaxChanges)
-    return;
-  const auto End = Known.m_Changes.begin() + MaxChanges / 2;
-  for (auto Change = Known.m_Changes.begin(); Change != End; ++Change)
-    Known.m_Reported += Change->second;
-  Known.m_Changes.erase(Known.m_Changes.begin(), End);
+  if (Known.m_Changes.size() > MaxChanges)
+    Known.m_Changes.pop_front();
+}
+
+/// By Little's law, from the time that own requests ran and their ends.
+double LoadView::meanServiceSeconds() const {
+  return m_OwnFinished < 1 || m_OwnBusySeconds <= 0
+             ? DefaultServiceSeconds
+             : m_OwnBusySeconds / m_OwnFinished;
 }
 
 double LoadView::estimate(const EndpointId &Endpoint, Instant Now) const {
@@ -60,10 +86,10 @@
   if (Found == m_Entries.end())
     return 0;
   const Entry &Known = Found->second;
-  std::int64_t Running = Known.m_Reported;
-  for (const auto &[Time, Delta] : Known.m_Changes)
-    Running += Time <= Now ? Delta : 0;
-  return static_cast<double>(std::max(Running, Known.m_OwnRunning));
+  const double Age = Seconds(Now - Known.m_ReportMadeAt).count();
+  const double Belief = std::exp(-std::max(0.0, Age) / meanServiceSeconds());
+  return static_cast<double>(Known.m_OwnRunning) + Known.m_OthersMean +
+         (Known.m_Others - Known.m_OthersMean) * Belief;
 }
 
 void LoadView::forget(const EndpointId &Endpoint) { m_Entries.erase(Endpoint); }
--- a/Source/Core/Core/Routing/EndpointPicker.h
+++ b/Source/Core/Core/Routing/EndpointPicker.h
@@ -4,6 +4,7 @@
 #include "Common/Time/Instant.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -14,7 +15,9 @@
 namespace sff::routing {
 
 /// Load of the replicas as the endpoints report it, corrected by what this
-/// router has sent since. Thread safety: none.
+/// router has sent since. What other routers have running is believed less the
+/// older the report is compared with a request's duration, and tends to its
+/// mean. Thread safety: none.
 class LoadView {
 public:
   /// A report that the endpoint made \p Lag ago and this router read now.
@@ -28,15 +31,21 @@
 
 private:
   struct Entry {
-    std::int64_t m_Reported = 0;
     Instant m_ReportMadeAt;
+    bool m_HasReport = false;
+    double m_Others = 0; ///< Requests of other routers in the latest report.
+    double m_OthersMean = 0;
     std::int64_t m_OwnRunning = 0;
+    Instant m_OwnSince; ///< Latest change of m_OwnRunning.
     /// Own dispatches and ends after the report was made.
-    std::vector<std::pair<Instant, int>> m_Changes;
+    std::deque<std::pair<Instant, int>> m_Changes;
   };
-  static void addChange(Entry &Known, Instant Now, int Delta);
+  void addChange(Entry &Known, Instant Now, int Delta);
+  double meanServiceSeconds() const;
 
   std::map<EndpointId, Entry> m_Entries;
+  double m_OwnBusySeconds = 0; ///< Of own requests; fades with each end.
+  double m_OwnFinished = 0;
 };
 
 struct PickCandidate {
