--- a/Source/Core/Core/Fold/ClusterState.cpp
+++ b/Source/Core/Core/Fold/ClusterState.cpp
@@ -11,8 +11,8 @@
 /// nothing, which does no harm.
 constexpr Offset LeaseRetentionOffsets = 100000;
 constexpr Offset PruneIntervalOffsets = 1024;
-/// An endpoint remembers this many lapsed owners; claims beyond it wait until
-/// one of them is known to be gone and the endpoint is given back or retired.
+/// An endpoint remembers this many lapsed owners. A claim beyond it has to name
+/// one that is known to be gone.
 constexpr std::size_t MaxLapsedOwners = 8;
 
 ApplyResult accepted() { return {{}, true}; }
@@ -42,21 +42,43 @@
   return Result;
 }
 
+/// Lapsed owners of an endpoint once a claim has taken effect.
+std::vector<IncarnationId> lapsedAfter(const Ownership &Current,
+                                       const IncarnationId &Claimant,
+                                       const ClaimItem &Item) {
+  std::vector<IncarnationId> Result = Current.m_LapsedOwners;
+  if (!Current.m_Owner.empty() &&
+      std::ranges::find(Result, Current.m_Owner) == Result.end())
+    Result.push_back(Current.m_Owner);
+  std::erase_if(Result, [&](const IncarnationId &Owner) {
+    return Owner == Claimant || std::ranges::find(Item.m_GoneOwners, Owner) !=
+                                    Item.m_GoneOwners.end();
+  });
+  return Result;
+}
+
 } // namespace
 
 ApplyResult ClusterState::apply(Offset Position, const Record &Value) {
   if (Position <= m_Applied)
     return rejected("", "offset already applied");
-  m_Applied = Position;
-  ApplyResult Result = std::visit(
-      [&](const auto &Item) { return applyOne(Position, Item); }, Value);
-  if (Position % PruneIntervalOffsets == 0)
-    pruneLeases(Position);
-  return Result;
+  advance(Position);
+  return std::visit([&](const auto &Item) { return applyOne(Position, Item); },
+                    Value);
 }
 
 void ClusterState::skip(Offset Position) {
-  m_Applied = std::max(m_Applied, Position);
+  if (Position > m_Applied)
+    advance(Position);
+}
+
+void ClusterState::advance(Offset Position) {
+  // Prunes at the boundary even if it held no usable record or was never read,
+  // so that the result depends on offsets only.
+  const Offset Boundary = Position - Position % PruneIntervalOffsets;
+  if (Boundary > m_Applied)
+    pruneLeases(Boundary);
+  m_Applied = Position;
 }
 
 ApplyResult ClusterState::applyOne(Offset Position,
@@ -70,11 +92,18 @@
     return rejected(Value.m_Entry.str(), "the specification is not valid");
   if (!Value.m_Spec && !findEntry(Value.m_Entry))
     return rejected(Value.m_Entry.str(), "there is no such entry");
-  m_Catalogue[Value.m_Entry] = {Position, Value.m_Spec};
+  CatalogueItem &Item = m_Catalogue[Value.m_Entry];
+  Item.m_Version = Position;
+  Item.m_Spec = Value.m_Spec;
+  if (Value.m_Spec)
+    Item.m_LargestWeightBytes =
+        std::max(Item.m_LargestWeightBytes, Value.m_Spec->m_WeightBytes);
   return accepted();
 }
 
 ApplyResult ClusterState::applyOne(Offset Position, const LeaseRenewal &Value) {
+  if (Value.m_Incarnation.empty())
+    return rejected("", "no incarnation");
   const auto It = m_Leases.find(Value.m_Incarnation);
   if (It == m_Leases.end()) {
     if (Value.m_Previous != 0)
@@ -113,13 +142,18 @@
   return accepted();
 }
 
-const char *ClusterState::checkClaim(const ClaimItem &Item) const {
+const char *ClusterState::checkClaim(const IncarnationId &Claimant,
+                                     const ClaimItem &Item) const {
+  if (Item.m_Endpoint.empty())
+    return "no endpoint";
   const Ownership *Current = findOwnership(Item.m_Endpoint);
   if ((Current ? Current->m_Offset : 0) != Item.m_PreviousOwnership)
     return "the ownership has changed";
   if (!Current || Current->m_Owner.empty())
     return nullptr;
-  if (Current->m_LapsedOwners.size() >= MaxLapsedOwners)
+  if (Current->m_Owner == Claimant)
+    return "the claimant owns the endpoint";
+  if (lapsedAfter(*Current, Claimant, Item).size() > MaxLapsedOwners)
     return "too many lapsed owners";
   const Lease *Predecessor = findLease(Current->m_Owner);
   if (Predecessor && Predecessor->m_LastRenewal != Item.m_PredecessorRenewal)
@@ -133,11 +167,11 @@
   if (!Claimant || Claimant->m_Released)
     return rejected(Value.m_Claimant.str(), "the claimant holds no lease");
   return applyEach(
-      Value.m_Items, [&](const ClaimItem &Item) { return checkClaim(Item); },
+      Value.m_Items,
+      [&](const ClaimItem &Item) { return checkClaim(Value.m_Claimant, Item); },
       [&](const ClaimItem &Item) {
         Ownership &Current = m_Ownerships[Item.m_Endpoint];
-        if (!Current.m_Owner.empty())
-          Current.m_LapsedOwners.push_back(Current.m_Owner);
+        Current.m_LapsedOwners = lapsedAfter(Current, Value.m_Claimant, Item);
         Current.m_Owner = Value.m_Claimant;
         Current.m_Offset = Position;
         Current.m_Retired = false;
@@ -166,17 +200,61 @@
   if (!isOwner(Value.m_Author, Item.m_Endpoint, Item.m_Ownership))
     return rejected(Item.m_Endpoint.str(),
                     "the author does not own the endpoint");
-  for (auto &[Key, Current] : m_Slots)
-    if (Current.m_Endpoint == Item.m_Endpoint)
-      Current = {EndpointId(), Position};
+  for (const SlotKey &Key : slotsAt(Item.m_Endpoint))
+    setSlot(Key, EndpointId(), Position);
   m_Ownerships[Item.m_Endpoint] = {IncarnationId(), Position, true, {}};
   return accepted();
 }
 
 bool ClusterState::holdsSlotAt(const EntryName &Entry,
                                const EndpointId &Endpoint) const {
-  const auto Endpoints = endpointsOf(Entry);
-  return std::ranges::find(Endpoints, Endpoint) != Endpoints.end();
+  const auto It = m_SlotsAt.find(Endpoint);
+  if (It == m_SlotsAt.end())
+    return false;
+  const auto Held = It->second.lower_bound({Entry, 0});
+  return Held != It->second.end() && Held->first == Entry;
+}
+
+bool ClusterState::isBaseOfSlotsAt(const EntryName &Entry,
+                                   const EndpointId &Endpoint) const {
+  const auto IsAdapter = [](const catalogue::EntrySpec *Spec) {
+    return Spec && Spec->m_Kind == catalogue::EntryKind::Adapter;
+  };
+  // An entry that was turned into an adapter is no base any more. Otherwise two
+  // entries that name each other could never be released.
+  if (IsAdapter(findEntry(Entry)))
+    return false;
+  const auto It = m_SlotsAt.find(Endpoint);
+  return It != m_SlotsAt.end() &&
+         std::ranges::any_of(It->second, [&](const SlotKey &Key) {
+           const catalogue::EntrySpec *Spec = findEntry(Key.first);
+           return IsAdapter(Spec) && Spec->m_Base == Entry;
+         });
+}
+
+bool ClusterState::hasUsableSlotAt(const EntryName &Entry,
+                                   const EndpointId &Endpoint) const {
+  const catalogue::EntrySpec *Spec = findEntry(Entry);
+  const auto It = m_SlotsAt.find(Endpoint);
+  if (!Spec || It == m_SlotsAt.end())
+    return false;
+  const auto Held = It->second.lower_bound({Entry, 0});
+  return Held != It->second.end() && Held->first == Entry &&
+         Held->second < Spec->m_Replicas;
+}
+
+void ClusterState::setSlot(const SlotKey &Key, const EndpointId &Endpoint,
+                           Offset Position) {
+  Slot &Current = m_Slots[Key];
+  if (const auto It = m_SlotsAt.find(Current.m_Endpoint);
+      It != m_SlotsAt.end()) {
+    It->second.erase(Key);
+    if (It->second.empty())
+      m_SlotsAt.erase(It);
+  }
+  if (!Endpoint.empty())
+    m_SlotsAt[Endpoint].insert(Key);
+  Current = {Endpoint, Position};
 }
 
 const char *ClusterState::checkGrant(const IncarnationId &Author,
@@ -191,13 +269,20 @@
     return "the slot has changed";
   if (Current && !Current->m_Endpoint.empty())
     return "the slot is assigned";
-  const Ownership *Owned = findOwnership(Item.m_Endpoint);
-  if (!Owned || Owned->m_Owner != Author)
+  if (!isOwner(Author, Item.m_Endpoint, Item.m_Ownership))
     return "the author does not own the endpoint";
+  const auto Assigned =
+      static_cast<std::int64_t>(endpointsOf(Item.m_Entry).size());
+  if (Assigned >= Spec->m_Replicas)
+    return "slots above a lowered count are still assigned";
   if (holdsSlotAt(Item.m_Entry, Item.m_Endpoint))
     return "the endpoint already holds a slot of the entry";
-  if (Spec->m_Kind == catalogue::EntryKind::Adapter &&
-      !holdsSlotAt(Spec->m_Base, Item.m_Endpoint))
+  if (Spec->m_Kind != catalogue::EntryKind::Adapter)
+    return nullptr;
+  const catalogue::EntrySpec *Base = findEntry(Spec->m_Base);
+  if (!Base || Base->m_Kind != catalogue::EntryKind::Model)
+    return "the base is not a model";
+  if (!holdsSlotAt(Spec->m_Base, Item.m_Endpoint))
     return "the base has no slot at the endpoint";
   return nullptr;
 }
@@ -207,7 +292,7 @@
       Value.m_Items,
       [&](const SlotItem &Item) { return checkGrant(Value.m_Author, Item); },
       [&](const SlotItem &Item) {
-        m_Slots[{Item.m_Entry, Item.m_Index}] = {Item.m_Endpoint, Position};
+        setSlot({Item.m_Entry, Item.m_Index}, Item.m_Endpoint, Position);
       },
       describe);
 }
@@ -218,9 +303,10 @@
   if (!Current || Current->m_Endpoint.empty() ||
       Current->m_Offset != Item.m_Previous)
     return "the slot has changed";
-  const Ownership *Owned = findOwnership(Current->m_Endpoint);
-  if (!Owned || Owned->m_Owner != Author)
+  if (!isOwner(Author, Current->m_Endpoint, Item.m_Ownership))
     return "the author does not own the endpoint";
+  if (isBaseOfSlotsAt(Item.m_Entry, Current->m_Endpoint))
+    return "adapters of the entry have slots at the endpoint";
   return nullptr;
 }
 
@@ -229,19 +315,18 @@
       Value.m_Items,
       [&](const SlotItem &Item) { return checkRelease(Value.m_Author, Item); },
       [&](const SlotItem &Item) {
-        m_Slots[{Item.m_Entry, Item.m_Index}] = {EndpointId(), Position};
+        setSlot({Item.m_Entry, Item.m_Index}, EndpointId(), Position);
       },
       describe);
 }
 
 void ClusterState::pruneLeases(Offset Position) {
+  std::set<IncarnationId> Owners;
+  for (const auto &[Endpoint, Item] : m_Ownerships)
+    Owners.insert(Item.m_Owner);
   std::erase_if(m_Leases, [&](const auto &Pair) {
-    const IncarnationId &Incarnation = Pair.first;
-    const Lease &Item = Pair.second;
-    const bool Owns = std::ranges::any_of(m_Ownerships, [&](const auto &Owned) {
-      return Owned.second.m_Owner == Incarnation;
-    });
-    return !Owns && Item.m_LastRenewal + LeaseRetentionOffsets < Position;
+    return !Owners.contains(Pair.first) &&
+           Pair.second.m_LastRenewal + LeaseRetentionOffsets < Position;
   });
 }
 
@@ -277,16 +362,15 @@
 bool ClusterState::isOwner(const IncarnationId &Incarnation,
                            const EndpointId &Endpoint, Offset Token) const {
   const Ownership *Current = findOwnership(Endpoint);
-  return Current && Current->m_Owner == Incarnation &&
+  return Current && !Incarnation.empty() && Current->m_Owner == Incarnation &&
          Current->m_Offset == Token;
 }
 
 std::vector<SlotKey> ClusterState::slotsAt(const EndpointId &Endpoint) const {
-  std::vector<SlotKey> Result;
-  for (const auto &[Key, Item] : m_Slots)
-    if (Item.m_Endpoint == Endpoint)
-      Result.push_back(Key);
-  return Result;
+  const auto It = m_SlotsAt.find(Endpoint);
+  if (It == m_SlotsAt.end())
+    return {};
+  return {It->second.begin(), It->second.end()};
 }
 
 std::vector<EndpointId>
@@ -336,7 +420,8 @@
   Result.m_Catalogue = {Form.m_Catalogue.begin(), Form.m_Catalogue.end()};
   Result.m_Leases = {Form.m_Leases.begin(), Form.m_Leases.end()};
   Result.m_Ownerships = {Form.m_Ownerships.begin(), Form.m_Ownerships.end()};
-  Result.m_Slots = {Form.m_Slots.begin(), Form.m_Slots.end()};
+  for (const auto &[Key, Item] : Form.m_Slots)
+    Result.setSlot(Key, Item.m_Endpoint, Item.m_Offset);
   return Result;
 }
 
--- a/Source/Core/Core/Fold/ClusterState.h
+++ b/Source/Core/Core/Fold/ClusterState.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,10 +15,15 @@
 struct CatalogueItem {
   Offset m_Version = 0;
   std::optional<catalogue::EntrySpec> m_Spec;
+  /// Largest weights of any version so far. A late load order may name an
+  /// earlier version than the present one.
+  std::int64_t m_LargestWeightBytes = 0;
 
   static constexpr auto describe() {
-    return std::make_tuple(field("v", &CatalogueItem::m_Version),
-                           field("spec", &CatalogueItem::m_Spec));
+    return std::make_tuple(
+        field("v", &CatalogueItem::m_Version),
+        field("spec", &CatalogueItem::m_Spec),
+        field("max_weight", &CatalogueItem::m_LargestWeightBytes));
   }
 };
 
@@ -44,8 +50,11 @@
   IncarnationId m_Owner; ///< Empty when the endpoint is free.
   Offset m_Offset = 0;   ///< Last valid ownership record; the fencing token.
   bool m_Retired = false;
-  /// Earlier owners that lost the endpoint without giving it back. Orders
-  /// that they sent may still arrive at an endpoint that does not fence.
+  /// Earlier owners that lost the endpoint without giving it back. An order
+  /// that they sent may still arrive at an endpoint that does not fence. Each
+  /// is listed once, and not while it owns the endpoint again: an incarnation
+  /// has at most one order outstanding at an endpoint, counted over all the
+  /// times that it owned it.
   std::vector<IncarnationId> m_LapsedOwners;
 
   static constexpr auto describe() {
@@ -118,6 +127,11 @@
 
   /// Slots that are assigned to \p Endpoint.
   std::vector<SlotKey> slotsAt(const EndpointId &Endpoint) const;
+  /// True when \p Endpoint holds a slot of \p Entry.
+  bool holdsSlotAt(const EntryName &Entry, const EndpointId &Endpoint) const;
+  /// True when one of these slots is below the entry's replica count.
+  bool hasUsableSlotAt(const EntryName &Entry,
+                       const EndpointId &Endpoint) const;
   /// Endpoints that hold a slot of \p Entry, in index order.
   std::vector<EndpointId> endpointsOf(const EntryName &Entry) const;
 
@@ -128,6 +142,7 @@
   fromSnapshot(const nlohmann::json &Input);
 
 private:
+  void advance(Offset Position);
   ApplyResult applyOne(Offset Position, const CatalogueChange &Value);
   ApplyResult applyOne(Offset Position, const LeaseRenewal &Value);
   ApplyResult applyOne(Offset Position, const LeaseRelease &Value);
@@ -137,12 +152,15 @@
   ApplyResult applyOne(Offset Position, const SlotGrant &Value);
   ApplyResult applyOne(Offset Position, const SlotRelease &Value);
 
-  const char *checkClaim(const ClaimItem &Item) const;
+  const char *checkClaim(const IncarnationId &Claimant,
+                         const ClaimItem &Item) const;
   const char *checkGrant(const IncarnationId &Author,
                          const SlotItem &Item) const;
   const char *checkRelease(const IncarnationId &Author,
                            const SlotItem &Item) const;
-  bool holdsSlotAt(const EntryName &Entry, const EndpointId &Endpoint) const;
+  bool isBaseOfSlotsAt(const EntryName &Entry,
+                       const EndpointId &Endpoint) const;
+  void setSlot(const SlotKey &Key, const EndpointId &Endpoint, Offset Position);
   void freeOwnership(Ownership &Item, Offset Position);
   void pruneLeases(Offset Position);
 
@@ -151,6 +169,8 @@
   std::map<IncarnationId, Lease> m_Leases;
   std::map<EndpointId, Ownership> m_Ownerships;
   std::map<SlotKey, Slot> m_Slots;
+  /// Index over m_Slots by endpoint; derived, so no part of the snapshot.
+  std::map<EndpointId, std::set<SlotKey>> m_SlotsAt;
 };
 
 } // namespace sff::fold
