--- a/Source/Bench/PolicyBench/Experiments.cpp
+++ b/Source/Bench/PolicyBench/Experiments.cpp
@@ -99,6 +99,13 @@
   return Sum / 3600;
 }
 
+double coldTail(const Offers &Cold, bool Interactive) {
+  Offers Chosen;
+  std::copy_if(Cold.begin(), Cold.end(), std::back_inserter(Chosen),
+               [&](auto *Item) { return isInteractive(*Item) == Interactive; });
+  return percentile(firstTokens(Chosen), 0.95);
+}
+
 Policies firstCome(Eviction Kind) {
   Policies Choice;
   Choice.m_Eviction = Kind;
@@ -179,9 +186,13 @@
 
 void runBurst(const ExperimentOptions &Options) {
   std::vector<Row> Rows;
-  const auto add = [&](const std::string &Label, const Policies &Choice) {
+  const auto add = [&](const std::string &Label, const Policies &Choice,
+                       double Slowdown) {
+    Faults Slow;
+    Slow.m_To = Options.m_Hours * 3600;
+    Slow.m_StoreSlowdown = Slowdown;
     Rows.push_back(overSeeds(Options, Label, [&](std::uint64_t Seed) {
-      const RunResult Result = runIdle(Options, Choice, {}, Seed);
+      const RunResult Result = runIdle(Options, Choice, Slow, Seed);
       const auto Cold =
           select(Result, [](const auto &Item) { return Item.m_Cold; });
       const auto &Wakes = Result.m_LoadsPerWake;
@@ -198,6 +209,8 @@
           figure("surplus loads", static_cast<double>(Result.m_SurplusLoads),
                  Bound::AtMost, 0),
           figure("cold requests", static_cast<double>(Cold.size())),
+          figure("interactive p95 s", coldTail(Cold, true)),
+          figure("batch p95 s", coldTail(Cold, false)),
           figure("served in time %", percent(Cold, servedInTime)),
           figure("refused in time %", percent(Cold, refusedInTime)),
           figure("served late %", percent(Cold,
@@ -211,9 +224,17 @@
       };
     }));
   };
-  add("policy, weight 20", {});
-  add("time-out 300 s, first come", firstCome(Eviction::IdleTimeout));
-  add("router alone, 300 s", routerAlone());
+  Policies FirstCome;
+  FirstCome.m_FirstComeLoading = true;
+  for (const double Slowdown : {1.0, 3.0}) {
+    const std::string Store =
+        Slowdown > 1 ? ", weight store 3 times slower" : "";
+    add("policy, weight 20" + Store, {}, Slowdown);
+    add("weight 20, first-come loading" + Store, FirstCome, Slowdown);
+    add("time-out 300 s, first come" + Store, firstCome(Eviction::IdleTimeout),
+        Slowdown);
+    add("router alone, 300 s" + Store, routerAlone(), Slowdown);
+  }
   printReport(title(Options, "burst"), Rows, Options.m_Json);
 }
 
