--- a/Source/UnitTests/Router/IntentTest.cpp
+++ b/Source/UnitTests/Router/IntentTest.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+// Nothing listens on the discard port.
+constexpr const char *UnusedAddress = "127.0.0.1:9";
+
 std::size_t countOf(FakeRelay &Relay, const std::string &Type) {
   std::size_t Count = 0;
   for (const auto &Item : Relay.records("intents"))
@@ -107,7 +110,7 @@
   for (const char *Name : {"k7", "k8"})
     Batch.push_back(execution::toJson(
         execution::Intent{Key(Name), makeId<AttemptId>(), IncarnationId("lost"),
-                          addressAt(9), Digest}));
+                          UnusedAddress, Digest}));
   m_Relay.appendBatch("intents", std::move(Batch));
   EXPECT_TRUE(eventually([&] {
     http::Request Message = call("k8", "{}");
@@ -131,4 +134,15 @@
   EXPECT_EQ(m_Service.m_Executions, 1);
 }
 
+// Guards against a key that stays blocked, and against a false "unknown", when
+// the service could not be reached at all.
+TEST_F(RouterTest, UnreachableServiceIsVoidedAndNotRun) {
+  const auto Running = startRouter();
+  m_Service.die();
+  const auto Answer = get(call("k10", "{}"));
+  EXPECT_EQ(Answer.m_Status, 503);
+  EXPECT_EQ(problemOf(Answer).value("outcome", ""), "not_run");
+  EXPECT_TRUE(eventually([&] { return countOf(m_Relay, "intent_void") == 1; }));
+}
+
 } // namespace sff::router::testing
--- a/Source/UnitTests/Router/OutcomeTest.cpp
+++ b/Source/UnitTests/Router/OutcomeTest.cpp
@@ -143,9 +143,7 @@
   http::ClientOptions Short;
   Short.m_ReadTimeout = milliseconds(300);
   auto Gone = boost::asio::co_spawn(
-      m_Loop.context(),
-      m_Client.send({"127.0.0.1", static_cast<std::uint16_t>(m_BasePort + 2)},
-                    completion("x"), Short),
+      m_Loop.context(), m_Client.send(routerAt(0), completion("x"), Short),
       boost::asio::use_future);
   EXPECT_TRUE(std::holds_alternative<http::TransportFailure>(Gone.get()));
   EXPECT_TRUE(eventually([&] { return m_EngineA.m_Cancels >= 2; }));
--- a/Source/UnitTests/Router/RouterFixture.cpp
+++ b/Source/UnitTests/Router/RouterFixture.cpp
@@ -4,20 +4,12 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
-#include <unistd.h>
-
 namespace sff::router::testing {
 
 namespace {
 
-constexpr int FirstPort = 43000;
-constexpr int PortsPerProcess = 10;
-constexpr int PortBlocks = 99;
 constexpr std::chrono::seconds Patience{20};
 
-// Tests run in processes side by side; neighbours have different ids.
-int basePort() { return FirstPort + (getpid() % PortBlocks) * PortsPerProcess; }
-
 settings::Settings check(const nlohmann::json &Document) {
   const settings::Schema Schema = makeSchema();
   return boost::leaf::try_handle_all(
@@ -33,10 +25,10 @@
 } // namespace
 
 RouterTest::RouterTest()
-    : m_BasePort(basePort()), m_Relay(addressAt(0)), m_Controller(addressAt(1)),
-      m_EngineA(static_cast<std::uint16_t>(m_BasePort + 6)),
-      m_EngineB(static_cast<std::uint16_t>(m_BasePort + 7)),
-      m_Service(static_cast<std::uint16_t>(m_BasePort + 8)),
+    : m_Relay(addressAt(0)), m_Controller(addressAt(1)),
+      m_EngineA(static_cast<std::uint16_t>(m_Ports.at(6))),
+      m_EngineB(static_cast<std::uint16_t>(m_Ports.at(7))),
+      m_Service(static_cast<std::uint16_t>(m_Ports.at(8))),
       m_Client(m_Loop.context().get_executor()) {
   const IncarnationId Owner("c1");
   const auto Append = [this](const fold::Record &Value) {
@@ -79,7 +71,11 @@
 RouterTest::~RouterTest() { m_Loop.stop(); }
 
 std::string RouterTest::addressAt(int Index) const {
-  return "127.0.0.1:" + std::to_string(m_BasePort + Index);
+  return "127.0.0.1:" + std::to_string(m_Ports.at(Index));
+}
+
+http::Address RouterTest::routerAt(int Number) const {
+  return {"127.0.0.1", static_cast<std::uint16_t>(m_Ports.at(2 + 2 * Number))};
 }
 
 messages::EndpointInfo RouterTest::infoOf(const std::string &Name,
@@ -131,13 +127,11 @@
 
 std::future<http::SendResult> RouterTest::sendLater(http::Request Message,
                                                     int Router) {
-  http::Address Where{"127.0.0.1",
-                      static_cast<std::uint16_t>(m_BasePort + 2 + 2 * Router)};
   http::ClientOptions Options;
   Options.m_ReadTimeout = Patience;
   return boost::asio::co_spawn(
       m_Loop.context(),
-      m_Client.send(std::move(Where), std::move(Message), Options),
+      m_Client.send(routerAt(Router), std::move(Message), Options),
       boost::asio::use_future);
 }
 
--- a/Source/UnitTests/Router/RouterFixture.h
+++ b/Source/UnitTests/Router/RouterFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fakes.h"
+#include "PortBlock.h"
 
 #include "Net/Http/Client.h"
 #include "Router/Router.h"
@@ -28,6 +29,7 @@
                                 const FakeEndpoint &Endpoint) const;
 
   std::string addressAt(int Index) const;
+  http::Address routerAt(int Number) const;
   http::SendResult send(http::Request Message, int Router = 0);
   std::future<http::SendResult> sendLater(http::Request Message,
                                           int Router = 0);
@@ -40,7 +42,7 @@
   /// Waits for a condition with a generous bound.
   static bool eventually(const std::function<bool()> &Condition);
 
-  int m_BasePort;
+  PortBlock m_Ports;
   FakeRelay m_Relay;
   FakeController m_Controller;
   FakeEndpoint m_EngineA;
--- a/Source/UnitTests/Router/StreamTest.cpp
+++ b/Source/UnitTests/Router/StreamTest.cpp
@@ -29,9 +29,7 @@
   const auto Opened =
       boost::asio::co_spawn(
           m_Loop.context(),
-          m_Client.open(
-              {"127.0.0.1", static_cast<std::uint16_t>(m_BasePort + 2)},
-              completion("x", true), Options),
+          m_Client.open(routerAt(0), completion("x", true), Options),
           boost::asio::use_future)
           .get();
   ASSERT_TRUE(
