--- a/Source/Core/Controller/Controller.cpp
+++ b/Source/Core/Controller/Controller.cpp
@@ -358,7 +358,8 @@
   if (Now < Item.m_AnswerBy)
     return false;
   Reply.m_Outcome = messages::BorrowOutcome::Loading;
-  Reply.m_ReadyIn = Owned->estimateReady(Request.m_Entry, Now);
+  Reply.m_ReadyIn =
+      Owned->estimateReady(m_Follower.state(), Request.m_Entry, Now);
   Item.m_Send(Reply);
   return true;
 }
--- a/Source/Core/Controller/EndpointClient.cpp
+++ b/Source/Core/Controller/EndpointClient.cpp
@@ -1,6 +1,7 @@
 #include "Controller/EndpointClient.h"
 
 #include "Common/Codec/Codec.h"
+#include "Common/Logging/Log.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -35,6 +36,11 @@
         BOOST_LEAF_AUTO(Value, codec::parseJson<T>(Answer->m_Body));
         return std::optional<T>(std::move(Value));
       },
+      [](const codec::DecodeError &Error) {
+        log::warning(log::Category::Platform, "answer.undecodable",
+                     {{"detail", Error.m_Detail}});
+        return std::optional<T>();
+      },
       [] { return std::optional<T>(); });
 }
 
--- a/Source/Core/Core/Control/EndpointProtocol.h
+++ b/Source/Core/Core/Control/EndpointProtocol.h
@@ -4,7 +4,7 @@
 #include "Common/Identity/Ids.h"
 
 #include <cstdint>
-#include <map>
+
 #include <string>
 #include <vector>
 
@@ -44,9 +44,11 @@
   std::string m_State; ///< loading or ready.
   std::string m_Version;
   std::int64_t m_Bytes = 0;
+  EntryName m_Base; ///< Of an adapter, else empty.
 
   static constexpr auto describe() {
     return std::make_tuple(field("model", &InventoryModel::m_Model),
+                           field("base", &InventoryModel::m_Base),
                            field("state", &InventoryModel::m_State),
                            field("version", &InventoryModel::m_Version),
                            field("bytes", &InventoryModel::m_Bytes));
@@ -63,6 +65,19 @@
   }
 };
 
+/// Weights that the endpoint keeps besides accelerator memory.
+struct CachedWeights {
+  EntryName m_Model;
+  std::string m_Version;
+  std::string m_Where; ///< memory or disk.
+
+  static constexpr auto describe() {
+    return std::make_tuple(field("model", &CachedWeights::m_Model),
+                           field("version", &CachedWeights::m_Version),
+                           field("where", &CachedWeights::m_Where));
+  }
+};
+
 /// Answer of `GET /control/inventory`.
 struct Inventory {
   std::string m_Incarnation;
@@ -70,8 +85,7 @@
   Offset m_HighestToken = 0;
   std::vector<InventoryModel> m_Models;
   std::vector<InventoryRequest> m_Running;
-  /// Where weights are kept besides accelerator memory: memory or disk.
-  std::map<std::string, std::string> m_Cached;
+  std::vector<CachedWeights> m_Cached;
 
   static constexpr auto describe() {
     return std::make_tuple(field("incarnation", &Inventory::m_Incarnation),
--- a/Source/Core/Core/Control/OwnedEndpoint.cpp
+++ b/Source/Core/Core/Control/OwnedEndpoint.cpp
@@ -111,6 +111,7 @@
         Item.m_State == "ready" ? ReplicaState::Ready : ReplicaState::Loading;
     Known.m_Version = Item.m_Version;
     Known.m_Bytes = Item.m_Bytes;
+    Known.m_Base = Item.m_Base;
     m_Ledger->adoptWeights(Item.m_Model, Item.m_Bytes);
   }
   for (auto &[Entry, Known] : m_Replicas)
@@ -240,12 +241,17 @@
   return Reply;
 }
 
-loading::WeightLocation OwnedEndpoint::locate(const EntryName &Entry) const {
-  const auto It = m_Cached.find(Entry.str());
+loading::WeightLocation
+OwnedEndpoint::locate(const EntryName &Entry,
+                      const std::string &Version) const {
+  const auto It =
+      std::ranges::find_if(m_Cached, [&](const CachedWeights &Kept) {
+        return Kept.m_Model == Entry && Kept.m_Version == Version;
+      });
   if (It == m_Cached.end())
     return loading::WeightLocation::Remote;
-  return It->second == "memory" ? loading::WeightLocation::Memory
-                                : loading::WeightLocation::Disk;
+  return It->m_Where == "memory" ? loading::WeightLocation::Memory
+                                 : loading::WeightLocation::Disk;
 }
 
 double OwnedEndpoint::loadSeconds(loading::WeightLocation Location) const {
@@ -260,9 +266,12 @@
   return m_RemoteLoadSeconds;
 }
 
-milliseconds OwnedEndpoint::estimateReady(const EntryName &Entry,
+milliseconds OwnedEndpoint::estimateReady(const fold::ClusterState &State,
+                                          const EntryName &Entry,
                                           Instant Now) const {
-  double Seconds = loadSeconds(locate(Entry));
+  const catalogue::EntrySpec *Spec = State.findEntry(Entry);
+  double Seconds =
+      Spec ? loadSeconds(locate(Entry, Spec->m_Version)) : m_RemoteLoadSeconds;
   for (const auto &[Id, Item] : m_Orders)
     if (Item.m_Order.m_Request.m_Kind == "load" &&
         Item.m_Order.m_Request.m_Model == Entry)
@@ -289,7 +298,8 @@
   std::vector<loading::LoadedReplica> Result;
   for (const auto &[Entry, Item] : m_Replicas)
     if (Item.m_State == ReplicaState::Ready)
-      Result.push_back({Entry, Item.m_Bytes, loadSeconds(locate(Entry)),
+      Result.push_back({Entry, Item.m_Bytes,
+                        loadSeconds(locate(Entry, Item.m_Version)),
                         catalogue::TrafficClass::Batch,
                         !isIdle(Entry) || m_Demands.contains(Entry)});
   return Result;
@@ -410,7 +420,7 @@
     Item.m_Waiting = std::max<std::int64_t>(1, Wanted.m_Waiting);
     Item.m_Class = Wanted.m_Class;
     Item.m_Deadline = Wanted.m_Deadline;
-    Item.m_Location = locate(Entry);
+    Item.m_Location = locate(Entry, Spec->m_Version);
     Item.m_LoadSeconds = loadSeconds(Item.m_Location);
     Item.m_BaseLoaded = stateOf(Spec->m_Base) == ReplicaState::Ready;
     Scheduler.update(Item);
@@ -477,7 +487,8 @@
                      Spec.m_BytesPerToken,
                      Spec.m_MaxTokens,
                      Spec.m_Base};
-  Order.m_NeedsPermit = locate(Entry) == loading::WeightLocation::Remote;
+  Order.m_NeedsPermit =
+      locate(Entry, Spec.m_Version) == loading::WeightLocation::Remote;
   Order.m_Value = loading::LoadScheduler::value(Demand, Now);
   m_Orders[Order.m_Request.m_OrderId] = {Order, Now};
   Out.push_back(std::move(Order));
--- a/Source/Core/Core/Control/OwnedEndpoint.h
+++ b/Source/Core/Core/Control/OwnedEndpoint.h
@@ -96,7 +96,8 @@
             const fold::ClusterState &State, const Authority &Rights,
             Instant Now);
   /// Expected time until the entry can serve, for routers that wait.
-  milliseconds estimateReady(const EntryName &Entry, Instant Now) const;
+  milliseconds estimateReady(const fold::ClusterState &State,
+                             const EntryName &Entry, Instant Now) const;
 
   /// Chooses orders to send now; their effect is reserved at once.
   std::vector<PlannedOrder> planOrders(const PlanInput &Input);
@@ -155,7 +156,8 @@
   void noteDemand(const messages::BorrowCredits &Request, Instant Now);
   bool isUsable(const Replica &Item, const catalogue::EntrySpec &Spec) const;
   bool isIdle(const EntryName &Entry) const;
-  loading::WeightLocation locate(const EntryName &Entry) const;
+  loading::WeightLocation locate(const EntryName &Entry,
+                                 const std::string &Version) const;
   double loadSeconds(loading::WeightLocation Location) const;
   std::vector<loading::LoadedReplica> idleReplicas() const;
 
@@ -190,7 +192,7 @@
   std::map<EntryName, Demand> m_Demands;
   std::map<std::string, Outstanding> m_Orders;
   std::map<EntryName, fold::SlotItem> m_SentReleases;
-  std::map<std::string, std::string> m_Cached;
+  std::vector<CachedWeights> m_Cached;
   /// Sending time of the last inventory that showed our token as the highest.
   std::optional<Instant> m_TokenConfirmedAt;
   double m_RemoteLoadSeconds;
--- a/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
+++ b/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
@@ -119,7 +119,7 @@
   m_Owned->onFenced(m_Now);
   EXPECT_TRUE(plan().empty());
   Inventory Report = inventory();
-  Report.m_Models.push_back({EntryName("m"), "ready", "1", 100});
+  Report.m_Models.push_back({EntryName("m"), "ready", "1", 100, {}});
   m_Owned->onInventory(Report, m_Now, m_Now);
   EXPECT_FALSE(borrow("m")) << "the predecessor's loans may still be live";
   m_Now += seconds(5);
@@ -226,7 +226,7 @@
   m_Owned->onOrderResult(Orders[0].m_Request.m_OrderId, OrderResult::Done,
                          m_Now);
   Inventory Report = inventory();
-  Report.m_Models.push_back({EntryName("a"), "ready", "1", 100});
+  Report.m_Models.push_back({EntryName("a"), "ready", "1", 100, {}});
   m_Owned->onInventory(Report, AskedAt, m_Now);
   EXPECT_EQ(m_Owned->stateOf(EntryName("a")), ReplicaState::Cold);
 }
