Accept counts for the outage fault and fix lint findings

A count given to the outage switch was answered with 500, because it was read as a boolean. clang-tidy finds nothing in the stand-ins and process tests.

--- a/Source/ProcessTests/StandIns/EngineTest.cpp
+++ b/Source/ProcessTests/StandIns/EngineTest.cpp
@@ -33,8 +33,10 @@
 TEST_F(EngineTest, EachCallerGetsItsOwnWholeAnswer) {
   startEngine({{"token_ms", 2}});
   load();
+  constexpr int Callers = 10;
   std::vector<std::future<Reply>> Answers;
-  for (int Index = 0; Index < 10; ++Index)
+  Answers.reserve(Callers);
+  for (int Index = 0; Index < Callers; ++Index)
     Answers.push_back(completeAsync("r" + std::to_string(Index), 20));
   for (std::size_t Index = 0; Index < Answers.size(); ++Index) {
     const std::string Id = "r" + std::to_string(Index);
--- a/Source/ProcessTests/StandIns/PlatformLogTest.cpp
+++ b/Source/ProcessTests/StandIns/PlatformLogTest.cpp
@@ -72,10 +72,10 @@
 
 TEST_F(PlatformLogTest, OutageLeavesOnlyTheFaultSwitch) {
   startLog();
-  setFaults(m_Log, {{"outage", true}});
+  setFaults(m_Log, {{"outage", 1}});
   EXPECT_EQ(append(1).status(), 503);
   EXPECT_EQ(m_Http.get(m_Log, Records).status(), 503);
-  EXPECT_TRUE(m_Http.get(m_Log, "/faults").json().at("outage").get<bool>());
+  EXPECT_EQ(m_Http.get(m_Log, "/faults").json().at("outage"), 1);
   setFaults(m_Log, {{"outage", false}});
   EXPECT_EQ(append(1).json().at("offset"), 1);
 }
--- a/Source/ProcessTests/StandIns/PlatformServicesTest.cpp
+++ b/Source/ProcessTests/StandIns/PlatformServicesTest.cpp
@@ -21,6 +21,7 @@
   Duration loadTogether(int Count, int Bytes) {
     const Instant Start = steady_clock::now();
     std::vector<std::future<int>> Loads;
+    Loads.reserve(static_cast<std::size_t>(Count));
     for (int Index = 0; Index < Count; ++Index)
       Loads.push_back(std::async(std::launch::async, [this, Bytes] {
         HttpCaller Other;
--- a/Source/ProcessTests/Support/ChildProcess.cpp
+++ b/Source/ProcessTests/Support/ChildProcess.cpp
@@ -71,6 +71,7 @@
     : m_Output(Folder / (Name + ".out")), m_Log(Folder / (Name + ".log")) {
   std::vector<std::string> Command = makeCommand(Program, Arguments);
   std::vector<char *> Raw;
+  Raw.reserve(Command.size() + 1);
   for (std::string &Part : Command)
     Raw.push_back(Part.data());
   Raw.push_back(nullptr);
--- a/Source/ProcessTests/Support/ProcessTest.cpp
+++ b/Source/ProcessTests/Support/ProcessTest.cpp
@@ -102,7 +102,7 @@
                                         const std::string &Program,
                                         nlohmann::json Settings,
                                         std::optional<http::Address> Where) {
-  const http::Address Listen = Where.value_or(freeAddress());
+  http::Address Listen = Where.value_or(freeAddress());
   Settings["http"]["listen"] = Listen.str();
   ChildProcess &Started = start(Name, Program, std::move(Settings));
   const bool Serves = waitUntil([&] {
--- a/Source/StandIns/Support/FaultBoard.cpp
+++ b/Source/StandIns/Support/FaultBoard.cpp
@@ -32,14 +32,17 @@
   return std::nullopt;
 }
 
+bool FaultBoard::isOn(std::string_view Name) const {
+  const nlohmann::json &Value = m_Values.at(std::string(Name));
+  return Value.is_boolean() ? Value.get<bool>() : Value != 0;
+}
+
 bool FaultBoard::take(std::string_view Name) {
   nlohmann::json &Value = m_Values.at(std::string(Name));
-  if (Value.is_boolean())
-    return Value.get<bool>();
-  const auto Left = Value.get<std::int64_t>();
-  if (Left > 0)
-    Value = Left - 1;
-  return Left != 0;
+  const bool Applies = isOn(Name);
+  if (Value.is_number() && Value > 0)
+    Value = Value.get<std::int64_t>() - 1;
+  return Applies;
 }
 
 } // namespace sff::standin
--- a/Source/StandIns/Support/FaultBoard.h
+++ b/Source/StandIns/Support/FaultBoard.h
@@ -30,6 +30,9 @@
     return m_Values.at(std::string(Name)).get<T>();
   }
 
+  /// True when a fault is on, without counting the present request.
+  bool isOn(std::string_view Name) const;
+
   /// True when a fault applies to the present request. A fault set to `true`
   /// or -1 applies to all requests, and one set to n only to the next n.
   bool take(std::string_view Name);
--- a/Source/StandIns/Support/StandIn.cpp
+++ b/Source/StandIns/Support/StandIn.cpp
@@ -149,7 +149,7 @@
 Answer StandIn::answerDirectly(Call &Incoming, const Route *&Chosen) {
   if (Incoming.m_Request.path() == "/faults")
     return answerFaults(Incoming);
-  if (m_Faults.get<bool>("outage"))
+  if (m_Faults.isOn("outage"))
     return http::makeProblem(503, "Service Unavailable", "outage");
   Chosen = match(Incoming);
   if (!Chosen)
