--- a/Source/Bench/PolicyBench/PolicyRun.cpp
+++ b/Source/Bench/PolicyBench/PolicyRun.cpp
@@ -192,11 +192,17 @@
     }
     if (Best < 0)
       return;
-    std::optional<admission::Waiting> Next;
+    // As a lender that knows the class of each router's next request.
     const int First = static_cast<int>(m_Random() % m_Where.m_Routers);
-    for (int Step = 0; Step < m_Where.m_Routers && !Next; ++Step)
-      Next =
-          m_Queues[(First + Step) % m_Where.m_Routers][Entry].takeNext(clock());
+    admission::AdmissionQueue *Chosen = nullptr;
+    for (int Step = 0; Step < m_Where.m_Routers; ++Step) {
+      auto &Queue = m_Queues[(First + Step) % m_Where.m_Routers][Entry];
+      const admission::Waiting *Head = Queue.peekNext(clock());
+      if (Head &&
+          (!Chosen || Head->m_Class < Chosen->peekNext(clock())->m_Class))
+        Chosen = &Queue;
+    }
+    const auto Next = Chosen ? Chosen->takeNext(clock()) : std::nullopt;
     if (!Next)
       return;
     start(Best, Entry, std::stoul(Next->m_Request.str()));
@@ -238,7 +244,8 @@
       Item.m_IdleSince = m_Events.now();
   }
   Job &Item = m_Jobs[Index];
-  m_Queues[Item.m_Router][Entry].onServed(toDuration(Item.m_Request.m_Service));
+  m_Queues[Item.m_Router][Entry].onServed(Item.m_Request.m_Class,
+                                          toDuration(Item.m_Request.m_Service));
   finish(Item, Kind::Answered);
   dispatch(Entry);
   updateDemand(Entry);
