--- a/Source/Bench/PolicyBench/Experiments.cpp
+++ b/Source/Bench/PolicyBench/Experiments.cpp
@@ -146,7 +146,7 @@
 
 void runCurve(const ExperimentOptions &Options) {
   std::vector<Row> Rows;
-  const auto add = [&](const std::string &Label, const Policies &Choice) {
+  const auto Add = [&](const std::string &Label, const Policies &Choice) {
     Rows.push_back(overSeeds(Options, Label, [&](std::uint64_t Seed) {
       const RunResult Result = runIdle(Options, Choice, {}, Seed);
       const auto All = select(Result, [](const auto &) { return true; });
@@ -172,21 +172,21 @@
   for (const double Weight : {2, 5, 10, 20, 50, 100, 300, 1000}) {
     Policies Choice;
     Choice.m_Weight = Weight;
-    add("weight " + std::to_string(static_cast<int>(Weight)), Choice);
+    Add("weight " + std::to_string(static_cast<int>(Weight)), Choice);
   }
   for (const double Timeout : {60, 300, 900, 3600}) {
     Policies Choice = firstCome(Eviction::IdleTimeout);
     Choice.m_IdleTimeout = Timeout;
-    add("time-out " + std::to_string(static_cast<int>(Timeout)) + " s", Choice);
+    Add("time-out " + std::to_string(static_cast<int>(Timeout)) + " s", Choice);
   }
-  add("never unload", firstCome(Eviction::NeverUnload));
-  add("router alone, 300 s", routerAlone());
+  Add("never unload", firstCome(Eviction::NeverUnload));
+  Add("router alone, 300 s", routerAlone());
   printReport(title(Options, "curve"), Rows, Options.m_Json);
 }
 
 void runBurst(const ExperimentOptions &Options) {
   std::vector<Row> Rows;
-  const auto add = [&](const std::string &Label, const Policies &Choice,
+  const auto Add = [&](const std::string &Label, const Policies &Choice,
                        double Slowdown) {
     Faults Slow;
     Slow.m_To = Options.m_Hours * 3600;
@@ -229,18 +229,18 @@
   for (const double Slowdown : {1.0, 3.0}) {
     const std::string Store =
         Slowdown > 1 ? ", weight store 3 times slower" : "";
-    add("policy, weight 20" + Store, {}, Slowdown);
-    add("weight 20, first-come loading" + Store, FirstCome, Slowdown);
-    add("time-out 300 s, first come" + Store, firstCome(Eviction::IdleTimeout),
+    Add("policy, weight 20" + Store, {}, Slowdown);
+    Add("weight 20, first-come loading" + Store, FirstCome, Slowdown);
+    Add("time-out 300 s, first come" + Store, firstCome(Eviction::IdleTimeout),
         Slowdown);
-    add("router alone, 300 s" + Store, routerAlone(), Slowdown);
+    Add("router alone, 300 s" + Store, routerAlone(), Slowdown);
   }
   printReport(title(Options, "burst"), Rows, Options.m_Json);
 }
 
 void runOverload(const ExperimentOptions &Options) {
   std::vector<Row> Rows;
-  const auto add = [&](double Factor, double Share, bool Marked) {
+  const auto Add = [&](double Factor, double Share, bool Marked) {
     const std::string Label = std::to_string(static_cast<int>(Factor)) + "x, " +
                               std::to_string(static_cast<int>(Share * 100)) +
                               "% interactive" + (Marked ? "" : ", unmarked");
@@ -252,16 +252,16 @@
                     makeOverloadTrace(Options.m_Where, Factor, Share, Seed),
                     Choice, {}, Seed)
               .run();
-      const auto during = [&](bool Interactive) {
+      const auto During = [&](bool Interactive) {
         return select(Result, [=](const auto &Item) {
           return Item.m_At >= OverloadFrom && Item.m_At < OverloadTo &&
                  isInteractive(Item) == Interactive;
         });
       };
-      const auto Interactive = during(true);
-      const auto Batch = during(false);
+      const auto Interactive = During(true);
+      const auto Batch = During(false);
       const auto All = select(Result, [](const auto &) { return true; });
-      const auto accepted = [](const Offers &List) {
+      const auto Accepted = [](const Offers &List) {
         Offers Kept;
         std::copy_if(List.begin(), List.end(), std::back_inserter(Kept),
                      [](auto *Item) { return Item->m_Admitted; });
@@ -275,10 +275,10 @@
           figure("interactive in time %", percent(Interactive, servedInTime)),
           figure("batch in time %", percent(Batch, servedInTime)),
           figure("accepted interactive in time %",
-                 percent(accepted(Interactive), servedInTime), Bound::AtLeast,
+                 percent(Accepted(Interactive), servedInTime), Bound::AtLeast,
                  99),
           figure("accepted batch in time %",
-                 percent(accepted(Batch), servedInTime)),
+                 percent(Accepted(Batch), servedInTime)),
           figure("refusals p99, of deadline", percentile(Delays, 0.99),
                  Bound::AtMost, 0.5),
           figure("refused past deadline",
@@ -296,7 +296,7 @@
   for (const double Factor : {2.0, 4.0})
     for (const double Share : {0.2, 0.6})
       for (const bool Marked : {true, false})
-        add(Factor, Share, Marked);
+        Add(Factor, Share, Marked);
   printReport(title(Options, "overload"), Rows, Options.m_Json);
 }
 
@@ -310,26 +310,26 @@
   Half.m_HalfReclaimed = true;
   Zone.m_ZoneLost = true;
   std::vector<Row> Rows;
-  const auto add = [&](const std::string &Label, Faults Broken) {
+  const auto Add = [&](const std::string &Label, Faults Broken) {
     Broken.m_From = From;
     Broken.m_To = To;
     Rows.push_back(overSeeds(Options, Label, [&](std::uint64_t Seed) {
       const RunResult Result = runIdle(Short, {}, Broken, Seed);
-      const auto between = [&](double Low, double High) {
+      const auto Between = [&](double Low, double High) {
         return select(Result, [=](const auto &Item) {
           return Item.m_At >= Low && Item.m_At < High;
         });
       };
-      const auto Before = between(600, From);
-      const auto During = between(From, To);
-      const auto After = between(To, Short.m_Hours * 3600);
+      const auto Before = Between(600, From);
+      const auto During = Between(From, To);
+      const auto After = Between(To, Short.m_Hours * 3600);
       const double Usual = percent(Before, servedInTime);
       // Recovered at the first of three minutes in a row that are as before.
       double Recovery = 0;
-      const auto asBefore = [&](double Time) {
-        return percent(between(Time, Time + 180), servedInTime) >= Usual - 5;
+      const auto AsBefore = [&](double Time) {
+        return percent(Between(Time, Time + 180), servedInTime) >= Usual - 5;
       };
-      while (Recovery < 3600 && !asBefore(To + Recovery))
+      while (Recovery < 3600 && !AsBefore(To + Recovery))
         Recovery += 10;
       return Figures{
           figure("before: in time %", Usual),
@@ -358,16 +358,16 @@
       };
     }));
   };
-  add("none", {});
-  add("weight store 5 times slower", Slow);
-  add("half of the engines reclaimed", Half);
-  add("one zone lost", Zone);
+  Add("none", {});
+  Add("weight store 5 times slower", Slow);
+  Add("half of the engines reclaimed", Half);
+  Add("one zone lost", Zone);
   printReport(title(Options, "faults"), Rows, Options.m_Json);
 }
 
 void runRetries(const ExperimentOptions &Options) {
   std::vector<Row> Rows;
-  const auto add = [&](double FailureSeconds, double Ratio) {
+  const auto Add = [&](double FailureSeconds, double Ratio) {
     const std::string Label = "failure every " +
                               std::to_string(static_cast<int>(FailureSeconds)) +
                               " s, " + (Ratio < 1 ? "budget 0.1" : "no budget");
@@ -407,13 +407,13 @@
   };
   for (const double Seconds : {600, 120, 30, 10})
     for (const double Ratio : {0.1, 1e9})
-      add(Seconds, Ratio);
+      Add(Seconds, Ratio);
   printReport(title(Options, "retries"), Rows, Options.m_Json);
 }
 
 void runRoutingTable(const ExperimentOptions &Options) {
   std::vector<Row> Rows;
-  const auto add = [&](const std::string &Where, Routing Kind,
+  const auto Add = [&](const std::string &Where, Routing Kind,
                        const std::string &Label, double Load, bool Slow) {
     Rows.push_back(
         overSeeds(Options, Where + ", " + Label, [&](std::uint64_t Seed) {
@@ -432,16 +432,16 @@
           };
         }));
   };
-  const auto addAll = [&](const std::string &Where, double Load, bool Slow) {
-    add(Where, Routing::Policy, "policy", Load, Slow);
-    add(Where, Routing::PolicyNoPrefix, "no prefix index", Load, Slow);
-    add(Where, Routing::RoundRobin, "round robin", Load, Slow);
-    add(Where, Routing::TrustReports, "least reported load", Load, Slow);
+  const auto AddAll = [&](const std::string &Where, double Load, bool Slow) {
+    Add(Where, Routing::Policy, "policy", Load, Slow);
+    Add(Where, Routing::PolicyNoPrefix, "no prefix index", Load, Slow);
+    Add(Where, Routing::RoundRobin, "round robin", Load, Slow);
+    Add(Where, Routing::TrustReports, "least reported load", Load, Slow);
   };
-  addAll("load 50%", 0.5, false);
-  addAll("load 80%", 0.8, false);
-  addAll("load 95%", 0.95, false);
-  addAll("load 80%, one slow engine", 0.8, true);
+  AddAll("load 50%", 0.5, false);
+  AddAll("load 80%", 0.8, false);
+  AddAll("load 95%", 0.95, false);
+  AddAll("load 80%, one slow engine", 0.8, true);
   printReport(title(Options, "routing"), Rows, Options.m_Json);
 }
 
--- a/Source/Bench/PolicyBench/PolicyBench.cpp
+++ b/Source/Bench/PolicyBench/PolicyBench.cpp
@@ -12,7 +12,7 @@
   App.set_version_flag("--version", SFF_VERSION);
   std::string Deployment = "shohag";
   ExperimentOptions Options;
-  const auto add = [&](const char *Name, const char *Help,
+  const auto Add = [&](const char *Name, const char *Help,
                        std::function<void(const ExperimentOptions &)> Run) {
     CLI::App *Command = App.add_subcommand(Name, Help);
     Command->add_option("--deployment", Deployment, "shohag or agencia")
@@ -29,12 +29,12 @@
       Run(Options);
     });
   };
-  add("curve", "Cold-start tail against idle accelerator hours", runCurve);
-  add("burst", "Loads and answers when idle models wake", runBurst);
-  add("overload", "Twice and four times the capacity", runOverload);
-  add("faults", "Before, during and after a fault", runFaults);
-  add("retries", "Attempts per request when engines fail", runRetries);
-  add("routing", "Waits and cache hits with stale views", runRoutingTable);
+  Add("curve", "Cold-start tail against idle accelerator hours", runCurve);
+  Add("burst", "Loads and answers when idle models wake", runBurst);
+  Add("overload", "Twice and four times the capacity", runOverload);
+  Add("faults", "Before, during and after a fault", runFaults);
+  Add("retries", "Attempts per request when engines fail", runRetries);
+  Add("routing", "Waits and cache hits with stale views", runRoutingTable);
   // Bad arguments end with 2 as in all programs.
   try {
     App.parse(Count, Arguments);
--- a/Source/Bench/PolicyBench/PolicyRunLoads.cpp
+++ b/Source/Bench/PolicyBench/PolicyRunLoads.cpp
@@ -71,16 +71,16 @@
   std::size_t Waiting = waiting(Entry);
   Instant Deadline = Instant::max();
   Instant Promised;
-  const auto look = [&](int Index) {
+  const auto Look = [&](int Index) {
     for (const auto &Queues : m_Queues) {
       if (const auto At = Queues[Index].earliestDeadline())
         Deadline = std::min(Deadline, *At);
       Promised = std::max(Promised, Queues[Index].promisedUntil());
     }
   };
-  look(Entry);
+  Look(Entry);
   for (const int Adapter : m_Adapters[Entry]) {
-    look(Adapter);
+    Look(Adapter);
     Waiting += waiting(Adapter);
   }
   // Refused callers will come back, so the entry stays wanted.
@@ -139,12 +139,12 @@
   auto List = m_Scheduler.ordered(clock());
   if (!m_Choice.m_FirstComeLoading && !m_Choice.m_RouterAlone)
     return List;
-  const auto since = [&](const loading::LoadDemand &Demand) {
+  const auto Since = [&](const loading::LoadDemand &Demand) {
     return m_DemandSince.at(
         {std::stoi(Demand.m_Endpoint.str()), entryOf(Demand.m_Entry)});
   };
   std::stable_sort(List.begin(), List.end(), [&](const auto &A, const auto &B) {
-    return since(A) < since(B);
+    return Since(A) < Since(B);
   });
   return List;
 }
@@ -247,7 +247,7 @@
     Free[Key.first] = std::max(Free[Key.first], Ready[Key]);
   }
   double Permit = std::max(Now, m_NextAttempt);
-  const auto place = [&](int Engine, int Index) {
+  const auto Place = [&](int Engine, int Index) {
     const int Base = m_Work.m_Entries[Index].m_Base;
     double Start = Free[Engine];
     if (location(Engine, Index) == loading::WeightLocation::Remote) {
@@ -262,17 +262,17 @@
     Ready[{Engine, Index}] = Free[Engine];
   };
   for (const auto &Demand : orderedDemands())
-    place(std::stoi(Demand.m_Endpoint.str()), entryOf(Demand.m_Entry));
-  const auto earliest = [&] {
+    Place(std::stoi(Demand.m_Endpoint.str()), entryOf(Demand.m_Entry));
+  const auto Earliest = [&] {
     double At = 1e12;
     for (int Engine = 0; Engine < m_Where.m_Engines; ++Engine)
       if (const auto Found = Ready.find({Engine, Entry}); Found != Ready.end())
         At = std::min(At, Found->second);
     return At;
   };
-  if (earliest() > 1e11)
-    place(homeOf(Entry, 0), Entry);
-  ReadyAt = earliest();
+  if (Earliest() > 1e11)
+    Place(homeOf(Entry, 0), Entry);
+  ReadyAt = Earliest();
   ValidUntil = Now + ReadyCacheSeconds;
   return std::max(0.001, ReadyAt - Now);
 }
--- a/Source/Bench/PolicyBench/Report.cpp
+++ b/Source/Bench/PolicyBench/Report.cpp
@@ -78,7 +78,7 @@
   if (Samples.empty())
     return 0;
   const auto Place = static_cast<std::size_t>(
-      Share * static_cast<double>(Samples.size() - 1) + 0.5);
+      std::llround(Share * static_cast<double>(Samples.size() - 1)));
   std::nth_element(Samples.begin(),
                    Samples.begin() + static_cast<std::ptrdiff_t>(Place),
                    Samples.end());
--- a/Source/Bench/PolicyBench/Trace.cpp
+++ b/Source/Bench/PolicyBench/Trace.cpp
@@ -75,12 +75,12 @@
                        : Kind < 0.35 ? uniform(Source, 300, 1800)
                                      : uniform(Source, 3600, 4 * 3600);
   const bool Timetable = Kind >= 0.1 && Kind < 0.35;
-  const auto gap = [&] {
+  const auto NextGap = [&] {
     return Timetable ? Quiet + uniform(Source, -20, 20)
                      : exponential(Source, Quiet);
   };
   for (double Time = uniform(Source, 0, Quiet); Time < Result.m_Seconds;
-       Time += std::max(1.0, gap()))
+       Time += std::max(1.0, NextGap()))
     addSpell(Result, Entry, Time, Source);
 }
 
--- a/Source/UnitTests/Core/Admission/AdmissionProperties.cpp
+++ b/Source/UnitTests/Core/Admission/AdmissionProperties.cpp
@@ -134,6 +134,7 @@
 
 std::vector<RequestId> names(const std::vector<Waiting> &List) {
   std::vector<RequestId> Names;
+  Names.reserve(List.size());
   for (const Waiting &Item : List)
     Names.push_back(Item.m_Request);
   return Names;
@@ -162,7 +163,7 @@
   Queue.onServed(std::chrono::seconds(1));
   Instant Now = Start;
   std::vector<RequestId> Offered, Left;
-  const auto leave = [&](const std::vector<Waiting> &Gone) {
+  const auto Leave = [&](const std::vector<Waiting> &Gone) {
     for (const auto &Name : names(Gone))
       Left.push_back(Name);
   };
@@ -185,7 +186,7 @@
       if (!Taken)
         break;
       RC_ASSERT(Taken->m_Request == Found->m_Request);
-      leave({*Taken});
+      Leave({*Taken});
       Naive.m_Items.erase(Found);
       break;
     }
@@ -195,7 +196,7 @@
       RC_ASSERT(names(Expired) ==
                 names(Naive.takeExpired(Ready, Parallel, Time)));
       RC_ASSERT(Queue.takeExpired(Capacity, Now).empty());
-      leave(Expired);
+      Leave(Expired);
       break;
     }
     case 2: {
@@ -207,7 +208,7 @@
       std::erase_if(Naive.m_Items, [&](const auto &Item) {
         return Item.m_Request == Gone.m_Request;
       });
-      leave({Gone});
+      Leave({Gone});
       break;
     }
     default: {
@@ -218,7 +219,7 @@
                 !Naive.offer(Item, Ready, Parallel, Time));
       if (Refused) {
         RC_ASSERT(Refused->m_RetryAfter.count() > 0);
-        leave({Item});
+        Leave({Item});
       }
     }
     }
@@ -227,8 +228,8 @@
   }
   const auto Displaced = Queue.takeDisplaced();
   RC_ASSERT(names(Displaced) == names(Naive.m_Displaced));
-  leave(Displaced);
-  leave(Naive.m_Items);
+  Leave(Displaced);
+  Leave(Naive.m_Items);
   std::sort(Left.begin(), Left.end());
   RC_ASSERT(Left == Offered);
 }
--- a/Source/UnitTests/Core/Loading/LoadingProperties.cpp
+++ b/Source/UnitTests/Core/Loading/LoadingProperties.cpp
@@ -43,7 +43,7 @@
 RC_GTEST_PROP(LoadingProperties, OrderIsThatOfTheLatestDemands, ()) {
   LoadScheduler Scheduler;
   std::vector<LoadDemand> Naive;
-  const auto erase = [&](const LoadDemand &Demand) {
+  const auto Erase = [&](const LoadDemand &Demand) {
     std::erase_if(Naive, [&](const auto &Other) {
       return Other.m_Endpoint == Demand.m_Endpoint &&
              Other.m_Entry == Demand.m_Entry;
@@ -52,7 +52,7 @@
   const int Steps = *rc::gen::inRange(0, 40);
   for (int Step = 0; Step < Steps; ++Step) {
     const LoadDemand Demand = genDemand();
-    erase(Demand);
+    Erase(Demand);
     if (*rc::gen::inRange(0, 4) == 0) {
       Scheduler.remove(Demand.m_Endpoint, Demand.m_Entry);
       Scheduler.remove(Demand.m_Endpoint, Demand.m_Entry);
@@ -70,7 +70,7 @@
     for (const LoadDemand &Demand : Naive)
       Best = std::max(Best, naiveValue(Demand, Now));
     RC_ASSERT(std::abs(naiveValue(Chosen, Now) - Best) <= 1e-9 * Best);
-    erase(Chosen);
+    Erase(Chosen);
   }
 }
 
@@ -83,7 +83,7 @@
   for (LoadDemand &Demand : Demands)
     Demand.m_Entry = EntryName("m" + std::to_string(++Count));
   std::mt19937_64 Random(*rc::gen::arbitrary<std::uint64_t>());
-  const auto order = [&](std::vector<LoadDemand> List, bool Move) {
+  const auto MakeOrder = [&](std::vector<LoadDemand> List, bool Move) {
     LoadScheduler Scheduler;
     std::shuffle(List.begin(), List.end(), Random);
     for (LoadDemand &Demand : List) {
@@ -96,7 +96,7 @@
       Names.push_back(Demand.m_Entry);
     return Names;
   };
-  RC_ASSERT(order(Demands, false) == order(Demands, true));
+  RC_ASSERT(MakeOrder(Demands, false) == MakeOrder(Demands, true));
 }
 
 // Guards against permits that exceed rate or parallel limit at any time,
