--- a/Source/Core/Router/ClusterView.cpp
+++ b/Source/Core/Router/ClusterView.cpp
@@ -91,6 +91,7 @@
   }
   std::sort(Ranked.begin(), Ranked.end());
   std::vector<std::string> Result;
+  Result.reserve(Ranked.size());
   for (auto &[Distance, Address] : Ranked)
     Result.push_back(std::move(Address));
   return Result;
