--- a/Source/Core/Relay/StreamFeed.cpp
+++ b/Source/Core/Relay/StreamFeed.cpp
@@ -67,7 +67,11 @@
     return;
   m_LogReadActive = true;
   const Offset From = m_Cache.next();
-  m_Platform.read(m_Options.m_Stream, From, RecordsPerRead, m_Options.m_LogWait,
+  // The first read after an interruption does not wait, so that contact is
+  // known at once even while the log is idle.
+  const milliseconds Wait =
+      m_LogContact ? m_Options.m_LogWait : milliseconds(0);
+  m_Platform.read(m_Options.m_Stream, From, RecordsPerRead, Wait,
                   [this, From](auto Result) {
                     m_LogReadActive = false;
                     onLogRead(From, std::move(Result));
