--- a/Source/Models/ownership.pml
+++ b/Source/Models/ownership.pml
@@ -83,8 +83,9 @@
 byte myToken[2];
 mtype = { load, unload, idle, claimed, fenced, ready };
 mtype phase[2];
-/* Load order under way. */
+/* Load and unload orders under way. */
 byte loading[2];
+byte unloading[2];
 chan orders[2] = [ORDERS] of { mtype, byte, byte };
 
 inline takeOwnership(c, offset) {
@@ -162,7 +163,7 @@
       fi;
       if
       :: kind == load -> loading[c] = loading[c] & ~models
-      :: else
+      :: else -> unloading[c] = unloading[c] & ~models
       fi;
       assert(COUNT(loaded) <= CAPACITY);
       kind = 0; models = 0; with = 0; c = 0
@@ -260,7 +261,8 @@
       fi
 #endif
     }
-  /* Orders a load or unload; a full queue means that one is outstanding. */
+  /* Orders a load or unload. A full queue means that as many orders as are
+   * allowed are outstanding. */
   :: atomic {
       phase[me] == ready && nfull(orders[me]) && MAY_ORDER(me) ->
       headroom = 0;
@@ -277,11 +279,13 @@
       :: ALL_MODELS > 3 -> models = 4
       fi;
       if
-      :: !(account[me] & models) && COUNT(account[me]) + 1 + headroom <= CAPACITY ->
+      :: !((account[me] | unloading[me]) & models) &&
+         COUNT(account[me]) + 1 + headroom <= CAPACITY ->
         account[me] = account[me] | models;
         loading[me] = loading[me] | models;
         orders[me]!load, models, myToken[me]
-      :: (account[me] & models) && !(loading[me] & models) ->
+      :: (account[me] & models) && !((loading[me] | unloading[me]) & models) ->
+        unloading[me] = unloading[me] | models;
         orders[me]!unload, models, myToken[me]
       :: else
       fi;
@@ -293,6 +297,7 @@
       gone[me] = true;
       heldOn[me] = 0;
       loading[me] = 0;
+      unloading[me] = 0;
       phase[me] = idle;
       do
       :: nempty(orders[me]) -> orders[me]?_, _, _
