--- a/Source/Core/Router/CreditLine.cpp
+++ b/Source/Core/Router/CreditLine.cpp
@@ -10,6 +10,8 @@
 // An owner that answers "loading" at once must not be asked in a tight loop.
 constexpr milliseconds LoadingPause{50};
 constexpr std::chrono::seconds WarmPeriod{60};
+constexpr int MaxEstimateFactor = 3;
+constexpr std::chrono::seconds MinLoadWait{5};
 
 Instant now() { return std::chrono::steady_clock::now(); }
 
@@ -80,12 +82,11 @@
     m_Wallet.onGranted(Where.first, *Reply, SentAt);
     Item.m_Loan = LoanId();
     Item.m_Refused = false;
+    Item.m_LoadingSince.reset();
     Item.m_WarmUntil = now() + WarmPeriod;
     Item.m_ReadyAt = now();
   } else if (Reply->m_Outcome == messages::BorrowOutcome::Loading) {
-    Item.m_Refused = false;
-    Item.m_ReadyAt = now() + Reply->m_ReadyIn;
-    Item.m_NotBefore = now() + LoadingPause;
+    noteLoading(Item, Reply->m_ReadyIn);
   } else {
     Item.m_Loan = LoanId();
     noteRefusal(Item, Reply->m_Reason, Reply->m_RetryAfter);
@@ -101,6 +102,26 @@
   m_OnChange(Where.first);
 }
 
+void CreditLine::noteLoading(Standing &Item, milliseconds ReadyIn) {
+  if (!Item.m_LoadingSince) {
+    Item.m_LoadingSince = now();
+    Item.m_FirstEstimate = ReadyIn;
+  }
+  // An estimate that never comes nearer would hold requests until shortly
+  // before their deadline.
+  const Duration Limit =
+      std::max<Duration>(Item.m_FirstEstimate * MaxEstimateFactor, MinLoadWait);
+  if (now() - *Item.m_LoadingSince > Limit) {
+    noteRefusal(Item, "the load makes no progress", m_Options.m_OwnerRetry);
+    Item.m_RefusedSince = *Item.m_LoadingSince;
+    Item.m_ReadyAt = now();
+    return;
+  }
+  Item.m_Refused = false;
+  Item.m_ReadyAt = now() + ReadyIn;
+  Item.m_NotBefore = now() + LoadingPause;
+}
+
 void CreditLine::noteRefusal(Standing &Item, std::string Reason,
                              milliseconds Pause) {
   if (!Item.m_Refused)
--- a/Source/Core/Router/CreditLine.h
+++ b/Source/Core/Router/CreditLine.h
@@ -36,6 +36,9 @@
     Instant m_NotBefore;      ///< Earliest time of the next message.
     Instant m_WarmUntil;      ///< A credit was granted not long ago.
     Instant m_ReadyAt;        ///< Expected end of a load.
+    /// First of the "loading" answers in a row, and what it promised.
+    std::optional<Instant> m_LoadingSince;
+    milliseconds m_FirstEstimate{0};
     std::string m_Reason;
   };
 
@@ -72,6 +75,7 @@
 
   void onReply(const Key &Where, Instant SentAt,
                std::optional<messages::BorrowCreditsReply> Reply);
+  void noteLoading(Standing &Item, milliseconds ReadyIn);
   void noteRefusal(Standing &Item, std::string Reason, milliseconds Pause);
   void sendDue(milliseconds IdleLimit, std::function<void()> Done);
 
--- a/Source/Core/Router/FrontEnd.cpp
+++ b/Source/Core/Router/FrontEnd.cpp
@@ -124,15 +124,18 @@
   co_await Caller.respond(std::move(Answer));
 }
 
-FrontEnd::Task<FrontEnd::Spec> FrontEnd::findEntry(EntryName Name) {
+FrontEnd::Task<FrontEnd::Lookup> FrontEnd::findEntry(EntryName Name) {
   Decisions &Peers = m_State.m_Decisions;
-  std::function<void(std::function<void(Spec)>)> Start =
-      [&Peers, Name](const std::function<void(Spec)> &Done) {
-        const auto *Found = Peers.view().state().findEntry(Name);
-        Done(Found ? Spec(*Found) : Spec());
+  std::function<void(std::function<void(Lookup)>)> Start =
+      [&Peers, Name](const std::function<void(Lookup)> &Done) {
+        Lookup Result;
+        if (const auto *Found = Peers.view().state().findEntry(Name))
+          Result.m_Spec = *Found;
+        Result.m_CatalogueKnown = Peers.view().hasContact();
+        Done(std::move(Result));
       };
-  const auto Answer = co_await ask<Spec>(m_State, std::move(Start));
-  co_return Answer.value_or(Spec());
+  const auto Answer = co_await ask<Lookup>(m_State, std::move(Start));
+  co_return Answer.value_or(Lookup());
 }
 
 RequestId FrontEnd::uniqueId(const http::Headers &Headers) const {
@@ -216,7 +219,13 @@
       log::Category::Http, "request.received", Asked.m_Id.str(),
       Asked.m_Entry.str(),
       {{"method", Incoming.m_Method}, {"bytes", Incoming.m_Body.size()}});
-  const Spec Found = co_await findEntry(Asked.m_Entry);
+  const Lookup Known = co_await findEntry(Asked.m_Entry);
+  const auto &Found = Known.m_Spec;
+  if (!Found && !Known.m_CatalogueKnown) {
+    co_await refuse(Asked, Reason::NoReplica, OverloadRetryAfter,
+                    "this host has not read the catalogue yet", Caller);
+    co_return;
+  }
   if (!Found || Found->isLoadable() != Request.m_Engine) {
     co_await refuse(Asked, Reason::UnknownEntry, milliseconds(0), "", Caller);
     co_return;
--- a/Source/Core/Router/FrontEnd.h
+++ b/Source/Core/Router/FrontEnd.h
@@ -18,7 +18,11 @@
 
 private:
   template <typename T> using Task = boost::asio::awaitable<T>;
-  using Spec = std::optional<catalogue::EntrySpec>;
+  struct Lookup {
+    std::optional<catalogue::EntrySpec> m_Spec;
+    /// Without it, nothing can be said about an entry that was not found.
+    bool m_CatalogueKnown = false;
+  };
 
   Task<void> answerReady(http::Exchange &Caller);
   Task<void> answerMetrics(http::Exchange &Caller);
@@ -28,7 +32,7 @@
   Task<void> start(http::Request Incoming, CallerRequest Request,
                    http::Exchange &Caller);
   Task<void> runCounted(CallerRequest Request, http::Exchange &Caller);
-  Task<Spec> findEntry(EntryName Name);
+  Task<Lookup> findEntry(EntryName Name);
   Task<void> refuse(const Ticket &Asked, execution::Reason Why,
                     milliseconds RetryAfter, std::string Detail,
                     http::Exchange &Caller);
--- a/Source/UnitTests/Router/IntentTest.cpp
+++ b/Source/UnitTests/Router/IntentTest.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 
-// Nothing listens on the discard port.
-constexpr const char *UnusedAddress = "127.0.0.1:9";
-
 std::size_t countOf(FakeRelay &Relay, const std::string &Type) {
   std::size_t Count = 0;
   for (const auto &Item : Relay.records("intents"))
--- a/Source/UnitTests/Router/OutcomeTest.cpp
+++ b/Source/UnitTests/Router/OutcomeTest.cpp
@@ -80,6 +80,17 @@
   EXPECT_LT(now() - Started, std::chrono::seconds(15));
 }
 
+// Guards against an estimate that never comes nearer and so holds a request
+// until shortly before its deadline of 30 s.
+TEST_F(RouterTest, LoadWithoutProgressIsGivenUpEarly) {
+  const auto Running = startRouter();
+  m_Controller.m_Capacity = 0;
+  const auto Started = now();
+  const auto Answer = get(completion("x"));
+  EXPECT_EQ(problemOf(Answer).value("reason", ""), "no_replica");
+  EXPECT_LT(now() - Started, std::chrono::seconds(15));
+}
+
 // Guards against an unbounded queue and an unbounded share of one team.
 TEST_F(RouterTest, QueueAndTeamLimitsRefuseWithTooManyRequests) {
   catalogue::EntrySpec Narrow;
@@ -191,4 +202,27 @@
   EXPECT_EQ(m_Controller.outstanding(EndpointId("b")), 0);
 }
 
+// Guards against a refusal that denies an entry before the catalogue is known.
+TEST_F(RouterTest, EntryIsNotDeniedBeforeTheCatalogueIsKnown) {
+  const auto Running = std::make_unique<Router>(
+      settingsOf(0, {{"router", {{"relays", {UnusedAddress}}}}}),
+      identityOf(0));
+  Running->start();
+  const auto Answer = get(completion("x"));
+  EXPECT_EQ(Answer.m_Status, 503);
+  EXPECT_EQ(problemOf(Answer).value("reason", ""), "no_replica");
+  EXPECT_EQ(get({"GET", "/readyz", {}, ""}).m_Status, 503);
+}
+
+// Guards against requests that spread over engines although one has their
+// prompt cached.
+TEST_F(RouterTest, SamePromptStaysAtItsEngine) {
+  const auto Running = startRouter();
+  const std::string Long(4000, 'p');
+  get(completion(Long));
+  for (int Index = 0; Index < 6; ++Index)
+    EXPECT_EQ(get(completion(Long)).m_Status, 200);
+  EXPECT_EQ(std::min<int>(m_EngineA.m_Executions, m_EngineB.m_Executions), 0);
+}
+
 } // namespace sff::router::testing
--- a/Source/UnitTests/Router/RouterFixture.cpp
+++ b/Source/UnitTests/Router/RouterFixture.cpp
@@ -95,8 +95,13 @@
                      std::move(Spec), "test"}));
 }
 
-std::unique_ptr<Router> RouterTest::startRouter(int Number,
-                                                nlohmann::json Extra) {
+log::ProcessIdentity RouterTest::identityOf(int Number) {
+  const std::string Suffix = std::to_string(Number + 1);
+  return {"sff-router", "h" + Suffix, "z", "r" + Suffix};
+}
+
+settings::Settings RouterTest::settingsOf(int Number,
+                                          const nlohmann::json &Extra) const {
   nlohmann::json Document = {
       {"process", {{"host", "h" + std::to_string(Number + 1)}, {"zone", "z"}}},
       {"router",
@@ -110,9 +115,13 @@
       {"intents", {{"wait_ms", 800}}}};
   if (!Extra.is_null())
     Document.merge_patch(Extra);
-  log::ProcessIdentity Self{"sff-router", "h" + std::to_string(Number + 1), "z",
-                            "r" + std::to_string(Number + 1)};
-  auto Result = std::make_unique<Router>(check(Document), Self);
+  return check(Document);
+}
+
+std::unique_ptr<Router> RouterTest::startRouter(int Number,
+                                                nlohmann::json Extra) {
+  auto Result =
+      std::make_unique<Router>(settingsOf(Number, Extra), identityOf(Number));
   Result->start();
   // The board service answers once state and endpoint list have been read.
   EXPECT_TRUE(eventually([&] {
--- a/Source/UnitTests/Router/RouterFixture.h
+++ b/Source/UnitTests/Router/RouterFixture.h
@@ -13,6 +13,9 @@
 
 namespace sff::router::testing {
 
+// Nothing listens on the discard port.
+inline constexpr const char *UnusedAddress = "127.0.0.1:9";
+
 /// A router with a fake relay, a fake controller, two engines that hold slots
 /// of the entry "m", and a plain service behind the entries "svc" (its calls
 /// must not be repeated) and "board".
@@ -24,6 +27,8 @@
   /// Starts a router with further settings; waits until it is ready.
   std::unique_ptr<Router> startRouter(int Number = 0,
                                       nlohmann::json Extra = {});
+  settings::Settings settingsOf(int Number, const nlohmann::json &Extra) const;
+  static log::ProcessIdentity identityOf(int Number);
   void publish(const std::string &Name, catalogue::EntrySpec Spec);
   messages::EndpointInfo infoOf(const std::string &Name,
                                 const FakeEndpoint &Endpoint) const;
