--- a/Source/Bench/PolicyBench/Experiments.cpp
+++ b/Source/Bench/PolicyBench/Experiments.cpp
@@ -99,6 +99,13 @@
   return Sum / 3600;
 }
 
+double coldTail(const Offers &Cold, bool Interactive) {
+  Offers Chosen;
+  std::copy_if(Cold.begin(), Cold.end(), std::back_inserter(Chosen),
+               [&](auto *Item) { return isInteractive(*Item) == Interactive; });
+  return percentile(firstTokens(Chosen), 0.95);
+}
+
 Policies firstCome(Eviction Kind) {
   Policies Choice;
   Choice.m_Eviction = Kind;
@@ -117,18 +124,29 @@
          std::to_string(Options.m_Seeds) + " seeds: mean (range)";
 }
 
-/// Share of refused callers that were accepted at the stated retry time.
-double comebackPercent(const RunResult &Result) {
-  return percent(
-      select(Result, [](const auto &Item) { return Item.m_Comeback; }),
-      [](const auto &Item) { return Item.m_Admitted; });
+/// Share of refused callers that were accepted at the stated retry time, and
+/// of those that were then served in time.
+Figure acceptedAtRetryTime(const RunResult &Result) {
+  return figure(
+      "accepted at retry time %",
+      percent(select(Result, [](const auto &Item) { return Item.m_Comeback; }),
+              [](const auto &Item) { return Item.m_Admitted; }),
+      Bound::AtLeast, 90);
+}
+
+Figure servedAtRetryTime(const RunResult &Result) {
+  return figure(
+      "served at retry time %",
+      percent(select(Result, [](const auto &Item) { return Item.m_Comeback; }),
+              servedInTime),
+      Bound::AtLeast, 90);
 }
 
 } // namespace
 
 void runCurve(const ExperimentOptions &Options) {
   std::vector<Row> Rows;
-  const auto add = [&](const std::string &Label, const Policies &Choice) {
+  const auto Add = [&](const std::string &Label, const Policies &Choice) {
     Rows.push_back(overSeeds(Options, Label, [&](std::uint64_t Seed) {
       const RunResult Result = runIdle(Options, Choice, {}, Seed);
       const auto All = select(Result, [](const auto &) { return true; });
@@ -154,23 +172,27 @@
   for (const double Weight : {2, 5, 10, 20, 50, 100, 300, 1000}) {
     Policies Choice;
     Choice.m_Weight = Weight;
-    add("weight " + std::to_string(static_cast<int>(Weight)), Choice);
+    Add("weight " + std::to_string(static_cast<int>(Weight)), Choice);
   }
   for (const double Timeout : {60, 300, 900, 3600}) {
     Policies Choice = firstCome(Eviction::IdleTimeout);
     Choice.m_IdleTimeout = Timeout;
-    add("time-out " + std::to_string(static_cast<int>(Timeout)) + " s", Choice);
+    Add("time-out " + std::to_string(static_cast<int>(Timeout)) + " s", Choice);
   }
-  add("never unload", firstCome(Eviction::NeverUnload));
-  add("router alone, 300 s", routerAlone());
+  Add("never unload", firstCome(Eviction::NeverUnload));
+  Add("router alone, 300 s", routerAlone());
   printReport(title(Options, "curve"), Rows, Options.m_Json);
 }
 
 void runBurst(const ExperimentOptions &Options) {
   std::vector<Row> Rows;
-  const auto add = [&](const std::string &Label, const Policies &Choice) {
+  const auto Add = [&](const std::string &Label, const Policies &Choice,
+                       double Slowdown) {
+    Faults Slow;
+    Slow.m_To = Options.m_Hours * 3600;
+    Slow.m_StoreSlowdown = Slowdown;
     Rows.push_back(overSeeds(Options, Label, [&](std::uint64_t Seed) {
-      const RunResult Result = runIdle(Options, Choice, {}, Seed);
+      const RunResult Result = runIdle(Options, Choice, Slow, Seed);
       const auto Cold =
           select(Result, [](const auto &Item) { return Item.m_Cold; });
       const auto &Wakes = Result.m_LoadsPerWake;
@@ -187,6 +209,8 @@
           figure("surplus loads", static_cast<double>(Result.m_SurplusLoads),
                  Bound::AtMost, 0),
           figure("cold requests", static_cast<double>(Cold.size())),
+          figure("interactive p95 s", coldTail(Cold, true)),
+          figure("batch p95 s", coldTail(Cold, false)),
           figure("served in time %", percent(Cold, servedInTime)),
           figure("refused in time %", percent(Cold, refusedInTime)),
           figure("served late %", percent(Cold,
@@ -200,15 +224,23 @@
       };
     }));
   };
-  add("policy, weight 20", {});
-  add("time-out 300 s, first come", firstCome(Eviction::IdleTimeout));
-  add("router alone, 300 s", routerAlone());
+  Policies FirstCome;
+  FirstCome.m_FirstComeLoading = true;
+  for (const double Slowdown : {1.0, 3.0}) {
+    const std::string Store =
+        Slowdown > 1 ? ", weight store 3 times slower" : "";
+    Add("policy, weight 20" + Store, {}, Slowdown);
+    Add("weight 20, first-come loading" + Store, FirstCome, Slowdown);
+    Add("time-out 300 s, first come" + Store, firstCome(Eviction::IdleTimeout),
+        Slowdown);
+    Add("router alone, 300 s" + Store, routerAlone(), Slowdown);
+  }
   printReport(title(Options, "burst"), Rows, Options.m_Json);
 }
 
 void runOverload(const ExperimentOptions &Options) {
   std::vector<Row> Rows;
-  const auto add = [&](double Factor, double Share, bool Marked) {
+  const auto Add = [&](double Factor, double Share, bool Marked) {
     const std::string Label = std::to_string(static_cast<int>(Factor)) + "x, " +
                               std::to_string(static_cast<int>(Share * 100)) +
                               "% interactive" + (Marked ? "" : ", unmarked");
@@ -220,16 +252,16 @@
                     makeOverloadTrace(Options.m_Where, Factor, Share, Seed),
                     Choice, {}, Seed)
               .run();
-      const auto during = [&](bool Interactive) {
+      const auto During = [&](bool Interactive) {
         return select(Result, [=](const auto &Item) {
           return Item.m_At >= OverloadFrom && Item.m_At < OverloadTo &&
                  isInteractive(Item) == Interactive;
         });
       };
-      const auto Interactive = during(true);
-      const auto Batch = during(false);
+      const auto Interactive = During(true);
+      const auto Batch = During(false);
       const auto All = select(Result, [](const auto &) { return true; });
-      const auto accepted = [](const Offers &List) {
+      const auto Accepted = [](const Offers &List) {
         Offers Kept;
         std::copy_if(List.begin(), List.end(), std::back_inserter(Kept),
                      [](auto *Item) { return Item->m_Admitted; });
@@ -243,10 +275,10 @@
           figure("interactive in time %", percent(Interactive, servedInTime)),
           figure("batch in time %", percent(Batch, servedInTime)),
           figure("accepted interactive in time %",
-                 percent(accepted(Interactive), servedInTime), Bound::AtLeast,
+                 percent(Accepted(Interactive), servedInTime), Bound::AtLeast,
                  99),
           figure("accepted batch in time %",
-                 percent(accepted(Batch), servedInTime)),
+                 percent(Accepted(Batch), servedInTime)),
           figure("refusals p99, of deadline", percentile(Delays, 0.99),
                  Bound::AtMost, 0.5),
           figure("refused past deadline",
@@ -254,8 +286,8 @@
                      std::count_if(Delays.begin(), Delays.end(),
                                    [](double Delay) { return Delay > 1; })),
                  Bound::AtMost, 0),
-          figure("accepted at retry time %", comebackPercent(Result),
-                 Bound::AtLeast, 90),
+          acceptedAtRetryTime(Result),
+          servedAtRetryTime(Result),
           figure("unanswered", static_cast<double>(Result.m_Unanswered),
                  Bound::AtMost, 0),
       };
@@ -264,7 +296,7 @@
   for (const double Factor : {2.0, 4.0})
     for (const double Share : {0.2, 0.6})
       for (const bool Marked : {true, false})
-        add(Factor, Share, Marked);
+        Add(Factor, Share, Marked);
   printReport(title(Options, "overload"), Rows, Options.m_Json);
 }
 
@@ -278,26 +310,26 @@
   Half.m_HalfReclaimed = true;
   Zone.m_ZoneLost = true;
   std::vector<Row> Rows;
-  const auto add = [&](const std::string &Label, Faults Broken) {
+  const auto Add = [&](const std::string &Label, Faults Broken) {
     Broken.m_From = From;
     Broken.m_To = To;
     Rows.push_back(overSeeds(Options, Label, [&](std::uint64_t Seed) {
       const RunResult Result = runIdle(Short, {}, Broken, Seed);
-      const auto between = [&](double Low, double High) {
+      const auto Between = [&](double Low, double High) {
         return select(Result, [=](const auto &Item) {
           return Item.m_At >= Low && Item.m_At < High;
         });
       };
-      const auto Before = between(600, From);
-      const auto During = between(From, To);
-      const auto After = between(To, Short.m_Hours * 3600);
+      const auto Before = Between(600, From);
+      const auto During = Between(From, To);
+      const auto After = Between(To, Short.m_Hours * 3600);
       const double Usual = percent(Before, servedInTime);
       // Recovered at the first of three minutes in a row that are as before.
       double Recovery = 0;
-      const auto asBefore = [&](double Time) {
-        return percent(between(Time, Time + 180), servedInTime) >= Usual - 5;
+      const auto AsBefore = [&](double Time) {
+        return percent(Between(Time, Time + 180), servedInTime) >= Usual - 5;
       };
-      while (Recovery < 3600 && !asBefore(To + Recovery))
+      while (Recovery < 3600 && !AsBefore(To + Recovery))
         Recovery += 10;
       return Figures{
           figure("before: in time %", Usual),
@@ -319,23 +351,23 @@
           figure("p99 s", percentile(firstTokens(During), 0.99)),
           figure("after: in time %", percent(After, servedInTime)),
           figure("recovery s", Recovery),
-          figure("accepted at retry time %", comebackPercent(Result),
-                 Bound::AtLeast, 90),
+          acceptedAtRetryTime(Result),
+          servedAtRetryTime(Result),
           figure("unanswered", static_cast<double>(Result.m_Unanswered),
                  Bound::AtMost, 0),
       };
     }));
   };
-  add("none", {});
-  add("weight store 5 times slower", Slow);
-  add("half of the engines reclaimed", Half);
-  add("one zone lost", Zone);
+  Add("none", {});
+  Add("weight store 5 times slower", Slow);
+  Add("half of the engines reclaimed", Half);
+  Add("one zone lost", Zone);
   printReport(title(Options, "faults"), Rows, Options.m_Json);
 }
 
 void runRetries(const ExperimentOptions &Options) {
   std::vector<Row> Rows;
-  const auto add = [&](double FailureSeconds, double Ratio) {
+  const auto Add = [&](double FailureSeconds, double Ratio) {
     const std::string Label = "failure every " +
                               std::to_string(static_cast<int>(FailureSeconds)) +
                               " s, " + (Ratio < 1 ? "budget 0.1" : "no budget");
@@ -375,21 +407,22 @@
   };
   for (const double Seconds : {600, 120, 30, 10})
     for (const double Ratio : {0.1, 1e9})
-      add(Seconds, Ratio);
+      Add(Seconds, Ratio);
   printReport(title(Options, "retries"), Rows, Options.m_Json);
 }
 
 void runRoutingTable(const ExperimentOptions &Options) {
   std::vector<Row> Rows;
-  const auto add = [&](const std::string &Label, Routing Kind, double Load) {
-    const auto Percent = std::to_string(static_cast<int>(Load * 100));
-    Rows.push_back(overSeeds(
-        Options, Label + ", load " + Percent + "%", [&](std::uint64_t Seed) {
+  const auto Add = [&](const std::string &Where, Routing Kind,
+                       const std::string &Label, double Load, bool Slow) {
+    Rows.push_back(
+        overSeeds(Options, Where + ", " + Label, [&](std::uint64_t Seed) {
           RoutingOptions Choice;
           Choice.m_Routing = Kind;
           Choice.m_Engines = Options.m_Where.m_Engines;
           Choice.m_Routers = Options.m_Where.m_Routers;
           Choice.m_Load = Load;
+          Choice.m_SlowEngine = Slow;
           const auto Result = runRouting(Choice, Seed);
           return Figures{
               figure("wait p50 s", Result.m_WaitP50),
@@ -399,12 +432,16 @@
           };
         }));
   };
-  for (const double Load : {0.5, 0.8, 0.95}) {
-    add("best of two, prefix index", Routing::BestOfTwo, Load);
-    add("best of two, no prefix index", Routing::BestOfTwoNoPrefix, Load);
-    add("round robin", Routing::RoundRobin, Load);
-    add("least reported load", Routing::TrustReports, Load);
-  }
+  const auto AddAll = [&](const std::string &Where, double Load, bool Slow) {
+    Add(Where, Routing::Policy, "policy", Load, Slow);
+    Add(Where, Routing::PolicyNoPrefix, "no prefix index", Load, Slow);
+    Add(Where, Routing::RoundRobin, "round robin", Load, Slow);
+    Add(Where, Routing::TrustReports, "least reported load", Load, Slow);
+  };
+  AddAll("load 50%", 0.5, false);
+  AddAll("load 80%", 0.8, false);
+  AddAll("load 95%", 0.95, false);
+  AddAll("load 80%, one slow engine", 0.8, true);
   printReport(title(Options, "routing"), Rows, Options.m_Json);
 }
 
--- a/Source/UnitTests/Core/Admission/AdmissionProperties.cpp
+++ b/Source/UnitTests/Core/Admission/AdmissionProperties.cpp
@@ -44,8 +44,8 @@
   std::vector<Waiting> takeExpired(double Ready, double Parallel, double Now) {
     std::vector<Waiting> Kept, Expired;
     for (const Waiting &Item : m_Items) {
-      const double Wait =
-          static_cast<double>(Kept.size()) / speed(Item.m_Class, Parallel, Now);
+      const double Wait = static_cast<double>(Kept.size()) /
+                          speed(Item.m_Class, Parallel, Now, -2);
       const bool Late = Now + Ready + Wait > toSeconds(Item.m_Deadline - Start);
       (Late ? Expired : Kept).push_back(Item);
     }
@@ -65,13 +65,15 @@
     std::sort(m_Items.begin(), m_Items.end(),
               [](const auto &A, const auto &B) { return key(A) < key(B); });
   }
-  double speed(TrafficClass Class, double Parallel, double Now) const {
+  double speed(TrafficClass Class, double Parallel, double Now,
+               double Deviations) const {
     if (Class == TrafficClass::Interactive)
       return Parallel / ServiceSeconds;
     double Recent = 0;
     for (const double Time : m_Interactive)
-      Recent += std::exp((Time - Now) / 10);
-    const double Used = Recent / 10 * ServiceSeconds / Parallel;
+      Recent += std::exp((Time - Now) / 25);
+    Recent = std::max(0.0, Recent + Deviations * std::sqrt(Recent));
+    const double Used = Recent / 25 * ServiceSeconds / Parallel;
     return std::max(0.02, 1 - Used) * Parallel / ServiceSeconds;
   }
   bool keepsDeadlines(const Waiting &Item, bool Yields, double Ready,
@@ -87,7 +89,8 @@
       if (!Passed || All[Place].m_Class != Item.m_Class)
         continue;
       const double Speed =
-          speed(Item.m_Class, Parallel, Now) * (Self && Yields ? 0.2 : 1);
+          speed(Item.m_Class, Parallel, Now, Item.m_KeptRetryTime ? 0 : 1) *
+          (Self && Yields ? 0.25 : 1);
       if (Now + Ready + static_cast<double>(Place) / Speed >
           toSeconds(All[Place].m_Deadline - Start))
         return false;
@@ -95,10 +98,17 @@
     return true;
   }
   bool hasRoom(const Waiting &Item, bool Yields) {
-    if (m_Items.size() < (Yields ? (m_Max + 1) / 2 : m_Max))
+    const bool Batch = Item.m_Class == TrafficClass::Batch;
+    std::size_t Same = 0;
+    for (const Waiting &Other : m_Items)
+      Same += Other.m_Class == Item.m_Class;
+    const double Max = static_cast<double>(m_Max);
+    if (static_cast<double>(Same) >=
+        (Yields ? std::ceil(Max / 2) : std::ceil(Batch ? Max * 0.75 : Max)))
+      return false;
+    if (m_Items.size() < m_Max)
       return true;
-    if (Item.m_Class == TrafficClass::Batch || m_Items.empty() ||
-        m_Items.back().m_Class != TrafficClass::Batch)
+    if (Batch || m_Items.back().m_Class != TrafficClass::Batch)
       return false;
     m_Displaced.push_back(m_Items.back());
     m_Items.pop_back();
@@ -109,12 +119,12 @@
     double Ahead = 0;
     for (const Waiting &Item : m_Items)
       Ahead += Batch || Item.m_Class == Class ? 1 : 0;
-    const double Speed = speed(Class, Parallel, Now);
-    double At = std::max(Now + Ready + Ahead / Speed, m_Promised[0]);
+    const double Speed = speed(Class, Parallel, Now, 0);
+    double At = std::max(Now + 2 * Ready + Ahead / Speed, m_Promised[0]);
     At = std::max({At, Batch ? m_Promised[1] : 0, Now + 0.1});
     // Retry times are told in whole milliseconds.
     At = Now + std::ceil((At - Now) * 1000 - 1e-6) / 1000;
-    m_Promised[Batch ? 1 : 0] = At + 1 / (Speed * 0.8);
+    m_Promised[Batch ? 1 : 0] = At + 1 / (Speed * 0.6);
   }
 
   std::size_t m_Max;
@@ -124,6 +134,7 @@
 
 std::vector<RequestId> names(const std::vector<Waiting> &List) {
   std::vector<RequestId> Names;
+  Names.reserve(List.size());
   for (const Waiting &Item : List)
     Names.push_back(Item.m_Request);
   return Names;
@@ -152,7 +163,7 @@
   Queue.onServed(std::chrono::seconds(1));
   Instant Now = Start;
   std::vector<RequestId> Offered, Left;
-  const auto leave = [&](const std::vector<Waiting> &Gone) {
+  const auto Leave = [&](const std::vector<Waiting> &Gone) {
     for (const auto &Name : names(Gone))
       Left.push_back(Name);
   };
@@ -175,7 +186,7 @@
       if (!Taken)
         break;
       RC_ASSERT(Taken->m_Request == Found->m_Request);
-      leave({*Taken});
+      Leave({*Taken});
       Naive.m_Items.erase(Found);
       break;
     }
@@ -185,7 +196,7 @@
       RC_ASSERT(names(Expired) ==
                 names(Naive.takeExpired(Ready, Parallel, Time)));
       RC_ASSERT(Queue.takeExpired(Capacity, Now).empty());
-      leave(Expired);
+      Leave(Expired);
       break;
     }
     case 2: {
@@ -197,7 +208,7 @@
       std::erase_if(Naive.m_Items, [&](const auto &Item) {
         return Item.m_Request == Gone.m_Request;
       });
-      leave({Gone});
+      Leave({Gone});
       break;
     }
     default: {
@@ -208,7 +219,7 @@
                 !Naive.offer(Item, Ready, Parallel, Time));
       if (Refused) {
         RC_ASSERT(Refused->m_RetryAfter.count() > 0);
-        leave({Item});
+        Leave({Item});
       }
     }
     }
@@ -217,8 +228,8 @@
   }
   const auto Displaced = Queue.takeDisplaced();
   RC_ASSERT(names(Displaced) == names(Naive.m_Displaced));
-  leave(Displaced);
-  leave(Naive.m_Items);
+  Leave(Displaced);
+  Leave(Naive.m_Items);
   std::sort(Left.begin(), Left.end());
   RC_ASSERT(Left == Offered);
 }
