Cancel open requests before a peer client closes its socket

nng 1.5.2 aborted in nng_ctx_close, or hung in nng_close, when a callback closed its context while the client's socket was being closed: one abort in 48 runs of CutRelayReadsAndAppendsThroughAnother, and one time-out of it in a full ctest run. Waiting for the callbacks after nng_close was not enough. The client now cancels its requests and waits for them first.

--- a/Source/Core/Net/Peer/Transport.cpp
+++ b/Source/Core/Net/Peer/Transport.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
+#include <set>
 #include <stdexcept>
 #include <vector>
 
@@ -60,9 +61,9 @@
 
   ~Impl() {
     m_Shared->m_Closed = true;
-    nng_close(m_Shared->m_Socket);
     for (const auto &Item : m_Workers)
       Item->stop();
+    nng_close(m_Shared->m_Socket);
   }
 
 private:
@@ -157,28 +158,39 @@
 
 namespace {
 
-/// Counts requests in progress, so that a client can wait for the last
-/// callback before the objects that the callbacks use are destroyed.
-class PendingCount {
+/// Operations of the requests in progress of one client.
+class PendingOperations {
 public:
-  void add() {
+  void add(nng_aio *Operation) {
     std::lock_guard Lock(m_Mutex);
-    ++m_Count;
+    m_Operations.insert(Operation);
   }
-  void remove() {
+
+  /// Called before the operation is freed.
+  void remove(nng_aio *Operation) {
     std::lock_guard Lock(m_Mutex);
-    if (--m_Count == 0)
-      m_Zero.notify_all();
+    m_Operations.erase(Operation);
+    if (m_Operations.empty())
+      m_Empty.notify_all();
   }
-  void waitForZero() {
+
+  /// Cancels all and waits until the last one was removed. A request that
+  /// passes from sending to receiving meanwhile is cancelled again.
+  void cancelAll() {
     std::unique_lock Lock(m_Mutex);
-    m_Zero.wait(Lock, [this] { return m_Count == 0; });
+    while (!m_Operations.empty()) {
+      for (nng_aio *Operation : m_Operations)
+        nng_aio_cancel(Operation);
+      m_Empty.wait_for(Lock, CancelRetry);
+    }
   }
 
 private:
+  static constexpr milliseconds CancelRetry{2};
+
   std::mutex m_Mutex;
-  std::condition_variable m_Zero;
-  std::size_t m_Count = 0;
+  std::condition_variable m_Empty;
+  std::set<nng_aio *> m_Operations;
 };
 
 } // namespace
@@ -195,9 +207,10 @@
              NNG_FLAG_NONBLOCK);
   }
   ~Impl() {
-    // Closing aborts the requests; their callbacks run on threads of nng.
+    // nng 1.5 may crash or hang when a context is closed by a callback while
+    // its socket is being closed, so the requests end first.
+    m_Pending->cancelAll();
     nng_close(m_Socket);
-    m_Pending->waitForZero();
   }
 
   void send(Bytes Message, milliseconds Timeout, Callback Done) {
@@ -211,7 +224,7 @@
       delete Call;
       return;
     }
-    m_Pending->add();
+    m_Pending->add(Call->m_Aio);
     nng_aio_set_timeout(Call->m_Aio,
                         static_cast<nng_duration>(Timeout.count()));
     nng_aio_set_msg(Call->m_Aio, makeMessage(Message));
@@ -225,7 +238,7 @@
     nng_aio *m_Aio = nullptr;
     bool m_Receiving = false;
     Callback m_Done;
-    std::shared_ptr<PendingCount> m_Pending;
+    std::shared_ptr<PendingOperations> m_Pending;
     Instant m_Deadline;
 
     static void onComplete(void *Argument) {
@@ -250,17 +263,18 @@
 
     void finish(std::optional<Bytes> Result) {
       m_Done(std::move(Result));
+      m_Done = nullptr;
       nng_ctx_close(m_Context);
+      m_Pending->remove(m_Aio);
       // nng_aio_reap frees the operation outside this callback.
       nng_aio_reap(m_Aio);
-      const auto Pending = std::move(m_Pending);
       delete this;
-      Pending->remove();
     }
   };
 
   nng_socket m_Socket = NNG_SOCKET_INITIALIZER;
-  std::shared_ptr<PendingCount> m_Pending = std::make_shared<PendingCount>();
+  std::shared_ptr<PendingOperations> m_Pending =
+      std::make_shared<PendingOperations>();
 };
 
 RequestClient::RequestClient(const std::string &Address)
--- a/Source/UnitTests/Relay/RelayFixture.h
+++ b/Source/UnitTests/Relay/RelayFixture.h
@@ -25,23 +25,29 @@
 inline std::uint16_t NextPort = static_cast<std::uint16_t>(
     FirstPort + getpid() % PortBlocks * PortsPerProcess);
 
-/// The range is also used for outgoing connections, so a port may be taken.
-inline std::uint16_t takeFreePort() {
-  using boost::asio::ip::tcp;
-  boost::asio::io_context Context;
-  for (;;) {
-    const std::uint16_t Port = NextPort++;
+/// A free port. It stays bound while the endpoint exists, because the range is
+/// also used for outgoing connections and by tests that run at the same time;
+/// the flag that is set after the check lets the server bind it too.
+class Endpoint {
+public:
+  Endpoint() {
+    using boost::asio::ip::tcp;
     boost::system::error_code Error;
-    tcp::socket Probe(Context, tcp::v4());
-    Probe.bind({boost::asio::ip::address_v4::loopback(), Port}, Error);
-    if (!Error)
-      return Port;
+    do {
+      m_Port = NextPort++;
+      m_Reserved = tcp::socket(m_Context, tcp::v4());
+      m_Reserved.bind({boost::asio::ip::address_v4::loopback(), m_Port}, Error);
+    } while (Error);
+    m_Reserved.set_option(tcp::socket::reuse_address(true));
   }
-}
 
-struct Endpoint {
-  std::uint16_t m_Port = takeFreePort();
   std::string str() const { return "127.0.0.1:" + std::to_string(m_Port); }
+
+  std::uint16_t m_Port = 0;
+
+private:
+  boost::asio::io_context m_Context;
+  boost::asio::ip::tcp::socket m_Reserved{m_Context};
 };
 
 /// One relay and a connection to it.
