Keep headroom until a later inventory, and inherit open orders

Cause: the model of the endpoint that ignores tokens found two rules that the controller did not follow. A late order may take effect after the successor's inventory, so the headroom for it is kept until an inventory that was asked for after its sender was known to be gone. An incarnation that gets an endpoint back counts its own open orders and sends them again with the new token. Reports are dated by when they were asked for, and the lease is checked again after a load permit has arrived.

--- a/Source/Core/Controller/Controller.cpp
+++ b/Source/Core/Controller/Controller.cpp
@@ -43,11 +43,13 @@
                   [this] { onReplaced(); },
                   [this](bool Reachable, Offset) { onContact(Reachable); }}),
       m_Writer(m_Relays), m_Client(m_Endpoints, m_Control),
-      m_Supervisor(m_Settings, m_Client,
-                   [this](const EntryName &Entry, double Value,
-                          std::function<void(milliseconds)> Done) {
-                     requestPermit(Entry, Value, std::move(Done));
-                   }),
+      m_Supervisor(
+          m_Settings, m_Client,
+          [this](const EntryName &Entry, double Value,
+                 std::function<void(milliseconds)> Done) {
+            requestPermit(Entry, Value, std::move(Done));
+          },
+          [this] { return authority(now()); }),
       m_Lease(m_Settings.m_Lease), m_Observer(m_Settings.m_Lease),
       m_Eviction(m_Settings.m_Eviction),
       m_Permits(m_Settings.m_LoadsPerSecond, m_Settings.m_ParallelLoads,
@@ -72,8 +74,8 @@
       });
   m_Dispatcher.on<messages::ReturnCredits>(
       [this](const messages::ReturnCredits &Request, const auto &Send) {
-        m_Supervisor.returnCredits(Request, now());
-        Send(messages::Acknowledgement{});
+        Send(messages::Acknowledgement{
+            m_Supervisor.returnCredits(Request, now())});
         serveWaiters(now());
       });
   m_Dispatcher.on<messages::AcquireLoadPermit>(
--- a/Source/Core/Controller/EndpointSupervisor.cpp
+++ b/Source/Core/Controller/EndpointSupervisor.cpp
@@ -1,6 +1,7 @@
 #include "Controller/EndpointSupervisor.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sff::controller {
 
@@ -16,8 +17,10 @@
 
 EndpointSupervisor::EndpointSupervisor(const ControllerSettings &Settings,
                                        EndpointClient &Client,
-                                       PermitSource Permits)
-    : m_Settings(Settings), m_Client(Client), m_Permits(std::move(Permits)) {}
+                                       PermitSource Permits,
+                                       RightsSource Rights)
+    : m_Settings(Settings), m_Client(Client), m_Permits(std::move(Permits)),
+      m_Rights(std::move(Rights)) {}
 
 bool EndpointSupervisor::isFencing(const EndpointId &Endpoint) const {
   return m_Settings.m_AllFence ||
@@ -34,6 +37,8 @@
     if (!Owned)
       log::info(log::Category::Ownership, "endpoint.lost",
                 {{"endpoint", Pair.first}});
+    if (!Owned && Pair.second->m_Core.hasOutstandingOrders())
+      m_Lost[Pair.first] = Pair.second;
     return !Owned;
   });
   for (const messages::EndpointInfo &Info : Endpoints) {
@@ -46,16 +51,22 @@
       continue;
     log::info(log::Category::Ownership, "endpoint.claimed",
               {{"endpoint", Info.m_Endpoint}, {"token", Owned->m_Offset}});
-    m_Endpoints[Info.m_Endpoint] =
-        std::make_shared<Driven>(control::OwnedEndpoint(
-            Info, Owned->m_Offset, isFencing(Info.m_Endpoint),
-            m_Settings.m_Endpoint));
+    auto Fresh = std::make_shared<Driven>(control::OwnedEndpoint(
+        Info, Owned->m_Offset, isFencing(Info.m_Endpoint),
+        m_Settings.m_Endpoint));
+    if (const auto Lost = m_Lost.find(Info.m_Endpoint); Lost != m_Lost.end()) {
+      Fresh->m_Core.inheritOrders(Lost->second->m_Core);
+      Fresh->m_Repeat = Fresh->m_Core.openOrders();
+      m_Lost.erase(Lost);
+    }
+    m_Endpoints[Info.m_Endpoint] = std::move(Fresh);
   }
 }
 
 void EndpointSupervisor::drive(const control::PlanInput &Input) {
   for (const auto &[Endpoint, Item] : m_Endpoints) {
     driveOne(Item, Input.m_Now);
+    repeatOrders(Item);
     for (const control::PlannedOrder &Order : Item->m_Core.planOrders(Input))
       startOrder(Item, Order);
   }
@@ -121,7 +132,7 @@
           return;
         }
         Item->m_Failures = 0;
-        Item->m_Core.onInventory(*Report, SentAt, now());
+        Item->m_Core.onInventory(*Report, SentAt);
         if (Item->m_Core.stage() == control::Stage::Fencing)
           Item->m_NextCall = now();
         logStage(*Item);
@@ -153,7 +164,9 @@
   }
   m_Permits(Order.m_Request.m_Model, Order.m_Value,
             [this, Item, Request = Order.m_Request](milliseconds Wait) {
-              if (Wait == milliseconds(0)) {
+              // The lease may have lapsed while the permit was on its way.
+              const bool Allowed = Item->m_Core.mayOrder(m_Rights());
+              if (Wait == milliseconds(0) && Allowed) {
                 sendOrder(Item, Request);
                 return;
               }
@@ -191,15 +204,14 @@
   }
   // The order may or may not have been executed. Repeating it with the same id
   // resolves that, as long as this controller still owns the endpoint.
-  const auto Current = m_Endpoints.find(Item->m_Core.info().m_Endpoint);
-  if (Current != m_Endpoints.end() && Current->second == Item)
-    m_Client.readInventory(Item->m_Core.info().m_Address,
-                           [this, Item, Order, SentAt = now()](
-                               std::optional<control::Inventory> Report) {
-                             if (Report)
-                               Item->m_Core.onInventory(*Report, SentAt, now());
-                             sendOrder(Item, Order);
-                           });
+  Item->m_Repeat.push_back(Order);
+}
+
+void EndpointSupervisor::repeatOrders(const DrivenPtr &Item) {
+  if (Item->m_Repeat.empty() || !Item->m_Core.mayOrder(m_Rights()))
+    return;
+  for (const control::OrderRequest &Order : std::exchange(Item->m_Repeat, {}))
+    sendOrder(Item, Order);
 }
 
 control::OwnedEndpoint *EndpointSupervisor::find(const EndpointId &Endpoint) {
@@ -207,13 +219,16 @@
   return It == m_Endpoints.end() ? nullptr : &It->second->m_Core;
 }
 
-void EndpointSupervisor::returnCredits(const messages::ReturnCredits &Message,
+bool EndpointSupervisor::returnCredits(const messages::ReturnCredits &Message,
                                        Instant Now) {
+  bool Renewed = false;
   for (const auto &[Endpoint, Item] : m_Endpoints) {
-    Item->m_Core.ledger().onRouterSeen(Message.m_Router);
-    Item->m_Core.ledger().returnCredits(Message.m_Loan, Message.m_ReturnedTotal,
-                                        Now);
+    memory::CreditLedger &Ledger = Item->m_Core.ledger();
+    Ledger.onRouterSeen(Message.m_Router);
+    Renewed |=
+        Ledger.returnCredits(Message.m_Loan, Message.m_ReturnedTotal, Now);
   }
+  return Renewed;
 }
 
 bool EndpointSupervisor::hasOutstandingOrders() const {
--- a/Source/Core/Controller/EndpointSupervisor.h
+++ b/Source/Core/Controller/EndpointSupervisor.h
@@ -19,8 +19,11 @@
   using PermitSource = std::function<void(const EntryName &, double Value,
                                           std::function<void(milliseconds)>)>;
 
+  /// Tells what this controller may do at the moment of the call.
+  using RightsSource = std::function<control::Authority()>;
+
   EndpointSupervisor(const ControllerSettings &Settings, EndpointClient &Client,
-                     PermitSource Permits);
+                     PermitSource Permits, RightsSource Rights);
 
   /// Follows changes of ownership and of the host list.
   void adopt(const fold::ClusterState &State,
@@ -37,8 +40,9 @@
 
   /// The endpoint as owned by this controller, or null.
   control::OwnedEndpoint *find(const EndpointId &Endpoint);
-  /// Takes back credits of a loan, at whichever endpoint it was given.
-  void returnCredits(const messages::ReturnCredits &Message, Instant Now);
+  /// Takes back credits of a loan, at whichever endpoint it was given. Returns
+  /// false when the loan is not known, so that the router must not renew it.
+  bool returnCredits(const messages::ReturnCredits &Message, Instant Now);
 
   bool hasOutstandingOrders() const;
   std::vector<messages::EndpointStatus> status() const;
@@ -51,6 +55,8 @@
     Instant m_NextCall;
     int m_Failures = 0;
     control::Stage m_LoggedStage = control::Stage::Fencing;
+    /// Orders whose outcome is unknown and that have to be sent again.
+    std::vector<control::OrderRequest> m_Repeat;
   };
   using DrivenPtr = std::shared_ptr<Driven>;
 
@@ -62,13 +68,17 @@
   void logStage(Driven &Item);
   void startOrder(const DrivenPtr &Item, const control::PlannedOrder &Order);
   void sendOrder(const DrivenPtr &Item, const control::OrderRequest &Order);
+  void repeatOrders(const DrivenPtr &Item);
   void onOrderResult(const DrivenPtr &Item, const control::OrderRequest &Order,
                      control::OrderResult Result);
 
   const ControllerSettings &m_Settings;
   EndpointClient &m_Client;
   PermitSource m_Permits;
+  RightsSource m_Rights;
   std::map<EndpointId, DrivenPtr> m_Endpoints;
+  /// Endpoints that were lost while orders were open.
+  std::map<EndpointId, DrivenPtr> m_Lost;
 };
 
 } // namespace sff::controller
--- a/Source/Core/Core/Control/OwnedEndpoint.cpp
+++ b/Source/Core/Core/Control/OwnedEndpoint.cpp
@@ -122,8 +122,7 @@
     }
 }
 
-void OwnedEndpoint::onInventory(const Inventory &Report, Instant SentAt,
-                                Instant Now) {
+void OwnedEndpoint::onInventory(const Inventory &Report, Instant SentAt) {
   if (m_Stage == Stage::Fencing)
     return;
   if (!m_Incarnation.empty() && m_Incarnation != Report.m_Incarnation) {
@@ -132,13 +131,14 @@
     return;
   }
   m_Incarnation = Report.m_Incarnation;
+  m_InspectedAt = SentAt;
   m_Cached = Report.m_Cached;
   if (Report.m_HighestToken == m_Token)
     m_TokenConfirmedAt = SentAt;
   std::vector<memory::RunningRequest> Running;
   for (const InventoryRequest &Item : Report.m_Running)
     Running.push_back({Item.m_Router, Item.m_Bytes});
-  m_Ledger->onReport(Running, Now);
+  m_Ledger->onReport(Running, SentAt);
   reconcile(Report, SentAt);
   m_Stage = Stage::Ready;
 }
@@ -329,8 +329,7 @@
     return Input.m_Now - Pair.second.m_LastSeen > m_Times.m_DemandTimeToLive;
   });
   m_Ledger->expire(Input.m_Now);
-  m_Ledger->setHeadroom(placement::requiredHeadroom(
-      planContext(Input), m_Info.m_Endpoint, loadedEntries()));
+  updateHeadroom(Input);
   if (!mayOrder(Input.m_Rights))
     return Result;
   planUnwanted(Input, Result);
@@ -339,10 +338,50 @@
   return Result;
 }
 
+void OwnedEndpoint::updateHeadroom(const PlanInput &Input) {
+  const std::int64_t Required = placement::requiredHeadroom(
+      planContext(Input), m_Info.m_Endpoint, loadedEntries());
+  if (Required >= m_Headroom) {
+    m_Headroom = Required;
+    m_LowerHeadroomSince.reset();
+  } else if (!m_LowerHeadroomSince) {
+    m_LowerHeadroomSince = Input.m_Now;
+  } else if (m_InspectedAt && *m_InspectedAt > *m_LowerHeadroomSince) {
+    m_Headroom = Required;
+    m_LowerHeadroomSince.reset();
+  }
+  m_Ledger->setHeadroom(m_Headroom);
+}
+
+bool OwnedEndpoint::mayMoveSlots(const PlanInput &Input) const {
+  return m_Stage == Stage::Ready && !m_LowerHeadroomSince &&
+         !placement::mayReceiveLateOrders(planContext(Input),
+                                          m_Info.m_Endpoint);
+}
+
+void OwnedEndpoint::inheritOrders(const OwnedEndpoint &Previous) {
+  for (const auto &[Id, Item] : Previous.m_Orders) {
+    const OrderRequest &Request = Item.m_Order.m_Request;
+    Outstanding &Kept = m_Orders[Id];
+    Kept = Item;
+    Kept.m_Order.m_Request.m_FencingToken = m_Token;
+    m_Replicas[Request.m_Model] = Previous.m_Replicas.at(Request.m_Model);
+    m_Ledger->adoptWeights(Request.m_Model, Request.m_Bytes);
+  }
+}
+
+std::vector<OrderRequest> OwnedEndpoint::openOrders() const {
+  std::vector<OrderRequest> Result;
+  Result.reserve(m_Orders.size());
+  for (const auto &[Id, Item] : m_Orders)
+    Result.push_back(Item.m_Order.m_Request);
+  return Result;
+}
+
 std::vector<fold::SlotItem>
 OwnedEndpoint::releasableSlots(const PlanInput &Input) const {
   std::vector<fold::SlotItem> Result;
-  if (m_Stage != Stage::Ready)
+  if (!mayMoveSlots(Input))
     return Result;
   for (const fold::SlotItem &Item : placement::planReleases(planContext(Input)))
     if (stateOf(Item.m_Entry) == ReplicaState::Cold)
--- a/Source/Core/Core/Control/OwnedEndpoint.h
+++ b/Source/Core/Core/Control/OwnedEndpoint.h
@@ -84,8 +84,8 @@
 
   /// The endpoint has confirmed the token.
   void onFenced(Instant Now);
-  /// The inventory was asked for at \p SentAt and read at \p Now.
-  void onInventory(const Inventory &Report, Instant SentAt, Instant Now);
+  /// Takes over an inventory that was asked for at \p SentAt.
+  void onInventory(const Inventory &Report, Instant SentAt);
   /// A control call got no answer.
   void onUnreachable();
 
@@ -112,6 +112,14 @@
   void onOrderResult(const std::string &OrderId, OrderResult Result,
                      Instant Now);
 
+  /// Carries over orders that an earlier ownership of this endpoint by the same
+  /// incarnation left open: they may still take effect.
+  void inheritOrders(const OwnedEndpoint &Previous);
+  /// Orders that are open, with the present token.
+  std::vector<OrderRequest> openOrders() const;
+  /// True when orders may be sent now. Check it again right before sending.
+  bool mayOrder(const Authority &Rights) const;
+
   ReplicaState stateOf(const EntryName &Entry) const;
   /// True while an order is outstanding.
   bool hasOutstandingOrders() const { return !m_Orders.empty(); }
@@ -125,6 +133,12 @@
   messages::EndpointStatus status() const;
 
 private:
+  /// Lowers the headroom, and lets slots move, only after an inventory that was
+  /// asked for after the last lapsed owner was known to be gone: its late order
+  /// may have taken effect since the inventory before.
+  void updateHeadroom(const PlanInput &Input);
+  bool mayMoveSlots(const PlanInput &Input) const;
+
   struct Replica {
     ReplicaState m_State = ReplicaState::Cold;
     std::string m_Version;
@@ -144,7 +158,6 @@
     Instant m_SentAt;
   };
 
-  bool mayOrder(const Authority &Rights) const;
   /// True when a sent release still names the slot's present offset.
   bool isReleasePending(const fold::ClusterState &State,
                         const EntryName &Entry) const;
@@ -193,6 +206,11 @@
   std::map<std::string, Outstanding> m_Orders;
   std::map<EntryName, fold::SlotItem> m_SentReleases;
   std::vector<CachedWeights> m_Cached;
+  std::int64_t m_Headroom = 0;
+  /// When the required headroom was first seen below the present one.
+  std::optional<Instant> m_LowerHeadroomSince;
+  /// Sending time of the last inventory that was read.
+  std::optional<Instant> m_InspectedAt;
   /// Sending time of the last inventory that showed our token as the highest.
   std::optional<Instant> m_TokenConfirmedAt;
   double m_RemoteLoadSeconds;
--- a/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
+++ b/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
@@ -75,7 +75,7 @@
   void takeOver() {
     m_Owned->onFenced(m_Now);
     m_Now += seconds(5);
-    m_Owned->onInventory(inventory(), m_Now, m_Now);
+    m_Owned->onInventory(inventory(), m_Now);
   }
 
   std::optional<messages::BorrowCreditsReply> borrow(const std::string &Name) {
@@ -120,10 +120,10 @@
   EXPECT_TRUE(plan().empty());
   Inventory Report = inventory();
   Report.m_Models.push_back({EntryName("m"), "ready", "1", 100, {}});
-  m_Owned->onInventory(Report, m_Now, m_Now);
+  m_Owned->onInventory(Report, m_Now);
   EXPECT_FALSE(borrow("m")) << "the predecessor's loans may still be live";
   m_Now += seconds(5);
-  m_Owned->onInventory(Report, m_Now, m_Now);
+  m_Owned->onInventory(Report, m_Now);
   EXPECT_EQ(borrow("m")->m_Outcome, BorrowOutcome::Granted);
 }
 
@@ -207,7 +207,7 @@
   addModel("a", 100);
   load("a");
   m_Incarnation = "second";
-  m_Owned->onInventory(inventory(), m_Now, m_Now);
+  m_Owned->onInventory(inventory(), m_Now);
   EXPECT_EQ(m_Owned->stage(), Stage::Fencing);
   EXPECT_EQ(m_Owned->stateOf(EntryName("a")), ReplicaState::Cold);
 }
@@ -227,7 +227,7 @@
                          m_Now);
   Inventory Report = inventory();
   Report.m_Models.push_back({EntryName("a"), "ready", "1", 100, {}});
-  m_Owned->onInventory(Report, AskedAt, m_Now);
+  m_Owned->onInventory(Report, AskedAt);
   EXPECT_EQ(m_Owned->stateOf(EntryName("a")), ReplicaState::Cold);
 }
 
@@ -245,6 +245,50 @@
   EXPECT_TRUE(m_Owned->isOutstanding(Orders[0].m_Request.m_OrderId));
 }
 
+// Guards against forgetting an own order that is still under way when the
+// endpoint comes back.
+TEST_F(OwnedEndpointTest, OpenOrderIsInheritedByTheNextOwnership) {
+  takeOver();
+  addModel("a", 100);
+  EXPECT_FALSE(borrow("a"));
+  const auto Orders = plan();
+  ASSERT_EQ(Orders.size(), 1u);
+  OwnedEndpoint Next(m_Owned->info(), Token + 10, true, EndpointTimes{});
+  Next.inheritOrders(*m_Owned);
+  EXPECT_EQ(Next.stateOf(EntryName("a")), ReplicaState::Loading);
+  EXPECT_EQ(Next.ledger().usedBytes(), 100);
+  ASSERT_EQ(Next.openOrders().size(), 1u);
+  EXPECT_EQ(Next.openOrders()[0].m_OrderId, Orders[0].m_Request.m_OrderId);
+  EXPECT_EQ(Next.openOrders()[0].m_FencingToken, Token + 10);
+}
+
+// Guards against using the memory kept for a late order as soon as the lapsed
+// owner is gone, before an inventory has shown whether the order took effect.
+TEST_F(OwnedEndpointTest, HeadroomStaysUntilAnInventoryAfterTheOwnerIsGone) {
+  makeOwned(false);
+  const IncarnationId Next("next");
+  m_State.apply(nextOffset(),
+                fold::LeaseRenewal{RecordId("n"), Next, 0, {}, {}, "", ""});
+  addModel("a", 400);
+  m_State.apply(nextOffset(), fold::OwnershipClaim{
+                                  RecordId("d"), Next, {{Endpoint, Token, 1}}});
+  const Offset NewToken = m_State.appliedOffset();
+  messages::EndpointInfo Info = m_Owned->info();
+  m_Owned.emplace(Info, NewToken, false, EndpointTimes{});
+  takeOver();
+  const std::vector<IncarnationId> Gone{Self};
+  const auto Plan = [&](std::span<const IncarnationId> KnownGone) {
+    (void)m_Owned->planOrders(
+        {m_State, m_Eviction, m_Rights, Next, KnownGone, m_Now});
+    return m_Owned->ledger().usedBytes();
+  };
+  EXPECT_EQ(Plan({}), 400);
+  EXPECT_EQ(Plan(Gone), 400);
+  m_Now += seconds(1);
+  m_Owned->onInventory(inventory(), m_Now);
+  EXPECT_EQ(Plan(Gone), 0);
+}
+
 // Guards against loading at a slot whose release lands after the count was
 // raised again.
 TEST_F(OwnedEndpointTest, SlotWithASentReleaseIsNotUsedAgain) {
