Report cached weights as the controller reads them

The controller decodes the cached member of the inventory as an object from model to place; the list it got would have failed the whole inventory. It also takes each 409 other than busy as fenced off, so an unload that must wait is always busy, and a load without its base or over another version is 422.

--- a/Source/StandIns/Engine/OrderDesk.cpp
+++ b/Source/StandIns/Engine/OrderDesk.cpp
@@ -73,13 +73,13 @@
 asio::awaitable<http::Response> OrderDesk::load(Order Given) {
   while (const ModelTable::Entry *Known = m_Models.find(Given.m_Model)) {
     if (Known->m_Order.m_Version != Given.m_Version)
-      co_return refuse(409, "other_version_loaded");
+      co_return refuse(422, "other_version_loaded");
     if (Known->m_Ready)
       co_return answerReady("loaded");
     co_await m_LoadEnded.wait(LoadWaitStep);
   }
   if (!Given.m_Base.empty() && !m_Models.findReady(Given.m_Base))
-    co_return refuse(409, "base_not_loaded");
+    co_return refuse(422, "base_not_loaded");
   m_Models.add(Given);
   m_Memory.add(Given.m_Bytes);
   const WeightPlace From = m_Cache.locate(Given.weightKey());
@@ -129,12 +129,10 @@
   const ModelTable::Entry *Known = m_Models.find(Given.m_Model);
   if (!Known)
     return http::makeJson(200, {{"state", "absent"}});
-  if (!Known->m_Ready)
-    return refuse(409, "loading");
-  if (Known->m_Requests > 0)
+  // Other reasons with 409 mean that the order was fenced off.
+  if (!Known->m_Ready || Known->m_Requests > 0 ||
+      m_Models.hasAdapterOf(Given.m_Model))
     return refuse(409, "busy");
-  if (m_Models.hasAdapterOf(Given.m_Model))
-    return refuse(409, "adapters_loaded");
   m_Cache.putInMemory(Known->m_Order.weightKey());
   m_Memory.remove(Known->m_Order.m_Bytes);
   m_Models.remove(Given.m_Model);
--- a/Source/StandIns/Engine/WeightCache.cpp
+++ b/Source/StandIns/Engine/WeightCache.cpp
@@ -24,19 +24,12 @@
     Place.pop_back();
 }
 
-nlohmann::json WeightCache::describe() const {
-  nlohmann::json List = nlohmann::json::array();
-  const auto Add = [&List](const Keys &Place, WeightPlace Where) {
-    for (const std::string &Key : Place) {
-      const std::size_t Slash = Key.rfind('/');
-      List.push_back({{"model", Key.substr(0, Slash)},
-                      {"version", Key.substr(Slash + 1)},
-                      {"where", toString(Where)}});
-    }
-  };
-  Add(m_Memory, WeightPlace::Memory);
-  Add(m_Disk, WeightPlace::Disk);
-  return List;
+std::map<std::string, std::string> WeightCache::describe() const {
+  std::map<std::string, std::string> Places;
+  for (const Keys *Place : {&m_Memory, &m_Disk})
+    for (const std::string &Key : *Place)
+      Places[Key.substr(0, Key.rfind('/'))] = toString(locate(Key));
+  return Places;
 }
 
 } // namespace sff::standin
--- a/Source/StandIns/Engine/WeightCache.h
+++ b/Source/StandIns/Engine/WeightCache.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include <nlohmann/json.hpp>
-
 #include <cstdint>
 #include <list>
+#include <map>
 #include <string>
 
 namespace sff::standin {
@@ -28,8 +27,8 @@
     put(m_Memory, Key, m_MemoryModels);
   }
 
-  /// List of model, version and place.
-  nlohmann::json describe() const;
+  /// Nearest place of each cached model.
+  std::map<std::string, std::string> describe() const;
 
 private:
   using Keys = std::list<std::string>;
