--- a/Source/Core/Relay/StreamFeed.cpp
+++ b/Source/Core/Relay/StreamFeed.cpp
@@ -23,6 +23,7 @@
 std::vector<messages::RecordAt>
 toRecords(std::vector<platform::StoredRecord> Stored) {
   std::vector<messages::RecordAt> Result;
+  Result.reserve(Stored.size());
   for (platform::StoredRecord &Item : Stored)
     Result.push_back({Item.m_Offset, std::move(Item.m_Data)});
   return Result;
--- a/Source/Core/TimelineTool/EventList.cpp
+++ b/Source/Core/TimelineTool/EventList.cpp
@@ -70,8 +70,10 @@
   std::erase_if(Events,
                 [&](const Event &Item) { return !matches(Wanted, Item); });
   std::ranges::sort(Events, {}, orderOf);
-  const auto Copies = std::ranges::unique(Events, {}, orderOf);
-  Events.erase(Copies.begin(), Copies.end());
+  const auto IsCopy = [](const Event &Left, const Event &Right) {
+    return orderOf(Left) == orderOf(Right);
+  };
+  Events.erase(std::unique(Events.begin(), Events.end(), IsCopy), Events.end());
   return Events;
 }
 
--- a/Source/Core/TimelineTool/Views.cpp
+++ b/Source/Core/TimelineTool/Views.cpp
@@ -68,8 +68,7 @@
   for (const Event &Item : Events)
     Lanes.push_back(laneOf(Item));
   std::ranges::sort(Lanes);
-  const auto Copies = std::ranges::unique(Lanes);
-  Lanes.erase(Copies.begin(), Copies.end());
+  Lanes.erase(std::unique(Lanes.begin(), Lanes.end()), Lanes.end());
   return Lanes;
 }
 
--- a/Source/UnitTests/Relay/RelayNodeTest.cpp
+++ b/Source/UnitTests/Relay/RelayNodeTest.cpp
@@ -138,6 +138,7 @@
   Store.m_AppendDelayMs = 100;
   constexpr int Count = 60;
   std::vector<std::future<messages::AppendReply>> Replies;
+  Replies.reserve(Count);
   for (int Number = 0; Number < Count; ++Number)
     Replies.push_back(std::async(std::launch::async, [&Relay, Number] {
       return Relay.append("intents", {{"n", Number}});
