--- a/Source/StandIns/Engine/WeightCache.cpp
+++ b/Source/StandIns/Engine/WeightCache.cpp
@@ -24,12 +24,16 @@
     Place.pop_back();
 }
 
-std::map<std::string, std::string> WeightCache::describe() const {
-  std::map<std::string, std::string> Places;
+nlohmann::json WeightCache::describe() const {
+  nlohmann::json List = nlohmann::json::array();
   for (const Keys *Place : {&m_Memory, &m_Disk})
-    for (const std::string &Key : *Place)
-      Places[Key.substr(0, Key.rfind('/'))] = toString(locate(Key));
-  return Places;
+    for (const std::string &Key : *Place) {
+      const auto Slash = Key.rfind('/');
+      List.push_back({{"model", Key.substr(0, Slash)},
+                      {"version", Key.substr(Slash + 1)},
+                      {"where", Place == &m_Memory ? "memory" : "disk"}});
+    }
+  return List;
 }
 
 } // namespace sff::standin
--- a/Source/StandIns/Engine/WeightCache.h
+++ b/Source/StandIns/Engine/WeightCache.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <nlohmann/json.hpp>
+
 #include <cstdint>
 #include <list>
-#include <map>
 #include <string>
 
 namespace sff::standin {
@@ -28,7 +29,7 @@
   }
 
   /// Nearest place of each cached model.
-  std::map<std::string, std::string> describe() const;
+  nlohmann::json describe() const;
 
 private:
   using Keys = std::list<std::string>;
