--- a/Source/UnitTests/Core/Execution/IntentPropertyTest.cpp
+++ b/Source/UnitTests/Core/Execution/IntentPropertyTest.cpp
@@ -114,7 +114,7 @@
       Bits /= Bound;
       return Result;
     };
-    const std::string Key = Keys[Take(Keys.size())];
+    const std::string &Key = Keys[Take(Keys.size())];
     const std::size_t Number = Take(AttemptCount);
     const AttemptId Attempt(Key + std::to_string(Number));
     Router &Author = m_Routers[Number % RouterCount];
