--- a/Source/Core/Core/Control/OwnedEndpoint.cpp
+++ b/Source/Core/Core/Control/OwnedEndpoint.cpp
@@ -341,14 +341,13 @@
 void OwnedEndpoint::updateHeadroom(const PlanInput &Input) {
   const std::int64_t Required = placement::requiredHeadroom(
       planContext(Input), m_Info.m_Endpoint, loadedEntries());
-  if (Required >= m_Headroom) {
+  const bool InspectedSince = m_LowerHeadroomSince && m_InspectedAt &&
+                              *m_InspectedAt > *m_LowerHeadroomSince;
+  if (Required >= m_Headroom || InspectedSince) {
     m_Headroom = Required;
     m_LowerHeadroomSince.reset();
   } else if (!m_LowerHeadroomSince) {
     m_LowerHeadroomSince = Input.m_Now;
-  } else if (m_InspectedAt && *m_InspectedAt > *m_LowerHeadroomSince) {
-    m_Headroom = Required;
-    m_LowerHeadroomSince.reset();
   }
   m_Ledger->setHeadroom(m_Headroom);
 }
--- a/Source/ProcessTests/Deployment/RequestFaultTest.cpp
+++ b/Source/ProcessTests/Deployment/RequestFaultTest.cpp
@@ -93,6 +93,7 @@
   for (const Engine &Item : m_Engines)
     setFaults(Item.m_Address, {{"crossed_answers", true}});
   std::vector<std::future<Reply>> Calls;
+  Calls.reserve(8);
   for (int Index = 0; Index < 8; ++Index)
     Calls.push_back(completeLater(Index % 2, "x-" + std::to_string(Index), 4,
                                   milliseconds(6000)));
@@ -119,6 +120,7 @@
   ASSERT_EQ(publish("m", modelSpec(1)), 0);
   ASSERT_TRUE(waitUntilServed(0, "a-"));
   std::vector<std::future<Reply>> Calls;
+  Calls.reserve(8);
   for (int Index = 0; Index < 8; ++Index)
     Calls.push_back(completeLater(0, "g-" + std::to_string(Index), 60));
   ASSERT_TRUE(waitUntil(
--- a/Source/ProcessTests/Deployment/RightsTest.cpp
+++ b/Source/ProcessTests/Deployment/RightsTest.cpp
@@ -38,6 +38,7 @@
   ASSERT_EQ(publish("m", modelSpec(1)), 0);
   ASSERT_TRUE(waitUntil([&] { return engineOf("m") >= 0; }));
   std::vector<std::future<Reply>> Burst;
+  Burst.reserve(16);
   for (int Index = 0; Index < 16; ++Index)
     Burst.push_back(completeLater(Index % 2, "b-" + std::to_string(Index), 4));
   for (auto &Item : Burst)
--- a/Source/ProcessTests/StandIns/EngineControlTest.cpp
+++ b/Source/ProcessTests/StandIns/EngineControlTest.cpp
@@ -37,8 +37,8 @@
   EXPECT_EQ(Repeat.get().status(), 200);
   EXPECT_EQ(order(makeOrder("u", "unload", "n")).status(), 200);
   // The controller reads this member as an object from model to place.
-  const auto InMemory = nlohmann::json::parse(
-      R"({"model":"n","version":"1","where":"memory"})");
+  const auto InMemory =
+      nlohmann::json::parse(R"({"model":"n","version":"1","where":"memory"})");
   EXPECT_EQ(inventory().at("cached").at(0), InMemory);
   EXPECT_EQ(order(makeOrder("o2", "load", "n")).json().at("source"), "memory");
   const auto Loads = m_Http.get(Store, "/v1/loads").json();
--- a/Source/UnitTests/Core/Membership/HostTableTest.cpp
+++ b/Source/UnitTests/Core/Membership/HostTableTest.cpp
@@ -92,6 +92,7 @@
   const GossipPlan Plan = planGossip(Hosts, Limits);
   const auto RefreshPeriods = Plan.m_Refresh / Plan.m_Period;
   std::vector<HostTable> Tables;
+  Tables.reserve(Hosts);
   for (int Number = 0; Number < Hosts; ++Number)
     Tables.emplace_back(makeHost(Number, 1'700'000'000'000, makeRandomId()),
                         Instant());
@@ -127,6 +128,7 @@
 
 TEST(SnapshotRuleTest, ExactlyOneRankWritesFirstAndOthersFollowLater) {
   std::vector<HostId> Hosts;
+  Hosts.reserve(8);
   for (int Number = 0; Number < 8; ++Number)
     Hosts.push_back(makeHost(Number).m_Host);
   const auto CountWriters = [&](Offset Applied) {
