Tell routers at once when a cold start misses their deadline

Cause: the owner held a request for credits back until its wait was over, so a request with a 50 ms deadline was refused after 54 ms as expired instead of at once. The owner now answers as soon as its estimate exceeds the deadline.

--- a/Source/Core/Controller/Controller.cpp
+++ b/Source/Core/Controller/Controller.cpp
@@ -357,11 +357,14 @@
     Item.m_Send(*Answer);
     return true;
   }
-  if (Now < Item.m_AnswerBy)
+  const milliseconds ReadyIn =
+      Owned->estimateReady(m_Follower.state(), Request.m_Entry, Now);
+  // A router that cannot use the answer in time refuses its requests at once,
+  // so it is told without waiting.
+  if (Now < Item.m_AnswerBy && ReadyIn <= Request.m_Deadline)
     return false;
   Reply.m_Outcome = messages::BorrowOutcome::Loading;
-  Reply.m_ReadyIn =
-      Owned->estimateReady(m_Follower.state(), Request.m_Entry, Now);
+  Reply.m_ReadyIn = ReadyIn;
   Item.m_Send(Reply);
   return true;
 }
