--- a/Source/Core/Common/Time/Instant.h
+++ b/Source/Core/Common/Time/Instant.h
@@ -15,4 +15,9 @@
   return std::chrono::duration_cast<milliseconds>(Value);
 }
 
+/// The duration in seconds, with its fraction.
+constexpr double toSeconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
 } // namespace sff
--- a/Source/Core/Controller/Controller.cpp
+++ b/Source/Core/Controller/Controller.cpp
@@ -88,8 +88,12 @@
         Send(status());
       });
   m_Dispatcher.on<messages::ListEndpoints>(
-      [this](const messages::ListEndpoints &, const auto &Send) {
-        Send(messages::ListEndpointsReply{m_Hosts});
+      [this](const messages::ListEndpoints &Request, const auto &Send) {
+        const bool Known =
+            !m_HostsVersion.empty() && Request.m_KnownVersion == m_HostsVersion;
+        Send(messages::ListEndpointsReply{
+            m_HostsVersion, Known,
+            Known ? std::vector<messages::EndpointInfo>() : m_Hosts});
       });
   m_Dispatcher.on<messages::FetchEvents>(
       [](const messages::FetchEvents &Request, const auto &Send) {
@@ -196,6 +200,8 @@
         if (!Hosts || *Hosts == m_Hosts)
           return;
         m_Hosts = std::move(*Hosts);
+        m_HostsVersion = std::to_string(
+            std::hash<std::string>()(nlohmann::json(m_Hosts).dump()));
         m_Engines.clear();
         std::ranges::copy_if(m_Hosts, std::back_inserter(m_Engines),
                              [](const messages::EndpointInfo &Item) {
--- a/Source/Core/Controller/Controller.h
+++ b/Source/Core/Controller/Controller.h
@@ -82,6 +82,7 @@
   loading::LoadPermits m_Permits;
   std::vector<timers::Subscription> m_Subscriptions;
   std::vector<messages::EndpointInfo> m_Hosts;
+  std::string m_HostsVersion; ///< Hash of the list above.
   std::vector<messages::EndpointInfo> m_Engines;
   std::vector<Waiter> m_Waiters;
   std::map<std::string, std::unique_ptr<peer::Caller>> m_Callers;
--- a/Source/Core/Controller/EndpointClient.cpp
+++ b/Source/Core/Controller/EndpointClient.cpp
@@ -98,22 +98,28 @@
 
 template <typename T>
 void EndpointClient::get(const std::string &Address, std::string Target,
+                         Caching Mode,
                          std::function<void(std::optional<T>)> Done) {
   const auto Remote = http::Address::parse(Address).value_or(http::Address{});
   asio::co_spawn(
       m_Endpoints.context(),
-      [this, Remote, Target = std::move(Target),
+      [this, Remote, Target = std::move(Target), Mode,
        Done = std::move(Done)]() -> asio::awaitable<void> {
         http::ClientOptions Options;
         Options.m_ConnectTimeout = ConnectTimeout;
         Options.m_ReadTimeout = ReadTimeout;
         http::Request Message;
         Message.m_Target = Target;
+        if (Mode == Caching::EntityTag && !m_HostListTag.empty())
+          Message.m_Headers.set("If-None-Match", m_HostListTag);
         const http::SendResult Result =
             co_await m_Http.send(Remote, std::move(Message), Options);
         // After a failure the pooled connections may have gone silent as well.
         if (std::holds_alternative<http::TransportFailure>(Result))
           m_Http.dropIdle(Remote);
+        const auto *Answer = std::get_if<http::Response>(&Result);
+        if (Mode == Caching::EntityTag && Answer && Answer->m_Status == 200)
+          m_HostListTag = Answer->m_Headers.find("ETag").value_or("");
         m_Control.postCompletion(
             [Done, Value = parseAnswer<T>(Result)] { Done(Value); });
       },
@@ -123,14 +129,15 @@
 void EndpointClient::readInventory(
     const std::string &Address,
     std::function<void(std::optional<control::Inventory>)> Done) {
-  get<control::Inventory>(Address, "/control/inventory", std::move(Done));
+  get<control::Inventory>(Address, "/control/inventory", Caching::Off,
+                          std::move(Done));
 }
 
 void EndpointClient::readHosts(
     const std::string &Address,
     std::function<void(std::optional<std::vector<messages::EndpointInfo>>)>
         Done) {
-  get<HostListAnswer>(Address, "/v1/hosts",
+  get<HostListAnswer>(Address, "/v1/hosts", Caching::EntityTag,
                       [Done](std::optional<HostListAnswer> Answer) {
                         if (Answer)
                           Done(std::move(Answer->m_Hosts));
--- a/Source/Core/Controller/EndpointClient.h
+++ b/Source/Core/Controller/EndpointClient.h
@@ -26,20 +26,27 @@
   readInventory(const std::string &Address,
                 std::function<void(std::optional<control::Inventory>)> Done);
 
-  /// Reads the host list; nothing when the platform does not answer.
+  /// Reads the host list; nothing when it has not changed since the last read
+  /// or when the platform does not answer.
   void readHosts(
       const std::string &Address,
       std::function<void(std::optional<std::vector<messages::EndpointInfo>>)>
           Done);
 
 private:
+  enum class Caching { Off, EntityTag };
+
   template <typename T>
-  void get(const std::string &Address, std::string Target,
+  void get(const std::string &Address, std::string Target, Caching Mode,
            std::function<void(std::optional<T>)> Done);
 
   timers::DutyLoop &m_Endpoints;
   timers::DutyLoop &m_Control;
   http::Client m_Http;
+  /// Entity tag of the last host list. Used on the endpoints duty only. A full
+  /// list is about 150 bytes for each endpoint, too much to read twice a
+  /// second.
+  std::string m_HostListTag;
 };
 
 } // namespace sff::controller
--- a/Source/Core/Core/Fold/Records.cpp
+++ b/Source/Core/Core/Fold/Records.cpp
@@ -5,7 +5,14 @@
 namespace sff::fold {
 
 nlohmann::json toJson(const Record &Value) {
-  return codec::taggedToJson(Value);
+  nlohmann::json Result = codec::taggedToJson(Value);
+  // Absent texts are read as empty ones. Renewals are by far the most frequent
+  // record, and all but the first leave four texts empty.
+  for (auto It = Result.begin(); It != Result.end();)
+    It = It->is_string() && It->get_ref<const std::string &>().empty()
+             ? Result.erase(It)
+             : std::next(It);
+  return Result;
 }
 
 boost::leaf::result<Record> fromJson(const nlohmann::json &Input) {
--- a/Source/Core/Core/Messages/ControllerMessages.h
+++ b/Source/Core/Core/Messages/ControllerMessages.h
@@ -210,9 +210,15 @@
 };
 
 struct ListEndpointsReply {
+  /// Identifies the content of the list, the same at all controllers.
+  std::string m_Version;
+  /// The list is the one that the requester has; no endpoints are sent.
+  bool m_Unchanged = false;
   std::vector<EndpointInfo> m_Endpoints;
   static constexpr auto describe() {
     return std::make_tuple(
+        field("version", &ListEndpointsReply::m_Version),
+        field("unchanged", &ListEndpointsReply::m_Unchanged),
         field("endpoints", &ListEndpointsReply::m_Endpoints));
   }
 };
@@ -221,9 +227,9 @@
 struct ListEndpoints {
   using Reply = ListEndpointsReply;
   static constexpr const char *Name = "list_endpoints";
-  bool m_Unused = false;
+  std::string m_KnownVersion; ///< Of the list at hand, or empty.
   static constexpr auto describe() {
-    return std::make_tuple(field("unused", &ListEndpoints::m_Unused));
+    return std::make_tuple(field("known", &ListEndpoints::m_KnownVersion));
   }
 };
 
--- a/Source/Core/Router/Broker.cpp
+++ b/Source/Core/Router/Broker.cpp
@@ -66,9 +66,10 @@
 
 bool Broker::tryQueue(const Ticket &Item, EntryState &State,
                       const Answer &Done) {
-  const auto Refused = State.m_Queue.offer(
-      {Item.m_Id, Item.m_Class, Item.m_Deadline, Item.m_Arrival},
-      capacityOf(Item.m_Entry, State), now());
+  const auto Refused =
+      State.m_Queue.offer({Item.m_Id, Item.m_Class, Item.m_Deadline,
+                           Item.m_Arrival, Item.m_KeptRetryTime},
+                          capacityOf(Item.m_Entry, State), now());
   if (Refused)
     Done(*Refused);
   return !Refused;
@@ -127,7 +128,7 @@
   if (const auto It = m_Entries.find(Used.m_Entry); It != m_Entries.end()) {
     --It->second.m_Running;
     if (Report.m_Answered)
-      It->second.m_Queue.onServed(Report.m_ServiceTime);
+      It->second.m_Queue.onServed(Report.m_Class, Report.m_ServiceTime);
   }
   if (Report.m_Answered)
     m_Quarantine.onSuccess(Report.m_Fingerprint);
--- a/Source/Core/Router/CallerRequest.cpp
+++ b/Source/Core/Router/CallerRequest.cpp
@@ -14,7 +14,8 @@
 
 constexpr std::size_t MaxRequestIdLength = 64;
 
-constexpr std::array<std::string_view, 13> OwnHeaders{"Connection",
+constexpr std::array<std::string_view, 14> OwnHeaders{"Connection",
+                                                      "X-Kept-Retry-Time",
                                                       "Host",
                                                       "Content-Length",
                                                       "Transfer-Encoding",
--- a/Source/Core/Router/ClusterView.cpp
+++ b/Source/Core/Router/ClusterView.cpp
@@ -106,12 +106,18 @@
   m_Controllers.keepOnly(InUse);
   m_ListPending = true;
   auto &Peer = m_Controllers.at(Nearest[m_NextController % Nearest.size()]);
-  Peer.call(messages::ListEndpoints{}, ListTimeout, [this](auto Reply) {
+  const messages::ListEndpoints Request{m_ListVersion};
+  Peer.call(Request, ListTimeout, [this](auto Reply) {
     m_ListPending = false;
+    if (Reply && Reply->m_Unchanged) {
+      m_NextController = 0;
+      return;
+    }
     // A controller that does not answer, or does not know the host list yet,
     // is passed over; the nearest one is tried first again later.
     if (Reply && !Reply->m_Endpoints.empty()) {
       m_NextController = 0;
+      m_ListVersion = Reply->m_Version;
       onEndpoints(std::move(*Reply));
       return;
     }
--- a/Source/Core/Router/ClusterView.h
+++ b/Source/Core/Router/ClusterView.h
@@ -53,6 +53,7 @@
   timers::Subscription m_ListTimer;
   follower::StateFollower m_Follower;
   std::map<EndpointId, messages::EndpointInfo> m_Endpoints;
+  std::string m_ListVersion; ///< Of the endpoint list at hand.
   std::size_t m_NextController = 0;
   bool m_ListPending = false;
   bool m_Contact = false;
--- a/Source/Core/Router/FrontEnd.cpp
+++ b/Source/Core/Router/FrontEnd.cpp
@@ -200,6 +200,8 @@
   if (const auto *Fault = std::get_if<std::string>(&Timeout))
     return *Fault;
   Asked.m_Class = std::get<catalogue::TrafficClass>(Class);
+  Asked.m_KeptRetryTime =
+      Incoming.m_Headers.find("X-Kept-Retry-Time").value_or("") == "1";
   const milliseconds Given =
       std::get<std::optional<milliseconds>>(Timeout).value_or(
           Asked.m_Spec.m_DefaultDeadline);
--- a/Source/Core/Router/FrontState.cpp
+++ b/Source/Core/Router/FrontState.cpp
@@ -1,5 +1,6 @@
 #include "Router/FrontState.h"
 
+#include "Router/OutcomeResponse.h"
 #include "Router/RouterSettings.h"
 
 namespace sff::router {
@@ -22,6 +23,18 @@
       m_Incarnation(std::move(Self)), m_Client(Http.context().get_executor()),
       m_Budget(Values.get(RetryRatioSetting), Values.get(RetryBurstSetting)) {}
 
+http::Response recordOutcome(FrontState &State, const Ticket &Asked,
+                             const execution::Outcome &Value) {
+  State.m_Metrics.onOutcome(Asked.m_Class, Value, now() - Asked.m_Arrival);
+  http::Response Answer = toResponse(Value, Asked.m_Id);
+  log::request(log::Category::Execution, "request.finished", Asked.m_Id.str(),
+               Asked.m_Entry.str(),
+               {{"outcome", nameOf(Value)},
+                {"reason", reasonOf(Value)},
+                {"status", Answer.m_Status}});
+  return Answer;
+}
+
 boost::asio::awaitable<void> pause(FrontState &State, milliseconds Length) {
   boost::asio::steady_timer Timer(State.m_Http.context());
   Timer.expires_after(Length);
--- a/Source/Core/Router/FrontState.h
+++ b/Source/Core/Router/FrontState.h
@@ -45,6 +45,10 @@
   bool m_Draining = false;
 };
 
+/// Counts and logs the final outcome of a request and returns its wire form.
+http::Response recordOutcome(FrontState &State, const Ticket &Asked,
+                             const execution::Outcome &Value);
+
 inline Instant now() { return std::chrono::steady_clock::now(); }
 
 /// Runs \p Work on the decisions duty. Waits while its ring is full, because a
--- a/Source/Core/Router/IntentSession.cpp
+++ b/Source/Core/Router/IntentSession.cpp
@@ -45,15 +45,8 @@
 
 IntentSession::Task<void> IntentSession::run(http::Exchange &Caller) {
   auto Self = shared_from_this();
-  const Ticket &Asked = m_Request.m_Ticket;
   const Outcome Value = co_await obtain();
-  m_State.m_Metrics.onOutcome(Asked.m_Class, Value, now() - Asked.m_Arrival);
-  http::Response Answer = toResponse(Value, Asked.m_Id);
-  log::request(log::Category::Execution, "request.finished", Asked.m_Id.str(),
-               Asked.m_Entry.str(),
-               {{"outcome", nameOf(Value)},
-                {"reason", reasonOf(Value)},
-                {"status", Answer.m_Status}});
+  http::Response Answer = recordOutcome(m_State, m_Request.m_Ticket, Value);
   co_await Caller.respond(std::move(Answer));
 }
 
@@ -168,6 +161,7 @@
     Sent = co_await m_State.m_Client.send(*Where, std::move(Message), Options);
   }
   AttemptReport Report;
+  Report.m_Class = m_Request.m_Ticket.m_Class;
   const auto *Failure = std::get_if<http::TransportFailure>(&Sent);
   if (Failure && Failure->provesNotSent()) {
     // The transport proves that nothing left, so the statement of the guard
--- a/Source/Core/Router/RequestSession.cpp
+++ b/Source/Core/Router/RequestSession.cpp
@@ -124,6 +124,7 @@
                                                   AttemptEnd End) {
   AttemptReport Report;
   Report.m_EndpointDown = m_EndpointDown;
+  Report.m_Class = m_Request.m_Ticket.m_Class;
   Report.m_Fingerprint = m_Request.m_Ticket.m_Fingerprint;
   switch (End) {
   case AttemptEnd::Answered:
@@ -238,14 +239,7 @@
 }
 
 RequestSession::Task<void> RequestSession::respond(execution::Outcome Value) {
-  const Ticket &Asked = m_Request.m_Ticket;
-  m_State.m_Metrics.onOutcome(Asked.m_Class, Value, now() - Asked.m_Arrival);
-  http::Response Answer = toResponse(Value, Asked.m_Id);
-  log::request(log::Category::Execution, "request.finished", Asked.m_Id.str(),
-               Asked.m_Entry.str(),
-               {{"outcome", nameOf(Value)},
-                {"reason", reasonOf(Value)},
-                {"status", Answer.m_Status}});
+  http::Response Answer = recordOutcome(m_State, m_Request.m_Ticket, Value);
   co_await m_Caller.respond(std::move(Answer));
 }
 
--- a/Source/Core/Router/RouterMetrics.cpp
+++ b/Source/Core/Router/RouterMetrics.cpp
@@ -15,10 +15,6 @@
   return nlohmann::json(Class).get<std::string>();
 }
 
-double toSeconds(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
 prometheus::Family<prometheus::Histogram> &
 histogram(prometheus::Registry &Registry, const std::string &Name,
           const std::string &Help) {
--- a/Source/Core/Router/Ticket.h
+++ b/Source/Core/Router/Ticket.h
@@ -16,6 +16,8 @@
   EntryName m_Entry;
   catalogue::EntrySpec m_Spec;
   catalogue::TrafficClass m_Class = catalogue::TrafficClass::Batch;
+  /// The caller says that it comes back at the retry time of a refusal.
+  bool m_KeptRetryTime = false;
   Instant m_Arrival;
   Instant m_Deadline;
   std::string m_Prompt;      ///< Text that engines cache by prefix.
@@ -40,6 +42,7 @@
 /// How an attempt ended, for the accounts.
 struct AttemptReport {
   bool m_Answered = false;
+  catalogue::TrafficClass m_Class = catalogue::TrafficClass::Batch;
   Duration m_ServiceTime{0};
   std::string m_Fingerprint;
   /// The endpoint did not answer a probe; it gets no work for a while.
--- a/Source/ProcessTests/Deployment/DeploymentFixture.cpp
+++ b/Source/ProcessTests/Deployment/DeploymentFixture.cpp
@@ -29,6 +29,14 @@
           {"default_deadline_ms", 20000}};
 }
 
+nlohmann::json DeploymentFixture::serviceSpec() {
+  return {{"kind", "service"},
+          {"team", "team"},
+          {"class", "interactive"},
+          {"service", "svc"},
+          {"repeatable", false}};
+}
+
 void DeploymentFixture::startPlatform() {
   m_Log = startStandIn("log", "standin-log");
   m_Weights = startStandIn("weights", "standin-weights",
--- a/Source/ProcessTests/Deployment/DeploymentFixture.h
+++ b/Source/ProcessTests/Deployment/DeploymentFixture.h
@@ -27,6 +27,8 @@
   int publish(const std::string &Name, nlohmann::json Spec,
               const std::vector<std::string> &Options = {});
   static nlohmann::json modelSpec(int Replicas);
+  /// A plain service whose calls must not run twice.
+  static nlohmann::json serviceSpec();
 
   struct Host {
     std::string m_Suffix;
--- a/Source/ProcessTests/Deployment/PlatformFaultTest.cpp
+++ b/Source/ProcessTests/Deployment/PlatformFaultTest.cpp
@@ -24,12 +24,7 @@
 TEST_F(PlatformFaultTest, LogOutageKeepsModelsServingAndRefusesReservations) {
   deploy();
   ASSERT_EQ(publish("m", modelSpec(1)), 0);
-  ASSERT_EQ(publish("svc", {{"kind", "service"},
-                            {"team", "team"},
-                            {"class", "interactive"},
-                            {"service", "svc"},
-                            {"repeatable", false}}),
-            0);
+  ASSERT_EQ(publish("svc", serviceSpec()), 0);
   ASSERT_TRUE(waitUntilServed(0, "a-"));
   ASSERT_TRUE(waitUntil([&] { return reserve(0, "before").status() == 200; }));
   setFaults(m_Log, {{"outage", true}});
@@ -53,12 +48,7 @@
   deploy();
   setFaults(m_Log, {{"lose_answers", true}});
   EXPECT_EQ(publish("m", modelSpec(1)), 0);
-  EXPECT_EQ(publish("svc", {{"kind", "service"},
-                            {"team", "team"},
-                            {"class", "interactive"},
-                            {"service", "svc"},
-                            {"repeatable", false}}),
-            0);
+  EXPECT_EQ(publish("svc", serviceSpec()), 0);
   EXPECT_TRUE(waitUntilServed(0, "a-"));
   const Reply First = reserve(0, "key");
   if (First.status() == 200) {
--- a/Source/ProcessTests/Deployment/RequestFaultTest.cpp
+++ b/Source/ProcessTests/Deployment/RequestFaultTest.cpp
@@ -8,12 +8,7 @@
 class RequestFaultTest : public DeploymentFixture {
 protected:
   void publishService() {
-    ASSERT_EQ(publish("svc", {{"kind", "service"},
-                              {"team", "team"},
-                              {"class", "interactive"},
-                              {"service", "svc"},
-                              {"repeatable", false}}),
-              0);
+    ASSERT_EQ(publish("svc", serviceSpec()), 0);
     ASSERT_TRUE(waitUntil([&] {
       return reserve(0, "probe-0").status() == 200 &&
              reserve(1, "probe-1").status() == 200;
--- a/Source/StandIns/HostList/HostService.cpp
+++ b/Source/StandIns/HostList/HostService.cpp
@@ -14,13 +14,21 @@
     : m_Base(Context, {{"lag_ms", Lag.count()}}) {
   apply(Initial);
   m_Base.route("GET", "/v1/hosts", RouteKind::Control,
-               [this](Call &) -> asio::awaitable<Answer> {
-                 co_return http::makeJson(200, describe());
-               });
+               [this](Call &Incoming) { return list(Incoming); });
   m_Base.route("POST", "/v1/hosts", RouteKind::Control,
                [this](Call &Incoming) { return change(Incoming); });
 }
 
+asio::awaitable<Answer> HostService::list(Call &Incoming) {
+  http::Response Result = http::makeJson(200, describe());
+  const std::string Tag =
+      "\"" + std::to_string(std::hash<std::string>()(Result.m_Body)) + "\"";
+  if (Incoming.header("If-None-Match") == Tag)
+    Result = {304, {}, ""};
+  Result.m_Headers.set("ETag", Tag);
+  co_return Result;
+}
+
 void HostService::apply(const nlohmann::json &Hosts) {
   for (const nlohmann::json &Item : Hosts) {
     nlohmann::json &Target = m_Hosts[Item.at("host").get<std::string>()];
--- a/Source/StandIns/HostList/HostService.h
+++ b/Source/StandIns/HostList/HostService.h
@@ -19,6 +19,7 @@
 
 private:
   boost::asio::awaitable<Answer> change(Call &Incoming);
+  boost::asio::awaitable<Answer> list(Call &Incoming);
   nlohmann::json describe() const;
   /// Merges the given members into each named host, or adds the host.
   void apply(const nlohmann::json &Hosts);
--- a/Source/UnitTests/Core/Admission/AdmissionProperties.cpp
+++ b/Source/UnitTests/Core/Admission/AdmissionProperties.cpp
@@ -14,10 +14,6 @@
 constexpr double ServiceSeconds = 1;
 constexpr Instant Start{std::chrono::hours(1)};
 
-double toSeconds(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
 /// Times in seconds, everything recomputed from plain lists.
 class NaiveQueue {
 public:
