--- a/Source/Core/Router/Attempt.cpp
+++ b/Source/Core/Router/Attempt.cpp
@@ -34,7 +34,7 @@
   addIds(Result.m_Headers, m_Used);
   Result.m_Headers.set(
       "X-Priority",
-      nlohmann::json(m_Request.m_Ticket.m_Class).get<std::string>());
+      nlohmann::json(m_Request.m_Placement.m_Class).get<std::string>());
   Result.m_Headers.set("X-Router-Incarnation", m_State.m_Incarnation.str());
   return Result;
 }
@@ -42,7 +42,7 @@
 http::ClientOptions Attempt::makeOptions() const {
   http::ClientOptions Options;
   const auto Left =
-      toMilliseconds(m_Request.m_Ticket.m_Deadline - now()) + DeadlineMargin;
+      toMilliseconds(m_Request.m_Placement.m_Deadline - now()) + DeadlineMargin;
   Options.m_ReadTimeout =
       m_Request.m_Stream ? milliseconds(StreamReadTimeout) : Left;
   Options.m_ConnectTimeout =
@@ -147,8 +147,8 @@
     Head.m_Headers.set("X-Request-Id", m_Used.m_Request.str());
     if (!co_await m_Caller.beginStream(std::move(Head)))
       co_return false;
-    const Duration Taken = now() - m_Request.m_Ticket.m_Arrival;
-    m_State.m_Metrics.onFirstToken(m_Request.m_Ticket.m_Class, Taken);
+    const Duration Taken = now() - m_Request.m_Placement.m_Arrival;
+    m_State.m_Metrics.onFirstToken(m_Request.m_Placement.m_Class, Taken);
     log::request(log::Category::Http, "request.first_token",
                  m_Used.m_Request.str(), m_Used.m_Entry.str(),
                  {{"after_ms", toMilliseconds(Taken).count()}});
@@ -197,7 +197,7 @@
 Attempt::Task<void> Attempt::onQuiet() {
   if (m_Caller.callerGone()) {
     m_End = AttemptEnd::CallerGone;
-  } else if (now() >= m_Request.m_Ticket.m_Deadline && !m_Caller.started()) {
+  } else if (now() >= m_Request.m_Placement.m_Deadline && !m_Caller.started()) {
     m_Detail = "the deadline passed before the answer";
     m_End = AttemptEnd::Expired;
   } else if (now() - m_LastProgress >= m_State.m_Options.m_ProgressTimeout) {
@@ -254,7 +254,7 @@
 }
 
 Attempt::Task<bool> Attempt::resume() {
-  const bool Expired = now() >= m_Request.m_Ticket.m_Deadline;
+  const bool Expired = now() >= m_Request.m_Placement.m_Deadline;
   if (m_Caller.started() ? ++m_IdleResumes > MaxIdleResumes : Expired)
     co_return false;
   co_await pause(m_State, ResumePause);
--- a/Source/Core/Router/CallerRequest.h
+++ b/Source/Core/Router/CallerRequest.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "Net/Http/Message.h"
-#include "Router/Ticket.h"
+#include "Router/PlacementRequest.h"
 
 namespace sff::router {
 
 /// A request of a caller after it was checked.
 struct CallerRequest {
-  Ticket m_Ticket;
+  PlacementRequest m_Placement;
   http::Request m_Forward; ///< What the endpoint receives, without ids.
   bool m_Stream = false;   ///< Wants server-sent events.
   bool m_Repeatable = true;
--- a/Source/Core/Router/CreditLine.cpp
+++ b/Source/Core/Router/CreditBorrower.cpp
@@ -1,4 +1,4 @@
-#include "Router/CreditLine.h"
+#include "Router/CreditBorrower.h"
 
 namespace sff::router {
 
@@ -17,33 +17,33 @@
 
 } // namespace
 
-CreditLine::CreditLine(timers::DutyLoop &Loop, ClusterView &View,
-                       ControllerPool &Controllers, Options Chosen,
-                       Changed OnChange)
+CreditBorrower::CreditBorrower(timers::DutyLoop &Loop, ClusterView &View,
+                               ControllerPool &Controllers, Options Chosen,
+                               Changed OnChange)
     : m_View(View), m_Controllers(Controllers), m_Options(std::move(Chosen)),
       m_OnChange(std::move(OnChange)), m_Timers(Loop.context().get_executor()) {
 }
 
-void CreditLine::start() {
+void CreditBorrower::start() {
   m_ReturnTimer = m_Timers.every(
       ReturnPeriod, [this] { sendDue(m_Options.m_IdleLimit, nullptr); });
 }
 
-bool CreditLine::canAsk(const EntryName &Entry, const EndpointId &Endpoint,
-                        Instant Now) const {
+bool CreditBorrower::canAsk(const EntryName &Entry, const EndpointId &Endpoint,
+                            Instant Now) const {
   const Standing *Item = find(Entry, Endpoint);
   if (Item && (Item->m_InFlight || Item->m_NotBefore > Now))
     return false;
   return !m_View.ownerAddressOf(Endpoint).empty();
 }
 
-const CreditLine::Standing *CreditLine::find(const EntryName &Entry,
-                                             const EndpointId &Endpoint) const {
+const CreditBorrower::Standing *
+CreditBorrower::find(const EntryName &Entry, const EndpointId &Endpoint) const {
   const auto It = m_Standings.find({Entry, Endpoint});
   return It == m_Standings.end() ? nullptr : &It->second;
 }
 
-void CreditLine::borrow(const BorrowDemand &Demand) {
+void CreditBorrower::borrow(const BorrowDemand &Demand) {
   const Key Where{Demand.m_Entry, Demand.m_Endpoint};
   Standing &Item = m_Standings[Where];
   // A message whose answer was lost is repeated with its loan id, so that the
@@ -71,8 +71,9 @@
             });
 }
 
-void CreditLine::onReply(const Key &Where, Instant SentAt,
-                         std::optional<messages::BorrowCreditsReply> Reply) {
+void CreditBorrower::onReply(
+    const Key &Where, Instant SentAt,
+    std::optional<messages::BorrowCreditsReply> Reply) {
   Standing &Item = m_Standings[Where];
   Item.m_InFlight = false;
   Item.m_Asked = 0;
@@ -102,7 +103,7 @@
   m_OnChange(Where.first);
 }
 
-void CreditLine::noteLoading(Standing &Item, milliseconds ReadyIn) {
+void CreditBorrower::noteLoading(Standing &Item, milliseconds ReadyIn) {
   if (!Item.m_LoadingSince) {
     Item.m_LoadingSince = now();
     Item.m_FirstEstimate = ReadyIn;
@@ -122,8 +123,8 @@
   Item.m_NotBefore = now() + LoadingPause;
 }
 
-void CreditLine::noteRefusal(Standing &Item, std::string Reason,
-                             milliseconds Pause) {
+void CreditBorrower::noteRefusal(Standing &Item, std::string Reason,
+                                 milliseconds Pause) {
   if (!Item.m_Refused)
     Item.m_RefusedSince = now();
   Item.m_Refused = true;
@@ -132,22 +133,23 @@
   Item.m_NotBefore = now() + std::max(Pause, LoadingPause);
 }
 
-std::optional<memory::Credit> CreditLine::take(const EntryName &Entry,
-                                               const EndpointId &Endpoint,
-                                               Instant Now) {
+std::optional<memory::Credit> CreditBorrower::take(const EntryName &Entry,
+                                                   const EndpointId &Endpoint,
+                                                   Instant Now) {
   return m_Wallet.take(Entry, Endpoint, Now);
 }
 
-void CreditLine::giveBack(const memory::Credit &Used, Instant Now) {
+void CreditBorrower::giveBack(const memory::Credit &Used, Instant Now) {
   m_Wallet.giveBack(Used, Now);
 }
 
-void CreditLine::returnAll(std::function<void()> Done) {
+void CreditBorrower::returnAll(std::function<void()> Done) {
   m_ReturnTimer.reset();
   sendDue(milliseconds(0), std::move(Done));
 }
 
-void CreditLine::sendDue(milliseconds IdleLimit, std::function<void()> Done) {
+void CreditBorrower::sendDue(milliseconds IdleLimit,
+                             std::function<void()> Done) {
   // Destroyed, and so called, with the last answer.
   std::shared_ptr<void> WhenAnswered(nullptr, [Done](void *) {
     if (Done)
--- a/Source/Core/Router/CreditLine.h
+++ b/Source/Core/Router/CreditBorrower.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Router/ClusterView.h"
-#include "Router/Ticket.h"
+#include "Router/PlacementRequest.h"
 
 namespace sff::router {
 
@@ -17,7 +17,7 @@
 
 /// Borrows, renews and returns credits with the owners of the endpoints.
 /// Thread safety: all calls and callbacks on the loop's thread.
-class CreditLine {
+class CreditBorrower {
 public:
   struct Options {
     IncarnationId m_Self;
@@ -45,8 +45,8 @@
   /// Called when credits may have become available or were refused.
   using Changed = std::function<void(const EntryName &)>;
 
-  CreditLine(timers::DutyLoop &Loop, ClusterView &View,
-             ControllerPool &Controllers, Options Chosen, Changed OnChange);
+  CreditBorrower(timers::DutyLoop &Loop, ClusterView &View,
+                 ControllerPool &Controllers, Options Chosen, Changed OnChange);
 
   void start();
 
--- a/Source/Core/Router/Decisions.cpp
+++ b/Source/Core/Router/Decisions.cpp
@@ -20,14 +20,14 @@
           Values.get(EndpointListPeriodSetting)};
 }
 
-CreditLine::Options creditOptions(const settings::Settings &Values,
-                                  const log::ProcessIdentity &Identity) {
+CreditBorrower::Options creditOptions(const settings::Settings &Values,
+                                      const log::ProcessIdentity &Identity) {
   return {IncarnationId(Identity.m_Incarnation), HostId(Identity.m_Host),
           Values.get(BorrowWaitSetting), Values.get(OwnerRetrySetting),
           Values.get(CreditIdleSetting)};
 }
 
-Broker::Options brokerOptions(const settings::Settings &Values) {
+RequestScheduler::Options brokerOptions(const settings::Settings &Values) {
   return {Values.get(MaxBorrowSetting), Values.get(OwnerRetrySetting),
           Values.get(PatienceSetting), Values.get(EndpointDownSetting),
           Values.get(QuarantinePeriodSetting)};
@@ -55,14 +55,14 @@
                 static_cast<std::size_t>(Values.get(QuarantineSizeSetting)),
                 Values.get(QuarantinePeriodSetting)),
       m_Credits(m_Loop, m_View, m_Peers, creditOptions(Values, Identity),
-                [this](const EntryName &Entry) { m_Broker.pump(Entry); }),
-      m_Broker(m_Loop, m_View, m_Credits, m_Book, m_Crashes.quarantine(),
-               brokerOptions(Values)),
+                [this](const EntryName &Entry) { m_Scheduler.pump(Entry); }),
+      m_Scheduler(m_Loop, m_View, m_Credits, m_Registry, m_Crashes.quarantine(),
+                  brokerOptions(Values)),
       m_Outcomes(static_cast<std::size_t>(Values.get(KeptAnswersSetting)),
                  static_cast<std::size_t>(Values.get(KeptAnswerBytesSetting))),
       m_Intents(m_Loop, m_Relays, m_Peers, m_Outcomes,
                 intentOptions(Values, Identity)),
-      m_Loads(m_Loop, m_View, m_Book, Values.get(LoadPeriodSetting)),
+      m_Loads(m_Loop, m_View, m_Registry, Values.get(LoadPeriodSetting)),
       m_Dispatcher(m_Loop), m_PeerAddress(Values.get(PeerListenSetting)),
       m_Timers(m_Loop.context().get_executor()) {
   registerHandlers();
@@ -94,7 +94,7 @@
   m_Loop.tryPost([this] {
     m_View.start();
     m_Credits.start();
-    m_Broker.start();
+    m_Scheduler.start();
     m_Intents.start();
     m_Loads.start();
     m_FiguresTimer =
@@ -110,8 +110,8 @@
 void Decisions::refreshFigures() {
   m_Figures.m_Contact = m_View.hasContact();
   m_Figures.m_LogReachable = m_Intents.logReachable();
-  m_Figures.m_Waiting = static_cast<std::int64_t>(m_Broker.waiting());
-  m_Figures.m_Running = m_Broker.running();
+  m_Figures.m_Waiting = static_cast<std::int64_t>(m_Scheduler.waiting());
+  m_Figures.m_Running = m_Scheduler.running();
   m_Figures.m_AppliedOffset = m_View.state().appliedOffset();
 }
 
--- a/Source/Core/Router/Decisions.h
+++ b/Source/Core/Router/Decisions.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "Common/Settings/Schema.h"
-#include "Router/Broker.h"
 #include "Router/CrashRegistry.h"
 #include "Router/IntentService.h"
 #include "Router/LoadPoller.h"
+#include "Router/RequestScheduler.h"
 
 #include <atomic>
 
@@ -28,8 +28,8 @@
 
   timers::DutyLoop &loop() { return m_Loop; }
   ClusterView &view() { return m_View; }
-  Broker &broker() { return m_Broker; }
-  CreditLine &credits() { return m_Credits; }
+  RequestScheduler &broker() { return m_Scheduler; }
+  CreditBorrower &credits() { return m_Credits; }
   IntentService &intents() { return m_Intents; }
   CrashRegistry &crashes() { return m_Crashes; }
 
@@ -52,10 +52,10 @@
   ControllerPool m_Peers;
   follower::RelayClient m_Relays;
   ClusterView m_View;
-  EndpointBook m_Book;
+  EndpointRegistry m_Registry;
   CrashRegistry m_Crashes;
-  CreditLine m_Credits;
-  Broker m_Broker;
+  CreditBorrower m_Credits;
+  RequestScheduler m_Scheduler;
   OutcomeStore m_Outcomes;
   IntentService m_Intents;
   LoadPoller m_Loads;
--- a/Source/Core/Router/EndpointLink.cpp
+++ b/Source/Core/Router/EndpointLink.cpp
@@ -34,7 +34,7 @@
       [&Peers, Endpoint](const std::function<void(bool)> &Done) {
         Done(Peers.view().isGone(Endpoint));
       };
-  const auto Gone = co_await ask<bool>(State, std::move(Look));
+  const auto Gone = co_await queryDecisions<bool>(State, std::move(Look));
   co_return Gone.value_or(false);
 }
 
@@ -111,7 +111,7 @@
   timers::DutyLoop::Task Work = [&Peers, Used, Report] {
     Peers.broker().finish(Used, Report);
   };
-  co_await tell(State, std::move(Work));
+  co_await postToDecisions(State, std::move(Work));
 }
 
 namespace {
--- a/Source/Core/Router/EndpointBook.cpp
+++ b/Source/Core/Router/EndpointRegistry.cpp
@@ -1,4 +1,4 @@
-#include "Router/EndpointBook.h"
+#include "Router/EndpointRegistry.h"
 
 #include <algorithm>
 
@@ -12,8 +12,8 @@
 
 } // namespace
 
-void EndpointBook::onDispatched(const EndpointId &Endpoint,
-                                std::string_view Prompt, Instant Now) {
+void EndpointRegistry::onDispatched(const EndpointId &Endpoint,
+                                    std::string_view Prompt, Instant Now) {
   Entry &Item = m_Entries[Endpoint];
   ++Item.m_Running;
   Item.m_LastUse = Now;
@@ -21,51 +21,51 @@
   remember(Endpoint, Prompt);
 }
 
-void EndpointBook::onFinished(const EndpointId &Endpoint, Instant Now) {
+void EndpointRegistry::onFinished(const EndpointId &Endpoint, Instant Now) {
   Entry &Item = m_Entries[Endpoint];
   --Item.m_Running;
   Item.m_LastUse = Now;
   m_Load.onFinished(Endpoint, Now);
 }
 
-void EndpointBook::onDown(const EndpointId &Endpoint, Instant Until) {
+void EndpointRegistry::onDown(const EndpointId &Endpoint, Instant Until) {
   m_Entries[Endpoint].m_DownUntil = Until;
   // A process that starts again has an empty cache.
   m_Prefixes.forget(Endpoint);
 }
 
-bool EndpointBook::isDown(const EndpointId &Endpoint, Instant Now) const {
+bool EndpointRegistry::isDown(const EndpointId &Endpoint, Instant Now) const {
   return downUntil(Endpoint) > Now;
 }
 
-Instant EndpointBook::downUntil(const EndpointId &Endpoint) const {
+Instant EndpointRegistry::downUntil(const EndpointId &Endpoint) const {
   const auto It = m_Entries.find(Endpoint);
   return It == m_Entries.end() ? Instant() : It->second.m_DownUntil;
 }
 
-std::int64_t EndpointBook::running(const EndpointId &Endpoint) const {
+std::int64_t EndpointRegistry::running(const EndpointId &Endpoint) const {
   const auto It = m_Entries.find(Endpoint);
   return It == m_Entries.end() ? 0 : It->second.m_Running;
 }
 
-void EndpointBook::reserve(const EndpointId &Endpoint,
-                           const RequestId &Request) {
+void EndpointRegistry::reserve(const EndpointId &Endpoint,
+                               const RequestId &Request) {
   m_Entries[Endpoint].m_ReservedFor = Request;
 }
 
-void EndpointBook::unreserve(const EndpointId &Endpoint) {
+void EndpointRegistry::unreserve(const EndpointId &Endpoint) {
   m_Entries[Endpoint].m_ReservedFor = RequestId();
 }
 
-bool EndpointBook::isReservedFromOthers(const EndpointId &Endpoint,
-                                        const RequestId &Request) const {
+bool EndpointRegistry::isReservedFromOthers(const EndpointId &Endpoint,
+                                            const RequestId &Request) const {
   const auto It = m_Entries.find(Endpoint);
   return It != m_Entries.end() && !It->second.m_ReservedFor.empty() &&
          It->second.m_ReservedFor != Request;
 }
 
-std::int64_t EndpointBook::prefixTokens(const EndpointId &Endpoint,
-                                        std::string_view Prompt) const {
+std::int64_t EndpointRegistry::prefixTokens(const EndpointId &Endpoint,
+                                            std::string_view Prompt) const {
   const auto Hashes = routing::PrefixIndex::blockHashes(Prompt);
   std::size_t Own = Hashes.size();
   while (Own > 0) {
@@ -80,7 +80,7 @@
                                    BytesPerToken);
 }
 
-std::vector<EndpointId> EndpointBook::usedSince(Instant Since) const {
+std::vector<EndpointId> EndpointRegistry::usedSince(Instant Since) const {
   std::vector<EndpointId> Result;
   for (const auto &[Id, Item] : m_Entries)
     if (Item.m_Running > 0 || Item.m_LastUse >= Since)
@@ -88,8 +88,8 @@
   return Result;
 }
 
-void EndpointBook::remember(const EndpointId &Endpoint,
-                            std::string_view Prompt) {
+void EndpointRegistry::remember(const EndpointId &Endpoint,
+                                std::string_view Prompt) {
   for (const std::uint64_t Hash : routing::PrefixIndex::blockHashes(Prompt)) {
     if (m_OwnPrefixes.insert_or_assign(Hash, Endpoint).second)
       m_OwnOrder.push_back(Hash);
--- a/Source/Core/Router/EndpointBook.h
+++ b/Source/Core/Router/EndpointRegistry.h
@@ -12,7 +12,7 @@
 /// What this router knows of each endpoint from its own work: load, cached
 /// prefixes, failed probes, and whether a suspect request runs there alone.
 /// Thread safety: none.
-class EndpointBook {
+class EndpointRegistry {
 public:
   void onDispatched(const EndpointId &Endpoint, std::string_view Prompt,
                     Instant Now);
--- a/Source/Core/Router/FrontEnd.cpp
+++ b/Source/Core/Router/FrontEnd.cpp
@@ -26,7 +26,7 @@
 /// Counts a request of a team for the lifetime of a scope.
 class TeamCount {
 public:
-  TeamCount(std::shared_ptr<OpenWork> Open, std::string Team)
+  TeamCount(std::shared_ptr<OpenRequests> Open, std::string Team)
       : m_Open(std::move(Open)), m_Team(std::move(Team)) {
     ++m_Open->m_ByTeam[m_Team];
   }
@@ -38,21 +38,21 @@
   TeamCount &operator=(const TeamCount &) = delete;
 
 private:
-  std::shared_ptr<OpenWork> m_Open;
+  std::shared_ptr<OpenRequests> m_Open;
   std::string m_Team;
 };
 
 /// Holds a request id for the lifetime of a scope.
 class OpenRequest {
 public:
-  OpenRequest(std::shared_ptr<OpenWork> Open, const RequestId &Id)
+  OpenRequest(std::shared_ptr<OpenRequests> Open, const RequestId &Id)
       : m_Open(std::move(Open)), m_Place(m_Open->m_Requests.insert(Id)) {}
   ~OpenRequest() { m_Open->m_Requests.erase(m_Place); }
   OpenRequest(const OpenRequest &) = delete;
   OpenRequest &operator=(const OpenRequest &) = delete;
 
 private:
-  std::shared_ptr<OpenWork> m_Open;
+  std::shared_ptr<OpenRequests> m_Open;
   std::multiset<RequestId>::iterator m_Place;
 };
 
@@ -77,7 +77,7 @@
     co_return co_await answerMetrics(Caller);
   if (Path == "/v1/models" && Get)
     co_return co_await answerModels(Caller);
-  Ticket Unknown;
+  PlacementRequest Unknown;
   Unknown.m_Id = requestIdOf(Incoming.m_Headers);
   Unknown.m_Arrival = now();
   co_await refuse(Unknown, Reason::UnknownEntry, milliseconds(0),
@@ -117,7 +117,8 @@
                             {"owned_by", Item.m_Spec->m_Team}});
         Done(std::move(List));
       };
-  auto List = co_await ask<nlohmann::json>(m_State, std::move(Start));
+  auto List =
+      co_await queryDecisions<nlohmann::json>(m_State, std::move(Start));
   nlohmann::json Body = {{"object", "list"}};
   Body["data"] = List.value_or(nlohmann::json::array());
   http::Response Answer = http::makeJson(List ? 200 : 503, Body);
@@ -134,7 +135,8 @@
         Result.m_CatalogueKnown = Peers.view().hasContact();
         Done(std::move(Result));
       };
-  const auto Answer = co_await ask<Lookup>(m_State, std::move(Start));
+  const auto Answer =
+      co_await queryDecisions<Lookup>(m_State, std::move(Start));
   co_return Answer.value_or(Lookup());
 }
 
@@ -150,7 +152,7 @@
 FrontEnd::Task<void> FrontEnd::handleCompletion(http::Request Incoming,
                                                 http::Exchange &Caller) {
   CallerRequest Request;
-  Ticket &Asked = Request.m_Ticket;
+  PlacementRequest &Asked = Request.m_Placement;
   Asked.m_Arrival = now();
   Asked.m_Id = uniqueId(Incoming.m_Headers);
   const auto Body = readCompletion(Incoming.m_Body);
@@ -172,7 +174,7 @@
 FrontEnd::Task<void> FrontEnd::handleService(http::Request Incoming,
                                              http::Exchange &Caller) {
   CallerRequest Request;
-  Ticket &Asked = Request.m_Ticket;
+  PlacementRequest &Asked = Request.m_Placement;
   Asked.m_Arrival = now();
   Asked.m_Id = uniqueId(Incoming.m_Headers);
   std::string_view Rest(Incoming.m_Target);
@@ -192,7 +194,7 @@
 }
 
 std::optional<std::string> FrontEnd::fillTicket(const http::Request &Incoming,
-                                                Ticket &Asked) const {
+                                                PlacementRequest &Asked) const {
   const auto Class = classOf(Incoming.m_Headers, Asked.m_Spec);
   const auto Timeout = timeoutOf(Incoming.m_Headers);
   if (const auto *Fault = std::get_if<std::string>(&Class))
@@ -215,7 +217,7 @@
 FrontEnd::Task<void> FrontEnd::start(http::Request Incoming,
                                      CallerRequest Request,
                                      http::Exchange &Caller) {
-  Ticket &Asked = Request.m_Ticket;
+  PlacementRequest &Asked = Request.m_Placement;
   const OpenRequest Open(m_State.m_Open, Asked.m_Id);
   log::request(
       log::Category::Http, "request.received", Asked.m_Id.str(),
@@ -257,12 +259,12 @@
 
 FrontEnd::Task<void> FrontEnd::runCounted(CallerRequest Request,
                                           http::Exchange &Caller) {
-  const std::string Team = Request.m_Ticket.m_Spec.m_Team;
+  const std::string Team = Request.m_Placement.m_Spec.m_Team;
   const auto &ByTeam = m_State.m_Open->m_ByTeam;
   const auto Held = ByTeam.find(Team);
   if (Held != ByTeam.end() &&
       Held->second >= m_State.m_Options.m_TeamRequests) {
-    co_await refuse(Request.m_Ticket, Reason::TeamLimit, TeamRetryAfter, "",
+    co_await refuse(Request.m_Placement, Reason::TeamLimit, TeamRetryAfter, "",
                     Caller);
     co_return;
   }
@@ -277,7 +279,7 @@
   co_await Session->run(Caller);
 }
 
-FrontEnd::Task<void> FrontEnd::refuse(const Ticket &Asked, Reason Why,
+FrontEnd::Task<void> FrontEnd::refuse(const PlacementRequest &Asked, Reason Why,
                                       milliseconds RetryAfter,
                                       std::string Detail,
                                       http::Exchange &Caller) {
--- a/Source/Core/Router/FrontEnd.h
+++ b/Source/Core/Router/FrontEnd.h
@@ -33,11 +33,11 @@
                    http::Exchange &Caller);
   Task<void> runCounted(CallerRequest Request, http::Exchange &Caller);
   Task<Lookup> findEntry(EntryName Name);
-  Task<void> refuse(const Ticket &Asked, execution::Reason Why,
+  Task<void> refuse(const PlacementRequest &Asked, execution::Reason Why,
                     milliseconds RetryAfter, std::string Detail,
                     http::Exchange &Caller);
   std::optional<std::string> fillTicket(const http::Request &Incoming,
-                                        Ticket &Asked) const;
+                                        PlacementRequest &Asked) const;
   RequestId uniqueId(const http::Headers &Headers) const;
 
   FrontState &m_State;
--- a/Source/Core/Router/FrontState.cpp
+++ b/Source/Core/Router/FrontState.cpp
@@ -23,7 +23,7 @@
       m_Incarnation(std::move(Self)), m_Client(Http.context().get_executor()),
       m_Budget(Values.get(RetryRatioSetting), Values.get(RetryBurstSetting)) {}
 
-http::Response recordOutcome(FrontState &State, const Ticket &Asked,
+http::Response recordOutcome(FrontState &State, const PlacementRequest &Asked,
                              const execution::Outcome &Value) {
   State.m_Metrics.onOutcome(Asked.m_Class, Value, now() - Asked.m_Arrival);
   http::Response Answer = toResponse(Value, Asked.m_Id);
@@ -43,8 +43,8 @@
       boost::asio::redirect_error(boost::asio::use_awaitable, Ignored));
 }
 
-boost::asio::awaitable<void> tell(FrontState &State,
-                                  timers::DutyLoop::Task Work) {
+boost::asio::awaitable<void> postToDecisions(FrontState &State,
+                                             timers::DutyLoop::Task Work) {
   while (!State.m_Decisions.loop().tryPost(Work))
     co_await pause(State, FullRingPause);
 }
--- a/Source/Core/Router/FrontState.h
+++ b/Source/Core/Router/FrontState.h
@@ -13,7 +13,7 @@
 
 /// Counts of open requests. Sessions share it, because those that a forced
 /// stop leaves behind are destroyed last, with the loop.
-struct OpenWork {
+struct OpenRequests {
   std::multiset<RequestId> m_Requests;
   std::map<std::string, std::int64_t> m_ByTeam;
 };
@@ -39,28 +39,29 @@
   http::Client m_Client;
   RouterMetrics m_Metrics;
   retry::RetryBudget m_Budget;
-  std::shared_ptr<OpenWork> m_Open = std::make_shared<OpenWork>();
+  std::shared_ptr<OpenRequests> m_Open = std::make_shared<OpenRequests>();
   /// Executions and releases that go on after their caller was answered.
   std::int64_t m_Background = 0;
   bool m_Draining = false;
 };
 
 /// Counts and logs the final outcome of a request and returns its wire form.
-http::Response recordOutcome(FrontState &State, const Ticket &Asked,
+http::Response recordOutcome(FrontState &State, const PlacementRequest &Asked,
                              const execution::Outcome &Value);
 
 inline Instant now() { return std::chrono::steady_clock::now(); }
 
 /// Runs \p Work on the decisions duty. Waits while its ring is full, because a
 /// lost end of a request would hold its credit for ever.
-boost::asio::awaitable<void> tell(FrontState &State,
-                                  timers::DutyLoop::Task Work);
+boost::asio::awaitable<void> postToDecisions(FrontState &State,
+                                             timers::DutyLoop::Task Work);
 
 /// Asks the decisions duty and waits for the answer. \p Start receives a
 /// callback for the answer. Returns nothing when the duty's ring is full.
 template <typename T>
 boost::asio::awaitable<std::optional<T>>
-ask(FrontState &State, std::function<void(std::function<void(T)>)> Start) {
+queryDecisions(FrontState &State,
+               std::function<void(std::function<void(T)>)> Start) {
   constexpr milliseconds WaitSlice{1000};
   auto Box = std::make_shared<Mailbox<T>>(State.m_Http);
   std::function<void(T)> Done = [Box](T Value) { Box->put(std::move(Value)); };
--- a/Source/Core/Router/IntentSession.cpp
+++ b/Source/Core/Router/IntentSession.cpp
@@ -30,11 +30,11 @@
     : m_State(State), m_Request(std::move(Request)) {
   const http::Request &Forward = m_Request.m_Forward;
   m_Call.m_KeyHash =
-      hashOf({m_Request.m_Ticket.m_Entry.str(), m_Request.m_IdempotencyKey});
+      hashOf({m_Request.m_Placement.m_Entry.str(), m_Request.m_IdempotencyKey});
   m_Call.m_Digest =
       hashOf({Forward.m_Method, Forward.m_Target, Forward.m_Body});
   m_Call.m_Attempt = makeId<AttemptId>();
-  m_Call.m_Deadline = m_Request.m_Ticket.m_Deadline;
+  m_Call.m_Deadline = m_Request.m_Placement.m_Deadline;
 }
 
 Outcome IntentSession::notRun(Reason Why, milliseconds Pause,
@@ -46,7 +46,7 @@
 IntentSession::Task<void> IntentSession::run(http::Exchange &Caller) {
   auto Self = shared_from_this();
   const Outcome Value = co_await obtain();
-  http::Response Answer = recordOutcome(m_State, m_Request.m_Ticket, Value);
+  http::Response Answer = recordOutcome(m_State, m_Request.m_Placement, Value);
   co_await Caller.respond(std::move(Answer));
 }
 
@@ -65,7 +65,8 @@
       [&Peers, Call = m_Call](const std::function<void(IntentAnswer)> &Done) {
         Done(Peers.intents().look(Call));
       };
-  auto Answer = co_await ask<IntentAnswer>(m_State, std::move(Start));
+  auto Answer =
+      co_await queryDecisions<IntentAnswer>(m_State, std::move(Start));
   co_return Answer.value_or(IntentRefused{Reason::QueueFull, RetryAfter});
 }
 
@@ -75,7 +76,8 @@
       [&Peers, Call = m_Call](const std::function<void(IntentAnswer)> &Done) {
         Peers.intents().announce(Call, Done);
       };
-  auto Answer = co_await ask<IntentAnswer>(m_State, std::move(Start));
+  auto Answer =
+      co_await queryDecisions<IntentAnswer>(m_State, std::move(Start));
   co_return Answer.value_or(IntentRefused{Reason::QueueFull, RetryAfter});
 }
 
@@ -106,7 +108,7 @@
 }
 
 IntentSession::Task<IntentSession::Result> IntentSession::placeAndRun() {
-  auto Box = submit(m_State, m_Request.m_Ticket);
+  auto Box = submit(m_State, m_Request.m_Placement);
   if (!Box)
     co_return notRun(Reason::QueueFull, RetryAfter);
   std::optional<PlaceAnswer> Place;
@@ -161,7 +163,7 @@
     Sent = co_await m_State.m_Client.send(*Where, std::move(Message), Options);
   }
   AttemptReport Report;
-  Report.m_Class = m_Request.m_Ticket.m_Class;
+  Report.m_Class = m_Request.m_Placement.m_Class;
   const auto *Failure = std::get_if<http::TransportFailure>(&Sent);
   if (Failure && Failure->provesNotSent()) {
     // The transport proves that nothing left, so the statement of the guard
@@ -201,17 +203,17 @@
   timers::DutyLoop::Task Work = [&Peers, Call = m_Call] {
     Peers.intents().giveUp(Call);
   };
-  co_await tell(m_State, std::move(Work));
+  co_await postToDecisions(m_State, std::move(Work));
 }
 
 IntentSession::Task<void> IntentSession::noteCrash() {
   m_State.m_Metrics.crashes().Increment();
   Decisions &Peers = m_State.m_Decisions;
   timers::DutyLoop::Task Work = [&Peers,
-                                 Print = m_Request.m_Ticket.m_Fingerprint] {
+                                 Print = m_Request.m_Placement.m_Fingerprint] {
     Peers.crashes().onCrash(Print);
   };
-  co_await tell(m_State, std::move(Work));
+  co_await postToDecisions(m_State, std::move(Work));
 }
 
 IntentSession::Task<void>
@@ -220,7 +222,7 @@
   timers::DutyLoop::Task Work = [&Peers, Call = m_Call, Answer] {
     Peers.intents().onExecuted(Call, Answer);
   };
-  co_await tell(m_State, std::move(Work));
+  co_await postToDecisions(m_State, std::move(Work));
 }
 
 IntentSession::Task<messages::FetchOutcomeReply>
@@ -232,7 +234,7 @@
        Key = m_Call.m_KeyHash](const std::function<void(Reply)> &Done) {
         Peers.intents().fetchFrom(Valid, Key, Done);
       };
-  auto Answer = co_await ask<Reply>(m_State, std::move(Start));
+  auto Answer = co_await queryDecisions<Reply>(m_State, std::move(Start));
   co_return Answer.value_or(Reply());
 }
 
--- a/Source/Core/Router/IntentSession.h
+++ b/Source/Core/Router/IntentSession.h
@@ -38,7 +38,7 @@
   Task<messages::FetchOutcomeReply> fetch(execution::ValidIntent Valid);
   execution::Outcome notRun(execution::Reason Why, milliseconds RetryAfter,
                             std::string Detail = {}) const;
-  bool isExpired() const { return now() >= m_Request.m_Ticket.m_Deadline; }
+  bool isExpired() const { return now() >= m_Request.m_Placement.m_Deadline; }
 
   FrontState &m_State;
   CallerRequest m_Request;
--- a/Source/Core/Router/LoadPoller.cpp
+++ b/Source/Core/Router/LoadPoller.cpp
@@ -23,8 +23,8 @@
 } // namespace
 
 LoadPoller::LoadPoller(timers::DutyLoop &Loop, ClusterView &View,
-                       EndpointBook &Book, milliseconds Period)
-    : m_Loop(Loop), m_View(View), m_Book(Book), m_Period(Period),
+                       EndpointRegistry &Book, milliseconds Period)
+    : m_Loop(Loop), m_View(View), m_Registry(Book), m_Period(Period),
       m_Timers(Loop.context().get_executor()),
       m_Client(Loop.context().get_executor()) {}
 
@@ -33,7 +33,7 @@
 }
 
 void LoadPoller::poll() {
-  for (const EndpointId &Endpoint : m_Book.usedSince(now() - InUsePeriod)) {
+  for (const EndpointId &Endpoint : m_Registry.usedSince(now() - InUsePeriod)) {
     const auto Where = http::Address::parse(m_View.addressOf(Endpoint));
     Cursor &Item = m_Cursors[Endpoint];
     if (Item.m_Busy || !Where)
@@ -70,8 +70,8 @@
   const auto Lag = Report.contains("age_ms") && Report["age_ms"].is_number()
                        ? milliseconds(Report["age_ms"].get<std::int64_t>())
                        : milliseconds(0);
-  m_Book.loadView().onReport(Endpoint, Report["running"].get<std::int64_t>(),
-                             Lag, now());
+  m_Registry.loadView().onReport(
+      Endpoint, Report["running"].get<std::int64_t>(), Lag, now());
 }
 
 void LoadPoller::onEvents(const EndpointId &Endpoint,
@@ -82,7 +82,7 @@
   const std::string Incarnation = Report.value("incarnation", "");
   if (Item.m_Incarnation != Incarnation) {
     // A restarted engine has an empty cache and counts its events anew.
-    m_Book.prefixIndex().forget(Endpoint);
+    m_Registry.prefixIndex().forget(Endpoint);
     const bool Restarted = !Item.m_Incarnation.empty();
     Item.m_Incarnation = Incarnation;
     Item.m_NextEvent = 1;
@@ -92,9 +92,9 @@
   for (const nlohmann::json &Event : Report["events"]) {
     try {
       const auto Sequence = Event.at("sequence").get<std::uint64_t>();
-      m_Book.prefixIndex().onEvent(Endpoint, Sequence,
-                                   Event.at("block").get<std::uint64_t>(),
-                                   Event.at("stored").get<bool>());
+      m_Registry.prefixIndex().onEvent(Endpoint, Sequence,
+                                       Event.at("block").get<std::uint64_t>(),
+                                       Event.at("stored").get<bool>());
       Item.m_NextEvent = std::max(Item.m_NextEvent, Sequence + 1);
     } catch (const nlohmann::json::exception &Error) {
       log::warning(log::Category::Routing, "cache_event.malformed",
--- a/Source/Core/Router/LoadPoller.h
+++ b/Source/Core/Router/LoadPoller.h
@@ -2,7 +2,7 @@
 
 #include "Net/Http/Client.h"
 #include "Router/ClusterView.h"
-#include "Router/EndpointBook.h"
+#include "Router/EndpointRegistry.h"
 
 namespace sff::router {
 
@@ -11,7 +11,7 @@
 class LoadPoller {
 public:
   /// Precondition: all references outlive this object.
-  LoadPoller(timers::DutyLoop &Loop, ClusterView &View, EndpointBook &Book,
+  LoadPoller(timers::DutyLoop &Loop, ClusterView &View, EndpointRegistry &Book,
              milliseconds Period);
 
   void start();
@@ -30,7 +30,7 @@
 
   timers::DutyLoop &m_Loop;
   ClusterView &m_View;
-  EndpointBook &m_Book;
+  EndpointRegistry &m_Registry;
   milliseconds m_Period;
   timers::TimerService m_Timers;
   timers::Subscription m_Timer;
--- a/Source/Core/Router/Ticket.h
+++ b/Source/Core/Router/PlacementRequest.h
@@ -11,7 +11,7 @@
 namespace sff::router {
 
 /// A request that asks for a place at an endpoint.
-struct Ticket {
+struct PlacementRequest {
   RequestId m_Id; ///< Unique among the open requests of this router.
   EntryName m_Entry;
   catalogue::EntrySpec m_Spec;
--- a/Source/Core/Router/Broker.cpp
+++ b/Source/Core/Router/RequestScheduler.cpp
@@ -1,4 +1,4 @@
-#include "Router/Broker.h"
+#include "Router/RequestScheduler.h"
 
 #include <algorithm>
 
@@ -20,17 +20,21 @@
 
 } // namespace
 
-Broker::Broker(timers::DutyLoop &Loop, ClusterView &View, CreditLine &Credits,
-               EndpointBook &Book, retry::CrashQuarantine &Quarantine,
-               Options Chosen)
-    : m_View(View), m_Credits(Credits), m_Book(Book), m_Quarantine(Quarantine),
-      m_Options(Chosen), m_Timers(Loop.context().get_executor()) {}
+RequestScheduler::RequestScheduler(timers::DutyLoop &Loop, ClusterView &View,
+                                   CreditBorrower &Credits,
+                                   EndpointRegistry &Book,
+                                   retry::CrashQuarantine &Quarantine,
+                                   Options Chosen)
+    : m_View(View), m_Credits(Credits), m_Registry(Book),
+      m_Quarantine(Quarantine), m_Options(Chosen),
+      m_Timers(Loop.context().get_executor()) {}
 
-void Broker::start() {
+void RequestScheduler::start() {
   m_TickTimer = m_Timers.every(TickPeriod, [this] { tick(); });
 }
 
-Broker::EntryState &Broker::entryOf(const Ticket &Item) {
+RequestScheduler::EntryState &
+RequestScheduler::entryOf(const PlacementRequest &Item) {
   const auto MaxQueue = static_cast<std::size_t>(Item.m_Spec.m_MaxQueue);
   EntryState &State =
       m_Entries.try_emplace(Item.m_Entry, MaxQueue).first->second;
@@ -39,7 +43,7 @@
   return State;
 }
 
-void Broker::submit(Ticket Item, Answer Done) {
+void RequestScheduler::submit(PlacementRequest Item, Answer Done) {
   const auto Verdict = m_Quarantine.verdict(Item.m_Fingerprint, now());
   if (Verdict == retry::QuarantineVerdict::Refuse) {
     Done(Refusal{Reason::Quarantined, m_Options.m_QuarantinePeriod});
@@ -64,8 +68,8 @@
   pump(Entry);
 }
 
-bool Broker::tryQueue(const Ticket &Item, EntryState &State,
-                      const Answer &Done) {
+bool RequestScheduler::tryQueue(const PlacementRequest &Item, EntryState &State,
+                                const Answer &Done) {
   const auto Refused =
       State.m_Queue.offer({Item.m_Id, Item.m_Class, Item.m_Deadline,
                            Item.m_Arrival, Item.m_KeptRetryTime},
@@ -75,8 +79,9 @@
   return !Refused;
 }
 
-admission::CapacityEstimate Broker::capacityOf(const EntryName &Entry,
-                                               const EntryState &State) const {
+admission::CapacityEstimate
+RequestScheduler::capacityOf(const EntryName &Entry,
+                             const EntryState &State) const {
   const Instant Now = now();
   admission::CapacityEstimate Result;
   std::int64_t Free = 0;
@@ -95,7 +100,8 @@
   return Result;
 }
 
-void Broker::withdraw(const EntryName &Entry, const RequestId &Request) {
+void RequestScheduler::withdraw(const EntryName &Entry,
+                                const RequestId &Request) {
   const auto It = m_Entries.find(Entry);
   if (It == m_Entries.end() || !m_Jobs.contains(Request))
     return;
@@ -103,28 +109,29 @@
   refuse(Request, Reason::DeadlineExpired, milliseconds(0));
 }
 
-void Broker::refuse(const RequestId &Request, Reason Why,
-                    milliseconds RetryAfter) {
+void RequestScheduler::refuse(const RequestId &Request, Reason Why,
+                              milliseconds RetryAfter) {
   auto Taken = m_Jobs.extract(Request);
   if (Taken.empty())
     return;
   Job &Item = Taken.mapped();
   if (!Item.m_Reserved.empty())
-    m_Book.unreserve(Item.m_Reserved);
-  std::erase(m_Entries.at(Item.m_Ticket.m_Entry).m_Special, Request);
+    m_Registry.unreserve(Item.m_Reserved);
+  std::erase(m_Entries.at(Item.m_Placement.m_Entry).m_Special, Request);
   Item.m_Done(Refusal{Why, RetryAfter});
 }
 
-void Broker::finish(const Placement &Used, const AttemptReport &Report) {
+void RequestScheduler::finish(const Placement &Used,
+                              const AttemptReport &Report) {
   const Instant Now = now();
-  m_Book.onFinished(Used.m_Endpoint, Now);
+  m_Registry.onFinished(Used.m_Endpoint, Now);
   --m_Running;
   if (Used.m_Isolated)
-    m_Book.unreserve(Used.m_Endpoint);
+    m_Registry.unreserve(Used.m_Endpoint);
   if (Used.m_Credit)
     m_Credits.giveBack(*Used.m_Credit, Now);
   if (Report.m_EndpointDown)
-    m_Book.onDown(Used.m_Endpoint, Now + m_Options.m_EndpointDown);
+    m_Registry.onDown(Used.m_Endpoint, Now + m_Options.m_EndpointDown);
   if (const auto It = m_Entries.find(Used.m_Entry); It != m_Entries.end()) {
     --It->second.m_Running;
     if (Report.m_Answered)
@@ -135,7 +142,7 @@
   pump(Used.m_Entry);
 }
 
-void Broker::pump(const EntryName &Entry) {
+void RequestScheduler::pump(const EntryName &Entry) {
   const auto It = m_Entries.find(Entry);
   if (It == m_Entries.end())
     return;
@@ -147,39 +154,41 @@
   refuseHopeless(Entry, It->second);
 }
 
-Broker::Candidates Broker::candidatesFor(const Job &Item,
-                                         const EntryState &State) const {
+RequestScheduler::Candidates
+RequestScheduler::candidatesFor(const Job &Item,
+                                const EntryState &State) const {
   const Instant Now = now();
-  const Ticket &Asked = Item.m_Ticket;
+  const PlacementRequest &Asked = Item.m_Placement;
   Candidates Result;
   Candidates Avoided;
   for (const EndpointId &Id : m_View.endpointsOf(Asked.m_Entry, State.m_Spec)) {
-    if (m_Book.isDown(Id, Now) || m_Book.isReservedFromOthers(Id, Asked.m_Id))
+    if (m_Registry.isDown(Id, Now) ||
+        m_Registry.isReservedFromOthers(Id, Asked.m_Id))
       continue;
     const bool Credit = !State.m_Spec.isLoadable() ||
                         m_Credits.available(Asked.m_Entry, Id, Now) > 0;
     auto &List = Asked.m_Avoid.contains(Id) ? Avoided : Result;
-    List.push_back({Id, m_Book.load(Id, Now),
-                    m_Book.prefixTokens(Id, Asked.m_Prompt), Credit});
+    List.push_back({Id, m_Registry.load(Id, Now),
+                    m_Registry.prefixTokens(Id, Asked.m_Prompt), Credit});
   }
   return Result.empty() ? Avoided : Result;
 }
 
-Broker::Candidates Broker::startable(const Job &Item,
-                                     const EntryState &State) const {
+RequestScheduler::Candidates
+RequestScheduler::startable(const Job &Item, const EntryState &State) const {
   Candidates Result = candidatesFor(Item, State);
   std::erase_if(Result, [](const auto &One) { return !One.m_HasCredit; });
   return Result;
 }
 
-bool Broker::hasStartable(const EntryName &Entry,
-                          const EntryState &State) const {
+bool RequestScheduler::hasStartable(const EntryName &Entry,
+                                    const EntryState &State) const {
   Job Any;
-  Any.m_Ticket.m_Entry = Entry;
+  Any.m_Placement.m_Entry = Entry;
   return !startable(Any, State).empty();
 }
 
-void Broker::placeQueued(const EntryName &Entry, EntryState &State) {
+void RequestScheduler::placeQueued(const EntryName &Entry, EntryState &State) {
   while (!State.m_Queue.empty() &&
          State.m_Running < State.m_Spec.m_MaxConcurrent &&
          hasStartable(Entry, State)) {
@@ -195,7 +204,7 @@
   }
 }
 
-void Broker::placeSpecial(const EntryName &, EntryState &State) {
+void RequestScheduler::placeSpecial(const EntryName &, EntryState &State) {
   const std::vector<RequestId> Waiting = State.m_Special;
   for (const RequestId &Id : Waiting) {
     const auto It = m_Jobs.find(Id);
@@ -210,7 +219,7 @@
   }
 }
 
-void Broker::reserveFor(Job &Item, const EntryState &State) {
+void RequestScheduler::reserveFor(Job &Item, const EntryState &State) {
   const Candidates List = candidatesFor(Item, State);
   const auto Holds = [&](const auto &One) {
     return One.m_Endpoint == Item.m_Reserved;
@@ -218,25 +227,25 @@
   if (std::any_of(List.begin(), List.end(), Holds))
     return;
   if (!Item.m_Reserved.empty())
-    m_Book.unreserve(Item.m_Reserved);
+    m_Registry.unreserve(Item.m_Reserved);
   Item.m_Reserved = EndpointId();
   if (List.empty())
     return;
   const auto Idlest = std::min_element(
       List.begin(), List.end(), [&](const auto &Left, const auto &Right) {
-        return m_Book.running(Left.m_Endpoint) <
-               m_Book.running(Right.m_Endpoint);
+        return m_Registry.running(Left.m_Endpoint) <
+               m_Registry.running(Right.m_Endpoint);
       });
   Item.m_Reserved = Idlest->m_Endpoint;
-  m_Book.reserve(Item.m_Reserved, Item.m_Ticket.m_Id);
+  m_Registry.reserve(Item.m_Reserved, Item.m_Placement.m_Id);
 }
 
-bool Broker::placeOne(Job &Item, EntryState &State) {
+bool RequestScheduler::placeOne(Job &Item, EntryState &State) {
   Candidates List = startable(Item, State);
   if (Item.m_Isolated)
     std::erase_if(List, [&](const auto &One) {
       return One.m_Endpoint != Item.m_Reserved ||
-             m_Book.running(One.m_Endpoint) > 0;
+             m_Registry.running(One.m_Endpoint) > 0;
     });
   const auto Chosen = routing::pickEndpoint(List, {}, m_Random);
   if (!Chosen)
@@ -245,9 +254,9 @@
   return true;
 }
 
-void Broker::place(Job Item, EntryState &State,
-                   const routing::PickCandidate &Where) {
-  const Ticket &Asked = Item.m_Ticket;
+void RequestScheduler::place(Job Item, EntryState &State,
+                             const routing::PickCandidate &Where) {
+  const PlacementRequest &Asked = Item.m_Placement;
   const Instant Now = now();
   Placement Result;
   Result.m_Request = Asked.m_Id;
@@ -266,11 +275,11 @@
                  (Item.m_Isolated ? ", isolated" : "");
   ++State.m_Running;
   ++m_Running;
-  m_Book.onDispatched(Where.m_Endpoint, Asked.m_Prompt, Now);
+  m_Registry.onDispatched(Where.m_Endpoint, Asked.m_Prompt, Now);
   Item.m_Done(std::move(Result));
 }
 
-void Broker::borrowFor(const EntryName &Entry, EntryState &State) {
+void RequestScheduler::borrowFor(const EntryName &Entry, EntryState &State) {
   borrowForSpecial(Entry, State);
   std::int64_t Wanted =
       std::min<std::int64_t>(static_cast<std::int64_t>(State.m_Queue.size()),
@@ -281,10 +290,12 @@
   if (Wanted <= 0)
     return;
   if (const auto Lender = pickLender(Entry, State))
-    ask(Entry, State, *Lender, std::min(Wanted, m_Options.m_MaxBorrow));
+    requestCredits(Entry, State, *Lender,
+                   std::min(Wanted, m_Options.m_MaxBorrow));
 }
 
-void Broker::borrowForSpecial(const EntryName &Entry, const EntryState &State) {
+void RequestScheduler::borrowForSpecial(const EntryName &Entry,
+                                        const EntryState &State) {
   for (const RequestId &Id : State.m_Special) {
     const auto It = m_Jobs.find(Id);
     if (It == m_Jobs.end())
@@ -294,18 +305,19 @@
       if (Item.m_Isolated && One.m_Endpoint != Item.m_Reserved)
         continue;
       if (!One.m_HasCredit && m_Credits.canAsk(Entry, One.m_Endpoint, now())) {
-        ask(Entry, State, One.m_Endpoint, 1);
+        requestCredits(Entry, State, One.m_Endpoint, 1);
         break;
       }
     }
   }
 }
 
-std::optional<EndpointId> Broker::pickLender(const EntryName &Entry,
-                                             const EntryState &State) const {
+std::optional<EndpointId>
+RequestScheduler::pickLender(const EntryName &Entry,
+                             const EntryState &State) const {
   const Instant Now = now();
   Job Any;
-  Any.m_Ticket.m_Entry = Entry;
+  Any.m_Placement.m_Entry = Entry;
   Candidates Warm;
   std::optional<EndpointId> FirstCold;
   bool Pending = false;
@@ -327,14 +339,16 @@
   return Pending ? std::nullopt : FirstCold;
 }
 
-void Broker::ask(const EntryName &Entry, const EntryState &State,
-                 const EndpointId &Endpoint, std::int64_t Count) {
+void RequestScheduler::requestCredits(const EntryName &Entry,
+                                      const EntryState &State,
+                                      const EndpointId &Endpoint,
+                                      std::int64_t Count) {
   Instant Earliest = State.m_Queue.earliestDeadline().value_or(Instant::max());
   BorrowDemand Demand;
   Demand.m_Class = State.m_Spec.m_Class;
   for (const RequestId &Id : State.m_Special)
     if (const auto It = m_Jobs.find(Id); It != m_Jobs.end())
-      Earliest = std::min(Earliest, It->second.m_Ticket.m_Deadline);
+      Earliest = std::min(Earliest, It->second.m_Placement.m_Deadline);
   Demand.m_Entry = Entry;
   Demand.m_Endpoint = Endpoint;
   Demand.m_Count = Count;
@@ -344,10 +358,12 @@
   m_Credits.borrow(Demand);
 }
 
-Instant Broker::nextChanceAt(const EntryName &Entry, const EntryState &State,
-                             const EndpointId &Endpoint, Instant Now) const {
-  if (m_Book.isDown(Endpoint, Now))
-    return m_Book.downUntil(Endpoint);
+Instant RequestScheduler::nextChanceAt(const EntryName &Entry,
+                                       const EntryState &State,
+                                       const EndpointId &Endpoint,
+                                       Instant Now) const {
+  if (m_Registry.isDown(Endpoint, Now))
+    return m_Registry.downUntil(Endpoint);
   if (!State.m_Spec.isLoadable() ||
       m_Credits.available(Entry, Endpoint, Now) > 0)
     return Now;
@@ -362,8 +378,9 @@
   return std::max(Known->m_NotBefore, Now + m_Options.m_OwnerRetry);
 }
 
-std::optional<milliseconds> Broker::hopelessFor(const EntryName &Entry,
-                                                const EntryState &State) const {
+std::optional<milliseconds>
+RequestScheduler::hopelessFor(const EntryName &Entry,
+                              const EntryState &State) const {
   const Instant Now = now();
   std::optional<Instant> Soonest;
   for (const EndpointId &Id : m_View.endpointsOf(Entry, State.m_Spec)) {
@@ -375,7 +392,8 @@
   return Soonest ? untilOf(*Soonest, Now) : m_Options.m_OwnerRetry;
 }
 
-void Broker::refuseHopeless(const EntryName &Entry, EntryState &State) {
+void RequestScheduler::refuseHopeless(const EntryName &Entry,
+                                      EntryState &State) {
   if (State.m_Running > 0 || (State.m_Queue.empty() && State.m_Special.empty()))
     return;
   const auto RetryAfter = hopelessFor(Entry, State);
@@ -383,7 +401,7 @@
     return;
   std::vector<RequestId> All = State.m_Special;
   for (const auto &[Id, Item] : m_Jobs)
-    if (Item.m_Ticket.m_Entry == Entry)
+    if (Item.m_Placement.m_Entry == Entry)
       All.push_back(Id);
   for (const RequestId &Id : All) {
     State.m_Queue.remove(Id);
@@ -391,7 +409,8 @@
   }
 }
 
-void Broker::refuseExpired(const EntryName &Entry, EntryState &State) {
+void RequestScheduler::refuseExpired(const EntryName &Entry,
+                                     EntryState &State) {
   const Instant Now = now();
   const auto Capacity = capacityOf(Entry, State);
   for (const auto &Item : State.m_Queue.takeExpired(Capacity, Now))
@@ -402,12 +421,12 @@
   const std::vector<RequestId> Waiting = State.m_Special;
   for (const RequestId &Id : Waiting) {
     const auto It = m_Jobs.find(Id);
-    if (It != m_Jobs.end() && It->second.m_Ticket.m_Deadline <= Now)
+    if (It != m_Jobs.end() && It->second.m_Placement.m_Deadline <= Now)
       refuse(Id, Reason::DeadlineExpired, m_Options.m_OwnerRetry);
   }
 }
 
-void Broker::tick() {
+void RequestScheduler::tick() {
   std::vector<EntryName> Waiting;
   for (const auto &[Name, State] : m_Entries)
     if (!State.m_Queue.empty() || !State.m_Special.empty())
--- a/Source/Core/Router/Broker.h
+++ b/Source/Core/Router/RequestScheduler.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Core/Retry/CrashQuarantine.h"
-#include "Router/CreditLine.h"
-#include "Router/EndpointBook.h"
+#include "Router/CreditBorrower.h"
+#include "Router/EndpointRegistry.h"
 
 #include <random>
 #include <unordered_map>
@@ -12,7 +12,7 @@
 /// Decides which waiting request runs next and where. Each submitted ticket
 /// is answered exactly once, with a placement or a refusal.
 /// Thread safety: all calls and callbacks on the loop's thread.
-class Broker {
+class RequestScheduler {
 public:
   using Answer = std::function<void(PlaceAnswer)>;
 
@@ -25,13 +25,13 @@
   };
 
   /// Precondition: all references outlive the broker.
-  Broker(timers::DutyLoop &Loop, ClusterView &View, CreditLine &Credits,
-         EndpointBook &Book, retry::CrashQuarantine &Quarantine,
-         Options Chosen);
+  RequestScheduler(timers::DutyLoop &Loop, ClusterView &View,
+                   CreditBorrower &Credits, EndpointRegistry &Book,
+                   retry::CrashQuarantine &Quarantine, Options Chosen);
 
   void start();
 
-  void submit(Ticket Item, Answer Done);
+  void submit(PlacementRequest Item, Answer Done);
   /// Gives up a ticket whose caller has gone. A placement that was already
   /// answered stands and has to be finished.
   void withdraw(const EntryName &Entry, const RequestId &Request);
@@ -45,7 +45,7 @@
 
 private:
   struct Job {
-    Ticket m_Ticket;
+    PlacementRequest m_Placement;
     Answer m_Done;
     bool m_Isolated = false;
     EndpointId m_Reserved; ///< Kept free for this isolated request.
@@ -60,13 +60,14 @@
   };
   using Candidates = std::vector<routing::PickCandidate>;
 
-  EntryState &entryOf(const Ticket &Item);
+  EntryState &entryOf(const PlacementRequest &Item);
   admission::CapacityEstimate capacityOf(const EntryName &Entry,
                                          const EntryState &State) const;
   Candidates candidatesFor(const Job &Item, const EntryState &State) const;
   Candidates startable(const Job &Item, const EntryState &State) const;
   bool hasStartable(const EntryName &Entry, const EntryState &State) const;
-  bool tryQueue(const Ticket &Item, EntryState &State, const Answer &Done);
+  bool tryQueue(const PlacementRequest &Item, EntryState &State,
+                const Answer &Done);
   void placeSpecial(const EntryName &Entry, EntryState &State);
   bool placeOne(Job &Item, EntryState &State);
   void reserveFor(Job &Item, const EntryState &State);
@@ -76,8 +77,8 @@
   void borrowForSpecial(const EntryName &Entry, const EntryState &State);
   std::optional<EndpointId> pickLender(const EntryName &Entry,
                                        const EntryState &State) const;
-  void ask(const EntryName &Entry, const EntryState &State,
-           const EndpointId &Endpoint, std::int64_t Count);
+  void requestCredits(const EntryName &Entry, const EntryState &State,
+                      const EndpointId &Endpoint, std::int64_t Count);
   void refuseHopeless(const EntryName &Entry, EntryState &State);
   std::optional<milliseconds> hopelessFor(const EntryName &Entry,
                                           const EntryState &State) const;
@@ -89,8 +90,8 @@
   void tick();
 
   ClusterView &m_View;
-  CreditLine &m_Credits;
-  EndpointBook &m_Book;
+  CreditBorrower &m_Credits;
+  EndpointRegistry &m_Registry;
   retry::CrashQuarantine &m_Quarantine;
   Options m_Options;
   timers::TimerService m_Timers;
--- a/Source/Core/Router/RequestSession.cpp
+++ b/Source/Core/Router/RequestSession.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 std::shared_ptr<Mailbox<PlaceAnswer>> submit(FrontState &State,
-                                             const Ticket &Item) {
+                                             const PlacementRequest &Item) {
   auto Box = std::make_shared<Mailbox<PlaceAnswer>>(State.m_Http);
   Decisions &Peers = State.m_Decisions;
   const bool Sent = Peers.loop().tryPost([&Peers, Box, Item] {
@@ -36,7 +36,7 @@
 
 RequestSession::Task<void> RequestSession::run() {
   auto Self = shared_from_this();
-  m_State.m_Budget.onRequest(m_Request.m_Ticket.m_Class);
+  m_State.m_Budget.onRequest(m_Request.m_Placement.m_Class);
   while (co_await runOnce())
     m_State.m_Metrics.retries().Increment();
 }
@@ -60,7 +60,7 @@
 }
 
 RequestSession::Task<PlaceAnswer> RequestSession::awaitPlace() {
-  auto Box = submit(m_State, m_Request.m_Ticket);
+  auto Box = submit(m_State, m_Request.m_Placement);
   if (!Box)
     co_return PlaceAnswer(
         admission::Refusal{Reason::QueueFull, OverloadRetryAfter});
@@ -78,11 +78,11 @@
 
 RequestSession::Task<void> RequestSession::withdraw() {
   Decisions &Peers = m_State.m_Decisions;
-  timers::DutyLoop::Task Work = [&Peers, Entry = m_Request.m_Ticket.m_Entry,
-                                 Id = m_Request.m_Ticket.m_Id] {
+  timers::DutyLoop::Task Work = [&Peers, Entry = m_Request.m_Placement.m_Entry,
+                                 Id = m_Request.m_Placement.m_Id] {
     Peers.broker().withdraw(Entry, Id);
   };
-  co_await tell(m_State, std::move(Work));
+  co_await postToDecisions(m_State, std::move(Work));
 }
 
 RequestSession::Task<AttemptEnd> RequestSession::attempt(Placement Used) {
@@ -108,13 +108,15 @@
   m_State.m_Metrics.crashes().Increment();
   Decisions &Peers = m_State.m_Decisions;
   std::function<void(std::function<void(std::int64_t)>)> Start =
-      [&Peers, Fingerprint = m_Request.m_Ticket.m_Fingerprint](
+      [&Peers, Fingerprint = m_Request.m_Placement.m_Fingerprint](
           const std::function<void(std::int64_t)> &Done) {
         Done(Peers.crashes().onCrash(Fingerprint));
       };
-  const auto Total = co_await ask<std::int64_t>(m_State, std::move(Start));
+  const auto Total =
+      co_await queryDecisions<std::int64_t>(m_State, std::move(Start));
   log::request(log::Category::Execution, "request.crashed_endpoint",
-               m_Request.m_Ticket.m_Id.str(), m_Request.m_Ticket.m_Entry.str(),
+               m_Request.m_Placement.m_Id.str(),
+               m_Request.m_Placement.m_Entry.str(),
                {{"crashes", Total.value_or(1)}});
   co_return Total.value_or(1);
 }
@@ -124,8 +126,8 @@
                                                   AttemptEnd End) {
   AttemptReport Report;
   Report.m_EndpointDown = m_EndpointDown;
-  Report.m_Class = m_Request.m_Ticket.m_Class;
-  Report.m_Fingerprint = m_Request.m_Ticket.m_Fingerprint;
+  Report.m_Class = m_Request.m_Placement.m_Class;
+  Report.m_Fingerprint = m_Request.m_Placement.m_Fingerprint;
   switch (End) {
   case AttemptEnd::Answered:
   case AttemptEnd::Streamed:
@@ -205,7 +207,7 @@
 }
 
 bool RequestSession::tryRetry(const Placement &Used) {
-  Ticket &Asked = m_Request.m_Ticket;
+  PlacementRequest &Asked = m_Request.m_Placement;
   if (Used.m_Isolated || now() >= Asked.m_Deadline || m_Caller.callerGone())
     return false;
   if (!m_State.m_Budget.tryRetry(Asked.m_Class))
@@ -239,7 +241,7 @@
 }
 
 RequestSession::Task<void> RequestSession::respond(execution::Outcome Value) {
-  http::Response Answer = recordOutcome(m_State, m_Request.m_Ticket, Value);
+  http::Response Answer = recordOutcome(m_State, m_Request.m_Placement, Value);
   co_await m_Caller.respond(std::move(Answer));
 }
 
@@ -258,7 +260,7 @@
 }
 
 void RequestSession::noteEnd(std::string_view Outcome) {
-  const Ticket &Asked = m_Request.m_Ticket;
+  const PlacementRequest &Asked = m_Request.m_Placement;
   m_State.m_Metrics.onStreamEnd(Asked.m_Class, Outcome,
                                 now() - Asked.m_Arrival);
   log::request(log::Category::Execution, "request.finished", Asked.m_Id.str(),
--- a/Source/Core/Router/RequestSession.h
+++ b/Source/Core/Router/RequestSession.h
@@ -49,6 +49,6 @@
 /// Asks for a place. The mailbox receives exactly one answer; nothing is
 /// returned when the decisions duty is overloaded.
 std::shared_ptr<Mailbox<PlaceAnswer>> submit(FrontState &State,
-                                             const Ticket &Item);
+                                             const PlacementRequest &Item);
 
 } // namespace sff::router
--- a/Source/StandIns/Engine/EngineService.cpp
+++ b/Source/StandIns/Engine/EngineService.cpp
@@ -186,7 +186,7 @@
 
 asio::awaitable<Answer> EngineService::stream(Call &Incoming, Generation &Job) {
   http::Exchange &Caller = Incoming.m_Exchange;
-  const FaultBoard &Faults = m_Base.faults();
+  const FaultSwitches &Faults = m_Base.faults();
   co_await sleepFor(milliseconds(Faults.get<std::int64_t>("late_answer_ms")));
   bool Open = co_await Caller.beginStream(makeStreamHead(Job));
   const auto CutAfter = Faults.get<std::size_t>("cut_stream_after");
--- a/Source/StandIns/Engine/EngineService.h
+++ b/Source/StandIns/Engine/EngineService.h
@@ -3,7 +3,7 @@
 #include "StandIns/Engine/Batch.h"
 #include "StandIns/Engine/EngineOptions.h"
 #include "StandIns/Engine/ModelTable.h"
-#include "StandIns/Engine/OrderDesk.h"
+#include "StandIns/Engine/OrderHandler.h"
 #include "StandIns/Engine/PrefixCache.h"
 #include "StandIns/Engine/RequestTable.h"
 #include "StandIns/Support/LoadReport.h"
@@ -43,7 +43,7 @@
   EngineOptions m_Options;
   AcceleratorMemory m_Memory;
   ModelTable m_Models;
-  OrderDesk m_Orders;
+  OrderHandler m_Orders;
   Batch m_Batch;
   PrefixCache m_Prefixes;
   RequestTable m_Requests;
--- a/Source/StandIns/Engine/OrderDesk.cpp
+++ b/Source/StandIns/Engine/OrderHandler.cpp
@@ -1,4 +1,4 @@
-#include "StandIns/Engine/OrderDesk.h"
+#include "StandIns/Engine/OrderHandler.h"
 
 #include "Common/Logging/Log.h"
 
@@ -23,9 +23,10 @@
 
 } // namespace
 
-OrderDesk::OrderDesk(asio::io_context &Context, const EngineOptions &Options,
-                     const FaultBoard &Faults, ModelTable &Models,
-                     AcceleratorMemory &Memory)
+OrderHandler::OrderHandler(asio::io_context &Context,
+                           const EngineOptions &Options,
+                           const FaultSwitches &Faults, ModelTable &Models,
+                           AcceleratorMemory &Memory)
     : m_Options(Options), m_Faults(Faults), m_Models(Models), m_Memory(Memory),
       m_Cache(Options.m_MemoryCacheModels, Options.m_DiskCacheModels),
       m_Http(Context.get_executor()) {
@@ -33,7 +34,7 @@
     m_Cache.putOnDisk(Key);
 }
 
-asio::awaitable<http::Response> OrderDesk::execute(Order Given) {
+asio::awaitable<http::Response> OrderHandler::execute(Order Given) {
   if (m_Options.m_Fencing && Given.m_FencingToken < m_HighestToken)
     co_return http::makeJson(
         409, {{"reason", "fenced"}, {"highest_token", m_HighestToken}});
@@ -55,7 +56,7 @@
   co_return *Current->m_Result;
 }
 
-asio::awaitable<http::Response> OrderDesk::executeOnce(Order Given) {
+asio::awaitable<http::Response> OrderHandler::executeOnce(Order Given) {
   log::entry(log::Category::Loading, "engine.order", Given.m_Model,
              {{"kind", Given.m_Kind},
               {"order_id", Given.m_Id},
@@ -70,7 +71,7 @@
   co_return http::makeJson(200, {{"role", m_Role}});
 }
 
-asio::awaitable<http::Response> OrderDesk::load(Order Given) {
+asio::awaitable<http::Response> OrderHandler::load(Order Given) {
   while (const ModelTable::Entry *Known = m_Models.find(Given.m_Model)) {
     if (Known->m_Order.m_Version != Given.m_Version)
       co_return refuse(422, "other_version_loaded");
@@ -97,7 +98,7 @@
                      : refuse(502, "weights_unavailable");
 }
 
-asio::awaitable<bool> OrderDesk::fetch(Order Given, WeightPlace From) {
+asio::awaitable<bool> OrderHandler::fetch(Order Given, WeightPlace From) {
   const Instant Start = std::chrono::steady_clock::now();
   bool Complete = true;
   if (From == WeightPlace::Remote)
@@ -113,7 +114,7 @@
   co_return Complete;
 }
 
-asio::awaitable<bool> OrderDesk::fetchRemote(Order Given) {
+asio::awaitable<bool> OrderHandler::fetchRemote(Order Given) {
   http::Request Message;
   Message.m_Target = "/v1/weights/" + Given.weightKey() +
                      "?bytes=" + std::to_string(Given.m_Bytes);
@@ -125,7 +126,7 @@
   co_return Answer && Answer->m_Status == 200;
 }
 
-http::Response OrderDesk::unload(const Order &Given) {
+http::Response OrderHandler::unload(const Order &Given) {
   const ModelTable::Entry *Known = m_Models.find(Given.m_Model);
   if (!Known)
     return http::makeJson(200, {{"state", "absent"}});
@@ -139,8 +140,8 @@
   return http::makeJson(200, {{"state", "absent"}});
 }
 
-std::shared_ptr<OrderDesk::Progress>
-OrderDesk::remember(const std::string &OrderId) {
+std::shared_ptr<OrderHandler::Progress>
+OrderHandler::remember(const std::string &OrderId) {
   m_OrderIds.push_back(OrderId);
   if (m_OrderIds.size() > RememberedOrders) {
     m_Orders.erase(m_OrderIds.front());
@@ -149,12 +150,12 @@
   return m_Orders[OrderId] = std::make_shared<Progress>();
 }
 
-void OrderDesk::forget(const std::string &OrderId) {
+void OrderHandler::forget(const std::string &OrderId) {
   m_Orders.erase(OrderId);
   std::erase(m_OrderIds, OrderId);
 }
 
-void OrderDesk::describe(nlohmann::json &Inventory) const {
+void OrderHandler::describe(nlohmann::json &Inventory) const {
   Inventory["highest_token"] = m_HighestToken;
   Inventory["fencing"] = m_Options.m_Fencing;
   Inventory["role"] = m_Role;
--- a/Source/StandIns/Engine/OrderDesk.h
+++ b/Source/StandIns/Engine/OrderHandler.h
@@ -4,7 +4,7 @@
 #include "StandIns/Engine/EngineOptions.h"
 #include "StandIns/Engine/ModelTable.h"
 #include "StandIns/Engine/WeightCache.h"
-#include "StandIns/Support/FaultBoard.h"
+#include "StandIns/Support/FaultSwitches.h"
 #include "StandIns/Support/Wait.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,12 +18,12 @@
 /// Executes the owner's orders: fencing, idempotency by order id, loads from
 /// the nearest place that has the weights, and unloads.
 /// Thread safety: use from the io_context's thread.
-class OrderDesk {
+class OrderHandler {
 public:
   /// Precondition: all references outlive this object.
-  OrderDesk(boost::asio::io_context &Context, const EngineOptions &Options,
-            const FaultBoard &Faults, ModelTable &Models,
-            AcceleratorMemory &Memory);
+  OrderHandler(boost::asio::io_context &Context, const EngineOptions &Options,
+               const FaultSwitches &Faults, ModelTable &Models,
+               AcceleratorMemory &Memory);
 
   /// Answers when the order is complete. A load continues when its caller
   /// leaves. Only success is remembered for repeats of the same order id.
@@ -47,7 +47,7 @@
   void forget(const std::string &OrderId);
 
   const EngineOptions &m_Options;
-  const FaultBoard &m_Faults;
+  const FaultSwitches &m_Faults;
   ModelTable &m_Models;
   AcceleratorMemory &m_Memory;
   WeightCache m_Cache;
--- a/Source/StandIns/Support/FaultBoard.cpp
+++ b/Source/StandIns/Support/FaultSwitches.cpp
@@ -1,4 +1,4 @@
-#include "StandIns/Support/FaultBoard.h"
+#include "StandIns/Support/FaultSwitches.h"
 
 namespace sff::standin {
 
@@ -18,7 +18,7 @@
 
 } // namespace
 
-std::optional<std::string> FaultBoard::update(const nlohmann::json &Change) {
+std::optional<std::string> FaultSwitches::update(const nlohmann::json &Change) {
   if (!Change.is_object())
     return "a JSON object is expected";
   for (const auto &[Name, Value] : Change.items()) {
@@ -32,12 +32,12 @@
   return std::nullopt;
 }
 
-bool FaultBoard::isOn(std::string_view Name) const {
+bool FaultSwitches::isOn(std::string_view Name) const {
   const nlohmann::json &Value = m_Values.at(std::string(Name));
   return Value.is_boolean() ? Value.get<bool>() : Value != 0;
 }
 
-bool FaultBoard::take(std::string_view Name) {
+bool FaultSwitches::take(std::string_view Name) {
   nlohmann::json &Value = m_Values.at(std::string(Name));
   const bool Applies = isOn(Name);
   if (Value.is_number() && Value > 0)
--- a/Source/StandIns/Support/FaultBoard.h
+++ b/Source/StandIns/Support/FaultSwitches.h
@@ -10,10 +10,10 @@
 
 /// The faults that a stand-in can show, with their current values.
 /// Thread safety: use from one thread.
-class FaultBoard {
+class FaultSwitches {
 public:
   /// \p Initial holds every known fault with its value at the start.
-  explicit FaultBoard(nlohmann::json Initial)
+  explicit FaultSwitches(nlohmann::json Initial)
       : m_Initial(std::move(Initial)), m_Values(m_Initial) {}
 
   /// Applies the members of \p Change. Returns a description of the first
--- a/Source/StandIns/Support/StandIn.cpp
+++ b/Source/StandIns/Support/StandIn.cpp
@@ -50,7 +50,7 @@
   return Faults;
 }
 
-milliseconds readDelay(const FaultBoard &Faults, std::string_view Name) {
+milliseconds readDelay(const FaultSwitches &Faults, std::string_view Name) {
   return milliseconds(Faults.get<std::int64_t>(Name));
 }
 
--- a/Source/StandIns/Support/StandIn.h
+++ b/Source/StandIns/Support/StandIn.h
@@ -2,7 +2,7 @@
 
 #include "Common/Process/Program.h"
 #include "Net/Http/Server.h"
-#include "StandIns/Support/FaultBoard.h"
+#include "StandIns/Support/FaultSwitches.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -55,8 +55,8 @@
   /// \p Faults holds the faults that this kind of stand-in has in addition.
   StandIn(boost::asio::io_context &Context, const nlohmann::json &Faults);
 
-  FaultBoard &faults() { return m_Faults; }
-  const FaultBoard &faults() const { return m_Faults; }
+  FaultSwitches &faults() { return m_Faults; }
+  const FaultSwitches &faults() const { return m_Faults; }
   boost::asio::io_context &context() { return m_Context; }
 
   /// Adds a route. A segment `{}` of \p Pattern matches any one segment; the
@@ -93,7 +93,7 @@
   bool isFrozen(const http::Exchange &Caller) const;
 
   boost::asio::io_context &m_Context;
-  FaultBoard m_Faults;
+  FaultSwitches m_Faults;
   std::vector<Route> m_Routes;
   std::uint64_t m_LastConnection = 0;
   std::uint64_t m_LastFrozenConnection = 0;
