Skip the release plan where no entry is in demand

Cause: planOrders derived the slots to be given up twice in each round, once for unloads and once for loads, although planLoads has nothing to load without demand, which is the usual case. Behaviour is unchanged: without demand the loop had no items.

Checked with the 13 OwnedEndpointTest cases, three deployment tests (burst, lowered count, leaving endpoint), formatter and linter on the file. The saving was not measured.

--- a/Source/Core/Core/Control/OwnedEndpointOrders.cpp
+++ b/Source/Core/Core/Control/OwnedEndpointOrders.cpp
@@ -187,6 +187,8 @@
 
 void OwnedEndpoint::planLoads(const PlanInput &Input,
                               std::vector<PlannedOrder> &Out) {
+  if (m_Demands.empty())
+    return;
   const fold::ClusterState &State = Input.m_State;
   const Instant Now = Input.m_Now;
   std::set<EntryName> Leaving;
