--- a/Source/Core/Common/Logging/Log.cpp
+++ b/Source/Core/Common/Logging/Log.cpp
@@ -1,15 +1,75 @@
 #include "Common/Logging/Log.h"
 
+#include "Common/Concurrency/BoundedRing.h"
+#include "Common/Concurrency/DutyThread.h"
+
 #include <glog/logging.h>
 
+#include <unistd.h>
+
 #include <atomic>
-#include <iostream>
+#include <cstdlib>
+#include <memory>
 
 namespace sff::log {
 
 namespace {
 
-constexpr std::size_t RecorderCapacity = 20000;
+/// Lines that wait for the writer; more are dropped and counted.
+constexpr std::size_t QueuedLines = 4096;
+/// The writer looks for lines this often, so that a line does not cost a
+/// wake-up of its own.
+constexpr std::chrono::milliseconds WritePeriod{200};
+
+/// Writes lines to standard output on a thread of its own, so that a reader
+/// that does not keep up blocks nobody. Thread safety: any thread.
+class LineWriter {
+public:
+  LineWriter() : m_Thread("log-writer", [this] { run(); }) {}
+
+  void push(std::string Line) {
+    if (!m_Lines.tryPush(std::move(Line)))
+      ++m_Dropped;
+  }
+
+  /// Writes what is queued and ends the thread.
+  void stop() {
+    m_Stopping = true;
+    m_Thread.join();
+  }
+
+private:
+  void run() {
+    while (!m_Stopping) {
+      writeQueued();
+      std::this_thread::sleep_for(WritePeriod);
+    }
+    writeQueued();
+  }
+
+  void writeQueued() {
+    std::string Whole;
+    while (auto Line = m_Lines.tryPop())
+      Whole += *Line;
+    if (const auto Lost = m_Dropped.exchange(0); Lost > 0)
+      Whole += "{\"event\":\"log.lines_dropped\",\"lines\":" +
+               std::to_string(Lost) + "}\n";
+    std::string_view Rest = Whole;
+    while (!Rest.empty()) {
+      const ssize_t Written =
+          ::write(STDOUT_FILENO, Rest.data(), Rest.size());
+      // Nothing is left to report a failure to; the lines are lost.
+      if (Written <= 0)
+        return;
+      Rest.remove_prefix(static_cast<std::size_t>(Written));
+    }
+  }
+
+  concurrency::BoundedRing<std::string> m_Lines{QueuedLines};
+  std::atomic<std::uint64_t> m_Dropped{0};
+  std::atomic<bool> m_Stopping{false};
+  concurrency::DutyThread m_Thread;
+};
 
 /// Writes each message as one JSON line. Messages of the project arrive as a
 /// JSON object; other libraries' messages are wrapped as text.
@@ -32,16 +92,23 @@
   void writeLine(std::string_view Text) {
     std::string Whole(Text);
     Whole.push_back('\n');
-    std::cerr.write(Whole.data(), static_cast<std::streamsize>(Whole.size()));
+    m_Writer.push(std::move(Whole));
   }
+
+  LineWriter &m_Writer;
+
+public:
+  explicit JsonLinesSink(LineWriter &Writer) : m_Writer(Writer) {}
 };
 
 struct State {
   ProcessIdentity m_Identity;
   Level m_MinimumLevel = Level::Info;
   timeline::HybridClock m_Clock;
-  timeline::EventRecorder m_Recorder{RecorderCapacity};
-  JsonLinesSink m_Sink;
+  std::unique_ptr<timeline::EventRecorder> m_Recorder =
+      std::make_unique<timeline::EventRecorder>(DefaultRecordedEvents);
+  std::unique_ptr<LineWriter> m_Writer;
+  std::unique_ptr<JsonLinesSink> m_Sink;
   std::atomic<bool> m_Ready{false};
 };
 
@@ -114,8 +181,12 @@
   return "";
 }
 
-void initialize(const ProcessIdentity &Identity, Level MinimumLevel) {
+void initialize(const ProcessIdentity &Identity, Level MinimumLevel,
+                std::size_t RecordedEvents) {
   State &Shared = state();
+  Shared.m_Recorder = std::make_unique<timeline::EventRecorder>(RecordedEvents);
+  Shared.m_Writer = std::make_unique<LineWriter>();
+  Shared.m_Sink = std::make_unique<JsonLinesSink>(*Shared.m_Writer);
   Shared.m_Identity = Identity;
   Shared.m_MinimumLevel = MinimumLevel;
   google::InitGoogleLogging(Identity.m_Program.c_str());
@@ -124,8 +195,17 @@
   FLAGS_stderrthreshold = google::NUM_SEVERITIES;
   for (int Severity = 0; Severity < google::NUM_SEVERITIES; ++Severity)
     google::SetLogDestination(Severity, "");
-  google::AddLogSink(&Shared.m_Sink);
+  google::AddLogSink(Shared.m_Sink.get());
   Shared.m_Ready = true;
+  std::atexit(flush);
+}
+
+void flush() {
+  State &Shared = state();
+  if (!Shared.m_Ready.exchange(false))
+    return;
+  google::RemoveLogSink(Shared.m_Sink.get());
+  Shared.m_Writer->stop();
 }
 
 void write(Line Item) {
@@ -138,13 +218,13 @@
   const std::string Text =
       Output.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   google::LogMessage(__FILE__, __LINE__, toSeverity(Item.m_Level),
-                     &Shared.m_Sink, false)
+                     Shared.m_Sink.get(), false)
           .stream()
       << Text;
-  Shared.m_Recorder.record(std::move(Recorded));
+  Shared.m_Recorder->record(std::move(Recorded));
 }
 
 timeline::HybridClock &clock() { return state().m_Clock; }
-timeline::EventRecorder &recorder() { return state().m_Recorder; }
+timeline::EventRecorder &recorder() { return *state().m_Recorder; }
 
 } // namespace sff::log
--- a/Source/Core/Common/Logging/Log.h
+++ b/Source/Core/Common/Logging/Log.h
@@ -48,10 +48,19 @@
   nlohmann::json m_Fields = nlohmann::json::object();
 };
 
-/// Starts glog with a sink that writes JSON lines to standard error, and with
-/// an in-memory recorder for the time line.
+/// Events that a process keeps in memory for the time line.
+constexpr std::size_t DefaultRecordedEvents = 20000;
+
+/// Starts glog with a sink that writes JSON lines to standard output, on a
+/// thread of its own, and with an in-memory recorder for the time line. Lines
+/// beyond what the output takes are dropped and counted.
 /// Precondition: called once, before other threads write.
-void initialize(const ProcessIdentity &Identity, Level MinimumLevel);
+void initialize(const ProcessIdentity &Identity, Level MinimumLevel,
+                std::size_t RecordedEvents = DefaultRecordedEvents);
+
+/// Writes the queued lines and stops logging. Runs by itself at a normal exit;
+/// call it before any other end of the process. Thread safety: one thread.
+void flush();
 
 /// Writes one JSON line and records it as a time-line event.
 /// Thread safety: any thread, after initialize(). Before that, lines are
--- a/Source/Core/Common/Process/Program.cpp
+++ b/Source/Core/Common/Process/Program.cpp
@@ -71,7 +71,8 @@
     return ExitCode::Success;
   const Context Started{
       Values,
-      {Name, Values.get(HostSetting), Values.get(ZoneSetting), makeRandomId()}};
+      {Name, Values.get(HostSetting), Values.get(ZoneSetting), makeRandomId()},
+      Chosen.m_SettingsPath};
   log::initialize(Started.m_Identity, parseLevel(Values.get(LogLevelSetting)));
   log::info(log::Category::Process, "process.started",
             {{"version", SFF_VERSION}});
--- /dev/null
+++ b/Source/Core/Core/Serving/Catalogue.cpp
@@ -0,0 +1,79 @@
+#include "Core/Serving/Catalogue.h"
+
+#include <algorithm>
+
+namespace sff::serving {
+
+namespace {
+
+std::string normalizedHost(std::string_view Host) {
+  std::string Result(Host.substr(0, Host.find(':')));
+  for (char &Letter : Result)
+    if (Letter >= 'A' && Letter <= 'Z')
+      Letter = static_cast<char>(Letter - 'A' + 'a');
+  return Result;
+}
+
+} // namespace
+
+const std::string &Route::serviceAt(std::uint64_t Point) const {
+  double Total = 0;
+  for (const ServiceShare &Share : m_Shares)
+    Total += Share.m_Weight;
+  // 2^64, so that the point becomes a fraction below one.
+  double Rest = static_cast<double>(Point) / 18446744073709551616.0 * Total;
+  for (const ServiceShare &Share : m_Shares) {
+    if (Rest < Share.m_Weight)
+      return Share.m_Service;
+    Rest -= Share.m_Weight;
+  }
+  return m_Shares.back().m_Service;
+}
+
+const ModelSpec *EngineSpec::find(std::string_view Model) const {
+  const auto Found = m_Models.find(Model);
+  return Found == m_Models.end() ? nullptr : &Found->second;
+}
+
+void Catalogue::buildIndex() {
+  m_ByHost.clear();
+  for (std::size_t Index = 0; Index < m_Routes.size(); ++Index)
+    m_ByHost[normalizedHost(m_Routes[Index].m_Host)].push_back(Index);
+  // Longest prefix first, so that the first match is the answer.
+  for (auto &[Host, List] : m_ByHost)
+    std::stable_sort(List.begin(), List.end(),
+                     [this](std::size_t Left, std::size_t Right) {
+                       return m_Routes[Left].m_PathPrefix.size() >
+                              m_Routes[Right].m_PathPrefix.size();
+                     });
+}
+
+const Route *Catalogue::findRoute(std::string_view Host,
+                                  std::string_view Path) const {
+  const auto Found = m_ByHost.find(normalizedHost(Host));
+  if (Found == m_ByHost.end())
+    return nullptr;
+  for (std::size_t Index : Found->second)
+    if (Path.starts_with(m_Routes[Index].m_PathPrefix))
+      return &m_Routes[Index];
+  return nullptr;
+}
+
+const Service *Catalogue::findService(std::string_view Name) const {
+  const auto Found = m_Services.find(Name);
+  return Found == m_Services.end() ? nullptr : &Found->second;
+}
+
+ModelName ModelName::parse(std::string_view Text) {
+  const auto Slash = Text.find('/');
+  if (Slash == std::string_view::npos)
+    return {std::string(Text), {}};
+  return {std::string(Text.substr(0, Slash)),
+          std::string(Text.substr(Slash + 1))};
+}
+
+std::string ModelName::str() const {
+  return m_Adapter.empty() ? m_Model : m_Model + "/" + m_Adapter;
+}
+
+} // namespace sff::serving
--- /dev/null
+++ b/Source/Core/Core/Serving/EndpointDirectory.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "Common/Identity/Ids.h"
+#include "Common/Time/Instant.h"
+#include "Core/Serving/Catalogue.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sff::serving {
+
+/// One start of an endpoint. An endpoint that starts again under its id holds
+/// nothing and knows nothing of what was sent to it before.
+struct Incarnation {
+  std::int64_t m_StartedAtMs = 0; ///< Unix time.
+  friend auto operator<=>(const Incarnation &, const Incarnation &) = default;
+};
+
+struct ResidentModel {
+  std::string m_Name;
+  std::int64_t m_Version = 0;
+  std::set<std::string, std::less<>> m_Adapters;
+};
+
+/// What an endpoint holds, by its own word.
+struct Inventory {
+  std::vector<ResidentModel> m_Models;
+  std::set<std::string, std::less<>> m_InHostMemory;
+  std::set<std::string, std::less<>> m_OnDisk;
+
+  const ResidentModel *find(std::string_view Model) const;
+};
+
+/// What an endpoint registers of itself.
+struct Registration {
+  EndpointId m_Id;
+  Incarnation m_Incarnation;
+  std::int64_t m_Heartbeat = 0; ///< Counts its registrations from its start.
+  std::string m_Service;
+  std::string m_Address; ///< "ip:port".
+  ZoneId m_Zone;
+  int m_Slots = 0;
+  bool m_Draining = false;
+  Inventory m_Inventory;
+};
+
+/// What this host believes of an endpoint.
+struct Endpoint {
+  Registration m_Registered;
+  /// The entry lapsed at a time at which the registry was away, so the
+  /// endpoint may live; it counts as gone from this time on.
+  std::optional<Instant> m_GoneAt;
+
+  bool takesWork() const { return !m_Registered.m_Draining; }
+  const EndpointId &id() const { return m_Registered.m_Id; }
+  const Inventory &inventory() const { return m_Registered.m_Inventory; }
+};
+
+/// How a registration changed the directory.
+enum class RegistrationEffect {
+  Stale,     ///< Older than what is known; ignored.
+  Refreshed, ///< Nothing that matters to requests has changed.
+  Changed,
+  Added,
+  Restarted, ///< A new incarnation under a known id.
+};
+
+/// The endpoints that take work, from their registrations. An entry that
+/// lapsed while the registry was away stays until a short time after the
+/// registry's return. Thread safety: none.
+class EndpointDirectory {
+public:
+  /// Endpoints are back in the registry within two seconds of its return; the
+  /// rest is the delay with which this host reads it.
+  static constexpr milliseconds LapseGrace{3000};
+
+  RegistrationEffect apply(Registration Item, Instant Now);
+  /// The entry is no longer in the registry. Returns true when the endpoint
+  /// left the directory at once.
+  bool remove(const EndpointId &Id, Instant Now);
+  /// Removes all that \p Present does not name, as remove() does. For a whole
+  /// listing of the registry.
+  void retain(const std::set<EndpointId> &Present, Instant Now);
+
+  void onRegistryLost(Instant Now);
+  void onRegistryRegained(Instant Now);
+  /// Removes endpoints whose grace has ended.
+  void expire(Instant Now);
+
+  /// Adds an adapter to what an endpoint is believed to hold.
+  void noteAdapter(const EndpointId &Id, const ModelName &Name);
+  /// The endpoint said that it does not hold the model or adapter.
+  void noteMissing(const EndpointId &Id, const ModelName &Name);
+  /// The endpoint has loaded a model; its next registration repeats it.
+  void noteModel(const EndpointId &Id, std::string_view Model);
+
+  const Endpoint *find(const EndpointId &Id) const;
+  /// Endpoints of a service that take work.
+  std::vector<const Endpoint *> serving(std::string_view Service) const;
+  const std::map<EndpointId, Endpoint> &all() const { return m_Endpoints; }
+
+private:
+  ResidentModel *resident(const EndpointId &Id, std::string_view Model);
+  bool isRegistryDoubtful(Instant Now) const;
+
+  std::map<EndpointId, Endpoint> m_Endpoints;
+  bool m_RegistryLost = false;
+  std::optional<Instant> m_RegainedAt;
+};
+
+} // namespace sff::serving
--- /dev/null
+++ b/Source/Core/Core/Serving/SwapPlanner.cpp
@@ -0,0 +1,73 @@
+#include "Core/Serving/SwapPlanner.h"
+
+#include <algorithm>
+
+namespace sff::serving {
+
+namespace {
+
+/// Callers of an evicted model within this time are taken to wait for it.
+constexpr double HorizonSeconds = 10;
+/// Wait of one such caller: a swap from an endpoint's disk.
+constexpr double ReloadWaitSeconds = 1.5;
+/// Part of that wait that the loss of one of several replicas causes, by the
+/// longer queues at the others.
+constexpr double SpareReplicaPart = 0.1;
+constexpr double LastSpareReplicaPart = 0.3;
+/// An eviction waits for the requests that run on the model.
+constexpr double InUseSeconds = 1;
+/// Advantage of the endpoint that the asking host would use.
+constexpr double PreferredSeconds = 0.3;
+
+/// Frees at least \p NeededMb by the cheapest models first, or returns nothing.
+std::optional<SwapPlan> planOn(const SwapCandidate &Candidate, double SizeMb) {
+  SwapPlan Plan{Candidate.m_Endpoint, {}, Candidate.m_Location,
+                Candidate.m_LoadSeconds, Candidate.m_LoadSeconds};
+  double FreeMb = Candidate.m_CapacityMb;
+  for (const HeldModel &Model : Candidate.m_Held)
+    FreeMb -= Model.m_SizeMb;
+  std::vector<const HeldModel *> Order;
+  for (const HeldModel &Model : Candidate.m_Held)
+    Order.push_back(&Model);
+  std::ranges::sort(Order, {}, [](const HeldModel *Model) {
+    return evictionCost(*Model);
+  });
+  for (const HeldModel *Model : Order) {
+    if (FreeMb >= SizeMb)
+      break;
+    FreeMb += Model->m_SizeMb;
+    Plan.m_Evict.push_back(Model->m_Name);
+    Plan.m_Cost += evictionCost(*Model);
+  }
+  if (FreeMb < SizeMb)
+    return std::nullopt;
+  if (Candidate.m_Preferred)
+    Plan.m_Cost -= PreferredSeconds;
+  return Plan;
+}
+
+} // namespace
+
+double evictionCost(const HeldModel &Model) {
+  double Part = 1;
+  if (Model.m_OtherReplicas == 1)
+    Part = LastSpareReplicaPart;
+  else if (Model.m_OtherReplicas > 1)
+    Part = SpareReplicaPart;
+  const double Waits =
+      Model.m_RequestRate * HorizonSeconds * ReloadWaitSeconds * Part;
+  return Waits + (Model.m_InUse ? InUseSeconds : 0);
+}
+
+std::optional<SwapPlan> planSwap(double SizeMb,
+                                 std::span<const SwapCandidate> Candidates) {
+  std::optional<SwapPlan> Best;
+  for (const SwapCandidate &Candidate : Candidates) {
+    auto Plan = planOn(Candidate, SizeMb);
+    if (Plan && (!Best || Plan->m_Cost < Best->m_Cost))
+      Best = std::move(Plan);
+  }
+  return Best;
+}
+
+} // namespace sff::serving
--- /dev/null
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -0,0 +1,238 @@
+#include "Host/DemandRouter.h"
+
+#include "Common/Codec/Codec.h"
+
+#include <algorithm>
+
+namespace sff::host {
+
+namespace {
+
+constexpr auto Part = log::Category::Loading;
+
+constexpr milliseconds ConnectTimeout{400};
+/// Beyond the time that the holder was told to answer in.
+constexpr milliseconds AnswerSlack{300};
+/// Longest wait of one call to a holder; the holder may be lost meanwhile.
+constexpr milliseconds LongestAsk{3000};
+constexpr milliseconds UsagePeriod{2000};
+constexpr milliseconds UsageTimeout{1000};
+/// Pause before the zones are asked again.
+constexpr milliseconds AskPause{150};
+/// A model that this host is asked for this often deserves a replica in the
+/// host's own zone.
+constexpr double ReplicaRate = 1.0;
+
+/// Sends a message to a peer and decodes its answer.
+template <typename Answer, typename Message>
+Task<std::optional<Answer>> call(http::Client &Peers, std::string Remote,
+                                 std::string_view Path, Message Request,
+                                 milliseconds Timeout) {
+  const auto Address = http::Address::parse(Remote);
+  if (!Address)
+    co_return std::nullopt;
+  http::Request Outgoing;
+  Outgoing.m_Method = "POST";
+  Outgoing.m_Target = std::string(Path);
+  Outgoing.m_Body = nlohmann::json(Request).dump();
+  http::ClientOptions Options;
+  Options.m_ConnectTimeout = ConnectTimeout;
+  Options.m_ReadTimeout = Timeout;
+  const http::SendResult Result =
+      co_await Peers.send(*Address, std::move(Outgoing), Options);
+  const auto *Received = std::get_if<http::Response>(&Result);
+  if (!Received || Received->m_Status != 200) {
+    const auto *Failure = std::get_if<http::TransportFailure>(&Result);
+    log::warning(log::Category::Peer, "peer.call_failed",
+                 {{"peer", Remote},
+                  {"path", Path},
+                  {"detail", Failure ? Failure->m_Detail : "status"}});
+    co_return std::nullopt;
+  }
+  const auto Parsed =
+      nlohmann::json::parse(Received->m_Body, nullptr, false);
+  if (Parsed.is_discarded())
+    co_return std::nullopt;
+  co_return Parsed.get<Answer>();
+}
+
+} // namespace
+
+void DemandRouter::start() {
+  m_State.spawn("report_usage", reportUsage());
+  m_State.spawn("wish_replicas", wishReplicas());
+}
+
+void DemandRouter::onRequest(const serving::ModelName &Name) {
+  m_State.m_OwnDemand.add(Name.m_Model, 1, now());
+  ++m_Usage[Name.m_Model];
+  if (!Name.m_Adapter.empty())
+    ++m_Usage[Name.str()];
+}
+
+void DemandRouter::ensure(const std::string &Service,
+                          const serving::ModelName &Name, std::int64_t Rank,
+                          Instant Until) {
+  if (m_Asked.insert(Name).second)
+    m_State.spawn("obtain_model", obtain(Service, Name, Rank, Until));
+}
+
+double DemandRouter::secondsAt(const serving::Endpoint &Item,
+                               const serving::ModelName &Name,
+                               const serving::ModelSpec &Model) const {
+  if (Item.inventory().find(Name.m_Model))
+    return 0;
+  if (Item.inventory().m_InHostMemory.contains(Name.m_Model))
+    return Model.m_MemoryLoadSeconds;
+  if (Item.inventory().m_OnDisk.contains(Name.m_Model))
+    return Model.m_DiskLoadSeconds;
+  return Model.m_RemoteLoadSeconds;
+}
+
+std::vector<DemandRouter::ZoneChoice>
+DemandRouter::zonesFor(const std::string &Service,
+                       const serving::ModelName &Name) const {
+  const auto Catalogue = m_State.m_Catalogue;
+  const serving::Service *Known = Catalogue->findService(Service);
+  const serving::ModelSpec *Model =
+      Known && Known->m_Engine ? Known->m_Engine->find(Name.m_Model) : nullptr;
+  std::map<ZoneId, double> Seconds;
+  if (Model)
+    for (const serving::Endpoint *Item : m_State.m_Endpoints.serving(Service)) {
+      const double There = secondsAt(*Item, Name, *Model);
+      const auto [Place, Fresh] =
+          Seconds.try_emplace(Item->m_Registered.m_Zone, There);
+      Place->second = std::min(Place->second, There);
+    }
+  std::vector<ZoneChoice> Result;
+  // All hosts come to the same order, so that they do not load the model in
+  // several zones at once.
+  for (const auto &[Zone, There] : Seconds)
+    Result.push_back(
+        {Zone, There, std::hash<std::string>()(Zone.str() + Name.str())});
+  std::ranges::sort(Result, [](const ZoneChoice &Left, const ZoneChoice &Right) {
+    return std::tie(Left.m_Seconds, Left.m_Hash) <
+           std::tie(Right.m_Seconds, Right.m_Hash);
+  });
+  return Result;
+}
+
+Task<DemandAnswer> DemandRouter::ask(ModelDemand Demand) {
+  const auto Holder = co_await m_Rights.holderOf(Demand.m_Zone);
+  if (!Holder)
+    co_return DemandAnswer{DemandStatus::NotHolder, {}};
+  if (*Holder == m_Rights.member())
+    co_return co_await m_Swaps.handle(Demand);
+  const auto Answer = co_await call<DemandAnswer>(
+      m_Peers, *Holder, DemandPath, Demand,
+      milliseconds(Demand.m_WaitMs) + AnswerSlack);
+  if (!Answer || Answer->m_Status == DemandStatus::NotHolder)
+    m_Rights.forgetHolder(Demand.m_Zone);
+  co_return Answer.value_or(DemandAnswer{DemandStatus::NotHolder, {}});
+}
+
+Task<void> DemandRouter::obtain(std::string Service, serving::ModelName Name,
+                                std::int64_t Rank, Instant Until) {
+  const Instant Start = now();
+  const auto Zones = zonesFor(Service, Name);
+  DemandAnswer Answer;
+  for (const ZoneChoice &Choice : Zones) {
+    if (now() >= Until)
+      break;
+    ModelDemand Demand{Choice.m_Zone, Service, Name.m_Model, Name.m_Adapter};
+    Demand.m_Rank = Rank;
+    Demand.m_WaitMs =
+        std::min(toMilliseconds(Until - now()), LongestAsk).count();
+    const auto *Known = m_State.m_Catalogue->findService(Service);
+    const auto *Model = Known && Known->m_Engine
+                            ? Known->m_Engine->find(Name.m_Model)
+                            : nullptr;
+    Demand.m_MayLoadRemote =
+        Model && Zones.front().m_Seconds >= Model->m_RemoteLoadSeconds;
+    Answer = co_await ask(Demand);
+    log::entry(Part, "demand.answered", Name.str(),
+               {{"zone", Choice.m_Zone},
+                {"status", Answer.m_Status},
+                {"endpoint", Answer.m_Endpoint},
+                {"took_ms", toMilliseconds(now() - Start).count()}});
+    if (Answer.m_Status == DemandStatus::Ready)
+      break;
+  }
+  if (Answer.m_Status == DemandStatus::Ready) {
+    m_State.m_Endpoints.noteModel(Answer.m_Endpoint, Name.m_Model);
+    if (!Name.m_Adapter.empty())
+      m_State.m_Endpoints.noteAdapter(Answer.m_Endpoint, Name);
+  } else {
+    co_await sleepFor(AskPause);
+  }
+  m_Asked.erase(Name);
+  m_State.m_Changed.notify();
+}
+
+Task<void> DemandRouter::reportUsage() {
+  while (true) {
+    co_await sleepFor(UsagePeriod);
+    UsageReport Report{HostId(m_Rights.member()), std::exchange(m_Usage, {})};
+    std::set<ZoneId> Zones;
+    for (const auto &[Id, Known] : m_State.m_Endpoints.all())
+      if (!Known.inventory().m_Models.empty())
+        Zones.insert(Known.m_Registered.m_Zone);
+    for (const ZoneId &Zone : Zones)
+      m_State.spawn("send_usage", sendUsage(Zone, Report));
+  }
+}
+
+Task<void> DemandRouter::sendUsage(ZoneId Zone, UsageReport Report) {
+  const auto Holder = co_await m_Rights.holderOf(Zone);
+  if (!Holder)
+    co_return;
+  std::optional<UsageAnswer> Answer;
+  if (*Holder == m_Rights.member())
+    Answer = m_Swaps.onUsage(Report);
+  else
+    Answer = co_await call<UsageAnswer>(m_Peers, *Holder, UsagePath, Report,
+                                        UsageTimeout);
+  if (!Answer) {
+    m_Rights.forgetHolder(Zone);
+    co_return;
+  }
+  // A holder that has just begun knows few hosts, so the largest count holds.
+  m_HostsByZone[Zone] = Answer->m_Hosts;
+  std::int64_t Hosts = 1;
+  for (const auto &[Known, Count] : m_HostsByZone)
+    Hosts = std::max(Hosts, Count);
+  m_State.setHosts(static_cast<std::size_t>(Hosts));
+}
+
+Task<void> DemandRouter::wishReplicas() {
+  while (true) {
+    co_await sleepFor(UsagePeriod);
+    if (!m_State.m_Catalogue)
+      continue;
+    for (const auto &[ServiceName, Service] :
+         m_State.m_Catalogue->m_Services) {
+      if (!Service.m_Engine)
+        continue;
+      const auto Serving = m_State.m_Endpoints.serving(ServiceName);
+      for (const auto &[Name, Model] : Service.m_Engine->m_Models) {
+        if (m_State.m_OwnDemand.rate(Name, now()) < ReplicaRate)
+          continue;
+        const bool InZone = std::ranges::any_of(
+            Serving, [this, &Name = Name](const serving::Endpoint *Item) {
+              return Item->m_Registered.m_Zone == m_State.m_Zone &&
+                     Item->inventory().find(Name);
+            });
+        if (InZone)
+          continue;
+        ModelDemand Wish{m_State.m_Zone, ServiceName, Name, {}};
+        Wish.m_Replica = true;
+        // The holder answers at once; the directory shows what came of it.
+        const DemandAnswer Answer = co_await ask(Wish);
+        log::entry(Part, "replica.wished", Name,
+                   {{"status", Answer.m_Status}});
+      }
+    }
+  }
+}
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/DemandRouter.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Host/SwapService.h"
+
+#include <map>
+#include <set>
+
+namespace sff::host {
+
+/// Asks the holders of the order rights for models and adapters that requests
+/// of this host wait for, and tells them what this host's callers use.
+/// Thread safety: use from the host's io_context only.
+class DemandRouter {
+public:
+  DemandRouter(HostState &State, OrderRights &Rights, SwapService &Swaps)
+      : m_State(State), m_Rights(Rights), m_Swaps(Swaps),
+        m_Peers(State.m_Context.get_executor()) {}
+
+  void start();
+  /// Makes sure that someone is asked for the model until \p Until; the
+  /// directory shows when it is there.
+  void ensure(const std::string &Service, const serving::ModelName &Name,
+              std::int64_t Rank, Instant Until);
+  void onRequest(const serving::ModelName &Name);
+
+private:
+  /// A zone whose endpoints may load the model, the best one first.
+  struct ZoneChoice {
+    ZoneId m_Zone;
+    double m_Seconds = 0; ///< Expected time to load there.
+    std::size_t m_Hash = 0;
+  };
+
+  Task<void> obtain(std::string Service, serving::ModelName Name,
+                    std::int64_t Rank, Instant Until);
+  std::vector<ZoneChoice> zonesFor(const std::string &Service,
+                                   const serving::ModelName &Name) const;
+  double secondsAt(const serving::Endpoint &Item,
+                   const serving::ModelName &Name,
+                   const serving::ModelSpec &Model) const;
+  Task<DemandAnswer> ask(ModelDemand Demand);
+  Task<void> reportUsage();
+  Task<void> sendUsage(ZoneId Zone, UsageReport Report);
+  Task<void> wishReplicas();
+
+  HostState &m_State;
+  OrderRights &m_Rights;
+  SwapService &m_Swaps;
+  http::Client m_Peers;
+  std::set<serving::ModelName> m_Asked;
+  std::map<std::string, double> m_Usage; ///< Since the last report.
+  std::map<ZoneId, std::int64_t> m_HostsByZone;
+};
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/Host.cpp
@@ -0,0 +1,213 @@
+#include "Host/Host.h"
+
+#include "Common/Process/Program.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <csignal>
+#include <sstream>
+
+namespace sff::host {
+
+namespace {
+
+constexpr auto Part = log::Category::Process;
+
+/// The balancer takes a host out after two of its questions, a second apart.
+constexpr milliseconds BalancerNotice{3000};
+/// Left of the grace time for the end of the process itself.
+constexpr milliseconds ExitMargin{600};
+constexpr milliseconds StopCheck{50};
+/// Limits of listeners that only the platform and other hosts reach.
+constexpr milliseconds InternalIdle{60000};
+/// Kept beyond the idle time that callers count on, so that a request that
+/// arrives at its end still finds the connection open.
+constexpr milliseconds IdleSlack{1000};
+constexpr milliseconds LimitsPeriod{1000};
+/// Pooled connections that nobody uses are closed after this.
+constexpr milliseconds PoolIdle{8000};
+
+template <typename Message>
+std::optional<Message> parseMessage(const std::string &Body) {
+  try {
+    return nlohmann::json::parse(Body).get<Message>();
+  } catch (const nlohmann::json::exception &Error) {
+    log::warning(log::Category::Peer, "peer.message_unreadable",
+                 {{"detail", Error.what()}});
+    return std::nullopt;
+  }
+}
+
+http::ServerLimits internalLimits() {
+  http::ServerLimits Result;
+  Result.m_IdleTimeout = InternalIdle;
+  return Result;
+}
+
+http::ServerLimits callerLimits(const serving::CallerLimits &Limits) {
+  http::ServerLimits Result;
+  Result.m_HeaderBytes = Limits.m_HeaderBytes;
+  Result.m_BodyBytes = Limits.m_BodyBytes;
+  Result.m_IdleTimeout = Limits.m_IdleTimeout + IdleSlack;
+  return Result;
+}
+
+http::Address addressOf(const settings::Settings &Values,
+                        const Setting<std::string> &Name) {
+  return *http::Address::parse(Values.get(Name));
+}
+
+} // namespace
+
+Host::Host(const settings::Settings &Values,
+           const log::ProcessIdentity &Identity,
+           const std::string &SettingsPath, const PlatformFactory &MakePlatform)
+    : m_Context(1), m_SettingsPath(SettingsPath),
+      m_State(m_Context, Values, Identity, MakePlatform(m_Context, Values)),
+      m_Rights(m_State, Values.get(PeersSetting)), m_Swaps(m_State, m_Rights),
+      m_Demands(m_State, m_Rights, m_Swaps), m_Follower(m_State),
+      m_Callers(m_Context, {},
+                [this](http::Request Incoming, http::Exchange &Caller) {
+                  return handleCaller(std::move(Incoming), Caller);
+                }),
+      m_Readiness(m_Context, internalLimits(),
+                  [this](http::Request Incoming, http::Exchange &Caller) {
+                    return handleReadiness(std::move(Incoming), Caller);
+                  }),
+      m_Peers(m_Context, internalLimits(),
+              [this](http::Request Incoming, http::Exchange &Caller) {
+                return handlePeer(std::move(Incoming), Caller);
+              }),
+      m_Metrics(m_Context, internalLimits(),
+                [this](http::Request Incoming, http::Exchange &Caller) {
+                  return handleMetrics(std::move(Incoming), Caller);
+                }),
+      m_Signals(m_Context, SIGTERM, SIGINT, SIGHUP) {
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+void Host::run() {
+  waitForSignal();
+  m_Follower.start();
+  m_Rights.start();
+  m_Demands.start();
+  m_State.spawn("follow_limits", followLimits());
+  const settings::Settings &Values = m_State.m_Settings;
+  m_Peers.listen(addressOf(Values, PeersSetting));
+  m_Metrics.listen(addressOf(Values, MetricsSetting));
+  m_Callers.listen(addressOf(Values, CallersSetting));
+  m_Readiness.listen(addressOf(Values, ReadinessSetting));
+  m_Context.run();
+}
+
+Task<void> Host::handleCaller(http::Request Incoming, http::Exchange &Caller) {
+  const auto Session = std::make_shared<RequestSession>(
+      m_State, m_Demands, m_Sessions, std::move(Incoming), Caller);
+  co_await Session->run();
+}
+
+bool Host::isReady() const {
+  return !m_Stopping && m_State.m_Catalogue && m_State.m_EndpointsKnown;
+}
+
+Task<void> Host::handleReadiness(http::Request, http::Exchange &Caller) {
+  http::Response Answer;
+  Answer.m_Status = isReady() ? 200 : 503;
+  co_await Caller.respond(std::move(Answer));
+}
+
+Task<void> Host::handlePeer(http::Request Incoming, http::Exchange &Caller) {
+  nlohmann::json Answer;
+  if (Incoming.path() == DemandPath) {
+    if (auto Demand = parseMessage<ModelDemand>(Incoming.m_Body))
+      Answer = co_await m_Swaps.handle(std::move(*Demand));
+  } else if (Incoming.path() == UsagePath) {
+    if (const auto Report = parseMessage<UsageReport>(Incoming.m_Body))
+      Answer = m_Swaps.onUsage(*Report);
+  }
+  if (Answer.is_null())
+    co_await Caller.respond(http::makeProblem(400, "Bad Request",
+                                              "unknown or unreadable message"));
+  else
+    co_await Caller.respond(http::makeJson(200, Answer));
+}
+
+Task<void> Host::handleMetrics(http::Request, http::Exchange &Caller) {
+  http::Response Answer;
+  Answer.m_Headers.set("Content-Type", "text/plain; version=0.0.4");
+  Answer.m_Body = m_State.m_Metrics.serialize();
+  co_await Caller.respond(std::move(Answer));
+}
+
+Task<void> Host::followLimits() {
+  std::int64_t Applied = -1;
+  while (true) {
+    co_await sleepFor(LimitsPeriod);
+    m_State.m_Http.closeIdle(PoolIdle);
+    if (!m_State.m_Catalogue || m_State.m_Catalogue->m_Version == Applied)
+      continue;
+    Applied = m_State.m_Catalogue->m_Version;
+    m_Callers.setLimits(callerLimits(m_State.m_Catalogue->m_Limits));
+  }
+}
+
+void Host::waitForSignal() {
+  m_Signals.async_wait(
+      [this](const boost::system::error_code &Error, int Signal) {
+        if (Error)
+          return;
+        if (Signal == SIGHUP) {
+          reload();
+          waitForSignal();
+          return;
+        }
+        m_State.spawn("stop", stop());
+      });
+}
+
+void Host::reload() {
+  boost::leaf::try_handle_all(
+      [this]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(Values, hostSchema().load(m_SettingsPath));
+        m_State.m_Settings = Values;
+        log::info(Part, "settings.reloaded");
+        return {};
+      },
+      [](const findings::FindingList &Findings) {
+        std::ostringstream Text;
+        Text << Findings;
+        log::error(Part, "settings.rejected", {{"findings", Text.str()}});
+      },
+      [] { log::error(Part, "settings.rejected", {{"findings", "unread"}}); });
+}
+
+Task<void> Host::stop() {
+  const Instant Start = now();
+  const std::chrono::duration<double> Grace(
+      m_State.m_Settings.get(GraceSetting));
+  const Instant Latest =
+      Start + std::chrono::duration_cast<Duration>(Grace) - ExitMargin;
+  m_Stopping = true;
+  log::info(Part, "process.stopping",
+            {{"requests", m_Callers.activeRequests()},
+             {"connections", m_Callers.connections()}});
+  // Answers ask callers to come back on another connection; requests on open
+  // connections are still served until the balancer has taken notice.
+  m_Callers.beginDrain();
+  co_await m_Rights.release();
+  while (now() < Latest) {
+    const bool Quiet = m_Callers.activeRequests() == 0;
+    if (Quiet && now() - Start > BalancerNotice)
+      break;
+    co_await sleepFor(StopCheck);
+  }
+  log::info(Part, "process.drained",
+            {{"requests", m_Callers.activeRequests()},
+             {"connections", m_Callers.connections()},
+             {"took_ms", toMilliseconds(now() - Start).count()}});
+  m_Callers.stopAccepting();
+  co_await sleepFor(StopCheck);
+  m_Context.stop();
+}
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/Host.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Host/DemandRouter.h"
+#include "Host/RequestSession.h"
+#include "Host/StoreFollower.h"
+#include "Net/Http/Server.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace sff::host {
+
+/// Makes the adapter of the platform; the io_context outlives it.
+using PlatformFactory = std::function<Platform(boost::asio::io_context &,
+                                               const settings::Settings &)>;
+
+/// One entry host: serves callers, follows the store and, when it holds the
+/// right, gives orders to endpoints.
+/// Thread safety: construct and run on one thread.
+class Host {
+public:
+  Host(const settings::Settings &Values, const log::ProcessIdentity &Identity,
+       const std::string &SettingsPath, const PlatformFactory &MakePlatform);
+
+  /// Serves until SIGTERM or SIGINT, then finishes what has been read.
+  /// Precondition: called once.
+  void run();
+
+private:
+  Task<void> handleCaller(http::Request Incoming, http::Exchange &Caller);
+  Task<void> handleReadiness(http::Request Incoming, http::Exchange &Caller);
+  Task<void> handlePeer(http::Request Incoming, http::Exchange &Caller);
+  Task<void> handleMetrics(http::Request Incoming, http::Exchange &Caller);
+  bool isReady() const;
+  Task<void> followLimits();
+  void waitForSignal();
+  void reload();
+  Task<void> stop();
+
+  boost::asio::io_context m_Context;
+  std::string m_SettingsPath;
+  HostState m_State;
+  OrderRights m_Rights;
+  SwapService m_Swaps;
+  DemandRouter m_Demands;
+  StoreFollower m_Follower;
+  SessionMemory m_Sessions;
+  http::Server m_Callers;
+  http::Server m_Readiness;
+  http::Server m_Peers;
+  http::Server m_Metrics;
+  boost::asio::signal_set m_Signals;
+  bool m_Stopping = false;
+};
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/HostMetrics.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Common/Time/Instant.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <string>
+#include <string_view>
+
+namespace sff::host {
+
+/// Metrics of one host. Labels are outcomes and services only, because
+/// thousands of models would make as many time series.
+/// Thread safety: any thread.
+class HostMetrics {
+public:
+  HostMetrics();
+
+  /// One caller's request has ended.
+  void onOutcome(std::string_view Outcome, Duration Taken);
+  void onFirstByte(Duration Taken) { observe(m_FirstByte, Taken); }
+  void onRetry() { m_Retries.Increment(); }
+  void onResume() { m_Resumes.Increment(); }
+  void onOrder(std::string_view Result);
+  void onSwap(Duration Taken) { observe(m_Swaps, Taken); }
+  void onStoreCall(std::string_view Call, bool Answered);
+  void onUnreadable(int Records);
+  void setEndpoints(std::size_t Count);
+  void setCatalogueVersion(std::int64_t Version);
+
+  /// All metrics in the text format.
+  std::string serialize() const;
+
+private:
+  static void observe(prometheus::Histogram &Into, Duration Taken);
+  prometheus::Counter &counter(const std::string &Name,
+                               const std::string &Help);
+  prometheus::Histogram &histogram(const std::string &Name,
+                                   const std::string &Help);
+  prometheus::Gauge &gauge(const std::string &Name, const std::string &Help);
+
+  prometheus::Registry m_Registry;
+  prometheus::Family<prometheus::Counter> &m_Requests;
+  prometheus::Family<prometheus::Counter> &m_Orders;
+  prometheus::Family<prometheus::Counter> &m_StoreCalls;
+  prometheus::Histogram &m_Durations;
+  prometheus::Histogram &m_FirstByte;
+  prometheus::Histogram &m_Swaps;
+  prometheus::Counter &m_Retries;
+  prometheus::Counter &m_Resumes;
+  prometheus::Counter &m_Unreadable;
+  prometheus::Gauge &m_Endpoints;
+  prometheus::Gauge &m_CatalogueVersion;
+};
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/HostSettings.cpp
@@ -0,0 +1,29 @@
+#include "Host/HostSettings.h"
+
+#include "Common/Process/Program.h"
+
+namespace sff::host {
+
+const settings::Schema &hostSchema() {
+  static const settings::Schema Instance = [] {
+    settings::Schema Result;
+    process::addCommonSettings(Result);
+    Result.add(CallersSetting)
+        .add(ReadinessSetting)
+        .add(PeersSetting)
+        .add(MetricsSetting)
+        .add(StoreSetting)
+        .add(ZonesSetting)
+        .add(LeaseSetting)
+        .add(FencingSetting)
+        .add(RetryRatioSetting)
+        .add(RetryExtraSetting)
+        .add(RetryWindowSetting)
+        .add(GraceSetting)
+        .add(DrainSetting);
+    return Result;
+  }();
+  return Instance;
+}
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/HostState.cpp
@@ -0,0 +1,73 @@
+#include "Host/HostState.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <ctime>
+#include <random>
+
+namespace sff::host {
+
+namespace {
+
+/// Fingerprints of requests that crashed endpoints, and how long they count.
+constexpr std::size_t MaxFingerprints = 1000;
+constexpr milliseconds FingerprintPeriod{60000};
+/// Time over which the rates of models are averaged.
+constexpr milliseconds DemandMemory{20000};
+
+serving::RetryBounds retryBounds(const settings::Settings &Values) {
+  const std::chrono::duration<double> Window(Values.get(RetryWindowSetting));
+  return {Values.get(RetryRatioSetting), Values.get(RetryExtraSetting),
+          std::chrono::duration_cast<Duration>(Window)};
+}
+
+} // namespace
+
+Instant bootTime() {
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return Instant(std::chrono::seconds(Time.tv_sec) +
+                 std::chrono::nanoseconds(Time.tv_nsec));
+}
+
+HostState::HostState(boost::asio::io_context &Context,
+                     const settings::Settings &Values,
+                     log::ProcessIdentity Identity, Platform Adapter)
+    : m_Context(Context), m_Settings(Values), m_Identity(std::move(Identity)),
+      m_Zone(m_Identity.m_Zone), m_Platform(std::move(Adapter)),
+      m_Http(Context.get_executor()), m_Changed(Context.get_executor()),
+      m_Chooser(m_Zone, std::random_device{}()),
+      m_Quarantine(MaxFingerprints, FingerprintPeriod),
+      m_OwnDemand(DemandMemory) {}
+
+serving::SharedRetryBudget &HostState::budget(const std::string &Service) {
+  const auto Found = m_Budgets.find(Service);
+  if (Found != m_Budgets.end())
+    return Found->second;
+  serving::SharedRetryBudget Fresh(retryBounds(m_Settings));
+  Fresh.setHosts(m_Hosts);
+  return m_Budgets.emplace(Service, Fresh).first->second;
+}
+
+void HostState::setHosts(std::size_t Hosts) {
+  m_Hosts = Hosts;
+  for (auto &[Service, Budget] : m_Budgets)
+    Budget.setHosts(Hosts);
+}
+
+void HostState::spawn(std::string Duty, Task<void> Work) {
+  boost::asio::co_spawn(
+      m_Context, std::move(Work),
+      [Duty = std::move(Duty)](const std::exception_ptr &Failure) {
+        if (!Failure)
+          return;
+        try {
+          std::rethrow_exception(Failure);
+        } catch (const std::exception &Error) {
+          log::error(log::Category::Process, "process.duty_failed",
+                     {{"duty", Duty}, {"detail", Error.what()}});
+        }
+      });
+}
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/HostState.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Common/Logging/Log.h"
+#include "Core/Retry/CrashQuarantine.h"
+#include "Core/Serving/DemandRates.h"
+#include "Core/Serving/EndpointChooser.h"
+#include "Core/Serving/SharedRetryBudget.h"
+#include "Host/ChangeSignal.h"
+#include "Host/HostMetrics.h"
+#include "Host/HostSettings.h"
+#include "Host/Ports.h"
+#include "Net/Http/Client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+
+namespace sff::host {
+
+/// The time now, of the clock that the core is given.
+inline Instant now() { return std::chrono::steady_clock::now(); }
+
+/// The time of a clock that counts suspended time too.
+Instant bootTime();
+
+/// What the parts of a host share. Lives as long as the host's io_context.
+/// Thread safety: use from the host's io_context only.
+struct HostState {
+  HostState(boost::asio::io_context &Context, const settings::Settings &Values,
+            log::ProcessIdentity Identity, Platform Adapter);
+
+  /// The retry budget of a service.
+  serving::SharedRetryBudget &budget(const std::string &Service);
+  /// The number of hosts that share the retry budget has changed.
+  void setHosts(std::size_t Hosts);
+  std::size_t hosts() const { return m_Hosts; }
+  /// Starts a coroutine that runs beside the caller; an exception that leaves
+  /// it is logged under \p Duty.
+  void spawn(std::string Duty, Task<void> Work);
+
+  boost::asio::io_context &m_Context;
+  settings::Settings m_Settings;
+  log::ProcessIdentity m_Identity;
+  ZoneId m_Zone;
+  Platform m_Platform;
+  http::Client m_Http; ///< To endpoints.
+  HostMetrics m_Metrics;
+  ChangeSignal m_Changed; ///< Catalogue, endpoints or inventories.
+  std::shared_ptr<const serving::Catalogue> m_Catalogue;
+  serving::EndpointDirectory m_Endpoints;
+  bool m_EndpointsKnown = false; ///< The registry has been listed once.
+  serving::EndpointChooser m_Chooser;
+  retry::CrashQuarantine m_Quarantine;
+  /// Requests for models that reached this host.
+  serving::DemandRates m_OwnDemand;
+
+private:
+  std::map<std::string, serving::SharedRetryBudget> m_Budgets;
+  std::size_t m_Hosts = 1;
+};
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/PeerMessages.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Common/Codec/Fields.h"
+#include "Common/Identity/Ids.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <string>
+
+namespace sff::host {
+
+/// Paths of the calls between hosts.
+constexpr std::string_view DemandPath = "/v1/demand";
+constexpr std::string_view UsagePath = "/v1/usage";
+
+/// A host needs a model, or an adapter of one, in an availability zone. The
+/// holder of that zone's right to order answers when it is there.
+struct ModelDemand {
+  ZoneId m_Zone;
+  std::string m_Service;
+  std::string m_Model;
+  std::string m_Adapter;
+  std::int64_t m_WaitMs = 0; ///< How long the asking host waits.
+  std::int64_t m_Rank = 0;   ///< Of the most urgent request; 0 is first.
+  bool m_MayLoadRemote = false; ///< No endpoint has the weights at hand.
+  /// A further replica of a busy model: worth it only at little cost.
+  bool m_Replica = false;
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("zone", &ModelDemand::m_Zone),
+                           field("service", &ModelDemand::m_Service),
+                           field("model", &ModelDemand::m_Model),
+                           field("adapter", &ModelDemand::m_Adapter),
+                           field("wait_ms", &ModelDemand::m_WaitMs),
+                           field("rank", &ModelDemand::m_Rank),
+                           field("remote", &ModelDemand::m_MayLoadRemote),
+                           field("replica", &ModelDemand::m_Replica));
+  }
+};
+
+enum class DemandStatus {
+  Ready,     ///< The endpoint holds the model and the adapter.
+  Busy,      ///< Not within the time that the host waits.
+  NotHolder, ///< The asked host has no right to order in the zone.
+  Impossible ///< No endpoint of the zone can load it.
+};
+
+NLOHMANN_JSON_SERIALIZE_ENUM(DemandStatus,
+                             {{DemandStatus::Busy, "busy"},
+                              {DemandStatus::Ready, "ready"},
+                              {DemandStatus::NotHolder, "not_holder"},
+                              {DemandStatus::Impossible, "impossible"}})
+
+struct DemandAnswer {
+  DemandStatus m_Status = DemandStatus::Busy;
+  EndpointId m_Endpoint;
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("status", &DemandAnswer::m_Status),
+                           field("endpoint", &DemandAnswer::m_Endpoint));
+  }
+};
+
+/// Requests that one host has had for each model since its last report.
+struct UsageReport {
+  HostId m_Host;
+  std::map<std::string, double> m_Requests;
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("host", &UsageReport::m_Host),
+                           field("requests", &UsageReport::m_Requests));
+  }
+};
+
+struct UsageAnswer {
+  std::int64_t m_Hosts = 0; ///< Hosts that report usage to this holder.
+
+  static constexpr auto describe() {
+    return std::make_tuple(codec::field("hosts", &UsageAnswer::m_Hosts));
+  }
+};
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/RequestSession.cpp
@@ -0,0 +1,523 @@
+#include "Host/RequestSession.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <functional>
+
+namespace sff::host {
+
+namespace {
+
+constexpr auto Part = log::Category::Routing;
+
+/// Left of the caller's time for the way of the final answer.
+constexpr milliseconds AnswerMargin{30};
+/// Used where the caller names no deadline and the route no timeout.
+constexpr milliseconds DefaultTimeout{30000};
+constexpr milliseconds ConnectTimeout{600};
+/// Pooled connections that are idle longer are not used again.
+constexpr milliseconds MaxIdle{4000};
+/// A request that may be repeated goes to another endpoint after this multiple
+/// of its target latency without an answer, and not before this time.
+constexpr int PatienceFactor = 3;
+constexpr milliseconds LeastPatience{400};
+/// Longest pause in a stream that may go on at another endpoint.
+constexpr milliseconds StreamPatience{1500};
+/// Wake-up of a wait for the directory, which notifies of changes itself.
+constexpr milliseconds RecheckPeriod{250};
+/// Pause before an endpoint that was full is asked again.
+constexpr milliseconds FullPause{60};
+constexpr milliseconds DefaultRetryAfter{1000};
+/// Requests with less time left than this are refused while they wait.
+constexpr milliseconds LeastUsefulTime{50};
+constexpr std::int64_t HighestRank = 9;
+
+std::uint64_t hashOf(std::string_view Text) {
+  return std::hash<std::string_view>()(Text);
+}
+
+bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
+
+} // namespace
+
+std::optional<EndpointId> SessionMemory::find(std::string_view Session) const {
+  const auto Found = m_Endpoints.find(Session);
+  if (Found == m_Endpoints.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+void SessionMemory::note(const std::string &Session,
+                         const EndpointId &Endpoint) {
+  if (Session.empty())
+    return;
+  if (m_Endpoints.size() >= MaxSessions && !m_Endpoints.contains(Session))
+    m_Endpoints.erase(m_Endpoints.begin());
+  m_Endpoints[Session] = Endpoint;
+}
+
+RequestSession::RequestSession(HostState &State, DemandRouter &Demands,
+                               SessionMemory &Sessions, http::Request Incoming,
+                               http::Exchange &Caller)
+    : m_State(State), m_Demands(Demands), m_Sessions(Sessions),
+      m_Incoming(std::move(Incoming)), m_Caller(Caller), m_Arrived(now()),
+      m_Timer(State.m_Context) {}
+
+Task<void> RequestSession::run() {
+  m_Facts = m_State.m_Platform.m_Wire->decode(m_Incoming);
+  m_Catalogue = m_State.m_Catalogue;
+  if (!m_Catalogue) {
+    co_await refuse("no_catalogue", DefaultRetryAfter);
+    co_return;
+  }
+  if (!findRoute()) {
+    co_await answerProblem(404, "no_route", std::nullopt);
+    co_return;
+  }
+  startClocks();
+  m_Fingerprint = std::to_string(
+      hashOf(m_Incoming.m_Target + m_Facts.m_Model.str() + m_Incoming.m_Body));
+  if (m_State.m_Quarantine.verdict(m_Fingerprint, now()) ==
+      retry::QuarantineVerdict::Refuse)
+    co_await refuse("crashed_endpoints", DefaultRetryAfter);
+  else
+    co_await serve();
+  m_Ended = true;
+  m_Timer.cancel();
+}
+
+bool RequestSession::findRoute() {
+  m_Route = m_Catalogue->findRoute(m_Incoming.m_Headers.view("Host"),
+                                   m_Incoming.path());
+  if (!m_Route || m_Route->m_Shares.empty())
+    return false;
+  // The request id decides, so that a share does not depend on the host.
+  m_Service = m_Catalogue->findService(
+      m_Route->serviceAt(hashOf(m_Facts.m_Id.str())));
+  return m_Service != nullptr;
+}
+
+void RequestSession::startClocks() {
+  milliseconds Limit = DefaultTimeout;
+  if (m_Route->m_Timeout > milliseconds(0))
+    Limit = m_Route->m_Timeout;
+  if (m_Facts.m_Deadline)
+    Limit = std::min(Limit, *m_Facts.m_Deadline - AnswerMargin);
+  m_AnswerBy = m_Arrived + Limit;
+  m_Timer.expires_at(m_AnswerBy);
+  m_Timer.async_wait([Self = shared_from_this()](
+                         const boost::system::error_code &Error) {
+    if (Error || Self->m_Ended)
+      return;
+    Self->m_Expired = true;
+    if (Self->m_Canceller)
+      Self->m_Canceller->cancel();
+  });
+  m_Caller.watchCaller([Weak = weak_from_this()] {
+    const auto Self = Weak.lock();
+    if (!Self || Self->m_Ended)
+      return;
+    Self->m_CallerGone = true;
+    if (Self->m_Canceller)
+      Self->m_Canceller->cancel();
+  });
+}
+
+Task<void> RequestSession::serve() {
+  m_State.budget(m_Service->m_Name).onRequest(now());
+  if (!m_Facts.m_Model.m_Model.empty())
+    m_Demands.onRequest(m_Facts.m_Model);
+  while (!isOver())
+    if (co_await serveOnce() == Step::Finished)
+      co_return;
+  if (m_CallerGone)
+    finish("caller_gone", 0, "");
+  else
+    co_await giveUp("timeout");
+}
+
+std::vector<const serving::Endpoint *> RequestSession::candidates() const {
+  auto List = m_State.m_Endpoints.serving(m_Service->m_Name);
+  const serving::ModelName &Name = m_Facts.m_Model;
+  if (Name.m_Model.empty() || !m_Service->m_Engine)
+    return List;
+  std::erase_if(List, [&Name](const serving::Endpoint *Item) {
+    const auto *Model = Item->inventory().find(Name.m_Model);
+    return !Model ||
+           (!Name.m_Adapter.empty() && !Model->m_Adapters.contains(Name.m_Adapter));
+  });
+  return List;
+}
+
+Task<RequestSession::Step> RequestSession::serveOnce() {
+  const auto List = candidates();
+  const bool NeedsModel =
+      m_Service->m_Engine && !m_Facts.m_Model.m_Model.empty();
+  if (List.empty() && NeedsModel)
+    co_return co_await waitForModel();
+  if (List.empty()) {
+    co_await giveUp("no_endpoint");
+    co_return Step::Finished;
+  }
+  serving::ChoiceContext Context;
+  Context.m_Tried = &m_Tried;
+  Context.m_Affine = m_Sessions.find(m_Facts.m_Session);
+  Context.m_AffineTokens = m_Facts.m_SessionTokens;
+  const auto Chosen = m_State.m_Chooser.choose(List, Context, now());
+  if (!Chosen) {
+    // All have refused; they may have room again.
+    std::erase_if(m_Tried, [this](const EndpointId &Id) {
+      return !m_MayHaveRun.contains(Id);
+    });
+    if (m_MayHaveRun.size() >= List.size()) {
+      co_await giveUp("no_other_endpoint");
+      co_return Step::Finished;
+    }
+    co_await m_State.m_Changed.wait(FullPause);
+    co_return Step::TryAgain;
+  }
+  const std::string Address =
+      m_State.m_Endpoints.find(*Chosen)->m_Registered.m_Address;
+  co_return co_await attempt(*Chosen, Address);
+}
+
+Task<RequestSession::Step> RequestSession::waitForModel() {
+  const bool AnyEndpoint =
+      !m_State.m_Endpoints.serving(m_Service->m_Name).empty();
+  const bool Known = m_Service->m_Engine->find(m_Facts.m_Model.m_Model);
+  if (!AnyEndpoint || !Known) {
+    co_await giveUp(Known ? "no_endpoint" : "unknown_model");
+    co_return Step::Finished;
+  }
+  if (left() < LeastUsefulTime) {
+    co_await giveUp("model_not_loaded");
+    co_return Step::Finished;
+  }
+  m_Demands.ensure(m_Service->m_Name, m_Facts.m_Model, m_Route->m_Rank,
+                   m_AnswerBy);
+  co_await m_State.m_Changed.wait(
+      std::min<Duration>(RecheckPeriod, left()));
+  co_return Step::TryAgain;
+}
+
+milliseconds RequestSession::patience() const {
+  const milliseconds Left = toMilliseconds(left());
+  if (!m_Route->isIdempotent() ||
+      static_cast<int>(m_MayHaveRun.size()) + 1 >= m_Route->m_MaxEndpoints)
+    return Left;
+  if (m_Route->m_Kind == serving::RouteKind::Stream)
+    return std::min(Left, StreamPatience);
+  return std::min(Left, std::max(LeastPatience, PatienceFactor *
+                                                    m_Route->m_TargetLatency));
+}
+
+http::ClientOptions RequestSession::callOptions() const {
+  http::ClientOptions Options;
+  Options.m_ConnectTimeout =
+      std::min(ConnectTimeout, toMilliseconds(left()));
+  Options.m_WriteTimeout = toMilliseconds(left());
+  Options.m_ReadTimeout = patience();
+  Options.m_MaxIdle = MaxIdle;
+  Options.m_Echo = m_State.m_Platform.m_Wire->echoOf(m_Facts.m_Id);
+  Options.m_Canceller = m_Canceller;
+  return Options;
+}
+
+DispatchFacts RequestSession::dispatchFacts(const EndpointId &Id) const {
+  DispatchFacts Facts;
+  Facts.m_Endpoint = Id;
+  Facts.m_Deadline = toMilliseconds(left());
+  if (m_Service->m_Engine)
+    Facts.m_Rank = std::clamp<std::int64_t>(m_Route->m_Rank, 0, HighestRank);
+  if (m_HeadSent && !m_Events.lastId().empty())
+    Facts.m_LastEventId = m_Events.lastId();
+  return Facts;
+}
+
+bool RequestSession::mayRepeat() {
+  if (m_Sends == 0)
+    return true;
+  if (static_cast<int>(m_MayHaveRun.size()) >= m_Route->m_MaxEndpoints)
+    return false;
+  return m_State.budget(m_Service->m_Name).tryRetry(now());
+}
+
+Task<RequestSession::Step> RequestSession::attempt(EndpointId Id,
+                                                   std::string Address) {
+  const auto Remote = http::Address::parse(Address);
+  if (!Remote) {
+    m_Tried.insert(Id);
+    co_return Step::TryAgain;
+  }
+  if (!std::exchange(m_RetryGranted, false) && !mayRepeat()) {
+    co_await giveUp("retry_budget");
+    co_return Step::Finished;
+  }
+  if (m_Sends > 0)
+    m_State.m_Metrics.onRetry();
+  m_Canceller = std::make_shared<http::CallCanceller>();
+  logStep("request.dispatched",
+          {{"endpoint", Id},
+           {"send", m_Sends + 1},
+           {"load", m_State.m_Chooser.loads().estimate(Id, now())},
+           {"left_ms", toMilliseconds(left()).count()},
+           {"catalogue", m_Catalogue->m_Version}});
+  auto &Loads = m_State.m_Chooser.loads();
+  Loads.onDispatched(Id, now());
+  const std::shared_ptr<void> Done(
+      nullptr, [&Loads, Id](void *) { Loads.onFinished(Id, now()); });
+  const Instant SentAt = now();
+  http::Request Outgoing =
+      m_State.m_Platform.m_Wire->encode(m_Incoming, dispatchFacts(Id));
+  http::OpenResult Result = co_await m_State.m_Http.open(
+      *Remote, std::move(Outgoing), callOptions());
+  if (auto *Failure = std::get_if<http::TransportFailure>(&Result))
+    co_return co_await onOpenFailed(Id, std::move(*Failure));
+  ++m_Sends;
+  m_State.m_Chooser.health().onLatency(Id, now() - SentAt);
+  co_return co_await onHead(Id, std::get<OpenStream>(std::move(Result)));
+}
+
+Task<RequestSession::Step>
+RequestSession::onOpenFailed(EndpointId Id, http::TransportFailure Failure) {
+  m_Tried.insert(Id);
+  if (!Failure.provesNotSent()) {
+    ++m_Sends;
+    const auto Result = Failure.m_TimedOut ? serving::CallResult::Silent
+                                           : serving::CallResult::Broken;
+    co_return co_await onBroken(Id, Result, Failure.m_Detail);
+  }
+  if (isOver())
+    co_return Step::TryAgain;
+  m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
+                                      now());
+  logStep("request.not_sent", {{"endpoint", Id}, {"detail", Failure.m_Detail}});
+  co_return Step::TryAgain;
+}
+
+Task<RequestSession::Step>
+RequestSession::onBroken(EndpointId Id, serving::CallResult Result,
+                         std::string Detail) {
+  m_MayHaveRun.insert(Id);
+  m_Tried.insert(Id);
+  m_Guard.markSent();
+  if (isOver())
+    co_return Step::TryAgain;
+  m_State.m_Chooser.health().onResult(Id, Result, now());
+  const bool Silent = Result == serving::CallResult::Silent;
+  if (Silent) {
+    if (const serving::Endpoint *Known = m_State.m_Endpoints.find(Id))
+      if (const auto Remote =
+              http::Address::parse(Known->m_Registered.m_Address))
+        m_State.m_Http.dropIdle(*Remote);
+  }
+  logStep("request.broken",
+          {{"endpoint", Id}, {"silent", Silent}, {"detail", Detail}});
+  if (m_Route->isIdempotent() &&
+      static_cast<int>(m_MayHaveRun.size()) < m_Route->m_MaxEndpoints)
+    co_return Step::TryAgain;
+  co_await giveUp("endpoint_lost");
+  co_return Step::Finished;
+}
+
+Task<RequestSession::Step> RequestSession::onNotRun(EndpointId Id,
+                                                    AnswerFacts Facts,
+                                                    int Status) {
+  m_Tried.insert(Id);
+  if (Facts.m_OtherEndpoint)
+    m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
+                                        now());
+  if (Facts.m_LacksModel)
+    m_State.m_Endpoints.noteMissing(Id, m_Facts.m_Model);
+  logStep("request.not_run",
+          {{"endpoint", Id},
+           {"status", Status},
+           {"other_endpoint", Facts.m_OtherEndpoint},
+           {"lacks_model", Facts.m_LacksModel}});
+  co_return Step::TryAgain;
+}
+
+Task<RequestSession::Step> RequestSession::onHead(EndpointId Id,
+                                                  OpenStream Answer) {
+  const http::Response &Head = Answer->head();
+  const AnswerFacts Facts = m_State.m_Platform.m_Wire->decode(Head);
+  if (Facts.m_Load)
+    m_State.m_Chooser.loads().onReport(
+        Id, Facts.m_Load->m_Running + Facts.m_Load->m_Waiting, Duration::zero(),
+        now());
+  if (Facts.m_NotRun) {
+    Answer->close();
+    co_return co_await onNotRun(Id, Facts, Head.m_Status);
+  }
+  m_MayHaveRun.insert(Id);
+  m_Guard.markSent();
+  if (!Facts.m_Sealed) {
+    Answer->close();
+    co_return co_await onBroken(Id, serving::CallResult::Broken,
+                                "the answer has no seal");
+  }
+  m_Sessions.note(m_Facts.m_Session, Id);
+  const bool Streams = m_Route->m_Kind == serving::RouteKind::Stream;
+  if (Streams && isSuccess(Head.m_Status))
+    co_return co_await passStream(Id, std::move(Answer));
+  co_return co_await passWhole(Id, std::move(Answer));
+}
+
+Task<RequestSession::Step> RequestSession::passWhole(EndpointId Id,
+                                                     OpenStream Answer) {
+  const int Status = Answer->head().m_Status;
+  std::string Body;
+  while (true) {
+    auto Next = co_await Answer->read();
+    if (auto *Failure = std::get_if<http::TransportFailure>(&Next))
+      co_return co_await onBroken(
+          Id,
+          Failure->m_TimedOut ? serving::CallResult::Silent
+                              : serving::CallResult::Broken,
+          Failure->m_Detail);
+    std::string &Piece = std::get<std::string>(Next);
+    if (Piece.empty())
+      break;
+    Body += Piece;
+  }
+  const bool Failed = Status >= 500;
+  m_State.m_Chooser.health().onResult(
+      Id, Failed ? serving::CallResult::Failed : serving::CallResult::Good,
+      now());
+  const bool Repeat =
+      Failed && !m_HeadSent && m_Route->isIdempotent() &&
+      static_cast<int>(m_MayHaveRun.size()) < m_Route->m_MaxEndpoints &&
+      candidates().size() > m_Tried.size() + 1 && mayRepeat();
+  if (Repeat) {
+    m_Tried.insert(Id);
+    m_RetryGranted = true;
+    logStep("request.failed_at_endpoint", {{"endpoint", Id}, {"status", Status}});
+    co_return Step::TryAgain;
+  }
+  if (m_HeadSent) {
+    m_Caller.abort();
+    finish("broken_off", 0, "resume_failed");
+    co_return Step::Finished;
+  }
+  http::Response Final =
+      m_State.m_Platform.m_Wire->forCaller(Answer->head());
+  Final.m_Body = std::move(Body);
+  Final.m_Headers.erase("Content-Length");
+  m_State.m_Metrics.onFirstByte(now() - m_Arrived);
+  const bool Delivered = co_await m_Caller.respond(std::move(Final));
+  finish(Delivered ? "answered" : "caller_gone", Status, "");
+  co_return Step::Finished;
+}
+
+Task<RequestSession::Step> RequestSession::passStream(EndpointId Id,
+                                                      OpenStream Answer) {
+  const StreamEnd End = co_await pipe(Id, Answer);
+  if (End == StreamEnd::Whole) {
+    m_State.m_Chooser.health().onResult(Id, serving::CallResult::Good, now());
+    co_await m_Caller.endStream();
+    finish("answered", Answer->head().m_Status, "");
+    co_return Step::Finished;
+  }
+  Answer->close();
+  if (End == StreamEnd::CallerGone) {
+    finish("caller_gone", 0, "");
+    co_return Step::Finished;
+  }
+  m_Events.dropPartial();
+  co_return co_await onBroken(Id, serving::CallResult::Broken,
+                              "the stream broke");
+}
+
+Task<RequestSession::StreamEnd> RequestSession::pipe(EndpointId Id,
+                                                     OpenStream Answer) {
+  while (true) {
+    auto Next = co_await Answer->read();
+    if (m_CallerGone)
+      co_return StreamEnd::CallerGone;
+    if (std::holds_alternative<http::TransportFailure>(Next))
+      co_return StreamEnd::EndpointBroke;
+    const std::string &Piece = std::get<std::string>(Next);
+    std::string Whole = m_Events.append(Piece);
+    if (Piece.empty())
+      Whole = m_Events.partial();
+    if (!m_HeadSent) {
+      http::Response Head =
+          m_State.m_Platform.m_Wire->forCaller(Answer->head());
+      Head.m_Headers.erase("Content-Length");
+      m_State.m_Metrics.onFirstByte(now() - m_Arrived);
+      logStep("request.streaming",
+              {{"endpoint", Id},
+               {"first_byte_ms", toMilliseconds(now() - m_Arrived).count()}});
+      m_HeadSent = true;
+      if (!co_await m_Caller.beginStream(std::move(Head)))
+        co_return StreamEnd::CallerGone;
+    }
+    if (!Whole.empty() && !co_await m_Caller.writeChunk(Whole))
+      co_return StreamEnd::CallerGone;
+    if (Piece.empty())
+      co_return StreamEnd::Whole;
+  }
+}
+
+Task<void> RequestSession::giveUp(std::string_view Reason) {
+  if (m_CallerGone) {
+    finish("caller_gone", 0, Reason);
+    co_return;
+  }
+  if (m_HeadSent) {
+    m_Caller.abort();
+    finish("broken_off", 0, Reason);
+    co_return;
+  }
+  if (m_Guard.mayHaveBeenSent()) {
+    co_await answerProblem(m_Expired ? 504 : 502, Reason, std::nullopt);
+    co_return;
+  }
+  co_await refuse(Reason, DefaultRetryAfter);
+}
+
+Task<void> RequestSession::refuse(std::string_view Reason,
+                                  milliseconds RetryAfter) {
+  // Aborts when an endpoint may have run the request.
+  const execution::NotRun Proof(m_Guard, execution::Reason::NoReplica,
+                                RetryAfter, std::string(Reason));
+  co_await answerProblem(503, Reason, Proof.retryAfter());
+}
+
+Task<void>
+RequestSession::answerProblem(int Status, std::string_view Reason,
+                              std::optional<milliseconds> RetryAfter) {
+  nlohmann::json Extra = {{"reason", Reason},
+                          {"outcome", Status == 502 || Status == 504
+                                          ? "outcome_unknown"
+                                          : "not_run"}};
+  http::Response Answer = http::makeProblem(Status, "request not served",
+                                            Reason, std::move(Extra));
+  if (RetryAfter)
+    Answer.m_Headers.set("Retry-After",
+                         std::to_string(toSeconds(*RetryAfter)).substr(0, 5));
+  co_await m_Caller.respond(std::move(Answer));
+  finish(RetryAfter ? "refused" : "failed", Status, Reason);
+}
+
+void RequestSession::finish(std::string_view Outcome, int Status,
+                            std::string_view Reason) {
+  const Duration Taken = now() - m_Arrived;
+  m_State.m_Metrics.onOutcome(Outcome, Taken);
+  logStep("request.finished",
+          {{"outcome", Outcome},
+           {"status", Status},
+           {"reason", Reason},
+           {"sends", m_Sends},
+           {"took_ms", toMilliseconds(Taken).count()}});
+}
+
+void RequestSession::logStep(std::string_view Event,
+                             nlohmann::json Fields) const {
+  log::request(Part, Event, m_Facts.m_Id.str(), m_Facts.m_Model.str(),
+               std::move(Fields));
+}
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -0,0 +1,171 @@
+#include "Host/StoreFollower.h"
+
+namespace sff::host {
+
+namespace {
+
+/// Longest wait of one read. A connection may go silent for good, and the
+/// next read is the first to notice.
+constexpr milliseconds FollowWait{3000};
+/// Endpoints register every second or so and every read is priced, so their
+/// registrations are gathered. Half the time in which a leaving endpoint must
+/// get no more requests is an upper bound for this.
+constexpr milliseconds GatherTime{800};
+constexpr milliseconds RetryDelay{300};
+
+constexpr auto Part = log::Category::Platform;
+
+std::string_view toString(serving::RegistrationEffect Effect) {
+  switch (Effect) {
+  case serving::RegistrationEffect::Stale:
+    return "stale";
+  case serving::RegistrationEffect::Refreshed:
+    return "refreshed";
+  case serving::RegistrationEffect::Changed:
+    return "changed";
+  case serving::RegistrationEffect::Added:
+    return "added";
+  case serving::RegistrationEffect::Restarted:
+    return "restarted";
+  }
+  return "";
+}
+
+} // namespace
+
+void StoreFollower::start() {
+  m_State.spawn("follow_catalogue", followCatalogue());
+  m_State.spawn("follow_endpoints", followEndpoints());
+}
+
+void StoreFollower::noteReachable(bool Reachable) {
+  if (Reachable == m_Reachable)
+    return;
+  m_Reachable = Reachable;
+  if (Reachable) {
+    m_State.m_Endpoints.onRegistryRegained(now());
+    log::info(Part, "store.regained");
+    return;
+  }
+  m_State.m_Endpoints.onRegistryLost(now());
+  log::warning(Part, "store.lost");
+}
+
+void StoreFollower::adopt(
+    const std::shared_ptr<const serving::Catalogue> &Newest) {
+  if (!Newest)
+    return;
+  const std::int64_t Known =
+      m_State.m_Catalogue ? m_State.m_Catalogue->m_Version : -1;
+  if (Newest->m_Version <= Known)
+    return;
+  m_State.m_Catalogue = Newest;
+  m_State.m_Metrics.setCatalogueVersion(Newest->m_Version);
+  log::info(log::Category::Catalogue, "catalogue.adopted",
+            {{"version", Newest->m_Version},
+             {"previous", Known},
+             {"routes", Newest->m_Routes.size()}});
+  m_State.m_Changed.notify();
+}
+
+Task<void> StoreFollower::followCatalogue() {
+  std::optional<Cursor> At;
+  while (true) {
+    CatalogueBatch Batch;
+    if (At)
+      Batch = co_await m_State.m_Platform.m_Store->followCatalogue(*At,
+                                                                   FollowWait);
+    else
+      Batch = co_await m_State.m_Platform.m_Store->listCatalogue();
+    m_State.m_Metrics.onStoreCall("catalogue",
+                                  Batch.m_Status != FollowStatus::Unreachable);
+    m_State.m_Metrics.onUnreadable(Batch.m_Unreadable);
+    if (Batch.m_Status == FollowStatus::Unreachable) {
+      co_await sleepFor(RetryDelay);
+      continue;
+    }
+    if (Batch.m_Status == FollowStatus::HistoryLost) {
+      At.reset();
+      continue;
+    }
+    adopt(Batch.m_Newest);
+    At = Batch.m_Next;
+    // A catalogue that is not published yet is asked for again.
+    if (!m_State.m_Catalogue)
+      co_await sleepFor(RetryDelay);
+  }
+}
+
+void StoreFollower::applyRegistration(const serving::Registration &Item) {
+  const auto Effect = m_State.m_Endpoints.apply(Item, now());
+  if (Effect == serving::RegistrationEffect::Refreshed)
+    return;
+  if (Effect == serving::RegistrationEffect::Restarted)
+    m_State.m_Chooser.forget(Item.m_Id);
+  log::info(log::Category::Membership, "endpoint.registration",
+            {{"endpoint", Item.m_Id},
+             {"effect", toString(Effect)},
+             {"service", Item.m_Service},
+             {"draining", Item.m_Draining},
+             {"heartbeat", Item.m_Heartbeat},
+             {"models", Item.m_Inventory.m_Models.size()}});
+}
+
+void StoreFollower::applyRemoval(const EndpointId &Id) {
+  if (!m_State.m_Endpoints.find(Id))
+    return;
+  const bool Gone = m_State.m_Endpoints.remove(Id, now());
+  if (Gone)
+    m_State.m_Chooser.forget(Id);
+  log::info(log::Category::Membership, "endpoint.removed",
+            {{"endpoint", Id}, {"at_once", Gone}});
+}
+
+void StoreFollower::apply(const EndpointBatch &Batch, bool WholeListing) {
+  std::set<EndpointId> Present;
+  for (const EndpointChange &Change : Batch.m_Changes) {
+    if (!Change.m_Registration) {
+      applyRemoval(Change.m_Id);
+      continue;
+    }
+    Present.insert(Change.m_Id);
+    applyRegistration(*Change.m_Registration);
+  }
+  if (WholeListing) {
+    m_State.m_Endpoints.retain(Present, now());
+    m_State.m_EndpointsKnown = true;
+  }
+  m_State.m_Endpoints.expire(now());
+  m_State.m_Metrics.setEndpoints(m_State.m_Endpoints.all().size());
+  m_State.m_Changed.notify();
+}
+
+Task<void> StoreFollower::followEndpoints() {
+  std::optional<Cursor> At;
+  while (true) {
+    const bool WholeListing = !At;
+    EndpointBatch Batch;
+    if (At)
+      Batch = co_await m_State.m_Platform.m_Store->followEndpoints(*At,
+                                                                   FollowWait);
+    else
+      Batch = co_await m_State.m_Platform.m_Store->listEndpoints();
+    const bool Answered = Batch.m_Status != FollowStatus::Unreachable;
+    m_State.m_Metrics.onStoreCall("endpoints", Answered);
+    m_State.m_Metrics.onUnreadable(Batch.m_Unreadable);
+    noteReachable(Answered);
+    if (!Answered) {
+      co_await sleepFor(RetryDelay);
+      continue;
+    }
+    if (Batch.m_Status == FollowStatus::HistoryLost) {
+      At.reset();
+      continue;
+    }
+    apply(Batch, WholeListing);
+    At = Batch.m_Next;
+    co_await sleepFor(GatherTime);
+  }
+}
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/StoreFollower.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Host/HostState.h"
+
+namespace sff::host {
+
+/// Keeps the catalogue and the endpoint directory up to date from the store.
+/// Thread safety: use from the host's io_context only.
+class StoreFollower {
+public:
+  /// Precondition: \p State outlives the io_context's run.
+  explicit StoreFollower(HostState &State) : m_State(State) {}
+
+  void start();
+
+private:
+  Task<void> followCatalogue();
+  Task<void> followEndpoints();
+  void adopt(const std::shared_ptr<const serving::Catalogue> &Newest);
+  void apply(const EndpointBatch &Batch, bool WholeListing);
+  void applyRegistration(const serving::Registration &Item);
+  void applyRemoval(const EndpointId &Id);
+  void noteReachable(bool Reachable);
+
+  HostState &m_State;
+  bool m_Reachable = true;
+};
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/SwapService.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "Core/Loading/LoadScheduler.h"
+#include "Core/Serving/SwapPlanner.h"
+#include "Host/OrderRights.h"
+#include "Host/PeerMessages.h"
+
+#include <map>
+#include <set>
+
+namespace sff::host {
+
+/// Gives orders to the endpoints of the zones whose right this host holds, so
+/// that the models and adapters that hosts ask for are loaded.
+/// Thread safety: use from the host's io_context only.
+class SwapService {
+public:
+  SwapService(HostState &State, OrderRights &Rights);
+
+  /// Answers when the model is loaded, or after the time that the asking host
+  /// waits.
+  Task<DemandAnswer> handle(ModelDemand Demand);
+  /// Takes note of one host's requests and returns how many hosts report.
+  UsageAnswer onUsage(const UsageReport &Report);
+
+private:
+  /// What this host knows of an endpoint that it gives orders to.
+  struct Work {
+    bool m_Busy = false;       ///< A coroutine gives it orders.
+    std::string m_Loading;     ///< The model of that coroutine.
+    Instant m_RestUntil;       ///< It did not answer; leave it alone.
+    std::optional<EngineReport> m_Report;
+    Instant m_ReportedAt;
+  };
+  struct Target {
+    EndpointId m_Id;
+    http::Address m_Address;
+    ZoneId m_Zone;
+  };
+  using Candidates = std::vector<serving::SwapCandidate>;
+
+  std::vector<const serving::Endpoint *>
+  endpointsOf(const ModelDemand &Demand) const;
+  std::optional<EndpointId> findHolding(const ModelDemand &Demand) const;
+  bool isLoading(const std::string &Model) const;
+  /// Starts what the demand needs, if it can start now.
+  void startWork(const ModelDemand &Demand, const serving::EngineSpec &Engine);
+  bool startAdapter(const ModelDemand &Demand);
+  void startSwap(const ModelDemand &Demand, const serving::EngineSpec &Engine,
+                 const serving::ModelSpec &Model);
+  serving::SwapCandidate candidateOf(const serving::Inventory &Held,
+                                     const EndpointId &Id,
+                                     const serving::EngineSpec &Engine,
+                                     const serving::ModelSpec &Model) const;
+  int otherReplicas(std::string_view Model, const EndpointId &Except) const;
+
+  Task<void> runSwap(Target Where, ModelDemand Demand,
+                     serving::EngineSpec Engine);
+  Task<bool> swap(Target Where, ModelDemand Demand,
+                  serving::EngineSpec Engine);
+  Task<void> runAdapter(Target Where, ModelDemand Demand,
+                        serving::EngineSpec Engine);
+  Task<bool> loadAdapter(Target Where, serving::ModelName Name,
+                         serving::EngineSpec Engine);
+  Task<bool> evictAdapter(Target Where, EngineReport Report);
+  /// Reads the endpoint's report unless a fresh one is known.
+  Task<bool> refresh(Target Where, bool Force);
+  Task<OrderStatus> order(Target Where, OrderKind Kind,
+                          serving::ModelName Name);
+  /// Waits until the endpoint says that it holds the model, or no longer does.
+  Task<bool> awaitModel(Target Where, std::string Model, bool Present,
+                        Duration Expected);
+  void finish(const EndpointId &Id, bool Done);
+
+  HostState &m_State;
+  OrderRights &m_Rights;
+  ChangeSignal m_Progress;
+  std::map<EndpointId, Work> m_Work;
+  serving::DemandRates m_Demand; ///< Of all hosts that report.
+  std::map<HostId, Instant> m_Reporters;
+  std::optional<loading::LoadPermits> m_Permits;
+};
+
+} // namespace sff::host
--- a/Source/Core/Net/Http/Client.h
+++ b/Source/Core/Net/Http/Client.h
@@ -6,7 +6,9 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -34,6 +36,27 @@
 
 using SendResult = std::variant<Response, TransportFailure>;
 
+/// Ends a call from outside its coroutine.
+/// Thread safety: use from the client's executor only.
+class CallCanceller {
+public:
+  /// Closes the connection of the call that runs, if there is one; a call
+  /// that begins later fails before it sends anything.
+  void cancel();
+  bool cancelled() const { return m_Cancelled; }
+
+private:
+  friend class Client;
+  std::function<void()> m_Close;
+  bool m_Cancelled = false;
+};
+
+/// Header by which the endpoint names the request that an answer belongs to.
+struct EchoCheck {
+  std::string m_Header;
+  std::string m_Value;
+};
+
 struct ClientOptions {
   milliseconds m_ConnectTimeout{1000};
   milliseconds m_WriteTimeout{5000};
@@ -45,6 +68,10 @@
   milliseconds m_MaxIdle{5000};
   /// Forces a new connection, for requests that may not be repeated.
   bool m_FreshConnection = false;
+  /// Answers that name another request are skipped, because they are late
+  /// answers to an earlier one.
+  std::optional<EchoCheck> m_Echo = std::nullopt;
+  std::shared_ptr<CallCanceller> m_Canceller = nullptr;
 };
 
 /// The body of an answer that arrives piece by piece.
@@ -60,6 +87,8 @@
   read() = 0;
   /// Closes the connection, which tells the endpoint to stop.
   virtual void close() = 0;
+  /// True when the answer came on a connection that had served others.
+  virtual bool reused() const = 0;
 };
 
 using OpenResult =
@@ -83,6 +112,8 @@
 
   /// Drops pooled connections to \p Remote, for example after one went silent.
   void dropIdle(const Address &Remote);
+  /// Closes pooled connections that have been idle for \p MaxIdle.
+  void closeIdle(milliseconds MaxIdle);
 
 private:
   class Impl;
--- a/Source/Core/Net/Http/Message.cpp
+++ b/Source/Core/Net/Http/Message.cpp
@@ -1,24 +1,51 @@
 #include "Net/Http/Message.h"
 
-#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include <algorithm>
 #include <charconv>
 
 namespace sff::http {
 
+namespace {
+
+/// Compares header names without a locale, which would dominate the cost.
+bool sameName(std::string_view Left, std::string_view Right) {
+  return boost::beast::iequals({Left.data(), Left.size()},
+                               {Right.data(), Right.size()});
+}
+
+} // namespace
+
 void Headers::set(std::string_view Name, std::string Value) {
   for (Header &Item : m_Items)
-    if (boost::algorithm::iequals(Item.m_Name, Name)) {
+    if (sameName(Item.m_Name, Name)) {
       Item.m_Value = std::move(Value);
       return;
     }
   m_Items.push_back({std::string(Name), std::move(Value)});
 }
 
+void Headers::add(std::string_view Name, std::string Value) {
+  m_Items.push_back({std::string(Name), std::move(Value)});
+}
+
+void Headers::erase(std::string_view Name) {
+  std::erase_if(m_Items, [Name](const Header &Item) {
+    return sameName(Item.m_Name, Name);
+  });
+}
+
+std::string_view Headers::view(std::string_view Name) const {
+  for (const Header &Item : m_Items)
+    if (sameName(Item.m_Name, Name))
+      return Item.m_Value;
+  return {};
+}
+
 std::optional<std::string> Headers::find(std::string_view Name) const {
   for (const Header &Item : m_Items)
-    if (boost::algorithm::iequals(Item.m_Name, Name))
+    if (sameName(Item.m_Name, Name))
       return Item.m_Value;
   return std::nullopt;
 }
--- a/Source/Core/Net/Http/Message.h
+++ b/Source/Core/Net/Http/Message.h
@@ -23,8 +23,15 @@
 
   /// Replaces or adds a header.
   void set(std::string_view Name, std::string Value);
+  /// Appends a header; earlier ones of that name stay.
+  void add(std::string_view Name, std::string Value);
+  /// Removes all headers of that name.
+  void erase(std::string_view Name);
   /// Returns the first value of \p Name.
   std::optional<std::string> find(std::string_view Name) const;
+  /// The same as a view, which is valid until the list changes; empty when
+  /// there is none.
+  std::string_view view(std::string_view Name) const;
   const std::vector<Header> &items() const { return m_Items; }
 
 private:
--- a/Source/Core/Net/Http/Server.cpp
+++ b/Source/Core/Net/Http/Server.cpp
@@ -32,6 +32,7 @@
   ServerLimits m_Limits;
   Handler m_Handle;
   std::atomic<bool> m_Stopping{false};
+  std::atomic<bool> m_Draining{false};
   std::atomic<std::size_t> m_Connections{0};
   std::atomic<std::size_t> m_Active{0};
   std::atomic<std::uint64_t> m_Accepted{0};
@@ -56,7 +57,7 @@
   To.version(11);
   To.result(static_cast<unsigned>(From.m_Status));
   for (const Header &Item : From.m_Headers.items())
-    To.set(Item.m_Name, Item.m_Value);
+    To.insert(Item.m_Name, Item.m_Value);
 }
 
 /// One connection; coroutines hold a shared pointer to it until it ends.
@@ -99,8 +100,9 @@
   asio::awaitable<bool> beginStream(Response Head) override {
     bhttp::response<bhttp::empty_body> Message;
     copyHead(Head, Message);
-    Message.chunked(true);
     Message.keep_alive(shouldKeepAlive());
+    m_Chunked = Message.count(bhttp::field::content_length) == 0;
+    Message.chunked(m_Chunked);
     m_Started = true;
     bhttp::response_serializer<bhttp::empty_body> Serializer(Message);
     error_code Error;
@@ -114,17 +116,23 @@
       co_return true;
     error_code Error;
     m_Stream.expires_after(m_State->m_Limits.m_WriteTimeout);
-    co_await asio::async_write(
-        m_Stream, bhttp::make_chunk(asio::buffer(Data.data(), Data.size())),
-        orError(Error));
+    if (m_Chunked)
+      co_await asio::async_write(
+          m_Stream, bhttp::make_chunk(asio::buffer(Data.data(), Data.size())),
+          orError(Error));
+    else
+      co_await asio::async_write(
+          m_Stream, asio::buffer(Data.data(), Data.size()), orError(Error));
     co_return !Error;
   }
 
   asio::awaitable<bool> endStream() override {
     error_code Error;
-    m_Stream.expires_after(m_State->m_Limits.m_WriteTimeout);
-    co_await asio::async_write(m_Stream, bhttp::make_chunk_last(),
-                               orError(Error));
+    if (m_Chunked) {
+      m_Stream.expires_after(m_State->m_Limits.m_WriteTimeout);
+      co_await asio::async_write(m_Stream, bhttp::make_chunk_last(),
+                                 orError(Error));
+    }
     m_Finished = !Error;
     co_return !Error;
   }
@@ -145,12 +153,27 @@
     return Error && Error != asio::error::would_block;
   }
 
+  void watchCaller(std::function<void()> OnGone) override {
+    m_OnGone = std::move(OnGone);
+    m_Stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [Self = shared_from_this(), Request = m_Requests](error_code Error) {
+          if (Error || Request != Self->m_Requests || !Self->m_OnGone)
+            return;
+          auto Notify = std::exchange(Self->m_OnGone, nullptr);
+          if (Self->callerGone())
+            Notify();
+        });
+  }
+
   bool started() const override { return m_Started; }
 
   std::uint64_t connectionNumber() const override { return m_Number; }
 
 private:
-  bool shouldKeepAlive() const { return m_KeepAlive && !m_State->m_Stopping; }
+  bool shouldKeepAlive() const {
+    return m_KeepAlive && !m_State->m_Stopping && !m_State->m_Draining;
+  }
 
   asio::awaitable<bool> refuse(int Status, std::string_view Title,
                                std::string_view Detail) {
@@ -211,7 +234,10 @@
       co_return co_await refuseReadError(Error);
     m_Stream.expires_never();
     m_KeepAlive = Parser.get().keep_alive();
+    ++m_Requests;
     co_await handle(takeRequest(Parser.release()));
+    ++m_Requests;
+    m_OnGone = nullptr;
     co_return m_Finished &&shouldKeepAlive();
   }
 
@@ -220,7 +246,7 @@
     Result.m_Method = std::string(Message.method_string());
     Result.m_Target = std::string(Message.target());
     for (const auto &Item : Message)
-      Result.m_Headers.set(std::string_view(Item.name_string().data(),
+      Result.m_Headers.add(std::string_view(Item.name_string().data(),
                                             Item.name_string().size()),
                            std::string(Item.value()));
     Result.m_Body = std::move(Message.body());
@@ -249,7 +275,10 @@
   ScopedCount m_Count;
   std::uint64_t m_Number;
   beast::flat_buffer m_Buffer;
+  std::function<void()> m_OnGone;
+  std::uint64_t m_Requests = 0; ///< Tells a stale watch from the current one.
   bool m_KeepAlive = true;
+  bool m_Chunked = true;
   bool m_Started = false;
   bool m_Finished = false;
   bool m_Idle = false;
@@ -290,6 +319,9 @@
 
   std::uint16_t port() const { return m_Port; }
   std::size_t activeRequests() const { return m_State->m_Active; }
+  std::size_t connections() const { return m_State->m_Connections; }
+  void setLimits(const ServerLimits &Limits) { m_State->m_Limits = Limits; }
+  void beginDrain() { m_State->m_Draining = true; }
 
 private:
   static asio::awaitable<void> acceptLoop(std::shared_ptr<Impl> Self) {
@@ -331,6 +363,11 @@
 Server::~Server() { m_Impl->stopAccepting(); }
 void Server::listen(const Address &Local) { m_Impl->listen(Local); }
 std::uint16_t Server::port() const { return m_Impl->port(); }
+void Server::setLimits(const ServerLimits &Limits) {
+  m_Impl->setLimits(Limits);
+}
+void Server::beginDrain() { m_Impl->beginDrain(); }
+std::size_t Server::connections() const { return m_Impl->connections(); }
 void Server::stopAccepting() { m_Impl->stopAccepting(); }
 std::size_t Server::activeRequests() const { return m_Impl->activeRequests(); }
 
--- a/Source/Core/Net/Http/Server.h
+++ b/Source/Core/Net/Http/Server.h
@@ -30,7 +30,9 @@
 
   /// Sends a whole answer.
   virtual boost::asio::awaitable<bool> respond(Response Answer) = 0;
-  /// Sends status and headers of a chunked answer; the body is ignored.
+  /// Sends status and headers of an answer whose body follows in pieces; the
+  /// body of \p Head is ignored. Every answer without a Content-Length is
+  /// chunked.
   virtual boost::asio::awaitable<bool> beginStream(Response Head) = 0;
   /// Precondition: beginStream() returned true.
   virtual boost::asio::awaitable<bool> writeChunk(std::string_view Data) = 0;
@@ -41,6 +43,10 @@
   virtual void abort() = 0;
   /// True when the caller has closed the connection.
   virtual bool callerGone() = 0;
+  /// Calls \p OnGone once when the caller closes the connection before the
+  /// answer has ended. A caller that sends its next request early is not
+  /// watched any further.
+  virtual void watchCaller(std::function<void()> OnGone) = 0;
   /// True once a status line has been sent.
   virtual bool started() const = 0;
   /// Number of the connection, ascending in the order of acceptance.
@@ -64,11 +70,19 @@
   void listen(const Address &Local);
   std::uint16_t port() const;
 
+  /// Replaces the limits, for connections and requests that begin later.
+  /// Call from the server's io_context only.
+  void setLimits(const ServerLimits &Limits);
+  /// From now on every answer asks the caller to close its connection; new
+  /// connections are still accepted.
+  void beginDrain();
   /// Closes the listening socket and asks callers to close idle connections;
   /// requests that run are not cut off.
   void stopAccepting();
   /// Requests whose answer has not been sent whole.
   std::size_t activeRequests() const;
+  /// Open connections of callers.
+  std::size_t connections() const;
 
 private:
   class Impl;
