Avoid two coroutine forms that GCC 12 miscompiles

A co_await compared in the condition of a loop's if statement resumed a freed frame at -O2 (SIGILL, SIGSEGV in RequestSession::serve). Awaited values are now named first.

--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -129,9 +129,11 @@
   m_State.budget(m_Service->m_Name).onRequest(now());
   if (!m_Facts.m_Model.m_Model.empty())
     m_Demands.onRequest(m_Facts.m_Model);
-  while (!isOver())
-    if (co_await serveOnce() == Step::Finished)
+  while (!isOver()) {
+    const Step Next = co_await serveOnce();
+    if (Next == Step::Finished)
       co_return;
+  }
   if (m_CallerGone)
     finish("caller_gone", 0, "");
   else
@@ -451,11 +453,15 @@
               {{"endpoint", Id},
                {"first_byte_ms", toMilliseconds(now() - m_Arrived).count()}});
       m_HeadSent = true;
-      if (!co_await m_Caller.beginStream(std::move(Head)))
+      const bool Begun = co_await m_Caller.beginStream(std::move(Head));
+      if (!Begun)
+        co_return StreamEnd::CallerGone;
+    }
+    if (!Whole.empty()) {
+      const bool Written = co_await m_Caller.writeChunk(Whole);
+      if (!Written)
         co_return StreamEnd::CallerGone;
     }
-    if (!Whole.empty() && !co_await m_Caller.writeChunk(Whole))
-      co_return StreamEnd::CallerGone;
     if (Piece.empty())
       co_return StreamEnd::Whole;
   }
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -295,7 +295,8 @@
 
 Task<bool> SwapService::swap(Target Where, ModelDemand Demand,
                              serving::EngineSpec Engine) {
-  if (!co_await refresh(Where, false))
+  const bool Fresh = co_await refresh(Where, false);
+  if (!Fresh)
     co_return false;
   const serving::ModelSpec *Model = Engine.find(Demand.m_Model);
   // The plan came from the registration; the report is newer.
@@ -306,15 +307,23 @@
     co_return false;
   for (const std::string &Victim : Plan->m_Evict) {
     m_State.m_Endpoints.noteMissing(Where.m_Id, {Victim, {}});
-    if (!isDone(co_await order(Where, OrderKind::Unload, {Victim, {}})))
+    const serving::ModelName Name{Victim, {}};
+    const OrderStatus Unloaded =
+        co_await order(Where, OrderKind::Unload, Name);
+    if (!isDone(Unloaded))
       co_return false;
-    if (!co_await awaitModel(Where, Victim, false, Duration::zero()))
+    const bool Gone = co_await awaitModel(Where, Victim, false, Duration(0));
+    if (!Gone)
       co_return false;
   }
-  if (!isDone(co_await order(Where, OrderKind::Load, {Demand.m_Model, {}})))
+  const serving::ModelName Name{Demand.m_Model, {}};
+  const OrderStatus Loaded = co_await order(Where, OrderKind::Load, Name);
+  if (!isDone(Loaded))
     co_return false;
-  if (!co_await awaitModel(Where, Demand.m_Model, true,
-                           toDuration(Plan->m_LoadSeconds)))
+  const Duration Expected = toDuration(Plan->m_LoadSeconds);
+  const bool Present =
+      co_await awaitModel(Where, Demand.m_Model, true, Expected);
+  if (!Present)
     co_return false;
   m_State.m_Endpoints.noteModel(Where.m_Id, Demand.m_Model);
   co_return true;
@@ -371,7 +380,8 @@
   const std::int64_t Orders = m_Work[Where.m_Id].m_Report->m_AcceptedOrders;
   co_await sleepFor(std::max<Duration>(Expected, FirstLook));
   while (now() < GiveUp) {
-    if (!co_await refresh(Where, true))
+    const bool Fresh = co_await refresh(Where, true);
+    if (!Fresh)
       co_return false;
     const EngineReport &Report = *m_Work[Where.m_Id].m_Report;
     // A report from before the order tells nothing of its end.
@@ -397,7 +407,8 @@
 
 Task<bool> SwapService::loadAdapter(Target Where, serving::ModelName Name,
                                     serving::EngineSpec Engine) {
-  if (!co_await refresh(Where, false))
+  const bool Fresh = co_await refresh(Where, false);
+  if (!Fresh)
     co_return false;
   const EngineReport Report = *m_Work[Where.m_Id].m_Report;
   const serving::ModelSpec *Model = Engine.find(Name.m_Model);
@@ -408,9 +419,13 @@
   const bool Full =
       adaptersOf(Report) >= Engine.m_AdapterSlots ||
       usedMb(Report, Engine) + Model->m_AdapterMb > Engine.m_CapacityMb;
-  if (Full && !co_await evictAdapter(Where, Report))
-    co_return false;
-  if (!isDone(co_await order(Where, OrderKind::Load, Name)))
+  if (Full) {
+    const bool Evicted = co_await evictAdapter(Where, Report);
+    if (!Evicted)
+      co_return false;
+  }
+  const OrderStatus Loaded = co_await order(Where, OrderKind::Load, Name);
+  if (!isDone(Loaded))
     co_return false;
   // Adapters take some milliseconds, reports lag by a hundred: the same order
   // tells sooner whether the adapter is there.
@@ -446,7 +461,8 @@
     co_return false;
   m_State.m_Endpoints.noteMissing(Where.m_Id, *Oldest);
   const serving::ModelName Victim = *Oldest;
-  if (!isDone(co_await order(Where, OrderKind::Unload, Victim)))
+  const OrderStatus Unloaded = co_await order(Where, OrderKind::Unload, Victim);
+  if (!isDone(Unloaded))
     co_return false;
   if (auto &Known = m_Work[Where.m_Id].m_Report)
     for (auto &Item : Known->m_Inventory.m_Models)
--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -196,7 +196,7 @@
   }
 
   asio::awaitable<std::optional<TransportFailure>> readHead() {
-    for (int Skipped = 0; Skipped <= MaxSkippedAnswers; ++Skipped) {
+    for (int Answers = 0; Answers <= MaxSkippedAnswers; ++Answers) {
       error_code Error;
       m_Connection->m_Stream.expires_after(m_Options.m_ReadTimeout);
       co_await bhttp::async_read_header(m_Connection->m_Stream,
@@ -207,7 +207,8 @@
       takeHead();
       if (belongsToRequest())
         co_return std::nullopt;
-      if (!co_await skipBody())
+      const bool Skipped = co_await skipBody();
+      if (!Skipped)
         break;
       startParser();
     }
@@ -383,11 +384,12 @@
   Used->m_WriteDone = false;
   if (Whole->body().size() < LargeRequestBytes) {
     Used->m_Stream.expires_after(Options.m_WriteTimeout);
-    if (const error_code Error = co_await writeWhole(Used, Whole))
+    const error_code Error = co_await writeWhole(Used, Whole);
+    if (Error)
       co_return makeFailure(FailureStage::Write, Error);
   } else {
     Used->m_Stream.expires_after(Options.m_ReadTimeout);
-    asio::co_spawn(co_await asio::this_coro::executor, writeWhole(Used, Whole),
+    asio::co_spawn(Used->m_Stream.get_executor(), writeWhole(Used, Whole),
                    asio::detached);
   }
   auto Stream = std::make_shared<StreamImpl<Impl>>(
