Weigh evictions by replica load and tell hosts of inventories at once

Cause: the first second evicted a busy model's replicas, since nothing was known of its demand; other hosts sent to evicted models for a second and more, until the registry told them (2,313 of 4,839 arrivals rejected); each swap took 0.4 s beyond its load for two lagging reports. Change: replicas at the start stand for earlier demand; an eviction costs by the load that falls to the remaining replicas; holders tell the hosts that report to them of each change; the repeated order confirms a load.

--- a/Source/Core/Core/Serving/EndpointDirectory.cpp
+++ b/Source/Core/Core/Serving/EndpointDirectory.cpp
@@ -39,7 +39,27 @@
   return nullptr;
 }
 
-RegistrationEffect EndpointDirectory::apply(Registration Item, Instant) {
+void Inventory::note(const ModelName &Name, bool IsHeld) {
+  const auto Model =
+      std::ranges::find(m_Models, Name.m_Model, &ResidentModel::m_Name);
+  if (Model == m_Models.end()) {
+    // An adapter alone does not show that its model is still there.
+    if (IsHeld && Name.m_Adapter.empty())
+      m_Models.push_back({Name.m_Model, 0, {}});
+    return;
+  }
+  if (Name.m_Adapter.empty()) {
+    if (!IsHeld)
+      m_Models.erase(Model);
+    return;
+  }
+  if (IsHeld)
+    Model->m_Adapters.insert(Name.m_Adapter);
+  else
+    Model->m_Adapters.erase(Name.m_Adapter);
+}
+
+RegistrationEffect EndpointDirectory::apply(Registration Item, Instant Now) {
   const auto Found = m_Endpoints.find(Item.m_Id);
   if (Found == m_Endpoints.end()) {
     EndpointId Id = Item.m_Id;
@@ -50,6 +70,9 @@
   const RegistrationEffect Effect = compare(Known.m_Registered, Item);
   if (Effect == RegistrationEffect::Stale)
     return Effect;
+  if (Effect == RegistrationEffect::Restarted)
+    m_Notes.erase(Item.m_Id);
+  applyNotes(Item, Now);
   // An endpoint that leaves does not come back to work.
   if (Effect != RegistrationEffect::Restarted)
     Item.m_Draining = Item.m_Draining || Known.m_Registered.m_Draining;
@@ -69,6 +92,7 @@
   Endpoint &Known = Found->second;
   if (Known.m_Registered.m_Draining || !isRegistryDoubtful(Now)) {
     m_Endpoints.erase(Found);
+    m_Notes.erase(Id);
     return true;
   }
   if (!Known.m_GoneAt)
@@ -105,44 +129,35 @@
   });
 }
 
-ResidentModel *EndpointDirectory::resident(const EndpointId &Id,
-                                           std::string_view Model) {
+void EndpointDirectory::note(const EndpointId &Id, const ModelName &Name,
+                             bool IsHeld, Instant Now) {
   const auto Found = m_Endpoints.find(Id);
   if (Found == m_Endpoints.end())
-    return nullptr;
-  for (ResidentModel &Item :
-       Found->second.m_Registered.m_Inventory.m_Models)
-    if (Item.m_Name == Model)
-      return &Item;
-  return nullptr;
-}
-
-void EndpointDirectory::noteAdapter(const EndpointId &Id,
-                                    const ModelName &Name) {
-  if (ResidentModel *Model = resident(Id, Name.m_Model))
-    Model->m_Adapters.insert(Name.m_Adapter);
+    return;
+  m_Notes[Id][Name] = {IsHeld, Now + NoteValidity};
+  Found->second.m_Registered.m_Inventory.note(Name, IsHeld);
 }
 
-void EndpointDirectory::noteMissing(const EndpointId &Id,
-                                    const ModelName &Name) {
-  ResidentModel *Model = resident(Id, Name.m_Model);
-  if (!Model)
-    return;
-  if (!Name.m_Adapter.empty() && Model->m_Adapters.erase(Name.m_Adapter) > 0)
+void EndpointDirectory::applyNotes(Registration &Item, Instant Now) {
+  const auto Found = m_Notes.find(Item.m_Id);
+  if (Found == m_Notes.end())
     return;
-  auto &Models = m_Endpoints[Id].m_Registered.m_Inventory.m_Models;
-  std::erase_if(Models, [&Name](const ResidentModel &Item) {
-    return Item.m_Name == Name.m_Model;
+  std::erase_if(Found->second, [Now](const auto &Known) {
+    return Known.second.m_ValidUntil <= Now;
   });
+  // Models come before their adapters in the order of names.
+  for (const auto &[Name, Known] : Found->second)
+    Item.m_Inventory.note(Name, Known.m_Held);
 }
 
-void EndpointDirectory::noteModel(const EndpointId &Id,
-                                  std::string_view Model) {
-  const auto Found = m_Endpoints.find(Id);
-  if (Found == m_Endpoints.end() || resident(Id, Model))
-    return;
-  Found->second.m_Registered.m_Inventory.m_Models.push_back(
-      {std::string(Model), 0, {}});
+void EndpointDirectory::noteHeld(const EndpointId &Id, const ModelName &Name,
+                                 Instant Now) {
+  note(Id, Name, true, Now);
+}
+
+void EndpointDirectory::noteMissing(const EndpointId &Id,
+                                    const ModelName &Name, Instant Now) {
+  note(Id, Name, false, Now);
 }
 
 const Endpoint *EndpointDirectory::find(const EndpointId &Id) const {
--- a/Source/Core/Core/Serving/EndpointDirectory.h
+++ b/Source/Core/Core/Serving/EndpointDirectory.h
@@ -33,6 +33,8 @@
   std::set<std::string, std::less<>> m_OnDisk;
 
   const ResidentModel *find(std::string_view Model) const;
+  /// Adds or removes a model, or an adapter of a model that is held.
+  void note(const ModelName &Name, bool IsHeld);
 };
 
 /// What an endpoint registers of itself.
@@ -77,6 +79,9 @@
   /// Endpoints are back in the registry within two seconds of its return; the
   /// rest is the delay with which this host reads it.
   static constexpr milliseconds LapseGrace{3000};
+  /// A registration may have been written before a change that this host has
+  /// heard of, and read this much later.
+  static constexpr milliseconds NoteValidity{2500};
 
   RegistrationEffect apply(Registration Item, Instant Now);
   /// The entry is no longer in the registry. Returns true when the endpoint
@@ -91,12 +96,12 @@
   /// Removes endpoints whose grace has ended.
   void expire(Instant Now);
 
-  /// Adds an adapter to what an endpoint is believed to hold.
-  void noteAdapter(const EndpointId &Id, const ModelName &Name);
-  /// The endpoint said that it does not hold the model or adapter.
-  void noteMissing(const EndpointId &Id, const ModelName &Name);
-  /// The endpoint has loaded a model; its next registration repeats it.
-  void noteModel(const EndpointId &Id, std::string_view Model);
+  /// The endpoint is known to hold the model, or the adapter of a model that
+  /// it holds. Goes before its registrations for NoteValidity.
+  void noteHeld(const EndpointId &Id, const ModelName &Name, Instant Now);
+  /// The endpoint is known not to hold the model or adapter. Goes before its
+  /// registrations for NoteValidity.
+  void noteMissing(const EndpointId &Id, const ModelName &Name, Instant Now);
 
   const Endpoint *find(const EndpointId &Id) const;
   /// Endpoints of a service that take work.
@@ -104,10 +109,19 @@
   const std::map<EndpointId, Endpoint> &all() const { return m_Endpoints; }
 
 private:
-  ResidentModel *resident(const EndpointId &Id, std::string_view Model);
+  struct Note {
+    bool m_Held = false;
+    Instant m_ValidUntil;
+  };
+  using Notes = std::map<ModelName, Note>;
+
+  void note(const EndpointId &Id, const ModelName &Name, bool IsHeld,
+            Instant Now);
+  void applyNotes(Registration &Item, Instant Now);
   bool isRegistryDoubtful(Instant Now) const;
 
   std::map<EndpointId, Endpoint> m_Endpoints;
+  std::map<EndpointId, Notes> m_Notes;
   bool m_RegistryLost = false;
   std::optional<Instant> m_RegainedAt;
 };
--- a/Source/Core/Core/Serving/SharedRetryBudget.cpp
+++ b/Source/Core/Core/Serving/SharedRetryBudget.cpp
@@ -21,7 +21,14 @@
 void SharedRetryBudget::onRequest(Instant Now) { ++current(Now).m_Requests; }
 
 bool SharedRetryBudget::tryRetry(Instant Now) {
-  Slice &Latest = current(Now);
+  if (!allows(Now))
+    return false;
+  ++current(Now).m_Retries;
+  return true;
+}
+
+bool SharedRetryBudget::allows(Instant Now) {
+  const Slice &Latest = current(Now);
   const std::int64_t Oldest =
       Latest.m_Number - static_cast<std::int64_t>(Slices);
   double Requests = 0;
@@ -36,10 +43,7 @@
       UsedPart * (m_Bounds.m_Ratio * Requests +
                   m_Bounds.m_Extra /
                       static_cast<double>(std::max<std::size_t>(m_Hosts, 1)));
-  if (Retries + 1 > Allowed)
-    return false;
-  ++Latest.m_Retries;
-  return true;
+  return Retries + 1 <= Allowed;
 }
 
 } // namespace sff::serving
--- a/Source/Core/Core/Serving/SharedRetryBudget.h
+++ b/Source/Core/Core/Serving/SharedRetryBudget.h
@@ -23,6 +23,8 @@
 
   void setHosts(std::size_t Hosts) { m_Hosts = Hosts; }
   void onRequest(Instant Now);
+  /// A retry would be granted now.
+  bool allows(Instant Now);
   /// Takes one retry. Returns false when the window's part is spent.
   bool tryRetry(Instant Now);
 
--- a/Source/Core/Core/Serving/SwapPlanner.cpp
+++ b/Source/Core/Core/Serving/SwapPlanner.cpp
@@ -10,10 +10,6 @@
 constexpr double HorizonSeconds = 10;
 /// Wait of one such caller: a swap from an endpoint's disk.
 constexpr double ReloadWaitSeconds = 1.5;
-/// Part of that wait that the loss of one of several replicas causes, by the
-/// longer queues at the others.
-constexpr double SpareReplicaPart = 0.1;
-constexpr double LastSpareReplicaPart = 0.3;
 /// An eviction waits for the requests that run on the model.
 constexpr double InUseSeconds = 1;
 /// Advantage of the endpoint that the asking host would use.
@@ -49,11 +45,13 @@
 } // namespace
 
 double evictionCost(const HeldModel &Model) {
+  // With other replicas left, waits grow with the load that falls to each.
   double Part = 1;
-  if (Model.m_OtherReplicas == 1)
-    Part = LastSpareReplicaPart;
-  else if (Model.m_OtherReplicas > 1)
-    Part = SpareReplicaPart;
+  if (Model.m_OtherReplicas > 0) {
+    const double Load = Model.m_RequestRate / Model.m_OtherReplicas /
+                        std::max(Model.m_ReplicaCapacity, 1e-6);
+    Part = std::min(1.0, Load * Load);
+  }
   const double Waits =
       Model.m_RequestRate * HorizonSeconds * ReloadWaitSeconds * Part;
   return Waits + (Model.m_InUse ? InUseSeconds : 0);
--- a/Source/Core/Core/Serving/SwapPlanner.h
+++ b/Source/Core/Core/Serving/SwapPlanner.h
@@ -17,6 +17,8 @@
   double m_SizeMb = 0;      ///< With its adapters.
   double m_RequestRate = 0; ///< Requests per second over all hosts.
   int m_OtherReplicas = 0;  ///< On other endpoints that take work.
+  /// Requests per second that one replica serves without much waiting.
+  double m_ReplicaCapacity = 1;
   bool m_InUse = false;     ///< Had requests within the last second.
 };
 
--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -1,6 +1,6 @@
 #include "Host/DemandRouter.h"
 
-#include "Common/Codec/Codec.h"
+#include "Host/PeerCall.h"
 
 #include <algorithm>
 
@@ -10,12 +10,12 @@
 
 constexpr auto Part = log::Category::Loading;
 
-constexpr milliseconds ConnectTimeout{400};
 /// Beyond the time that the holder was told to answer in.
 constexpr milliseconds AnswerSlack{300};
 /// Longest wait of one call to a holder; the holder may be lost meanwhile.
 constexpr milliseconds LongestAsk{3000};
-constexpr milliseconds UsagePeriod{2000};
+constexpr milliseconds UsagePeriod{1000};
+constexpr milliseconds ReplicaPeriod{2000};
 constexpr milliseconds UsageTimeout{1000};
 /// Pause before the zones are asked again.
 constexpr milliseconds AskPause{150};
@@ -23,39 +23,6 @@
 /// host's own zone.
 constexpr double ReplicaRate = 1.0;
 
-/// Sends a message to a peer and decodes its answer.
-template <typename Answer, typename Message>
-Task<std::optional<Answer>> call(http::Client &Peers, std::string Remote,
-                                 std::string_view Path, Message Request,
-                                 milliseconds Timeout) {
-  const auto Address = http::Address::parse(Remote);
-  if (!Address)
-    co_return std::nullopt;
-  http::Request Outgoing;
-  Outgoing.m_Method = "POST";
-  Outgoing.m_Target = std::string(Path);
-  Outgoing.m_Body = nlohmann::json(Request).dump();
-  http::ClientOptions Options;
-  Options.m_ConnectTimeout = ConnectTimeout;
-  Options.m_ReadTimeout = Timeout;
-  const http::SendResult Result =
-      co_await Peers.send(*Address, std::move(Outgoing), Options);
-  const auto *Received = std::get_if<http::Response>(&Result);
-  if (!Received || Received->m_Status != 200) {
-    const auto *Failure = std::get_if<http::TransportFailure>(&Result);
-    log::warning(log::Category::Peer, "peer.call_failed",
-                 {{"peer", Remote},
-                  {"path", Path},
-                  {"detail", Failure ? Failure->m_Detail : "status"}});
-    co_return std::nullopt;
-  }
-  const auto Parsed =
-      nlohmann::json::parse(Received->m_Body, nullptr, false);
-  if (Parsed.is_discarded())
-    co_return std::nullopt;
-  co_return Parsed.get<Answer>();
-}
-
 } // namespace
 
 void DemandRouter::start() {
@@ -123,7 +90,7 @@
     co_return DemandAnswer{DemandStatus::NotHolder, {}};
   if (*Holder == m_Rights.member())
     co_return co_await m_Swaps.handle(Demand);
-  const auto Answer = co_await call<DemandAnswer>(
+  const auto Answer = co_await callPeer<DemandAnswer>(
       m_Peers, *Holder, DemandPath, Demand,
       milliseconds(Demand.m_WaitMs) + AnswerSlack);
   if (!Answer || Answer->m_Status == DemandStatus::NotHolder)
@@ -159,9 +126,9 @@
       break;
   }
   if (Answer.m_Status == DemandStatus::Ready) {
-    m_State.m_Endpoints.noteModel(Answer.m_Endpoint, Name.m_Model);
+    m_State.m_Endpoints.noteHeld(Answer.m_Endpoint, {Name.m_Model, {}}, now());
     if (!Name.m_Adapter.empty())
-      m_State.m_Endpoints.noteAdapter(Answer.m_Endpoint, Name);
+      m_State.m_Endpoints.noteHeld(Answer.m_Endpoint, Name, now());
   } else {
     co_await sleepFor(AskPause);
   }
@@ -190,7 +157,7 @@
   if (*Holder == m_Rights.member())
     Answer = m_Swaps.onUsage(Report);
   else
-    Answer = co_await call<UsageAnswer>(m_Peers, *Holder, UsagePath, Report,
+    Answer = co_await callPeer<UsageAnswer>(m_Peers, *Holder, UsagePath, Report,
                                         UsageTimeout);
   if (!Answer) {
     m_Rights.forgetHolder(Zone);
@@ -206,7 +173,7 @@
 
 Task<void> DemandRouter::wishReplicas() {
   while (true) {
-    co_await sleepFor(UsagePeriod);
+    co_await sleepFor(ReplicaPeriod);
     if (!m_State.m_Catalogue)
       continue;
     for (const auto &[ServiceName, Service] :
--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -64,7 +64,8 @@
            const std::string &SettingsPath, const PlatformFactory &MakePlatform)
     : m_Context(1), m_SettingsPath(SettingsPath),
       m_State(m_Context, Values, Identity, MakePlatform(m_Context, Values)),
-      m_Rights(m_State, Values.get(PeersSetting)), m_Swaps(m_State, m_Rights),
+      m_Rights(m_State, Values.get(PeersSetting)), m_Notifier(m_State, Values.get(PeersSetting)),
+      m_Swaps(m_State, m_Rights, m_Notifier),
       m_Demands(m_State, m_Rights, m_Swaps), m_Follower(m_State),
       m_Callers(m_Context, {},
                 [this](http::Request Incoming, http::Exchange &Caller) {
@@ -124,6 +125,11 @@
   } else if (Incoming.path() == UsagePath) {
     if (const auto Report = parseMessage<UsageReport>(Incoming.m_Body))
       Answer = m_Swaps.onUsage(*Report);
+  } else if (Incoming.path() == InventoryPath) {
+    if (const auto Notice = parseMessage<InventoryNotice>(Incoming.m_Body)) {
+      m_Notifier.onNotice(*Notice);
+      Answer = Received{};
+    }
   }
   if (Answer.is_null())
     co_await Caller.respond(http::makeProblem(400, "Bad Request",
--- a/Source/Core/Host/Host.h
+++ b/Source/Core/Host/Host.h
@@ -43,6 +43,7 @@
   std::string m_SettingsPath;
   HostState m_State;
   OrderRights m_Rights;
+  InventoryNotifier m_Notifier;
   SwapService m_Swaps;
   DemandRouter m_Demands;
   StoreFollower m_Follower;
--- /dev/null
+++ b/Source/Core/Host/InventoryNotifier.cpp
@@ -0,0 +1,54 @@
+#include "Host/InventoryNotifier.h"
+
+#include "Host/PeerCall.h"
+
+namespace sff::host {
+
+namespace {
+
+/// Changes within this time go out in one message.
+constexpr milliseconds GatherTime{15};
+constexpr milliseconds NoticeTimeout{1000};
+
+} // namespace
+
+void InventoryNotifier::apply(const InventoryChange &Change) {
+  const serving::ModelName Name{Change.m_Model, Change.m_Adapter};
+  if (Change.m_Held)
+    m_State.m_Endpoints.noteHeld(Change.m_Endpoint, Name, now());
+  else
+    m_State.m_Endpoints.noteMissing(Change.m_Endpoint, Name, now());
+}
+
+void InventoryNotifier::onNotice(const InventoryNotice &Notice) {
+  for (const InventoryChange &Change : Notice.m_Changes)
+    apply(Change);
+  m_State.m_Changed.notify();
+}
+
+void InventoryNotifier::publish(const InventoryChange &Change,
+                                const std::set<HostId> &Hosts) {
+  apply(Change);
+  m_State.m_Changed.notify();
+  const bool First = m_Pending.m_Changes.empty();
+  m_Pending.m_Changes.push_back(Change);
+  m_Hosts.insert(Hosts.begin(), Hosts.end());
+  if (First)
+    m_State.spawn("send_inventory", sendSoon());
+}
+
+Task<void> InventoryNotifier::sendSoon() {
+  co_await sleepFor(GatherTime);
+  const InventoryNotice Notice = std::exchange(m_Pending, {});
+  for (const HostId &Host : std::exchange(m_Hosts, {}))
+    if (Host.str() != m_Member)
+      m_State.spawn("send_inventory", send(Host, Notice));
+}
+
+Task<void> InventoryNotifier::send(HostId Host, InventoryNotice Notice) {
+  // A host that misses the notice learns of the change from the registry.
+  co_await callPeer<Received>(m_Peers, Host.str(), InventoryPath,
+                              std::move(Notice), NoticeTimeout);
+}
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/PeerCall.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Common/Logging/Log.h"
+#include "Host/PeerMessages.h"
+#include "Host/Ports.h"
+#include "Net/Http/Client.h"
+
+#include <optional>
+#include <string>
+
+namespace sff::host {
+
+constexpr milliseconds PeerConnectTimeout{400};
+
+/// Sends a message to another host and decodes its answer. Nothing when there
+/// is no answer that can be read. Thread safety: from the client's executor.
+template <typename Answer, typename Message>
+Task<std::optional<Answer>> callPeer(http::Client &Peers, std::string Remote,
+                                 std::string_view Path, Message Request,
+                                 milliseconds Timeout) {
+  const auto Address = http::Address::parse(Remote);
+  if (!Address)
+    co_return std::nullopt;
+  http::Request Outgoing;
+  Outgoing.m_Method = "POST";
+  Outgoing.m_Target = std::string(Path);
+  Outgoing.m_Body = nlohmann::json(Request).dump();
+  http::ClientOptions Options;
+  Options.m_ConnectTimeout = PeerConnectTimeout;
+  Options.m_ReadTimeout = Timeout;
+  const http::SendResult Result =
+      co_await Peers.send(*Address, std::move(Outgoing), Options);
+  const auto *Received = std::get_if<http::Response>(&Result);
+  if (!Received || Received->m_Status != 200) {
+    const auto *Failure = std::get_if<http::TransportFailure>(&Result);
+    log::warning(log::Category::Peer, "peer.call_failed",
+                 {{"peer", Remote},
+                  {"path", Path},
+                  {"detail", Failure ? Failure->m_Detail : "status"}});
+    co_return std::nullopt;
+  }
+  const auto Parsed = nlohmann::json::parse(Received->m_Body, nullptr, false);
+  if (Parsed.is_discarded())
+    co_return std::nullopt;
+  co_return Parsed.get<Answer>();
+}
+
+} // namespace sff::host
--- a/Source/Core/Host/PeerMessages.h
+++ b/Source/Core/Host/PeerMessages.h
@@ -7,12 +7,14 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace sff::host {
 
 /// Paths of the calls between hosts.
 constexpr std::string_view DemandPath = "/v1/demand";
 constexpr std::string_view UsagePath = "/v1/usage";
+constexpr std::string_view InventoryPath = "/v1/inventory";
 
 /// A host needs a model, or an adapter of one, in an availability zone. The
 /// holder of that zone's right to order answers when it is there.
@@ -84,4 +86,40 @@
   }
 };
 
+/// A model or adapter that an endpoint has got, or is about to lose.
+struct InventoryChange {
+  EndpointId m_Endpoint;
+  std::string m_Model;
+  std::string m_Adapter;
+  bool m_Held = false;
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("endpoint", &InventoryChange::m_Endpoint),
+                           field("model", &InventoryChange::m_Model),
+                           field("adapter", &InventoryChange::m_Adapter),
+                           field("held", &InventoryChange::m_Held));
+  }
+};
+
+/// Changes that a holder's orders cause, for the hosts that report usage to
+/// it; the registry tells of them a second or two later.
+struct InventoryNotice {
+  std::vector<InventoryChange> m_Changes;
+
+  static constexpr auto describe() {
+    return std::make_tuple(
+        codec::field("changes", &InventoryNotice::m_Changes));
+  }
+};
+
+/// An answer that says no more than that the message has arrived.
+struct Received {
+  bool m_Ok = true;
+
+  static constexpr auto describe() {
+    return std::make_tuple(codec::field("ok", &Received::m_Ok));
+  }
+};
+
 } // namespace sff::host
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -206,8 +206,10 @@
 
 milliseconds RequestSession::patience() const {
   const milliseconds Left = toMilliseconds(left());
-  if (!m_Route->isIdempotent() ||
-      static_cast<int>(m_MayHaveRun.size()) + 1 >= m_Route->m_MaxEndpoints)
+  const bool LastEndpoint =
+      static_cast<int>(m_MayHaveRun.size()) + 1 >= m_Route->m_MaxEndpoints;
+  if (!m_Route->isIdempotent() || LastEndpoint ||
+      !m_State.budget(m_Service->m_Name).allows(now()))
     return Left;
   if (m_Route->m_Kind == serving::RouteKind::Stream)
     return std::min(Left, StreamPatience);
@@ -332,7 +334,7 @@
     m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
                                         now());
   if (Facts.m_LacksModel)
-    m_State.m_Endpoints.noteMissing(Id, m_Facts.m_Model);
+    m_State.m_Endpoints.noteMissing(Id, m_Facts.m_Model, now());
   logStep("request.not_run",
           {{"endpoint", Id},
            {"status", Status},
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -12,19 +12,31 @@
 constexpr milliseconds DemandMemory{20000};
 /// A model with a request this recently has requests running.
 constexpr milliseconds InUsePeriod{1000};
-/// A known report is used for orders up to this age; an order that it does
-/// not fit is refused by the endpoint, because it names the expected count.
-constexpr milliseconds ReportAge{4000};
-constexpr milliseconds PollPeriod{100};
-/// Reports lag; the first look after an order that ends at once.
-constexpr milliseconds FirstLook{30};
+/// Reports may be this old, so that one that is read sooner after an order may
+/// not show what it did.
+constexpr milliseconds ReportLag{600};
+/// Wake-up of a waiting demand, which is also woken by each end of an order.
+constexpr milliseconds RecheckPeriod{100};
+/// Pause between two questions whether an order has been carried out. The
+/// order itself is the question, because reports lag by a hundred milliseconds.
+constexpr milliseconds AskPeriod{40};
+/// Questions after which the endpoint's report is read again.
+constexpr int AsksPerReport = 4;
+/// After the expected end of a load, which endpoints keep to closely.
+constexpr milliseconds AskSlack{8};
 /// An endpoint that did not answer is left alone for this long.
 constexpr milliseconds RestPeriod{500};
 /// Time after which a wait for an order's end is given up, beyond three times
 /// the expected time.
 constexpr milliseconds OrderSlack{4000};
-constexpr milliseconds AdapterLook{12};
-constexpr int AdapterLooks = 12;
+constexpr milliseconds AdapterLoadTime{10};
+/// Longest wait for the requests that run on an evicted model.
+constexpr milliseconds EvictLimit{5000};
+/// Requests per second that a replica at the start stands for.
+constexpr double AssumedReplicaRate = 2;
+/// Requests per second that one replica serves without much waiting, for each
+/// of its slots.
+constexpr double RatePerSlot = 0.5;
 /// Hosts that have not reported for this long no longer count.
 constexpr milliseconds ReporterPeriod{15000};
 /// A further replica may cost callers of other models this many seconds.
@@ -105,11 +117,34 @@
 
 } // namespace
 
-SwapService::SwapService(HostState &State, OrderRights &Rights)
-    : m_State(State), m_Rights(Rights),
+SwapService::SwapService(HostState &State, OrderRights &Rights,
+                         InventoryNotifier &Notifier)
+    : m_State(State), m_Rights(Rights), m_Notifier(Notifier),
       m_Progress(State.m_Context.get_executor()), m_Demand(DemandMemory) {}
 
+void SwapService::assumeEarlierDemand() {
+  if (std::exchange(m_DemandAssumed, true))
+    return;
+  std::map<std::string, int> Replicas;
+  for (const auto &[Id, Known] : m_State.m_Endpoints.all())
+    for (const serving::ResidentModel &Model : Known.inventory().m_Models)
+      ++Replicas[Model.m_Name];
+  for (const auto &[Model, Count] : Replicas)
+    if (Count > 1)
+      m_Demand.add(Model,
+                   Count * AssumedReplicaRate * toSeconds(DemandMemory), now());
+}
+
+void SwapService::publish(const EndpointId &Id, const serving::ModelName &Name,
+                          bool Held) {
+  std::set<HostId> Hosts;
+  for (const auto &[Host, Heard] : m_Reporters)
+    Hosts.insert(Host);
+  m_Notifier.publish({Id, Name.m_Model, Name.m_Adapter, Held}, Hosts);
+}
+
 UsageAnswer SwapService::onUsage(const UsageReport &Report) {
+  assumeEarlierDemand();
   m_Reporters[Report.m_Host] = now();
   for (const auto &[Model, Requests] : Report.m_Requests)
     m_Demand.add(Model, Requests, now());
@@ -149,6 +184,7 @@
 
 Task<DemandAnswer> SwapService::handle(ModelDemand Demand) {
   const Instant Until = now() + milliseconds(Demand.m_WaitMs);
+  assumeEarlierDemand();
   while (true) {
     if (!m_Rights.mayOrder(Demand.m_Zone))
       co_return DemandAnswer{DemandStatus::NotHolder, {}};
@@ -164,7 +200,7 @@
       startWork(Demand, *Service->m_Engine);
     if (now() >= Until)
       co_return DemandAnswer{DemandStatus::Busy, {}};
-    co_await m_Progress.wait(std::min<Duration>(Until - now(), PollPeriod));
+    co_await m_Progress.wait(std::min<Duration>(Until - now(), RecheckPeriod));
   }
 }
 
@@ -231,7 +267,7 @@
              : Model.m_WeightMb;
     Result.m_Held.push_back(
         {Item.m_Name, Size, m_Demand.rate(Item.m_Name, now()),
-         otherReplicas(Item.m_Name, Id),
+         otherReplicas(Item.m_Name, Id), Engine.m_Slots * RatePerSlot,
          now() - m_Demand.lastRequest(Item.m_Name) < InUsePeriod});
   }
   return Result;
@@ -295,7 +331,7 @@
 
 Task<bool> SwapService::swap(Target Where, ModelDemand Demand,
                              serving::EngineSpec Engine) {
-  const bool Fresh = co_await refresh(Where, false);
+  const bool Fresh = co_await ensureReport(Where);
   if (!Fresh)
     co_return false;
   const serving::ModelSpec *Model = Engine.find(Demand.m_Model);
@@ -306,47 +342,59 @@
   if (!Plan)
     co_return false;
   for (const std::string &Victim : Plan->m_Evict) {
-    m_State.m_Endpoints.noteMissing(Where.m_Id, {Victim, {}});
     const serving::ModelName Name{Victim, {}};
+    publish(Where.m_Id, Name, false);
     const OrderStatus Unloaded =
-        co_await order(Where, OrderKind::Unload, Name);
+        co_await orderWhenFree(Where, OrderKind::Unload, Name, EvictLimit);
     if (!isDone(Unloaded))
       co_return false;
-    const bool Gone = co_await awaitModel(Where, Victim, false, Duration(0));
-    if (!Gone)
-      co_return false;
+    noteInReport(Where.m_Id, Name, false);
   }
+  // The endpoint takes the load only after the eviction has ended, so that
+  // its memory is never overcommitted.
   const serving::ModelName Name{Demand.m_Model, {}};
-  const OrderStatus Loaded = co_await order(Where, OrderKind::Load, Name);
+  const OrderStatus Loaded =
+      co_await orderWhenFree(Where, OrderKind::Load, Name, EvictLimit);
   if (!isDone(Loaded))
     co_return false;
   const Duration Expected = toDuration(Plan->m_LoadSeconds);
-  const bool Present =
-      co_await awaitModel(Where, Demand.m_Model, true, Expected);
-  if (!Present)
-    co_return false;
-  m_State.m_Endpoints.noteModel(Where.m_Id, Demand.m_Model);
-  co_return true;
+  const bool Held = co_await awaitHeld(Where, Name, Expected);
+  if (Held) {
+    noteInReport(Where.m_Id, Name, true);
+    publish(Where.m_Id, Name, true);
+  }
+  co_return Held;
 }
 
-Task<bool> SwapService::refresh(Target Where, bool Force) {
-  Work &Known = m_Work[Where.m_Id];
-  if (!Force && Known.m_Report && now() - Known.m_ReportedAt < ReportAge &&
-      !Known.m_Report->m_OrderRunning)
+void SwapService::noteInReport(const EndpointId &Id,
+                               const serving::ModelName &Name, bool Held) {
+  if (auto &Report = m_Work[Id].m_Report)
+    Report->m_Inventory.note(Name, Held);
+}
+
+Task<bool> SwapService::ensureReport(Target Where) {
+  if (m_Work[Where.m_Id].m_Report)
     co_return true;
-  auto Report =
-      co_await m_State.m_Platform.m_Engines->report(Where.m_Address,
-                                                    Where.m_Id);
-  Work &Current = m_Work[Where.m_Id];
-  if (!Report) {
-    Current.m_Report.reset();
+  const Instant Settled = m_Work[Where.m_Id].m_LastOrderAt + ReportLag;
+  if (now() < Settled)
+    co_await sleepFor(Settled - now());
+  auto Report = co_await m_State.m_Platform.m_Engines->report(Where.m_Address,
+                                                              Where.m_Id);
+  if (!Report || Report->m_OrderRunning)
     co_return false;
-  }
-  Current.m_Report = std::move(Report);
-  Current.m_ReportedAt = now();
+  m_Work[Where.m_Id].m_Report = std::move(Report);
   co_return true;
 }
 
+Task<bool> SwapService::countsAgree(Target Where) {
+  const auto Report = co_await m_State.m_Platform.m_Engines->report(
+      Where.m_Address, Where.m_Id);
+  const Work &Known = m_Work[Where.m_Id];
+  co_return Report &&Known.m_Report &&Report->m_AcceptedOrders <=
+      Known.m_Report->m_AcceptedOrders &&Report->m_AcceptedOrders + 1 >=
+      Known.m_Report->m_AcceptedOrders;
+}
+
 Task<OrderStatus> SwapService::order(Target Where, OrderKind Kind,
                                      serving::ModelName Name) {
   const auto Token = m_Rights.mayOrder(Where.m_Zone);
@@ -365,33 +413,46 @@
               {"expected_orders", Request.m_ExpectedOrders},
               {"result", toString(Status)}});
   Work &Current = m_Work[Where.m_Id];
+  Current.m_LastOrderAt = now();
   if (Status == OrderStatus::Fenced)
     m_Rights.onFenced(Where.m_Zone, *Token);
   if (Status == OrderStatus::Accepted && Current.m_Report)
     ++Current.m_Report->m_AcceptedOrders;
-  else if (Status != OrderStatus::AlreadyHolds)
+  else if (Status != OrderStatus::AlreadyHolds &&
+           Status != OrderStatus::Conflict)
     Current.m_Report.reset();
   co_return Status;
 }
 
-Task<bool> SwapService::awaitModel(Target Where, std::string Model,
-                                   bool Present, Duration Expected) {
-  const Instant GiveUp = now() + 3 * Expected + OrderSlack;
-  const std::int64_t Orders = m_Work[Where.m_Id].m_Report->m_AcceptedOrders;
-  co_await sleepFor(std::max<Duration>(Expected, FirstLook));
-  while (now() < GiveUp) {
-    const bool Fresh = co_await refresh(Where, true);
-    if (!Fresh)
-      co_return false;
-    const EngineReport &Report = *m_Work[Where.m_Id].m_Report;
-    // A report from before the order tells nothing of its end.
-    const bool Newer = Report.m_AcceptedOrders >= Orders;
-    const bool Holds = Report.m_Inventory.find(Model) != nullptr;
-    if (Newer && !Report.m_OrderRunning && Holds == Present)
-      co_return true;
-    co_await sleepFor(PollPeriod);
+Task<OrderStatus> SwapService::orderWhenFree(Target Where, OrderKind Kind,
+                                             serving::ModelName Name,
+                                             Duration Limit) {
+  const Instant GiveUp = now() + Limit;
+  for (int Asked = 1;; ++Asked) {
+    const OrderStatus Status = co_await order(Where, Kind, Name);
+    if (Status != OrderStatus::Conflict || now() >= GiveUp)
+      co_return Status;
+    co_await sleepFor(AskPeriod);
+    // Another order may run, or the endpoint has had orders that this host
+    // does not know of.
+    if (Asked % AsksPerReport == 0) {
+      const bool Agree = co_await countsAgree(Where);
+      if (!Agree) {
+        m_Work[Where.m_Id].m_Report.reset();
+        co_return OrderStatus::Unknown;
+      }
+    }
   }
-  co_return false;
+}
+
+Task<bool> SwapService::awaitHeld(Target Where, serving::ModelName Name,
+                                  Duration Expected) {
+  const Instant GiveUp = now() + 3 * Expected + OrderSlack;
+  co_await sleepFor(Expected + AskSlack);
+  const OrderStatus Status = co_await orderWhenFree(
+      Where, OrderKind::Load, Name, GiveUp - now());
+  // Accepted anew means that the first order was lost on the way.
+  co_return Status == OrderStatus::AlreadyHolds;
 }
 
 Task<void> SwapService::runAdapter(Target Where, ModelDemand Demand,
@@ -401,19 +462,19 @@
   log::entry(Part, Done ? "adapter.loaded" : "adapter.failed", Name.str(),
              {{"endpoint", Where.m_Id}});
   if (Done)
-    m_State.m_Endpoints.noteAdapter(Where.m_Id, Name);
+    publish(Where.m_Id, Name, true);
   finish(Where.m_Id, Done);
 }
 
 Task<bool> SwapService::loadAdapter(Target Where, serving::ModelName Name,
                                     serving::EngineSpec Engine) {
-  const bool Fresh = co_await refresh(Where, false);
+  const bool Fresh = co_await ensureReport(Where);
   if (!Fresh)
     co_return false;
   const EngineReport Report = *m_Work[Where.m_Id].m_Report;
   const serving::ModelSpec *Model = Engine.find(Name.m_Model);
   if (!Report.m_Inventory.find(Name.m_Model)) {
-    m_State.m_Endpoints.noteMissing(Where.m_Id, {Name.m_Model, {}});
+    publish(Where.m_Id, {Name.m_Model, {}}, false);
     co_return false;
   }
   const bool Full =
@@ -427,22 +488,10 @@
   const OrderStatus Loaded = co_await order(Where, OrderKind::Load, Name);
   if (!isDone(Loaded))
     co_return false;
-  // Adapters take some milliseconds, reports lag by a hundred: the same order
-  // tells sooner whether the adapter is there.
-  for (int Look = 0; Look < AdapterLooks; ++Look) {
-    co_await sleepFor(AdapterLook * (Look + 1));
-    const OrderStatus Status = co_await order(Where, OrderKind::Load, Name);
-    if (Status == OrderStatus::AlreadyHolds) {
-      if (auto &Known = m_Work[Where.m_Id].m_Report)
-        for (auto &Item : Known->m_Inventory.m_Models)
-          if (Item.m_Name == Name.m_Model)
-            Item.m_Adapters.insert(Name.m_Adapter);
-      co_return true;
-    }
-    if (Status != OrderStatus::Accepted)
-      co_return false;
-  }
-  co_return false;
+  const bool Held = co_await awaitHeld(Where, Name, AdapterLoadTime);
+  if (Held)
+    noteInReport(Where.m_Id, Name, true);
+  co_return Held;
 }
 
 Task<bool> SwapService::evictAdapter(Target Where, EngineReport Report) {
@@ -459,15 +508,12 @@
     }
   if (!Oldest)
     co_return false;
-  m_State.m_Endpoints.noteMissing(Where.m_Id, *Oldest);
   const serving::ModelName Victim = *Oldest;
+  publish(Where.m_Id, Victim, false);
   const OrderStatus Unloaded = co_await order(Where, OrderKind::Unload, Victim);
   if (!isDone(Unloaded))
     co_return false;
-  if (auto &Known = m_Work[Where.m_Id].m_Report)
-    for (auto &Item : Known->m_Inventory.m_Models)
-      if (Item.m_Name == Victim.m_Model)
-        Item.m_Adapters.erase(Victim.m_Adapter);
+  noteInReport(Where.m_Id, Victim, false);
   co_return true;
 }
 
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -2,6 +2,7 @@
 
 #include "Core/Loading/LoadScheduler.h"
 #include "Core/Serving/SwapPlanner.h"
+#include "Host/InventoryNotifier.h"
 #include "Host/OrderRights.h"
 #include "Host/PeerMessages.h"
 
@@ -15,7 +16,8 @@
 /// Thread safety: use from the host's io_context only.
 class SwapService {
 public:
-  SwapService(HostState &State, OrderRights &Rights);
+  SwapService(HostState &State, OrderRights &Rights,
+              InventoryNotifier &Notifier);
 
   /// Answers when the model is loaded, or after the time that the asking host
   /// waits.
@@ -29,8 +31,10 @@
     bool m_Busy = false;       ///< A coroutine gives it orders.
     std::string m_Loading;     ///< The model of that coroutine.
     Instant m_RestUntil;       ///< It did not answer; leave it alone.
+    /// What it holds and how many orders it has accepted: its report, kept in
+    /// step with the orders of this host since.
     std::optional<EngineReport> m_Report;
-    Instant m_ReportedAt;
+    Instant m_LastOrderAt;
   };
   struct Target {
     EndpointId m_Id;
@@ -63,21 +67,37 @@
   Task<bool> loadAdapter(Target Where, serving::ModelName Name,
                          serving::EngineSpec Engine);
   Task<bool> evictAdapter(Target Where, EngineReport Report);
-  /// Reads the endpoint's report unless a fresh one is known.
-  Task<bool> refresh(Target Where, bool Force);
+  /// Reads the endpoint's report unless it is known.
+  Task<bool> ensureReport(Target Where);
+  /// The endpoint has accepted as many orders as this host knows of; its
+  /// latest one may not show yet.
+  Task<bool> countsAgree(Target Where);
   Task<OrderStatus> order(Target Where, OrderKind Kind,
                           serving::ModelName Name);
-  /// Waits until the endpoint says that it holds the model, or no longer does.
-  Task<bool> awaitModel(Target Where, std::string Model, bool Present,
-                        Duration Expected);
+  /// Repeats a load order until the endpoint says that it holds the model or
+  /// adapter, first after \p Expected.
+  Task<bool> awaitHeld(Target Where, serving::ModelName Name,
+                       Duration Expected);
+  /// Sends an order, and again while the one before it is carried out.
+  Task<OrderStatus> orderWhenFree(Target Where, OrderKind Kind,
+                                  serving::ModelName Name, Duration Limit);
+  void publish(const EndpointId &Id, const serving::ModelName &Name, bool Held);
+  /// Keeps the known report in step with the orders of this host.
+  void noteInReport(const EndpointId &Id, const serving::ModelName &Name,
+                    bool Held);
+  /// Takes the replicas at the start for the demand of the time before, until
+  /// hosts have reported theirs.
+  void assumeEarlierDemand();
   void finish(const EndpointId &Id, bool Done);
 
   HostState &m_State;
   OrderRights &m_Rights;
+  InventoryNotifier &m_Notifier;
   ChangeSignal m_Progress;
   std::map<EndpointId, Work> m_Work;
   serving::DemandRates m_Demand; ///< Of all hosts that report.
   std::map<HostId, Instant> m_Reporters;
+  bool m_DemandAssumed = false;
   std::optional<loading::LoadPermits> m_Permits;
 };
 
