--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds UsagePeriod{1000};
 constexpr milliseconds ReplicaPeriod{2000};
 constexpr milliseconds UsageTimeout{1000};
+/// The same where endpoints of another zone have the weights at hand too.
+constexpr milliseconds FirstAsk{1200};
 /// Pause before the zones are asked again.
 constexpr milliseconds AskPause{150};
 /// A model that this host is asked for this often deserves a replica in the
@@ -37,6 +39,13 @@
     ++m_Usage[Name.str()];
 }
 
+void DemandRouter::onWaiting(const serving::ModelName &Name, int Change) {
+  const auto Place = m_Waiting.try_emplace(Name, 0).first;
+  Place->second += Change;
+  if (Place->second <= 0)
+    m_Waiting.erase(Place);
+}
+
 void DemandRouter::ensure(const std::string &Service,
                           const serving::ModelName &Name, std::int64_t Rank,
                           Instant Until) {
@@ -72,6 +81,17 @@
       Place->second = std::min(Place->second, There);
     }
   std::vector<ZoneChoice> Result;
+  // Where weights are at hand somewhere, a load from the weight store is not
+  // asked for elsewhere.
+  if (Model) {
+    const auto Nearest = std::ranges::min_element(
+        Seconds, {}, [](const auto &Item) { return Item.second; });
+    if (Nearest != Seconds.end() &&
+        Nearest->second < Model->m_RemoteLoadSeconds)
+      std::erase_if(Seconds, [Model](const auto &Item) {
+        return Item.second >= Model->m_RemoteLoadSeconds;
+      });
+  }
   // All hosts come to the same order, so that they do not load the model in
   // several zones at once.
   for (const auto &[Zone, There] : Seconds)
@@ -108,8 +128,10 @@
       break;
     ModelDemand Demand{Choice.m_Zone, Service, Name.m_Model, Name.m_Adapter};
     Demand.m_Rank = Rank;
-    Demand.m_WaitMs =
-        std::min(toMilliseconds(Until - now()), LongestAsk).count();
+    if (const auto Found = m_Waiting.find(Name); Found != m_Waiting.end())
+      Demand.m_Waiting = Found->second;
+    const milliseconds Limit = &Choice == &Zones.back() ? LongestAsk : FirstAsk;
+    Demand.m_WaitMs = std::min(toMilliseconds(Until - now()), Limit).count();
     const auto *Known = m_State.m_Catalogue->findService(Service);
     const auto *Model = Known && Known->m_Engine
                             ? Known->m_Engine->find(Name.m_Model)
--- a/Source/Core/Host/DemandRouter.h
+++ b/Source/Core/Host/DemandRouter.h
@@ -22,6 +22,8 @@
   void ensure(const std::string &Service, const serving::ModelName &Name,
               std::int64_t Rank, Instant Until);
   void onRequest(const serving::ModelName &Name);
+  /// A request begins or stops to wait for the model.
+  void onWaiting(const serving::ModelName &Name, int Change);
 
 private:
   /// A zone whose endpoints may load the model, the best one first.
@@ -48,6 +50,7 @@
   SwapService &m_Swaps;
   http::Client m_Peers;
   std::set<serving::ModelName> m_Asked;
+  std::map<serving::ModelName, std::int64_t> m_Waiting;
   std::map<std::string, double> m_Usage; ///< Since the last report.
   std::map<ZoneId, std::int64_t> m_HostsByZone;
 };
--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -108,7 +108,7 @@
 }
 
 bool Host::isReady() const {
-  return !m_Stopping && m_State.m_Catalogue && m_State.m_EndpointsKnown;
+  return !m_Draining && m_State.m_Catalogue && m_State.m_EndpointsKnown;
 }
 
 Task<void> Host::handleReadiness(http::Request, http::Exchange &Caller) {
@@ -193,7 +193,7 @@
       m_State.m_Settings.get(GraceSetting));
   const Instant Latest =
       Start + std::chrono::duration_cast<Duration>(Grace) - ExitMargin;
-  m_Stopping = true;
+  m_Draining = true;
   log::info(Part, "process.stopping",
             {{"requests", m_Callers.activeRequests()},
              {"connections", m_Callers.connections()}});
@@ -205,6 +205,8 @@
     const bool Quiet = m_Callers.activeRequests() == 0;
     if (Quiet && now() - Start > BalancerNotice)
       break;
+    if (now() - Start > BalancerNotice)
+      m_State.m_Stopping = true;
     co_await sleepFor(StopCheck);
   }
   log::info(Part, "process.drained",
--- a/Source/Core/Host/Host.h
+++ b/Source/Core/Host/Host.h
@@ -53,7 +53,7 @@
   http::Server m_Peers;
   http::Server m_Metrics;
   boost::asio::signal_set m_Signals;
-  bool m_Stopping = false;
+  bool m_Draining = false;
 };
 
 } // namespace sff::host
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -49,6 +49,8 @@
   ChangeSignal m_Changed; ///< Catalogue, endpoints or inventories.
   std::shared_ptr<const serving::Catalogue> m_Catalogue;
   serving::EndpointDirectory m_Endpoints;
+  /// The process is about to end: what has not been sent is refused.
+  bool m_Stopping = false;
   bool m_EndpointsKnown = false; ///< The registry has been listed once.
   serving::EndpointChooser m_Chooser;
   retry::CrashQuarantine m_Quarantine;
--- a/Source/Core/Host/PeerMessages.h
+++ b/Source/Core/Host/PeerMessages.h
@@ -25,6 +25,7 @@
   std::string m_Adapter;
   std::int64_t m_WaitMs = 0; ///< How long the asking host waits.
   std::int64_t m_Rank = 0;   ///< Of the most urgent request; 0 is first.
+  std::int64_t m_Waiting = 1; ///< Requests that wait for it at the host.
   bool m_MayLoadRemote = false; ///< No endpoint has the weights at hand.
   /// A further replica of a busy model: worth it only at little cost.
   bool m_Replica = false;
@@ -37,6 +38,7 @@
                            field("adapter", &ModelDemand::m_Adapter),
                            field("wait_ms", &ModelDemand::m_WaitMs),
                            field("rank", &ModelDemand::m_Rank),
+                           field("waiting", &ModelDemand::m_Waiting),
                            field("remote", &ModelDemand::m_MayLoadRemote),
                            field("replica", &ModelDemand::m_Replica));
   }
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -63,7 +63,7 @@
                                http::Exchange &Caller)
     : m_State(State), m_Demands(Demands), m_Sessions(Sessions),
       m_Incoming(std::move(Incoming)), m_Caller(Caller), m_Arrived(now()),
-      m_Timer(State.m_Context) {}
+      m_Timer(State.m_Context), m_SilenceTimer(State.m_Context) {}
 
 Task<void> RequestSession::run() {
   m_Facts = m_State.m_Platform.m_Wire->decode(m_Incoming);
@@ -86,6 +86,7 @@
     co_await serve();
   m_Ended = true;
   m_Timer.cancel();
+  m_SilenceTimer.cancel();
 }
 
 bool RequestSession::findRoute() {
@@ -197,24 +198,60 @@
     co_await giveUp("model_not_loaded");
     co_return Step::Finished;
   }
+  if (m_State.m_Stopping) {
+    co_await giveUp("shutting_down");
+    co_return Step::Finished;
+  }
+  m_Demands.onWaiting(m_Facts.m_Model, 1);
   m_Demands.ensure(m_Service->m_Name, m_Facts.m_Model, m_Route->m_Rank,
                    m_AnswerBy);
   co_await m_State.m_Changed.wait(
       std::min<Duration>(RecheckPeriod, left()));
+  m_Demands.onWaiting(m_Facts.m_Model, -1);
   co_return Step::TryAgain;
 }
 
 milliseconds RequestSession::patience() const {
-  const milliseconds Left = toMilliseconds(left());
-  const bool LastEndpoint =
-      static_cast<int>(m_MayHaveRun.size()) + 1 >= m_Route->m_MaxEndpoints;
-  if (!m_Route->isIdempotent() || LastEndpoint ||
-      !m_State.budget(m_Service->m_Name).allows(now()))
-    return Left;
-  if (m_Route->m_Kind == serving::RouteKind::Stream)
-    return std::min(Left, StreamPatience);
-  return std::min(Left, std::max(LeastPatience, PatienceFactor *
-                                                    m_Route->m_TargetLatency));
+  if (m_HeadSent)
+    return StreamPatience;
+  return std::max(m_Route->m_Kind == serving::RouteKind::Stream
+                      ? StreamPatience
+                      : LeastPatience,
+                  PatienceFactor * m_Route->m_TargetLatency);
+}
+
+bool RequestSession::canMoveOn() const {
+  if (!m_Route->isIdempotent() ||
+      static_cast<int>(m_MayHaveRun.size()) >= m_Route->m_MaxEndpoints)
+    return false;
+  const auto List = candidates();
+  const bool Other = std::ranges::any_of(List, [this](const auto *Item) {
+    return !m_Tried.contains(Item->id()) &&
+           !m_State.m_Chooser.health().isSuspended(Item->id(), now());
+  });
+  return Other && m_State.budget(m_Service->m_Name).allows(now());
+}
+
+void RequestSession::watchSilence(EndpointId Id) {
+  m_SilenceTimer.expires_at(m_Progress + patience());
+  m_SilenceTimer.async_wait([Self = shared_from_this(),
+                             Id](const boost::system::error_code &Error) {
+    if (Error || Self->m_Ended)
+      return;
+    const Duration Silent = now() - Self->m_Progress;
+    // The endpoint itself must count as one that may have run the request.
+    Self->m_Tried.insert(Id);
+    Self->m_MayHaveRun.insert(Id);
+    if (Silent >= Self->patience()) {
+      if (Self->canMoveOn()) {
+        Self->m_GaveUpSilent = true;
+        Self->m_Canceller->cancel();
+        return;
+      }
+      Self->m_Progress = now();
+    }
+    Self->watchSilence(Id);
+  });
 }
 
 http::ClientOptions RequestSession::callOptions() const {
@@ -222,7 +259,7 @@
   Options.m_ConnectTimeout =
       std::min(ConnectTimeout, toMilliseconds(left()));
   Options.m_WriteTimeout = toMilliseconds(left());
-  Options.m_ReadTimeout = patience();
+  Options.m_ReadTimeout = toMilliseconds(left());
   Options.m_MaxIdle = MaxIdle;
   Options.m_Echo = m_State.m_Platform.m_Wire->echoOf(m_Facts.m_Id);
   Options.m_Canceller = m_Canceller;
@@ -273,6 +310,12 @@
   const std::shared_ptr<void> Done(
       nullptr, [&Loads, Id](void *) { Loads.onFinished(Id, now()); });
   const Instant SentAt = now();
+  m_Progress = SentAt;
+  m_GaveUpSilent = false;
+  if (m_Route->isIdempotent())
+    watchSilence(Id);
+  const std::shared_ptr<void> StopWatch(
+      nullptr, [this](void *) { m_SilenceTimer.cancel(); });
   http::Request Outgoing =
       m_State.m_Platform.m_Wire->encode(m_Incoming, dispatchFacts(Id));
   http::OpenResult Result = co_await m_State.m_Http.open(
@@ -289,9 +332,7 @@
   m_Tried.insert(Id);
   if (!Failure.provesNotSent()) {
     ++m_Sends;
-    const auto Result = Failure.m_TimedOut ? serving::CallResult::Silent
-                                           : serving::CallResult::Broken;
-    co_return co_await onBroken(Id, Result, Failure.m_Detail);
+    co_return co_await onBroken(Id, resultOf(Failure), Failure.m_Detail);
   }
   if (isOver())
     co_return Step::TryAgain;
@@ -301,6 +342,12 @@
   co_return Step::TryAgain;
 }
 
+serving::CallResult
+RequestSession::resultOf(const http::TransportFailure &Failure) const {
+  return Failure.m_TimedOut || m_GaveUpSilent ? serving::CallResult::Silent
+                                              : serving::CallResult::Broken;
+}
+
 Task<RequestSession::Step>
 RequestSession::onBroken(EndpointId Id, serving::CallResult Result,
                          std::string Detail) {
@@ -376,11 +423,7 @@
   while (true) {
     auto Next = co_await Answer->read();
     if (auto *Failure = std::get_if<http::TransportFailure>(&Next))
-      co_return co_await onBroken(
-          Id,
-          Failure->m_TimedOut ? serving::CallResult::Silent
-                              : serving::CallResult::Broken,
-          Failure->m_Detail);
+      co_return co_await onBroken(Id, resultOf(*Failure), Failure->m_Detail);
     std::string &Piece = std::get<std::string>(Next);
     if (Piece.empty())
       break;
@@ -430,7 +473,9 @@
     co_return Step::Finished;
   }
   m_Events.dropPartial();
-  co_return co_await onBroken(Id, serving::CallResult::Broken,
+  co_return co_await onBroken(Id,
+                              m_GaveUpSilent ? serving::CallResult::Silent
+                                             : serving::CallResult::Broken,
                               "the stream broke");
 }
 
@@ -442,6 +487,7 @@
       co_return StreamEnd::CallerGone;
     if (std::holds_alternative<http::TransportFailure>(Next))
       co_return StreamEnd::EndpointBroke;
+    m_Progress = now();
     const std::string &Piece = std::get<std::string>(Next);
     std::string Whole = m_Events.append(Piece);
     if (Piece.empty())
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -55,13 +55,19 @@
   Task<Step> passWhole(EndpointId Id, OpenStream Answer);
   Task<Step> passStream(EndpointId Id, OpenStream Answer);
   Task<StreamEnd> pipe(EndpointId Id, OpenStream Answer);
+  serving::CallResult resultOf(const http::TransportFailure &Failure) const;
   /// The endpoint may have run the request and gave no whole answer.
   Task<Step> onBroken(EndpointId Id, serving::CallResult Result,
                       std::string Detail);
 
   http::ClientOptions callOptions() const;
   DispatchFacts dispatchFacts(const EndpointId &Id) const;
+  /// Longest silence of an endpoint before another one is tried.
   milliseconds patience() const;
+  /// Another endpoint may have the request, and one is there to take it.
+  bool canMoveOn() const;
+  /// Looks at the endpoint's silence when it may have lasted too long.
+  void watchSilence(EndpointId Id);
   Duration left() const { return m_AnswerBy - now(); }
   bool mayRepeat();
   bool isOver() const { return m_CallerGone || m_Expired; }
@@ -87,6 +93,9 @@
   Instant m_AnswerBy;
   std::shared_ptr<http::CallCanceller> m_Canceller;
   boost::asio::steady_timer m_Timer;
+  boost::asio::steady_timer m_SilenceTimer;
+  Instant m_Progress; ///< Latest sign of the endpoint.
+  bool m_GaveUpSilent = false; ///< This attempt was ended for silence.
   bool m_CallerGone = false;
   bool m_Expired = false;
   bool m_Ended = false;
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -41,6 +41,8 @@
 constexpr milliseconds ReporterPeriod{15000};
 /// A further replica may cost callers of other models this many seconds.
 constexpr double ReplicaCostSeconds = 2.5;
+/// Seconds of waiting that an eviction may cause for each unit of urgency.
+constexpr double WorthSeconds = 4;
 /// Loads that run at full speed at once over all zones; the weight store
 /// slows all of them beyond.
 constexpr double ParallelRemoteLoads = 4;
@@ -185,6 +187,12 @@
 Task<DemandAnswer> SwapService::handle(ModelDemand Demand) {
   const Instant Until = now() + milliseconds(Demand.m_WaitMs);
   assumeEarlierDemand();
+  const serving::ModelName Name{Demand.m_Model, Demand.m_Adapter};
+  const auto Waiting =
+      m_Queue.add({Name, Demand.m_Waiting, Demand.m_Rank, now()});
+  const std::shared_ptr<void> Remove(
+      nullptr, [this, Waiting](void *) { m_Queue.remove(Waiting); });
+  m_Pending[Name] = Demand;
   while (true) {
     if (!m_Rights.mayOrder(Demand.m_Zone))
       co_return DemandAnswer{DemandStatus::NotHolder, {}};
@@ -196,20 +204,33 @@
     if (!Service || !Service->m_Engine ||
         !Service->m_Engine->find(Demand.m_Model))
       co_return DemandAnswer{DemandStatus::Impossible, {}};
-    if (!isLoading(Demand.m_Model))
-      startWork(Demand, *Service->m_Engine);
+    startPending(*Service->m_Engine);
     if (now() >= Until)
       co_return DemandAnswer{DemandStatus::Busy, {}};
     co_await m_Progress.wait(std::min<Duration>(Until - now(), RecheckPeriod));
   }
 }
 
+void SwapService::startPending(const serving::EngineSpec &Engine) {
+  std::set<serving::ModelName> Names;
+  for (const serving::ModelUrgency &Item : m_Queue.ordered(now())) {
+    Names.insert(Item.m_Name);
+    const ModelDemand &Demand = m_Pending.at(Item.m_Name);
+    if (!isLoading(Demand.m_Model) && !findHolding(Demand))
+      startWork(Demand, Engine, Item.m_Urgency);
+  }
+  std::erase_if(m_Pending, [&Names](const auto &Item) {
+    return !Names.contains(Item.first);
+  });
+}
+
 void SwapService::startWork(const ModelDemand &Demand,
-                            const serving::EngineSpec &Engine) {
+                            const serving::EngineSpec &Engine,
+                            double Urgency) {
   if (!Demand.m_Adapter.empty() && startAdapter(Demand))
     return;
   if (const serving::ModelSpec *Model = Engine.find(Demand.m_Model))
-    startSwap(Demand, Engine, *Model);
+    startSwap(Demand, Engine, *Model, Urgency);
 }
 
 bool SwapService::startAdapter(const ModelDemand &Demand) {
@@ -249,6 +270,14 @@
   return Count;
 }
 
+bool SwapService::isInUse(const std::string &Model) const {
+  const auto Loaded = m_LoadedAt.find(Model);
+  const Instant LoadedAt =
+      Loaded == m_LoadedAt.end() ? Instant() : Loaded->second;
+  const Instant Latest = std::max(LoadedAt, m_Demand.lastRequest(Model));
+  return now() - Latest < InUsePeriod;
+}
+
 serving::SwapCandidate
 SwapService::candidateOf(const serving::Inventory &Held, const EndpointId &Id,
                          const serving::EngineSpec &Engine,
@@ -268,14 +297,14 @@
     Result.m_Held.push_back(
         {Item.m_Name, Size, m_Demand.rate(Item.m_Name, now()),
          otherReplicas(Item.m_Name, Id), Engine.m_Slots * RatePerSlot,
-         now() - m_Demand.lastRequest(Item.m_Name) < InUsePeriod});
+         isInUse(Item.m_Name)});
   }
   return Result;
 }
 
 void SwapService::startSwap(const ModelDemand &Demand,
                             const serving::EngineSpec &Engine,
-                            const serving::ModelSpec &Model) {
+                            const serving::ModelSpec &Model, double Urgency) {
   Candidates List;
   for (const serving::Endpoint *Item : endpointsOf(Demand)) {
     const Work &Known = m_Work[Item->id()];
@@ -291,8 +320,10 @@
   const auto Plan = serving::planSwap(Model.m_WeightMb, List);
   if (!Plan)
     return;
-  if (Demand.m_Replica &&
-      Plan->m_Cost - Plan->m_LoadSeconds > ReplicaCostSeconds)
+  // Evicting what others are about to ask for must be worth it.
+  const double Worth =
+      Demand.m_Replica ? ReplicaCostSeconds : Urgency * WorthSeconds;
+  if (Plan->m_Cost - Plan->m_LoadSeconds > Worth)
     return;
   if (Plan->m_Location == loading::WeightLocation::Remote) {
     if (!m_Permits)
@@ -360,6 +391,7 @@
   const Duration Expected = toDuration(Plan->m_LoadSeconds);
   const bool Held = co_await awaitHeld(Where, Name, Expected);
   if (Held) {
+    m_LoadedAt[Demand.m_Model] = now();
     noteInReport(Where.m_Id, Name, true);
     publish(Where.m_Id, Name, true);
   }
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Loading/LoadScheduler.h"
+#include "Core/Serving/DemandQueue.h"
 #include "Core/Serving/SwapPlanner.h"
 #include "Host/InventoryNotifier.h"
 #include "Host/OrderRights.h"
@@ -47,15 +48,20 @@
   endpointsOf(const ModelDemand &Demand) const;
   std::optional<EndpointId> findHolding(const ModelDemand &Demand) const;
   bool isLoading(const std::string &Model) const;
-  /// Starts what the demand needs, if it can start now.
-  void startWork(const ModelDemand &Demand, const serving::EngineSpec &Engine);
+  /// Starts what the waiting demands need, the most urgent first, as far as
+  /// endpoints are free.
+  void startPending(const serving::EngineSpec &Engine);
+  void startWork(const ModelDemand &Demand, const serving::EngineSpec &Engine,
+                 double Urgency);
   bool startAdapter(const ModelDemand &Demand);
   void startSwap(const ModelDemand &Demand, const serving::EngineSpec &Engine,
-                 const serving::ModelSpec &Model);
+                 const serving::ModelSpec &Model, double Urgency);
   serving::SwapCandidate candidateOf(const serving::Inventory &Held,
                                      const EndpointId &Id,
                                      const serving::EngineSpec &Engine,
                                      const serving::ModelSpec &Model) const;
+  /// Requests of the model may be running.
+  bool isInUse(const std::string &Model) const;
   int otherReplicas(std::string_view Model, const EndpointId &Except) const;
 
   Task<void> runSwap(Target Where, ModelDemand Demand,
@@ -95,6 +101,10 @@
   InventoryNotifier &m_Notifier;
   ChangeSignal m_Progress;
   std::map<EndpointId, Work> m_Work;
+  serving::DemandQueue m_Queue;
+  /// One of the waiting demands of each name in the queue.
+  std::map<serving::ModelName, ModelDemand> m_Pending;
+  std::map<std::string, Instant, std::less<>> m_LoadedAt;
   serving::DemandRates m_Demand; ///< Of all hosts that report.
   std::map<HostId, Instant> m_Reporters;
   bool m_DemandAssumed = false;
