--- /dev/null
+++ b/Source/UnitTests/Core/Serving/PlacementTest.cpp
@@ -0,0 +1,136 @@
+#include "Core/Serving/DemandQueue.h"
+#include "Core/Serving/DemandRates.h"
+#include "Core/Serving/SwapPlanner.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sff::serving {
+namespace {
+
+constexpr Instant Start{std::chrono::hours(1)};
+constexpr double ModelMb = 70000;
+constexpr double CapacityMb = 220000;
+
+HeldModel makeHeld(std::string Name, double Rate, int OtherReplicas,
+                   double ReplicaCapacity = 30) {
+  return {std::move(Name), ModelMb, Rate, OtherReplicas, ReplicaCapacity,
+          false};
+}
+
+SwapCandidate makeCandidate(std::string Id, std::vector<HeldModel> Held) {
+  return {EndpointId(std::move(Id)), CapacityMb, std::move(Held),
+          loading::WeightLocation::Disk, 1.0, false};
+}
+
+// Load: a busy model on a few endpoints beside many rare ones. Guards against
+// the eviction of the busy model's replicas by rare models, which left one
+// overloaded replica for 80 requests per second.
+TEST(PlacementTest, BusyModelKeepsItsReplicas) {
+  EXPECT_GT(evictionCost(makeHeld("busy", 80, 1)),
+            100 * evictionCost(makeHeld("rare", 0.1, 0)));
+  EXPECT_GT(evictionCost(makeHeld("busy", 80, 3)),
+            10 * evictionCost(makeHeld("rare", 0.1, 0)));
+}
+
+// Load: demand has moved on from a model with many replicas. Guards against
+// replicas that nobody uses and that keep rare models out.
+TEST(PlacementTest, ReplicasWithoutLoadGoFirst) {
+  const std::vector<SwapCandidate> List = {makeCandidate(
+      "e1", {makeHeld("idle-replica", 0.2, 4), makeHeld("rare", 0.1, 0),
+             makeHeld("other", 0.2, 0)})};
+  const auto Plan = planSwap(ModelMb, List);
+  ASSERT_TRUE(Plan);
+  EXPECT_EQ(Plan->m_Evict, std::vector<std::string>{"idle-replica"});
+}
+
+// Guards against a load on the endpoint whose models are asked for most.
+TEST(PlacementTest, CheapestEndpointIsChosen) {
+  const std::vector<SwapCandidate> List = {
+      makeCandidate("used", {makeHeld("a", 1, 0), makeHeld("b", 1, 0),
+                             makeHeld("c", 1, 0)}),
+      makeCandidate("free", {makeHeld("d", 1, 0)})};
+  const auto Plan = planSwap(ModelMb, List);
+  ASSERT_TRUE(Plan);
+  EXPECT_EQ(Plan->m_Endpoint, EndpointId("free"));
+  EXPECT_TRUE(Plan->m_Evict.empty());
+}
+
+// Guards against a plan that overfills an endpoint, which crashes it.
+RC_GTEST_PROP(PlacementTest, PlanNeverOverfillsAnEndpoint, ()) {
+  std::vector<SwapCandidate> List;
+  const int Endpoints = *rc::gen::inRange(1, 4);
+  for (int Index = 0; Index < Endpoints; ++Index) {
+    SwapCandidate Item = makeCandidate("e" + std::to_string(Index), {});
+    const int Models = *rc::gen::inRange(0, 5);
+    for (int Model = 0; Model < Models; ++Model) {
+      Item.m_Held.push_back(makeHeld(std::to_string(Model),
+                                     *rc::gen::inRange(0, 50),
+                                     *rc::gen::inRange(0, 3)));
+      Item.m_Held.back().m_SizeMb = *rc::gen::inRange(1, 120000);
+    }
+    List.push_back(std::move(Item));
+  }
+  const double SizeMb = *rc::gen::inRange(1, 300000);
+  const auto Plan = planSwap(SizeMb, List);
+  if (!Plan) {
+    RC_ASSERT(SizeMb > CapacityMb);
+    return;
+  }
+  for (const SwapCandidate &Item : List) {
+    if (Item.m_Endpoint != Plan->m_Endpoint)
+      continue;
+    double Used = SizeMb;
+    for (const HeldModel &Model : Item.m_Held)
+      if (std::ranges::find(Plan->m_Evict, Model.m_Name) ==
+          Plan->m_Evict.end())
+        Used += Model.m_SizeMb;
+    RC_ASSERT(Used <= CapacityMb);
+  }
+}
+
+// Load: one model becomes busy while twenty rare ones wait as well. Guards
+// against a queue in which the busy one waits for its turn (254 callers of
+// one model had gone before it was loaded).
+TEST(PlacementTest, ModelWithManyWaitingRequestsComesFirst) {
+  DemandQueue Queue;
+  for (int Index = 0; Index < 20; ++Index)
+    Queue.add({{"rare" + std::to_string(Index), {}}, 1, 0, Start});
+  Queue.add({{"busy", {}}, 15, 0, Start});
+  Queue.add({{"busy", {}}, 10, 0, Start});
+  const auto Order = Queue.ordered(Start + milliseconds(100));
+  ASSERT_EQ(Order.size(), 21U);
+  EXPECT_EQ(Order.front().m_Name.m_Model, "busy");
+}
+
+// Guards against a rare model that never gets its turn.
+TEST(PlacementTest, WaitingTimeRaisesARareModel) {
+  DemandQueue Queue;
+  Queue.add({{"rare", {}}, 1, 0, Start});
+  const Instant Later = Start + std::chrono::seconds(9);
+  Queue.add({{"newer", {}}, 5, 0, Later});
+  EXPECT_EQ(Queue.ordered(Later).front().m_Name.m_Model, "rare");
+}
+
+// Guards against a demand that still counts after its host stopped waiting.
+TEST(PlacementTest, RemovedDemandDoesNotCount) {
+  DemandQueue Queue;
+  const auto Item = Queue.add({{"m", {}}, 3, 0, Start});
+  Queue.remove(Item);
+  EXPECT_TRUE(Queue.ordered(Start).empty());
+  EXPECT_EQ(Queue.urgency({"m", {}}, Start), 0);
+}
+
+// Guards against rates that stay up after the demand has moved on.
+TEST(PlacementTest, RateFollowsTheDemand) {
+  DemandRates Rates{std::chrono::seconds(20)};
+  for (int Second = 0; Second < 100; ++Second)
+    Rates.add("m", 10, Start + std::chrono::seconds(Second));
+  const Instant End = Start + std::chrono::seconds(100);
+  EXPECT_NEAR(Rates.rate("m", End), 10, 1);
+  EXPECT_LT(Rates.rate("m", End + std::chrono::seconds(100)), 0.2);
+  EXPECT_EQ(Rates.rate("unknown", End), 0);
+}
+
+} // namespace
+} // namespace sff::serving
