Notice an outage of the store early, and share crashing requests between hosts

When the reads of the endpoints show that the store is away, all waiting calls end, and reads do not wait until it is back.

--- a/Source/Core/Core/Retry/CrashQuarantine.cpp
+++ b/Source/Core/Core/Retry/CrashQuarantine.cpp
@@ -16,14 +16,28 @@
 
 void CrashQuarantine::merge(const std::string &Fingerprint,
                             std::int64_t Crashes, Instant Now) {
-  Suspect &Entry = refresh(Fingerprint, Now);
-  Entry.m_Crashes = std::max(Entry.m_Crashes, Crashes);
+  const auto Found = m_Suspects.find(Fingerprint);
+  const bool Known = Found != m_Suspects.end() &&
+                     !isForgotten(Found->second, Now) &&
+                     Found->second.m_Crashes >= Crashes;
+  // Hosts that repeat old news to each other must not keep it alive.
+  if (!Known)
+    refresh(Fingerprint, Now).m_Crashes = Crashes;
 }
 
 void CrashQuarantine::onSuccess(const std::string &Fingerprint) {
   m_Suspects.erase(Fingerprint);
 }
 
+std::map<std::string, std::int64_t>
+CrashQuarantine::recentSuspects(Instant Now) const {
+  std::map<std::string, std::int64_t> Result;
+  for (const auto &[Fingerprint, Known] : m_Suspects)
+    if (Now - Known.m_LastCrash < NewsPeriod)
+      Result.emplace(Fingerprint, Known.m_Crashes);
+  return Result;
+}
+
 QuarantineVerdict CrashQuarantine::verdict(const std::string &Fingerprint,
                                            Instant Now) {
   const auto Found = m_Suspects.find(Fingerprint);
--- a/Source/Core/Core/Retry/CrashQuarantine.h
+++ b/Source/Core/Core/Retry/CrashQuarantine.h
@@ -27,8 +27,13 @@
   void merge(const std::string &Fingerprint, std::int64_t Crashes, Instant Now);
   /// The request ran to its end, so the suspicion is dropped.
   void onSuccess(const std::string &Fingerprint);
+  /// Fingerprints whose totals have risen lately, for other hosts to merge.
+  std::map<std::string, std::int64_t> recentSuspects(Instant Now) const;
   QuarantineVerdict verdict(const std::string &Fingerprint, Instant Now);
 
+  /// Time for which a total is news.
+  static constexpr milliseconds NewsPeriod{5000};
+
 private:
   struct Suspect {
     std::int64_t m_Crashes = 0;
--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -161,7 +161,8 @@
 Task<void> DemandRouter::reportUsage() {
   while (true) {
     co_await sleepFor(UsagePeriod);
-    UsageReport Report{HostId(m_Rights.member()), std::exchange(m_Usage, {})};
+    UsageReport Report{HostId(m_Rights.member()), std::exchange(m_Usage, {}),
+                       m_State.m_Quarantine.recentSuspects(now())};
     std::set<ZoneId> Zones;
     for (const auto &[Id, Known] : m_State.m_Endpoints.all())
       if (!Known.inventory().m_Models.empty())
@@ -185,6 +186,7 @@
     m_Rights.forgetHolder(Zone);
     co_return;
   }
+  m_State.mergeCrashes(Answer->m_Crashes);
   // A holder that has just begun knows few hosts, so the largest count holds.
   m_HostsByZone[Zone] = Answer->m_Hosts;
   std::int64_t Hosts = 1;
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -55,6 +55,22 @@
     Budget.setHosts(Hosts);
 }
 
+void HostState::onEndpointDown(const EndpointId &Id) {
+  for (const std::string &Fingerprint : m_CrashWatch.onDown(Id, now())) {
+    const auto Crashes = m_Quarantine.onCrash(Fingerprint, now());
+    log::warning(log::Category::Execution, "request.crashed_endpoint",
+                 {{"endpoint", Id},
+                  {"fingerprint", Fingerprint},
+                  {"crashes", Crashes}});
+  }
+}
+
+void HostState::mergeCrashes(
+    const std::map<std::string, std::int64_t> &Crashes) {
+  for (const auto &[Fingerprint, Count] : Crashes)
+    m_Quarantine.merge(Fingerprint, Count, now());
+}
+
 void HostState::spawn(std::string Duty, Task<void> Work) {
   boost::asio::co_spawn(
       m_Context, std::move(Work),
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -2,6 +2,7 @@
 
 #include "Common/Logging/Log.h"
 #include "Core/Retry/CrashQuarantine.h"
+#include "Core/Retry/CrashWatch.h"
 #include "Core/Serving/DemandRates.h"
 #include "Core/Serving/EndpointChooser.h"
 #include "Core/Serving/SharedRetryBudget.h"
@@ -35,6 +36,11 @@
   /// The number of hosts that share the retry budget has changed.
   void setHosts(std::size_t Hosts);
   std::size_t hosts() const { return m_Hosts; }
+  /// The endpoint refuses connections or has started anew: requests that were
+  /// lost with it are suspects.
+  void onEndpointDown(const EndpointId &Id);
+  /// Takes notice of the crashes that other hosts have seen.
+  void mergeCrashes(const std::map<std::string, std::int64_t> &Crashes);
   /// Starts a coroutine that runs beside the caller; an exception that leaves
   /// it is logged under \p Duty.
   void spawn(std::string Duty, Task<void> Work);
@@ -54,6 +60,7 @@
   bool m_EndpointsKnown = false; ///< The registry has been listed once.
   serving::EndpointChooser m_Chooser;
   retry::CrashQuarantine m_Quarantine;
+  retry::CrashWatch m_CrashWatch;
   /// Requests for models that reached this host.
   serving::DemandRates m_OwnDemand;
 
--- a/Source/Core/Host/PeerMessages.h
+++ b/Source/Core/Host/PeerMessages.h
@@ -68,23 +68,32 @@
   }
 };
 
-/// Requests that one host has had for each model since its last report.
+/// Crashes of endpoints for each fingerprint of a request.
+using CrashCounts = std::map<std::string, std::int64_t>;
+
+/// Requests that one host has had for each model since its last report, and
+/// the requests that it has seen crash endpoints.
 struct UsageReport {
   HostId m_Host;
   std::map<std::string, double> m_Requests;
+  CrashCounts m_Crashes;
 
   static constexpr auto describe() {
     using codec::field;
     return std::make_tuple(field("host", &UsageReport::m_Host),
-                           field("requests", &UsageReport::m_Requests));
+                           field("requests", &UsageReport::m_Requests),
+                           field("crashes", &UsageReport::m_Crashes));
   }
 };
 
 struct UsageAnswer {
   std::int64_t m_Hosts = 0; ///< Hosts that report usage to this holder.
+  CrashCounts m_Crashes;    ///< Of all hosts that report.
 
   static constexpr auto describe() {
-    return std::make_tuple(codec::field("hosts", &UsageAnswer::m_Hosts));
+    using codec::field;
+    return std::make_tuple(field("hosts", &UsageAnswer::m_Hosts),
+                           field("crashes", &UsageAnswer::m_Crashes));
   }
 };
 
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -108,6 +108,9 @@
 class Store {
 public:
   virtual ~Store() = default;
+  /// Ends all calls that wait for an answer, for example when another call
+  /// shows that the store is away.
+  virtual void abandonCalls() = 0;
   /// The newest catalogue and the position after it.
   virtual Task<CatalogueBatch> listCatalogue() = 0;
   /// What was published from \p From on, waiting up to \p Wait for it.
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -30,6 +30,8 @@
 /// Pause before an endpoint that was full is asked again.
 constexpr milliseconds FullPause{60};
 constexpr milliseconds DefaultRetryAfter{1000};
+/// A request that crashed endpoints is not worth another try soon.
+constexpr milliseconds QuarantineRetryAfter{30000};
 /// Requests with less time left than this are refused while they wait.
 constexpr milliseconds LeastUsefulTime{50};
 constexpr std::int64_t HighestRank = 9;
@@ -81,7 +83,7 @@
       hashOf(m_Incoming.m_Target + m_Facts.m_Model.str() + m_Incoming.m_Body));
   if (m_State.m_Quarantine.verdict(m_Fingerprint, now()) ==
       retry::QuarantineVerdict::Refuse)
-    co_await refuse("crashed_endpoints", DefaultRetryAfter);
+    co_await refuse("crashed_endpoints", QuarantineRetryAfter);
   else
     co_await serve();
   m_Ended = true;
@@ -338,6 +340,7 @@
     co_return Step::TryAgain;
   m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
                                       now());
+  m_State.onEndpointDown(Id);
   logStep("request.not_sent", {{"endpoint", Id}, {"detail", Failure.m_Detail}});
   co_return Step::TryAgain;
 }
@@ -358,6 +361,8 @@
     co_return Step::TryAgain;
   m_State.m_Chooser.health().onResult(Id, Result, now());
   const bool Silent = Result == serving::CallResult::Silent;
+  if (!Silent)
+    m_State.m_CrashWatch.onBroken(Id, m_Fingerprint, now());
   if (Silent) {
     if (const serving::Endpoint *Known = m_State.m_Endpoints.find(Id))
       if (const auto Remote =
@@ -463,6 +468,7 @@
   const StreamEnd End = co_await pipe(Id, Answer);
   if (End == StreamEnd::Whole) {
     m_State.m_Chooser.health().onResult(Id, serving::CallResult::Good, now());
+    m_State.m_Quarantine.onSuccess(m_Fingerprint);
     co_await m_Caller.endStream();
     finish("answered", Answer->head().m_Status, "");
     co_return Step::Finished;
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -4,9 +4,12 @@
 
 namespace {
 
-/// Longest wait of one read. A connection may go silent for good, and the
-/// next read is the first to notice.
-constexpr milliseconds FollowWait{3000};
+/// Longest wait of one read of the catalogue. A connection may go silent for
+/// good, and the next read is the first to notice.
+constexpr milliseconds CatalogueWait{3000};
+/// Endpoints register all the time, so a read that waits longer shows that the
+/// store is away.
+constexpr milliseconds EndpointsWait{1000};
 /// Endpoints register every second or so and every read is priced, so their
 /// registrations are gathered. Half the time in which a leaving endpoint must
 /// get no more requests is an upper bound for this.
@@ -49,6 +52,8 @@
   }
   m_State.m_Endpoints.onRegistryLost(now());
   log::warning(Part, "store.lost");
+  // A call that was sent into the outage may hang beyond its end.
+  m_State.m_Platform.m_Store->abandonCalls();
 }
 
 void StoreFollower::adopt(
@@ -73,8 +78,8 @@
   while (true) {
     CatalogueBatch Batch;
     if (At)
-      Batch = co_await m_State.m_Platform.m_Store->followCatalogue(*At,
-                                                                   FollowWait);
+      Batch = co_await m_State.m_Platform.m_Store->followCatalogue(
+          *At, m_Reachable ? CatalogueWait : milliseconds(0));
     else
       Batch = co_await m_State.m_Platform.m_Store->listCatalogue();
     m_State.m_Metrics.onStoreCall("catalogue",
@@ -100,8 +105,10 @@
   const auto Effect = m_State.m_Endpoints.apply(Item, now());
   if (Effect == serving::RegistrationEffect::Refreshed)
     return;
-  if (Effect == serving::RegistrationEffect::Restarted)
+  if (Effect == serving::RegistrationEffect::Restarted) {
+    m_State.onEndpointDown(Item.m_Id);
     m_State.m_Chooser.forget(Item.m_Id);
+  }
   log::info(log::Category::Membership, "endpoint.registration",
             {{"endpoint", Item.m_Id},
              {"effect", toString(Effect)},
@@ -146,8 +153,8 @@
     const bool WholeListing = !At;
     EndpointBatch Batch;
     if (At)
-      Batch = co_await m_State.m_Platform.m_Store->followEndpoints(*At,
-                                                                   FollowWait);
+      Batch = co_await m_State.m_Platform.m_Store->followEndpoints(
+          *At, EndpointsWait);
     else
       Batch = co_await m_State.m_Platform.m_Store->listEndpoints();
     const bool Answered = Batch.m_Status != FollowStatus::Unreachable;
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -153,7 +153,9 @@
   std::erase_if(m_Reporters, [](const auto &Item) {
     return now() - Item.second > ReporterPeriod;
   });
-  return {static_cast<std::int64_t>(m_Reporters.size())};
+  m_State.mergeCrashes(Report.m_Crashes);
+  return {static_cast<std::int64_t>(m_Reporters.size()),
+          m_State.m_Quarantine.recentSuspects(now())};
 }
 
 std::vector<const serving::Endpoint *>
--- a/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
@@ -37,6 +37,23 @@
   EXPECT_EQ(Quarantine.onCrash("f", Start + Period), 1);
 }
 
+// Guards against two hosts that keep an old suspicion alive by telling each
+// other of it.
+TEST(CrashQuarantineTest, OldNewsIsForgottenByAll) {
+  CrashQuarantine First(10, Period);
+  CrashQuarantine Second(10, Period);
+  First.onCrash("f", Start);
+  Instant Now = Start;
+  for (; Now < Start + 3 * Period; Now += milliseconds(1000)) {
+    for (const auto &[Fingerprint, Crashes] : First.recentSuspects(Now))
+      Second.merge(Fingerprint, Crashes, Now);
+    for (const auto &[Fingerprint, Crashes] : Second.recentSuspects(Now))
+      First.merge(Fingerprint, Crashes, Now);
+  }
+  EXPECT_EQ(First.verdict("f", Now), QuarantineVerdict::Normal);
+  EXPECT_EQ(Second.verdict("f", Now), QuarantineVerdict::Normal);
+}
+
 // Guards against memory that grows with the number of crashing requests.
 TEST(CrashQuarantineTest, OldestFingerprintMakesRoom) {
   CrashQuarantine Quarantine(2, Period);
