Close idle connections of a draining host, and bound what one request costs

Change: idle connections close once the balancer has taken the host out; a holder is told which endpoints lack the model; a request is refused by at most four endpoints; the number of hosts is taken as large until it is known.

--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -46,6 +46,12 @@
     m_Waiting.erase(Place);
 }
 
+void DemandRouter::onLacked(const serving::ModelName &Name,
+                            const EndpointId &Endpoint) {
+  m_State.m_Endpoints.noteMissing(Endpoint, Name, now());
+  m_Lacked[Name].insert(Endpoint);
+}
+
 void DemandRouter::ensure(const std::string &Service,
                           const serving::ModelName &Name, std::int64_t Rank,
                           Instant Until) {
@@ -122,12 +128,20 @@
                                 std::int64_t Rank, Instant Until) {
   const Instant Start = now();
   const auto Zones = zonesFor(Service, Name);
+  std::set<EndpointId> Lacked;
+  if (auto Found = m_Lacked.extract(Name))
+    Lacked = std::move(Found.mapped());
   DemandAnswer Answer;
   for (const ZoneChoice &Choice : Zones) {
     if (now() >= Until)
       break;
-    ModelDemand Demand{Choice.m_Zone, Service, Name.m_Model, Name.m_Adapter};
+    ModelDemand Demand;
+    Demand.m_Zone = Choice.m_Zone;
+    Demand.m_Service = Service;
+    Demand.m_Model = Name.m_Model;
+    Demand.m_Adapter = Name.m_Adapter;
     Demand.m_Rank = Rank;
+    Demand.m_LackedBy.assign(Lacked.begin(), Lacked.end());
     if (const auto Found = m_Waiting.find(Name); Found != m_Waiting.end())
       Demand.m_Waiting = Found->second;
     const milliseconds Limit = &Choice == &Zones.back() ? LongestAsk : FirstAsk;
@@ -215,7 +229,10 @@
             });
         if (InZone)
           continue;
-        ModelDemand Wish{m_State.m_Zone, ServiceName, Name, {}};
+        ModelDemand Wish;
+        Wish.m_Zone = m_State.m_Zone;
+        Wish.m_Service = ServiceName;
+        Wish.m_Model = Name;
         Wish.m_Replica = true;
         // The holder answers at once; the directory shows what came of it.
         const DemandAnswer Answer = co_await ask(Wish);
--- a/Source/Core/Host/DemandRouter.h
+++ b/Source/Core/Host/DemandRouter.h
@@ -22,6 +22,8 @@
   void ensure(const std::string &Service, const serving::ModelName &Name,
               std::int64_t Rank, Instant Until);
   void onRequest(const serving::ModelName &Name);
+  /// An endpoint has answered that it lacks the model or adapter.
+  void onLacked(const serving::ModelName &Name, const EndpointId &Endpoint);
   /// A request begins or stops to wait for the model.
   void onWaiting(const serving::ModelName &Name, int Change);
 
@@ -51,6 +53,8 @@
   http::Client m_Peers;
   std::set<serving::ModelName> m_Asked;
   std::map<serving::ModelName, std::int64_t> m_Waiting;
+  /// What endpoints have said that they lack, until a holder has been told.
+  std::map<serving::ModelName, std::set<EndpointId>> m_Lacked;
   std::map<std::string, double> m_Usage; ///< Since the last report.
   std::map<ZoneId, std::int64_t> m_HostsByZone;
 };
--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -201,19 +201,17 @@
   // connections are still served until the balancer has taken notice.
   m_Callers.beginDrain();
   co_await m_Rights.release();
-  while (now() < Latest) {
-    const bool Quiet = m_Callers.activeRequests() == 0;
-    if (Quiet && now() - Start > BalancerNotice)
-      break;
-    if (now() - Start > BalancerNotice)
-      m_State.m_Stopping = true;
+  co_await sleepFor(std::min<Duration>(BalancerNotice, Latest - now()));
+  // The balancer sends nothing new; what comes on kept connections from now
+  // on could not be finished, so the idle ones close.
+  m_Callers.stopAccepting();
+  m_State.m_Stopping = true;
+  while (now() < Latest && m_Callers.activeRequests() > 0)
     co_await sleepFor(StopCheck);
-  }
   log::info(Part, "process.drained",
             {{"requests", m_Callers.activeRequests()},
              {"connections", m_Callers.connections()},
              {"took_ms", toMilliseconds(now() - Start).count()}});
-  m_Callers.stopAccepting();
   co_await sleepFor(StopCheck);
   m_Context.stop();
 }
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -28,6 +28,10 @@
 /// What the parts of a host share. Lives as long as the host's io_context.
 /// Thread safety: use from the host's io_context only.
 struct HostState {
+  /// Hosts that share the retry budget, until their number is known. Many, so
+  /// that hosts which start together do not each take the whole budget.
+  static constexpr std::size_t AssumedHosts = 32;
+
   HostState(boost::asio::io_context &Context, const settings::Settings &Values,
             log::ProcessIdentity Identity, Platform Adapter);
 
@@ -66,7 +70,7 @@
 
 private:
   std::map<std::string, serving::SharedRetryBudget> m_Budgets;
-  std::size_t m_Hosts = 1;
+  std::size_t m_Hosts = AssumedHosts;
 };
 
 } // namespace sff::host
--- a/Source/Core/Host/PeerMessages.h
+++ b/Source/Core/Host/PeerMessages.h
@@ -29,6 +29,9 @@
   bool m_MayLoadRemote = false; ///< No endpoint has the weights at hand.
   /// A further replica of a busy model: worth it only at little cost.
   bool m_Replica = false;
+  /// Endpoints that have just told the asking host that they lack the model,
+  /// whatever others believe.
+  std::vector<EndpointId> m_LackedBy;
 
   static constexpr auto describe() {
     using codec::field;
@@ -40,7 +43,8 @@
                            field("rank", &ModelDemand::m_Rank),
                            field("waiting", &ModelDemand::m_Waiting),
                            field("remote", &ModelDemand::m_MayLoadRemote),
-                           field("replica", &ModelDemand::m_Replica));
+                           field("replica", &ModelDemand::m_Replica),
+                           field("lacked_by", &ModelDemand::m_LackedBy));
   }
 };
 
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -27,8 +27,12 @@
 constexpr milliseconds StreamPatience{1500};
 /// Wake-up of a wait for the directory, which notifies of changes itself.
 constexpr milliseconds RecheckPeriod{250};
-/// Pause before an endpoint that was full is asked again.
+/// Pause before endpoints that refused are asked again, for each request that
+/// they refused.
 constexpr milliseconds FullPause{60};
+/// Endpoints that one request is sent to at most, with those that refuse it;
+/// each further one is taken from the retry budget.
+constexpr int MaxSends = 4;
 constexpr milliseconds DefaultRetryAfter{1000};
 /// A request that crashed endpoints is not worth another try soon.
 constexpr milliseconds QuarantineRetryAfter{30000};
@@ -180,7 +184,11 @@
       co_await giveUp("no_other_endpoint");
       co_return Step::Finished;
     }
-    co_await m_State.m_Changed.wait(FullPause);
+    if (m_Sends >= MaxSends) {
+      co_await giveUp("refused_by_endpoints");
+      co_return Step::Finished;
+    }
+    co_await sleepFor(FullPause * m_Sends);
     co_return Step::TryAgain;
   }
   const std::string Address =
@@ -386,7 +394,7 @@
     m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
                                         now());
   if (Facts.m_LacksModel)
-    m_State.m_Endpoints.noteMissing(Id, m_Facts.m_Model, now());
+    m_Demands.onLacked(m_Facts.m_Model, Id);
   logStep("request.not_run",
           {{"endpoint", Id},
            {"status", Status},
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -180,6 +180,17 @@
   return std::nullopt;
 }
 
+void SwapService::believeLacked(const ModelDemand &Demand) {
+  for (const EndpointId &Id : Demand.m_LackedBy) {
+    Work &Known = m_Work[Id];
+    // The refusal may be older than an order that has just been carried out.
+    if (Known.m_Busy || now() - Known.m_LastOrderAt < ReportLag)
+      continue;
+    Known.m_Report.reset();
+    publish(Id, {Demand.m_Model, Demand.m_Adapter}, false);
+  }
+}
+
 bool SwapService::isLoading(const std::string &Model) const {
   return std::ranges::any_of(m_Work, [&Model](const auto &Item) {
     return Item.second.m_Busy && Item.second.m_Loading == Model;
@@ -195,6 +206,7 @@
   const std::shared_ptr<void> Remove(
       nullptr, [this, Waiting](void *) { m_Queue.remove(Waiting); });
   m_Pending[Name] = Demand;
+  believeLacked(Demand);
   while (true) {
     if (!m_Rights.mayOrder(Demand.m_Zone))
       co_return DemandAnswer{DemandStatus::NotHolder, {}};
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -47,6 +47,9 @@
   std::vector<const serving::Endpoint *>
   endpointsOf(const ModelDemand &Demand) const;
   std::optional<EndpointId> findHolding(const ModelDemand &Demand) const;
+  /// Corrects what this host believes of endpoints that have refused requests
+  /// of the asking host for the lack of the model.
+  void believeLacked(const ModelDemand &Demand);
   bool isLoading(const std::string &Model) const;
   /// Starts what the waiting demands need, the most urgent first, as far as
   /// endpoints are free.
