--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -14,7 +14,10 @@
 constexpr milliseconds AnswerSlack{300};
 /// Longest wait of one call to a holder; the holder may be lost meanwhile.
 constexpr milliseconds LongestAsk{3000};
+/// Period of usage reports, and what each host of the fleet adds to it, so
+/// that a holder gets a bounded number of reports.
 constexpr milliseconds UsagePeriod{1000};
+constexpr milliseconds UsagePeriodPerHost{50};
 constexpr milliseconds ReplicaPeriod{2000};
 constexpr milliseconds UsageTimeout{1000};
 /// The same where endpoints of another zone have the weights at hand too.
@@ -174,7 +177,9 @@
 
 Task<void> DemandRouter::reportUsage() {
   while (true) {
-    co_await sleepFor(UsagePeriod);
+    co_await sleepFor(std::max<milliseconds>(
+        UsagePeriod,
+        UsagePeriodPerHost * static_cast<std::int64_t>(m_State.hosts())));
     UsageReport Report{HostId(m_Rights.member()), std::exchange(m_Usage, {}),
                        m_State.m_Quarantine.recentSuspects(now())};
     std::set<ZoneId> Zones;
--- a/Source/Core/Host/HostSettings.cpp
+++ b/Source/Core/Host/HostSettings.cpp
@@ -14,6 +14,7 @@
         .add(MetricsSetting)
         .add(StoreSetting)
         .add(ZonesSetting)
+        .add(CpuShareSetting)
         .add(LeaseSetting)
         .add(FencingSetting)
         .add(RetryRatioSetting)
--- a/Source/Core/Host/HostSettings.h
+++ b/Source/Core/Host/HostSettings.h
@@ -39,6 +39,12 @@
     .m_Range = {}, .m_Doc = "All availability zones of the deployment.",
     .m_TextKind = TextKind::Name, .m_Required = true};
 
+inline const Setting<double> CpuShareSetting{
+    .m_Section = "process", .m_Key = "cpu_share", .m_Default = 1.0,
+    .m_Unit = "cores", .m_Range = {0.01, 1024},
+    .m_Doc = "Processor time of this host. Small hosts give orders only where "
+             "no other host does."};
+
 inline const Setting<milliseconds> LeaseSetting{
     .m_Section = "orders", .m_Key = "lease_ms",
     .m_Default = milliseconds(3000), .m_Unit = "ms", .m_Range = {500, 60000},
--- a/Source/Core/Host/InventoryNotifier.cpp
+++ b/Source/Core/Host/InventoryNotifier.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// Changes within this time go out in one message.
-constexpr milliseconds GatherTime{15};
+/// Messages of one holder in a second; with more hosts, changes are gathered
+/// for longer, so that the cost of a holder does not grow with the fleet.
+constexpr std::int64_t MessagesPerSecond = 150;
 constexpr milliseconds NoticeTimeout{1000};
 
 } // namespace
@@ -38,7 +39,8 @@
 }
 
 Task<void> InventoryNotifier::sendSoon() {
-  co_await sleepFor(GatherTime);
+  const auto Hosts = static_cast<std::int64_t>(m_Hosts.size());
+  co_await sleepFor(milliseconds(1000 * Hosts / MessagesPerSecond));
   const InventoryNotice Notice = std::exchange(m_Pending, {});
   for (const HostId &Host : std::exchange(m_Hosts, {}))
     if (Host.str() != m_Member)
--- a/Source/Core/Host/OrderRights.cpp
+++ b/Source/Core/Host/OrderRights.cpp
@@ -10,6 +10,8 @@
 constexpr int RenewalsPerTerm = 3;
 /// The store is asked for a zone's holder at most this often.
 constexpr milliseconds HolderAskPeriod{1000};
+/// Processor share below which a host gives orders only for lack of others.
+constexpr double LeastHolderShare = 0.2;
 
 } // namespace
 
@@ -17,7 +19,12 @@
   return m_State.m_Settings.get(LeaseSetting);
 }
 
-void OrderRights::start() { cover(m_State.m_Zone); }
+void OrderRights::start() {
+  // Another host of the zone is the better holder; where there is none, the
+  // first demand finds no holder and this host steps in.
+  if (m_State.m_Settings.get(CpuShareSetting) >= LeastHolderShare)
+    cover(m_State.m_Zone);
+}
 
 void OrderRights::cover(const ZoneId &Zone) {
   const bool Fences = m_State.m_Settings.get(FencingSetting);
@@ -53,7 +60,7 @@
               {{"zone", Zone}, {"token", Answer->m_Generation}});
   // Who holds the right may have changed with the members.
   if (m_Generations[Zone] != Answer->m_Generation)
-    m_Holders.erase(Zone);
+    forgetHolder(Zone);
   m_Generations[Zone] = Answer->m_Generation;
 }
 
@@ -85,21 +92,24 @@
   if (const auto Found = m_Leases.find(Zone);
       Found != m_Leases.end() && Found->second.holds())
     co_return m_Member;
-  KnownHolder &Known = m_Holders[Zone];
+  KnownHolder Known = m_Holders[Zone];
   if (!Known.m_Member.empty())
     co_return Known.m_Member;
   if (now() - Known.m_AskedAt < HolderAskPeriod)
     co_return std::nullopt;
-  Known.m_AskedAt = now();
+  m_Holders[Zone].m_AskedAt = now();
   const auto Answer = co_await m_State.m_Platform.m_Store->holderOf(Zone);
   m_State.m_Metrics.onStoreCall("holder", Answer.has_value());
   if (!Answer)
     co_return std::nullopt;
   if (Answer->empty()) {
-    cover(Zone);
+    // The members may only just be starting; twice empty means none.
+    if (std::exchange(m_Holders[Zone].m_SeenEmpty, true))
+      cover(Zone);
     co_return std::nullopt;
   }
   m_Holders[Zone].m_Member = *Answer;
+  m_Holders[Zone].m_SeenEmpty = false;
   log::info(Part, "orders.holder", {{"zone", Zone}, {"holder", *Answer}});
   co_return *Answer;
 }
--- a/Source/Core/Host/OrderRights.h
+++ b/Source/Core/Host/OrderRights.h
@@ -36,6 +36,7 @@
   struct KnownHolder {
     std::string m_Member;
     Instant m_AskedAt;
+    bool m_SeenEmpty = false; ///< The store named no holder when last asked.
   };
 
   Task<void> keep(ZoneId Zone);
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -17,6 +17,7 @@
 /// Used where the caller names no deadline and the route no timeout.
 constexpr milliseconds DefaultTimeout{30000};
 constexpr milliseconds ConnectTimeout{600};
+constexpr milliseconds ReadSlack{1000};
 /// Pooled connections that are idle longer are not used again.
 constexpr milliseconds MaxIdle{4000};
 /// A request that may be repeated goes to another endpoint after this multiple
@@ -269,7 +270,8 @@
   Options.m_ConnectTimeout =
       std::min(ConnectTimeout, toMilliseconds(left()));
   Options.m_WriteTimeout = toMilliseconds(left());
-  Options.m_ReadTimeout = toMilliseconds(left());
+  // The session's own timer ends the call; this one only backs it up.
+  Options.m_ReadTimeout = toMilliseconds(left()) + ReadSlack;
   Options.m_MaxIdle = MaxIdle;
   Options.m_Echo = m_State.m_Platform.m_Wire->echoOf(m_Facts.m_Id);
   Options.m_Canceller = m_Canceller;
--- a/Source/Core/Net/Http/Server.cpp
+++ b/Source/Core/Net/Http/Server.cpp
@@ -102,7 +102,9 @@
     copyHead(Head, Message);
     Message.keep_alive(shouldKeepAlive());
     m_Chunked = Message.count(bhttp::field::content_length) == 0;
-    Message.chunked(m_Chunked);
+    // chunked(false) would drop the length as well.
+    if (m_Chunked)
+      Message.chunked(true);
     m_Started = true;
     bhttp::response_serializer<bhttp::empty_body> Serializer(Message);
     error_code Error;
--- a/Source/ProcessTests/Support/ChildProcess.cpp
+++ b/Source/ProcessTests/Support/ChildProcess.cpp
@@ -131,7 +131,7 @@
 
 std::vector<nlohmann::json> ChildProcess::logLines() const {
   std::vector<nlohmann::json> Lines;
-  std::ifstream File(m_Log);
+  std::ifstream File(m_Output);
   for (std::string Line; std::getline(File, Line);)
     if (auto Parsed = nlohmann::json::parse(Line, nullptr, false);
         Parsed.is_object())
--- a/Source/ProcessTests/Support/ChildProcess.h
+++ b/Source/ProcessTests/Support/ChildProcess.h
@@ -49,7 +49,7 @@
   std::optional<int> waitForExit(milliseconds Limit = WaitLimit);
 
   std::string output() const;
-  /// The JSON lines of standard error; lines that are not JSON are left out.
+  /// The JSON lines of standard output; lines that are not JSON are left out.
   std::vector<nlohmann::json> logLines() const;
   bool hasLogged(std::string_view Event) const;
 
