--- a/Source/Core/Common/Process/Program.h
+++ b/Source/Core/Common/Process/Program.h
@@ -27,7 +27,7 @@
 struct Context {
   settings::Settings m_Settings;
   log::ProcessIdentity m_Identity;
-  std::string m_SettingsPath;
+  std::string m_SettingsPath = {};
 };
 
 /// Runs a long-running program: parses `--settings`, `--check`,
--- a/Source/Core/Core/Serving/Catalogue.cpp
+++ b/Source/Core/Core/Serving/Catalogue.cpp
@@ -16,6 +16,13 @@
 
 } // namespace
 
+milliseconds Route::callerPatience() const {
+  constexpr milliseconds Least{2000};
+  constexpr int OfTarget = 4;
+  constexpr int OfGap = 8;
+  return std::max({Least, OfTarget * m_TargetLatency, OfGap * m_GapTarget});
+}
+
 const std::string &Route::serviceAt(std::uint64_t Point) const {
   double Total = 0;
   for (const ServiceShare &Share : m_Shares)
--- a/Source/Core/Core/Serving/Catalogue.h
+++ b/Source/Core/Core/Serving/Catalogue.h
@@ -27,6 +27,7 @@
   RouteKind m_Kind = RouteKind::NonIdempotent;
   milliseconds m_Timeout{0};
   milliseconds m_TargetLatency{0};
+  milliseconds m_GapTarget{0}; ///< Longest pause between events of a stream.
   std::int64_t m_Rank = 0;     ///< 0 is the most urgent.
   int m_MaxEndpoints = 1;      ///< Endpoints that one request may be sent to.
   bool m_HasSessions = false;  ///< Prompts of a session share parts.
@@ -38,6 +39,8 @@
     return m_Kind == RouteKind::Idempotent ||
            (m_Kind == RouteKind::Stream && m_MayResume);
   }
+  /// Callers of a stream leave after this long without an event.
+  milliseconds callerPatience() const;
   /// The service of a request. \p Point is uniform over all 64-bit values.
   /// Precondition: the route has a share.
   const std::string &serviceAt(std::uint64_t Point) const;
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -205,7 +205,10 @@
     co_await giveUp(Known ? "no_endpoint" : "unknown_model");
     co_return Step::Finished;
   }
-  if (left() < LeastUsefulTime) {
+  // A caller who is about to leave is told when to come back instead.
+  const Duration Patience = m_Route->callerPatience() - (now() - m_Arrived);
+  const Duration Useful = std::min<Duration>(left(), Patience);
+  if (Useful < LeastUsefulTime) {
     co_await giveUp("model_not_loaded");
     co_return Step::Finished;
   }
@@ -215,9 +218,8 @@
   }
   m_Demands.onWaiting(m_Facts.m_Model, 1);
   m_Demands.ensure(m_Service->m_Name, m_Facts.m_Model, m_Route->m_Rank,
-                   m_AnswerBy);
-  co_await m_State.m_Changed.wait(
-      std::min<Duration>(RecheckPeriod, left()));
+                   now() + Useful);
+  co_await m_State.m_Changed.wait(std::min<Duration>(RecheckPeriod, Useful));
   m_Demands.onWaiting(m_Facts.m_Model, -1);
   co_return Step::TryAgain;
 }
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -15,6 +15,9 @@
 /// Reports may be this old, so that one that is read sooner after an order may
 /// not show what it did.
 constexpr milliseconds ReportLag{600};
+/// Events within this time lead to one look at the queue of demands, which
+/// costs more the longer it is.
+constexpr milliseconds PendingDelay{5};
 /// Wake-up of a waiting demand, which is also woken by each end of an order.
 constexpr milliseconds RecheckPeriod{100};
 /// Pause between two questions whether an order has been carried out. The
@@ -207,6 +210,7 @@
       nullptr, [this, Waiting](void *) { m_Queue.remove(Waiting); });
   m_Pending[Name] = Demand;
   believeLacked(Demand);
+  schedulePending();
   while (true) {
     if (!m_Rights.mayOrder(Demand.m_Zone))
       co_return DemandAnswer{DemandStatus::NotHolder, {}};
@@ -218,20 +222,70 @@
     if (!Service || !Service->m_Engine ||
         !Service->m_Engine->find(Demand.m_Model))
       co_return DemandAnswer{DemandStatus::Impossible, {}};
-    startPending(*Service->m_Engine);
     if (now() >= Until)
       co_return DemandAnswer{DemandStatus::Busy, {}};
     co_await m_Progress.wait(std::min<Duration>(Until - now(), RecheckPeriod));
   }
 }
 
-void SwapService::startPending(const serving::EngineSpec &Engine) {
+void SwapService::schedulePending() {
+  if (std::exchange(m_PendingScheduled, true))
+    return;
+  m_State.spawn("start_pending", startPendingSoon());
+}
+
+Task<void> SwapService::startPendingSoon() {
+  co_await sleepFor(PendingDelay);
+  m_PendingScheduled = false;
+  startPending();
+  // Endpoints also become free, and rates change, without an event here.
+  if (m_Queue.size() > 0 && !m_PendingScheduled) {
+    m_PendingScheduled = true;
+    co_await sleepFor(RecheckPeriod);
+    m_PendingScheduled = false;
+    schedulePending();
+  }
+}
+
+void SwapService::countReplicas() {
+  m_Replicas.clear();
+  for (const auto &[Id, Known] : m_State.m_Endpoints.all()) {
+    if (!Known.takesWork())
+      continue;
+    for (const serving::ResidentModel &Model : Known.inventory().m_Models)
+      ++m_Replicas[Model.m_Name];
+  }
+}
+
+bool SwapService::anyEndpointFree(const ModelDemand &Demand) const {
+  return std::ranges::any_of(
+      endpointsOf(Demand), [this](const serving::Endpoint *Item) {
+        const auto Found = m_Work.find(Item->id());
+        return Found == m_Work.end() || !Found->second.m_Busy;
+      });
+}
+
+void SwapService::startPending() {
+  const auto Catalogue = m_State.m_Catalogue;
+  countReplicas();
   std::set<serving::ModelName> Names;
+  std::set<ZoneId> FullZones;
   for (const serving::ModelUrgency &Item : m_Queue.ordered(now())) {
     Names.insert(Item.m_Name);
-    const ModelDemand &Demand = m_Pending.at(Item.m_Name);
+    const auto Found = m_Pending.find(Item.m_Name);
+    if (Found == m_Pending.end())
+      continue;
+    const ModelDemand &Demand = Found->second;
+    const serving::Service *Service =
+        Catalogue ? Catalogue->findService(Demand.m_Service) : nullptr;
+    if (!Service || !Service->m_Engine || FullZones.contains(Demand.m_Zone))
+      continue;
+    if (!anyEndpointFree(Demand)) {
+      FullZones.insert(Demand.m_Zone);
+      continue;
+    }
     if (!isLoading(Demand.m_Model) && !findHolding(Demand))
-      startWork(Demand, Engine, Item.m_Urgency);
+      startWork(Demand, *Service->m_Engine, Item.m_Urgency);
   }
   std::erase_if(m_Pending, [&Names](const auto &Item) {
     return !Names.contains(Item.first);
@@ -275,13 +329,10 @@
   return true;
 }
 
-int SwapService::otherReplicas(std::string_view Model,
-                               const EndpointId &Except) const {
-  int Count = 0;
-  for (const auto &[Id, Known] : m_State.m_Endpoints.all())
-    if (Id != Except && Known.takesWork() && Known.inventory().find(Model))
-      ++Count;
-  return Count;
+int SwapService::otherReplicas(std::string_view Model) const {
+  const auto Found = m_Replicas.find(Model);
+  // The endpoint that is asked about holds one of them.
+  return Found == m_Replicas.end() ? 0 : std::max(0, Found->second - 1);
 }
 
 bool SwapService::isInUse(const std::string &Model) const {
@@ -310,7 +361,7 @@
              : Model.m_WeightMb;
     Result.m_Held.push_back(
         {Item.m_Name, Size, m_Demand.rate(Item.m_Name, now()),
-         otherReplicas(Item.m_Name, Id), Engine.m_Slots * RatePerSlot,
+         otherReplicas(Item.m_Name), Engine.m_Slots * RatePerSlot,
          isInUse(Item.m_Name)});
   }
   return Result;
@@ -573,6 +624,7 @@
   }
   m_Progress.notify();
   m_State.m_Changed.notify();
+  schedulePending();
 }
 
 } // namespace sff::host
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -53,7 +53,13 @@
   bool isLoading(const std::string &Model) const;
   /// Starts what the waiting demands need, the most urgent first, as far as
   /// endpoints are free.
-  void startPending(const serving::EngineSpec &Engine);
+  void startPending();
+  /// Calls startPending() soon, once for all causes of a short time.
+  void schedulePending();
+  Task<void> startPendingSoon();
+  bool anyEndpointFree(const ModelDemand &Demand) const;
+  /// Counts the replicas of each model on endpoints that take work.
+  void countReplicas();
   void startWork(const ModelDemand &Demand, const serving::EngineSpec &Engine,
                  double Urgency);
   bool startAdapter(const ModelDemand &Demand);
@@ -65,7 +71,7 @@
                                      const serving::ModelSpec &Model) const;
   /// Requests of the model may be running.
   bool isInUse(const std::string &Model) const;
-  int otherReplicas(std::string_view Model, const EndpointId &Except) const;
+  int otherReplicas(std::string_view Model) const;
 
   Task<void> runSwap(Target Where, ModelDemand Demand,
                      serving::EngineSpec Engine);
@@ -108,6 +114,8 @@
   /// One of the waiting demands of each name in the queue.
   std::map<serving::ModelName, ModelDemand> m_Pending;
   std::map<std::string, Instant, std::less<>> m_LoadedAt;
+  std::map<std::string, int, std::less<>> m_Replicas;
+  bool m_PendingScheduled = false;
   serving::DemandRates m_Demand; ///< Of all hosts that report.
   std::map<HostId, Instant> m_Reporters;
   bool m_DemandAssumed = false;
--- a/Source/Core/Net/Peer/Transport.cpp
+++ b/Source/Core/Net/Peer/Transport.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <map>
 #include <mutex>
 #include <set>
 #include <stdexcept>
@@ -195,23 +196,38 @@
 
 } // namespace
 
+namespace {
+
+nng_socket openSocket(const std::string &Address) {
+  nng_socket Socket = NNG_SOCKET_INITIALIZER;
+  require(nng_req0_open(&Socket), "nng_req0_open");
+  // The caller decides about repeats; nng only resends after a reconnect.
+  nng_socket_set_ms(Socket, NNG_OPT_REQ_RESENDTIME, NNG_DURATION_INFINITE);
+  nng_socket_set_ms(Socket, NNG_OPT_RECONNMINT, ReconnectMinMs);
+  nng_socket_set_ms(Socket, NNG_OPT_RECONNMAXT, ReconnectMaxMs);
+  nng_dial(Socket, ("tcp://" + Address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+  return Socket;
+}
+
+/// The socket of an address, shared by all clients of that address. Sockets
+/// live as long as the process: nng 1.5 may crash or hang in nng_close while
+/// other threads still free the contexts of its last requests.
+nng_socket socketFor(const std::string &Address) {
+  static auto *Mutex = new std::mutex;
+  static auto *Sockets = new std::map<std::string, nng_socket>;
+  std::lock_guard Lock(*Mutex);
+  const auto Found = Sockets->find(Address);
+  if (Found != Sockets->end())
+    return Found->second;
+  return Sockets->emplace(Address, openSocket(Address)).first->second;
+}
+
+} // namespace
+
 class RequestClient::Impl {
 public:
-  explicit Impl(const std::string &Address) {
-    require(nng_req0_open(&m_Socket), "nng_req0_open");
-    // The caller decides about repeats; nng only resends after a reconnect.
-    nng_socket_set_ms(m_Socket, NNG_OPT_REQ_RESENDTIME, NNG_DURATION_INFINITE);
-    nng_socket_set_ms(m_Socket, NNG_OPT_RECONNMINT, ReconnectMinMs);
-    nng_socket_set_ms(m_Socket, NNG_OPT_RECONNMAXT, ReconnectMaxMs);
-    nng_dial(m_Socket, ("tcp://" + Address).c_str(), nullptr,
-             NNG_FLAG_NONBLOCK);
-  }
-  ~Impl() {
-    // nng 1.5 may crash or hang when a context is closed by a callback while
-    // its socket is being closed, so the requests end first.
-    m_Pending->cancelAll();
-    nng_close(m_Socket);
-  }
+  explicit Impl(const std::string &Address) : m_Socket(socketFor(Address)) {}
+  ~Impl() { m_Pending->cancelAll(); }
 
   void send(Bytes Message, milliseconds Timeout, Callback Done) {
     auto *Call = new PendingCall;
@@ -272,7 +288,7 @@
     }
   };
 
-  nng_socket m_Socket = NNG_SOCKET_INITIALIZER;
+  nng_socket m_Socket;
   std::shared_ptr<PendingOperations> m_Pending =
       std::make_shared<PendingOperations>();
 };
