--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -101,6 +101,7 @@
         return Item.second >= Model->m_RemoteLoadSeconds;
       });
   }
+  Result.reserve(Seconds.size());
   // All hosts come to the same order, so that they do not load the model in
   // several zones at once.
   for (const auto &[Zone, There] : Seconds)
--- a/Source/UnitTests/Core/Serving/EndpointChooserTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointChooserTest.cpp
@@ -72,6 +72,17 @@
   EXPECT_GT(chosen(m_Near2.id()), 10);
 }
 
+// Load: the own zone's only endpoint has become five times as slow. Guards
+// against streams that time out there while another zone has a fast one.
+TEST_F(EndpointChooserTest, SlowEndpointLosesToAnotherZone) {
+  m_List = {&m_Near, &m_Far};
+  for (int Count = 0; Count < 30; ++Count) {
+    m_Chooser.health().onLatency(m_Near.id(), milliseconds(400));
+    m_Chooser.health().onLatency(m_Far.id(), milliseconds(80));
+  }
+  EXPECT_EQ(chosen(m_Far.id()), 50);
+}
+
 // Guards against requests to an endpoint that no longer answers.
 TEST_F(EndpointChooserTest, SilentEndpointRestsAndIsTriedAgain) {
   for (int Count = 0; Count < 2; ++Count)
