--- a/Source/UnitTests/Core/Serving/SharedRetryBudgetTest.cpp
+++ b/Source/UnitTests/Core/Serving/SharedRetryBudgetTest.cpp
@@ -34,17 +34,17 @@
       if (Budget.tryRetry(Now))
         Retries.push_back(Now);
   }
-  const auto countFrom = [](const std::vector<Instant> &List, Instant From,
-                            Instant To) {
+  const auto CountBetween = [](const std::vector<Instant> &List, Instant From,
+                               Instant To) {
     return std::count_if(List.begin(), List.end(), [From, To](Instant At) {
       return At > From && At <= To;
     });
   };
   for (const Instant End : Retries) {
-    const auto Window = countFrom(Retries, End - Bounds.m_Window, End);
-    const auto Seen = countFrom(Requests, End - Bounds.m_Window, End);
-    const auto Before =
-        countFrom(Requests, End - 2 * Bounds.m_Window, End - Bounds.m_Window);
+    const auto Window = CountBetween(Retries, End - Bounds.m_Window, End);
+    const auto Seen = CountBetween(Requests, End - Bounds.m_Window, End);
+    const auto Before = CountBetween(Requests, End - 2 * Bounds.m_Window,
+                                     End - Bounds.m_Window);
     const double Allowed =
         Bounds.m_Ratio * static_cast<double>(std::max(Seen, Before)) +
         Bounds.m_Extra;
