Let wishes for replicas wait, and load busy models from the store

Wishes for a replica left the holder's queue before it was looked at, and no other zone had the weights on a disk.

--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds UsagePeriod{1000};
 constexpr milliseconds UsagePeriodPerHost{50};
 constexpr milliseconds ReplicaPeriod{2000};
+/// A holder looks at its queue some milliseconds after a demand arrives, so a
+/// wish must stay in it for longer than that.
+constexpr milliseconds WishWait{100};
 constexpr milliseconds UsageTimeout{1000};
 /// The same where endpoints of another zone have the weights at hand too.
 constexpr milliseconds FirstAsk{1200};
@@ -240,7 +243,8 @@
         Wish.m_Service = ServiceName;
         Wish.m_Model = Name;
         Wish.m_Replica = true;
-        // The holder answers at once; the directory shows what came of it.
+        Wish.m_WaitMs = WishWait.count();
+        // The holder only has to start; the directory shows what came of it.
         const DemandAnswer Answer = co_await ask(Wish);
         log::entry(Part, "replica.wished", Name, {{"status", Answer.m_Status}});
       }
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -48,6 +48,9 @@
 constexpr milliseconds ReporterPeriod{15000};
 /// A further replica may cost callers of other models this many seconds.
 constexpr double ReplicaCostSeconds = 2.5;
+/// Part of a replica's capacity beyond which a further one is worth a load
+/// from the weight store.
+constexpr double BusyPart = 0.5;
 /// Seconds of waiting that an eviction may cause for each unit of urgency.
 constexpr double WorthSeconds = 4;
 /// Loads that run at full speed at once over all zones; the weight store
@@ -339,6 +342,14 @@
   return Found == m_Replicas.end() ? 0 : std::max(0, Found->second - 1);
 }
 
+bool SwapService::isOverloaded(const std::string &Model,
+                               const serving::EngineSpec &Engine) const {
+  const auto Found = m_Replicas.find(Model);
+  const int Replicas = Found == m_Replicas.end() ? 1 : Found->second;
+  return m_Demand.rate(Model, now()) / std::max(1, Replicas) >
+         BusyPart * RatePerSlot * Engine.m_Slots;
+}
+
 bool SwapService::isInUse(const std::string &Model) const {
   const auto Loaded = m_LoadedAt.find(Model);
   const Instant LoadedAt =
@@ -375,6 +386,9 @@
 void SwapService::startSwap(const ModelDemand &Demand,
                             const serving::EngineSpec &Engine,
                             const serving::ModelSpec &Model, double Urgency) {
+  const bool MayLoadRemote =
+      Demand.m_MayLoadRemote ||
+      (Demand.m_Replica && isOverloaded(Model.m_Name, Engine));
   Candidates List;
   for (const serving::Endpoint *Item : endpointsOf(Demand)) {
     const Work &Known = m_Work[Item->id()];
@@ -383,7 +397,7 @@
       continue;
     auto Candidate = candidateOf(Item->inventory(), Item->id(), Engine, Model);
     if (Candidate.m_Location == loading::WeightLocation::Remote &&
-        !Demand.m_MayLoadRemote)
+        !MayLoadRemote)
       continue;
     List.push_back(std::move(Candidate));
   }
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -69,6 +69,9 @@
                                      const EndpointId &Id,
                                      const serving::EngineSpec &Engine,
                                      const serving::ModelSpec &Model) const;
+  /// Its replicas have more requests than they serve without much waiting.
+  bool isOverloaded(const std::string &Model,
+                    const serving::EngineSpec &Engine) const;
   /// Requests of the model may be running.
   bool isInUse(const std::string &Model) const;
   int otherReplicas(std::string_view Model) const;
