--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -219,35 +219,47 @@
   m_State.setHosts(static_cast<std::size_t>(Hosts));
 }
 
+std::vector<ModelDemand> DemandRouter::missingReplicas() const {
+  std::vector<ModelDemand> Result;
+  const auto Catalogue = m_State.m_Catalogue;
+  if (!Catalogue)
+    return Result;
+  for (const auto &[ServiceName, Service] : Catalogue->m_Services) {
+    if (!Service.m_Engine)
+      continue;
+    const auto Serving = m_State.m_Endpoints.serving(ServiceName);
+    for (const auto &[Name, Model] : Service.m_Engine->m_Models) {
+      if (m_State.m_OwnDemand.rate(Name, now()) < ReplicaRate)
+        continue;
+      const bool InZone = std::ranges::any_of(
+          Serving, [this, &Name = Name](const serving::Endpoint *Item) {
+            return Item->m_Registered.m_Zone == m_State.m_Zone &&
+                   Item->inventory().find(Name);
+          });
+      if (InZone)
+        continue;
+      ModelDemand Wish;
+      Wish.m_Zone = m_State.m_Zone;
+      Wish.m_Service = ServiceName;
+      Wish.m_Model = Name;
+      Wish.m_Replica = true;
+      Wish.m_WaitMs = WishWait.count();
+      Result.push_back(std::move(Wish));
+    }
+  }
+  return Result;
+}
+
 Task<void> DemandRouter::wishReplicas() {
   while (true) {
     co_await sleepFor(ReplicaPeriod);
-    if (!m_State.m_Catalogue)
-      continue;
-    for (const auto &[ServiceName, Service] : m_State.m_Catalogue->m_Services) {
-      if (!Service.m_Engine)
-        continue;
-      const auto Serving = m_State.m_Endpoints.serving(ServiceName);
-      for (const auto &[Name, Model] : Service.m_Engine->m_Models) {
-        if (m_State.m_OwnDemand.rate(Name, now()) < ReplicaRate)
-          continue;
-        const bool InZone = std::ranges::any_of(
-            Serving, [this, &Name = Name](const serving::Endpoint *Item) {
-              return Item->m_Registered.m_Zone == m_State.m_Zone &&
-                     Item->inventory().find(Name);
-            });
-        if (InZone)
-          continue;
-        ModelDemand Wish;
-        Wish.m_Zone = m_State.m_Zone;
-        Wish.m_Service = ServiceName;
-        Wish.m_Model = Name;
-        Wish.m_Replica = true;
-        Wish.m_WaitMs = WishWait.count();
-        // The holder only has to start; the directory shows what came of it.
-        const DemandAnswer Answer = co_await ask(Wish);
-        log::entry(Part, "replica.wished", Name, {{"status", Answer.m_Status}});
-      }
+    // The list is complete before the first call: catalogue and endpoints may
+    // change while a call waits.
+    for (const ModelDemand &Wish : missingReplicas()) {
+      // The holder only has to start; the directory shows what came of it.
+      const DemandAnswer Answer = co_await ask(Wish);
+      log::entry(Part, "replica.wished", Wish.m_Model,
+                 {{"status", Answer.m_Status}});
     }
   }
 }
--- a/Source/Core/Host/DemandRouter.h
+++ b/Source/Core/Host/DemandRouter.h
@@ -45,6 +45,8 @@
   Task<DemandAnswer> ask(ModelDemand Demand);
   Task<void> reportUsage();
   Task<void> sendUsage(ZoneId Zone, UsageReport Report);
+  /// Models that are busy here and have no replica in the host's zone.
+  std::vector<ModelDemand> missingReplicas() const;
   Task<void> wishReplicas();
 
   HostState &m_State;
