--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -177,11 +177,13 @@
   Context.m_AffineTokens = m_Facts.m_SessionTokens;
   const auto Chosen = m_State.m_Chooser.choose(List, Context, now());
   if (!Chosen) {
-    // All have refused; they may have room again.
-    std::erase_if(m_Tried, [this](const EndpointId &Id) {
-      return !m_MayHaveRun.contains(Id);
+    // All have refused or lost it. They may have room again, and one that lost
+    // an answer may have it again where the request may run twice.
+    const bool Repeats = m_Route->isIdempotent();
+    std::erase_if(m_Tried, [this, Repeats](const EndpointId &Id) {
+      return Repeats || !m_MayHaveRun.contains(Id);
     });
-    if (m_MayHaveRun.size() >= List.size()) {
+    if (!Repeats && m_MayHaveRun.size() >= List.size()) {
       co_await giveUp("no_other_endpoint");
       co_return Step::Finished;
     }
@@ -189,7 +191,8 @@
       co_await giveUp("refused_by_endpoints");
       co_return Step::Finished;
     }
-    co_await sleepFor(FullPause * m_Sends);
+    // Endpoints that could not be reached count no send.
+    co_await sleepFor(FullPause * std::max(1, m_Sends));
     co_return Step::TryAgain;
   }
   const std::string Address =
