--- a/Source/Core/Core/Retry/CrashQuarantine.cpp
+++ b/Source/Core/Core/Retry/CrashQuarantine.cpp
@@ -16,13 +16,18 @@
 
 void CrashQuarantine::merge(const std::string &Fingerprint,
                             std::int64_t Crashes, Instant Now) {
+  Suspect &Entry = refresh(Fingerprint, Now);
+  Entry.m_Crashes = std::max(Entry.m_Crashes, Crashes);
+}
+
+void CrashQuarantine::mergeNews(const std::string &Fingerprint,
+                                std::int64_t Crashes, Instant Now) {
   const auto Found = m_Suspects.find(Fingerprint);
   const bool Known = Found != m_Suspects.end() &&
                      !isForgotten(Found->second, Now) &&
                      Found->second.m_Crashes >= Crashes;
-  // Hosts that repeat old news to each other must not keep it alive.
   if (!Known)
-    refresh(Fingerprint, Now).m_Crashes = Crashes;
+    merge(Fingerprint, Crashes, Now);
 }
 
 void CrashQuarantine::onSuccess(const std::string &Fingerprint) {
--- a/Source/Core/Core/Retry/CrashQuarantine.h
+++ b/Source/Core/Core/Retry/CrashQuarantine.h
@@ -25,6 +25,10 @@
   std::int64_t onCrash(const std::string &Fingerprint, Instant Now);
   /// Takes notice of another router's total; the larger total counts.
   void merge(const std::string &Fingerprint, std::int64_t Crashes, Instant Now);
+  /// The same for totals that hosts repeat to each other: what is known already
+  /// does not keep the suspicion alive.
+  void mergeNews(const std::string &Fingerprint, std::int64_t Crashes,
+                 Instant Now);
   /// The request ran to its end, so the suspicion is dropped.
   void onSuccess(const std::string &Fingerprint);
   /// Fingerprints whose totals have risen lately, for other hosts to merge.
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -67,7 +67,7 @@
 void HostState::mergeCrashes(
     const std::map<std::string, std::int64_t> &Crashes) {
   for (const auto &[Fingerprint, Count] : Crashes)
-    m_Quarantine.merge(Fingerprint, Count, now());
+    m_Quarantine.mergeNews(Fingerprint, Count, now());
 }
 
 void HostState::spawn(std::string Duty, Task<void> Work) {
--- /dev/null
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -0,0 +1,201 @@
+#include "Host/RequestSession.h"
+
+#include <algorithm>
+
+namespace sff::host {
+
+namespace {
+
+constexpr auto Part = log::Category::Routing;
+
+constexpr milliseconds DefaultRetryAfter{1000};
+
+bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
+
+} // namespace
+
+Task<RequestSession::Step> RequestSession::onHead(EndpointId Id,
+                                                  OpenStream Answer) {
+  const http::Response &Head = Answer->head();
+  const AnswerFacts Facts = m_State.m_Platform.m_Wire->decode(Head);
+  if (Facts.m_Load)
+    m_State.m_Chooser.loads().onReport(
+        Id, Facts.m_Load->m_Running + Facts.m_Load->m_Waiting, Duration::zero(),
+        now());
+  if (Facts.m_NotRun) {
+    Answer->close();
+    co_return co_await onNotRun(Id, Facts, Head.m_Status);
+  }
+  m_MayHaveRun.insert(Id);
+  m_Guard.markSent();
+  if (!Facts.m_Sealed) {
+    Answer->close();
+    co_return co_await onBroken(Id, serving::CallResult::Broken,
+                                "the answer has no seal");
+  }
+  m_Sessions.note(m_Facts.m_Session, Id);
+  const bool Streams = m_Route->m_Kind == serving::RouteKind::Stream;
+  if (Streams && isSuccess(Head.m_Status))
+    co_return co_await passStream(Id, std::move(Answer));
+  co_return co_await passWhole(Id, std::move(Answer));
+}
+
+Task<RequestSession::Step> RequestSession::passWhole(EndpointId Id,
+                                                     OpenStream Answer) {
+  const int Status = Answer->head().m_Status;
+  std::string Body;
+  while (true) {
+    auto Next = co_await Answer->read();
+    if (auto *Failure = std::get_if<http::TransportFailure>(&Next))
+      co_return co_await onBroken(Id, resultOf(*Failure), Failure->m_Detail);
+    std::string &Piece = std::get<std::string>(Next);
+    if (Piece.empty())
+      break;
+    Body += Piece;
+  }
+  const bool Failed = Status >= 500;
+  m_State.m_Chooser.health().onResult(
+      Id, Failed ? serving::CallResult::Failed : serving::CallResult::Good,
+      now());
+  const bool Repeat =
+      Failed && !m_HeadSent && m_Route->isIdempotent() &&
+      static_cast<int>(m_MayHaveRun.size()) < m_Route->m_MaxEndpoints &&
+      candidates().size() > m_Tried.size() + 1 && mayRepeat();
+  if (Repeat) {
+    m_Tried.insert(Id);
+    m_RetryGranted = true;
+    logStep("request.failed_at_endpoint",
+            {{"endpoint", Id}, {"status", Status}});
+    co_return Step::TryAgain;
+  }
+  if (m_HeadSent) {
+    m_Caller.abort();
+    finish("broken_off", 0, "resume_failed");
+    co_return Step::Finished;
+  }
+  http::Response Final = m_State.m_Platform.m_Wire->forCaller(Answer->head());
+  Final.m_Body = std::move(Body);
+  Final.m_Headers.erase("Content-Length");
+  m_State.m_Metrics.onFirstByte(now() - m_Arrived);
+  const bool Delivered = co_await m_Caller.respond(std::move(Final));
+  finish(Delivered ? "answered" : "caller_gone", Status, "");
+  co_return Step::Finished;
+}
+
+Task<RequestSession::Step> RequestSession::passStream(EndpointId Id,
+                                                      OpenStream Answer) {
+  const StreamEnd End = co_await pipe(Id, Answer);
+  if (End == StreamEnd::Whole) {
+    m_State.m_Chooser.health().onResult(Id, serving::CallResult::Good, now());
+    m_State.m_Quarantine.onSuccess(m_Fingerprint);
+    co_await m_Caller.endStream();
+    finish("answered", Answer->head().m_Status, "");
+    co_return Step::Finished;
+  }
+  Answer->close();
+  if (End == StreamEnd::CallerGone) {
+    finish("caller_gone", 0, "");
+    co_return Step::Finished;
+  }
+  m_Events.dropPartial();
+  co_return co_await onBroken(Id,
+                              m_GaveUpSilent ? serving::CallResult::Silent
+                                             : serving::CallResult::Broken,
+                              "the stream broke");
+}
+
+Task<RequestSession::StreamEnd> RequestSession::pipe(EndpointId Id,
+                                                     OpenStream Answer) {
+  while (true) {
+    auto Next = co_await Answer->read();
+    if (m_CallerGone)
+      co_return StreamEnd::CallerGone;
+    if (std::holds_alternative<http::TransportFailure>(Next))
+      co_return StreamEnd::EndpointBroke;
+    m_Progress = now();
+    const std::string &Piece = std::get<std::string>(Next);
+    std::string Whole = m_Events.append(Piece);
+    if (Piece.empty())
+      Whole = m_Events.partial();
+    if (!m_HeadSent) {
+      http::Response Head =
+          m_State.m_Platform.m_Wire->forCaller(Answer->head());
+      Head.m_Headers.erase("Content-Length");
+      m_State.m_Metrics.onFirstByte(now() - m_Arrived);
+      logStep("request.streaming",
+              {{"endpoint", Id},
+               {"first_byte_ms", toMilliseconds(now() - m_Arrived).count()}});
+      m_HeadSent = true;
+      const bool Begun = co_await m_Caller.beginStream(std::move(Head));
+      if (!Begun)
+        co_return StreamEnd::CallerGone;
+    }
+    if (!Whole.empty()) {
+      const bool Written = co_await m_Caller.writeChunk(Whole);
+      if (!Written)
+        co_return StreamEnd::CallerGone;
+    }
+    if (Piece.empty())
+      co_return StreamEnd::Whole;
+  }
+}
+
+Task<void> RequestSession::giveUp(std::string_view Reason) {
+  if (m_CallerGone) {
+    finish("caller_gone", 0, Reason);
+    co_return;
+  }
+  if (m_HeadSent) {
+    m_Caller.abort();
+    finish("broken_off", 0, Reason);
+    co_return;
+  }
+  if (m_Guard.mayHaveBeenSent()) {
+    co_await answerProblem(m_Expired ? 504 : 502, Reason, std::nullopt);
+    co_return;
+  }
+  co_await refuse(Reason, DefaultRetryAfter);
+}
+
+Task<void> RequestSession::refuse(std::string_view Reason,
+                                  milliseconds RetryAfter) {
+  // Aborts when an endpoint may have run the request.
+  const execution::NotRun Proof(m_Guard, execution::Reason::NoReplica,
+                                RetryAfter, std::string(Reason));
+  co_await answerProblem(503, Reason, Proof.retryAfter());
+}
+
+Task<void>
+RequestSession::answerProblem(int Status, std::string_view Reason,
+                              std::optional<milliseconds> RetryAfter) {
+  nlohmann::json Extra = {{"reason", Reason},
+                          {"outcome", Status == 502 || Status == 504
+                                          ? "outcome_unknown"
+                                          : "not_run"}};
+  http::Response Answer =
+      http::makeProblem(Status, "request not served", Reason, std::move(Extra));
+  if (RetryAfter)
+    Answer.m_Headers.set("Retry-After",
+                         std::to_string(toSeconds(*RetryAfter)).substr(0, 5));
+  co_await m_Caller.respond(std::move(Answer));
+  finish(RetryAfter ? "refused" : "failed", Status, Reason);
+}
+
+void RequestSession::finish(std::string_view Outcome, int Status,
+                            std::string_view Reason) {
+  const Duration Taken = now() - m_Arrived;
+  m_State.m_Metrics.onOutcome(Outcome, Taken);
+  logStep("request.finished", {{"outcome", Outcome},
+                               {"status", Status},
+                               {"reason", Reason},
+                               {"sends", m_Sends},
+                               {"took_ms", toMilliseconds(Taken).count()}});
+}
+
+void RequestSession::logStep(std::string_view Event,
+                             nlohmann::json Fields) const {
+  log::request(Part, Event, m_Facts.m_Id.str(), m_Facts.m_Model.str(),
+               std::move(Fields));
+}
+
+} // namespace sff::host
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -27,6 +27,10 @@
   UsageAnswer onUsage(const UsageReport &Report);
 
 private:
+  /// Reports may be this old, so that one that is read sooner after an order
+  /// may not show what it did.
+  static constexpr milliseconds ReportLag{600};
+
   /// What this host knows of an endpoint that it gives orders to.
   struct Work {
     bool m_Busy = false;   ///< A coroutine gives it orders.
--- a/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
@@ -46,9 +46,9 @@
   Instant Now = Start;
   for (; Now < Start + 3 * Period; Now += milliseconds(1000)) {
     for (const auto &[Fingerprint, Crashes] : First.recentSuspects(Now))
-      Second.merge(Fingerprint, Crashes, Now);
+      Second.mergeNews(Fingerprint, Crashes, Now);
     for (const auto &[Fingerprint, Crashes] : Second.recentSuspects(Now))
-      First.merge(Fingerprint, Crashes, Now);
+      First.mergeNews(Fingerprint, Crashes, Now);
   }
   EXPECT_EQ(First.verdict("f", Now), QuarantineVerdict::Normal);
   EXPECT_EQ(Second.verdict("f", Now), QuarantineVerdict::Normal);
