--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -5,6 +5,7 @@
 #include "Core/Retry/CrashWatch.h"
 #include "Core/Serving/DemandRates.h"
 #include "Core/Serving/EndpointChooser.h"
+#include "Core/Serving/FleetSize.h"
 #include "Core/Serving/SharedRetryBudget.h"
 #include "Host/ChangeSignal.h"
 #include "Host/HostMetrics.h"
@@ -28,10 +29,6 @@
 /// What the parts of a host share. Lives as long as the host's io_context.
 /// Thread safety: use from the host's io_context only.
 struct HostState {
-  /// Hosts that share the retry budget, until their number is known. Many, so
-  /// that hosts which start together do not each take the whole budget.
-  static constexpr std::size_t AssumedHosts = 32;
-
   HostState(boost::asio::io_context &Context, const settings::Settings &Values,
             log::ProcessIdentity Identity, Platform Adapter);
 
@@ -70,7 +67,8 @@
 
 private:
   std::map<std::string, serving::SharedRetryBudget> m_Budgets;
-  std::size_t m_Hosts = AssumedHosts;
+  /// That share the retry budget.
+  std::size_t m_Hosts = serving::FleetSize::Assumed;
 };
 
 } // namespace sff::host
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -25,8 +25,6 @@
 /// Requests per second that one replica serves without much waiting, for each
 /// of its slots.
 constexpr double RatePerSlot = 0.5;
-/// Hosts that have not reported for this long no longer count.
-constexpr milliseconds ReporterPeriod{15000};
 /// A further replica may cost callers of other models this many seconds.
 constexpr double ReplicaCostSeconds = 2.5;
 /// Part of a replica's capacity beyond which a further one is worth a load
@@ -82,22 +80,16 @@
 
 void SwapService::publish(const EndpointId &Id, const serving::ModelName &Name,
                           bool Held) {
-  std::set<HostId> Hosts;
-  for (const auto &[Host, Heard] : m_Reporters)
-    Hosts.insert(Host);
-  m_Notifier.publish({Id, Name.m_Model, Name.m_Adapter, Held}, Hosts);
+  m_Notifier.publish({Id, Name.m_Model, Name.m_Adapter, Held}, m_Fleet.hosts());
 }
 
 UsageAnswer SwapService::onUsage(const UsageReport &Report) {
   assumeEarlierDemand();
-  m_Reporters[Report.m_Host] = now();
+  m_Fleet.onReport(Report.m_Host, now());
   for (const auto &[Model, Requests] : Report.m_Requests)
     m_Demand.add(Model, Requests, now());
-  std::erase_if(m_Reporters, [](const auto &Item) {
-    return now() - Item.second > ReporterPeriod;
-  });
   m_State.mergeCrashes(Report.m_Crashes);
-  return {static_cast<std::int64_t>(m_Reporters.size()),
+  return {static_cast<std::int64_t>(m_Fleet.count(now())),
           m_State.m_Quarantine.recentSuspects(now())};
 }
 
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -2,6 +2,7 @@
 
 #include "Core/Loading/LoadScheduler.h"
 #include "Core/Serving/DemandQueue.h"
+#include "Core/Serving/FleetSize.h"
 #include "Core/Serving/SwapPlanner.h"
 #include "Host/InventoryNotifier.h"
 #include "Host/OrderRights.h"
@@ -129,7 +130,7 @@
   std::map<std::string, int, std::less<>> m_Replicas;
   bool m_PendingScheduled = false;
   serving::DemandRates m_Demand; ///< Of all hosts that report.
-  std::map<HostId, Instant> m_Reporters;
+  serving::FleetSize m_Fleet;    ///< The hosts that report usage.
   bool m_DemandAssumed = false;
   bool m_RemoteLoadRuns = false;
   Instant m_NextRemoteLoad;
