Share lookups and the wake-up signal, and remove what nothing uses

Read-through of the change. The host's ChangeSignal did what the stand-ins' Signal did: one timers::Signal serves both. Where weights are, how long a load takes, a model's size, whether an endpoint holds a model or adapter, and the engine of a service were written two or three times each; they are functions of the serving modules now. Gone: settings, fields and parameters that nothing read (drain_ms, m_Leaving, m_HasSessions, m_Preferred). The counter of resumed streams was never raised; it is now. Tests keep their assertions; two calls lose an argument, one initializer a field.

--- a/Source/Core/Core/Serving/Catalogue.cpp
+++ b/Source/Core/Core/Serving/Catalogue.cpp
@@ -71,6 +71,11 @@
   return Found == m_Services.end() ? nullptr : &Found->second;
 }
 
+const EngineSpec *Catalogue::findEngine(std::string_view ServiceName) const {
+  const Service *Found = findService(ServiceName);
+  return Found && Found->m_Engine ? &*Found->m_Engine : nullptr;
+}
+
 ModelName ModelName::parse(std::string_view Text) {
   const auto Slash = Text.find('/');
   if (Slash == std::string_view::npos)
--- a/Source/Core/Core/Serving/Catalogue.h
+++ b/Source/Core/Core/Serving/Catalogue.h
@@ -30,7 +30,6 @@
   milliseconds m_GapTarget{0}; ///< Longest pause between events of a stream.
   std::int64_t m_Rank = 0;     ///< 0 is the most urgent.
   int m_MaxEndpoints = 1;      ///< Endpoints that one request may be sent to.
-  bool m_HasSessions = false;  ///< Prompts of a session share parts.
   bool m_MayResume = false;    ///< A stream may go on at another endpoint.
   std::vector<ServiceShare> m_Shares;
 
@@ -91,6 +90,8 @@
   /// \p Host may carry a port and is compared without regard to case.
   const Route *findRoute(std::string_view Host, std::string_view Path) const;
   const Service *findService(std::string_view Name) const;
+  /// The engine of a service that runs models.
+  const EngineSpec *findEngine(std::string_view ServiceName) const;
   /// Builds the index of findRoute(). Call once, after the routes are set.
   void buildIndex();
 
--- a/Source/Core/Core/Serving/EndpointDirectory.cpp
+++ b/Source/Core/Core/Serving/EndpointDirectory.cpp
@@ -39,6 +39,12 @@
   return nullptr;
 }
 
+bool Inventory::holds(const ModelName &Name) const {
+  const ResidentModel *Model = find(Name.m_Model);
+  return Model &&
+         (Name.m_Adapter.empty() || Model->m_Adapters.contains(Name.m_Adapter));
+}
+
 void Inventory::note(const ModelName &Name, bool IsHeld) {
   const auto Model =
       std::ranges::find(m_Models, Name.m_Model, &ResidentModel::m_Name);
@@ -110,7 +116,7 @@
     remove(Id, Now);
 }
 
-void EndpointDirectory::onRegistryLost(Instant) { m_RegistryLost = true; }
+void EndpointDirectory::onRegistryLost() { m_RegistryLost = true; }
 
 void EndpointDirectory::onRegistryRegained(Instant Now) {
   if (!m_RegistryLost)
--- a/Source/Core/Core/Serving/EndpointDirectory.h
+++ b/Source/Core/Core/Serving/EndpointDirectory.h
@@ -33,6 +33,8 @@
   std::set<std::string, std::less<>> m_OnDisk;
 
   const ResidentModel *find(std::string_view Model) const;
+  /// The model and, where \p Name has one, its adapter are loaded.
+  bool holds(const ModelName &Name) const;
   /// Adds or removes a model, or an adapter of a model that is held.
   void note(const ModelName &Name, bool IsHeld);
 };
@@ -91,7 +93,7 @@
   /// listing of the registry.
   void retain(const std::set<EndpointId> &Present, Instant Now);
 
-  void onRegistryLost(Instant Now);
+  void onRegistryLost();
   void onRegistryRegained(Instant Now);
   /// Removes endpoints whose grace has ended.
   void expire(Instant Now);
--- a/Source/Core/Core/Serving/OrderLease.cpp
+++ b/Source/Core/Core/Serving/OrderLease.cpp
@@ -18,7 +18,7 @@
   m_RenewalSentAt = Renewal.m_SentAt;
 }
 
-void OrderLease::onStoreUnreachable(Instant SentAt, Instant) {
+void OrderLease::onStoreUnreachable(Instant SentAt) {
   m_UnreachableAt = SentAt;
 }
 
--- a/Source/Core/Core/Serving/OrderLease.h
+++ b/Source/Core/Core/Serving/OrderLease.h
@@ -31,7 +31,7 @@
 
   void onRenewed(const LeaseRenewal &Renewal, Instant Now);
   /// The store did not answer a renewal that was sent at \p SentAt.
-  void onStoreUnreachable(Instant SentAt, Instant Now);
+  void onStoreUnreachable(Instant SentAt);
   /// An endpoint has seen a newer token than \p Token.
   void onFenced(FencingToken Token);
   void onReleased() { m_Token.reset(); }
--- a/Source/Core/Core/Serving/SwapPlanner.cpp
+++ b/Source/Core/Core/Serving/SwapPlanner.cpp
@@ -12,8 +12,6 @@
 constexpr double ReloadWaitSeconds = 1.5;
 /// An eviction waits for the requests that run on the model.
 constexpr double InUseSeconds = 1;
-/// Advantage of the endpoint that the asking host would use.
-constexpr double PreferredSeconds = 0.3;
 
 /// Frees at least \p NeededMb by the cheapest models first, or returns nothing.
 std::optional<SwapPlan> planOn(const SwapCandidate &Candidate, double SizeMb) {
@@ -39,13 +37,37 @@
   }
   if (FreeMb < SizeMb)
     return std::nullopt;
-  if (Candidate.m_Preferred)
-    Plan.m_Cost -= PreferredSeconds;
   return Plan;
 }
 
 } // namespace
 
+loading::WeightLocation locationOf(const Inventory &Held,
+                                   std::string_view Model) {
+  if (Held.m_InHostMemory.contains(Model))
+    return loading::WeightLocation::Memory;
+  if (Held.m_OnDisk.contains(Model))
+    return loading::WeightLocation::Disk;
+  return loading::WeightLocation::Remote;
+}
+
+double loadSeconds(const ModelSpec &Model, loading::WeightLocation Location) {
+  switch (Location) {
+  case loading::WeightLocation::Memory:
+    return Model.m_MemoryLoadSeconds;
+  case loading::WeightLocation::Disk:
+    return Model.m_DiskLoadSeconds;
+  case loading::WeightLocation::Remote:
+    return Model.m_RemoteLoadSeconds;
+  }
+  return Model.m_RemoteLoadSeconds;
+}
+
+double sizeMb(const ModelSpec &Spec, const ResidentModel &Loaded) {
+  return Spec.m_WeightMb +
+         Spec.m_AdapterMb * static_cast<double>(Loaded.m_Adapters.size());
+}
+
 double evictionCost(const HeldModel &Model) {
   // With other replicas left, waits grow with the load that falls to each.
   double Part = 1;
--- a/Source/Core/Core/Serving/SwapPlanner.h
+++ b/Source/Core/Core/Serving/SwapPlanner.h
@@ -29,7 +29,6 @@
   std::vector<HeldModel> m_Held;
   loading::WeightLocation m_Location = loading::WeightLocation::Remote;
   double m_LoadSeconds = 0;
-  bool m_Preferred = false; ///< The asking host would rather use this one.
 };
 
 /// What has to be done so that a model is loaded.
@@ -41,6 +40,16 @@
   double m_Cost = 0; ///< Seconds of waiting that the plan causes in all.
 };
 
+/// Where an endpoint has the weights of a model. Thread safety: reentrant.
+loading::WeightLocation locationOf(const Inventory &Held,
+                                   std::string_view Model);
+
+/// Time to load the model from there. Thread safety: reentrant.
+double loadSeconds(const ModelSpec &Model, loading::WeightLocation Location);
+
+/// Memory of a loaded model with its adapters. Thread safety: reentrant.
+double sizeMb(const ModelSpec &Spec, const ResidentModel &Loaded);
+
 /// Cost of evicting a model: the seconds that its next callers wait because of
 /// it. Thread safety: reentrant.
 double evictionCost(const HeldModel &Model);
--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -70,20 +70,17 @@
                                const serving::ModelSpec &Model) const {
   if (Item.inventory().find(Name.m_Model))
     return 0;
-  if (Item.inventory().m_InHostMemory.contains(Name.m_Model))
-    return Model.m_MemoryLoadSeconds;
-  if (Item.inventory().m_OnDisk.contains(Name.m_Model))
-    return Model.m_DiskLoadSeconds;
-  return Model.m_RemoteLoadSeconds;
+  return serving::loadSeconds(
+      Model, serving::locationOf(Item.inventory(), Name.m_Model));
 }
 
 std::vector<DemandRouter::ZoneChoice>
 DemandRouter::zonesFor(const std::string &Service,
                        const serving::ModelName &Name) const {
   const auto Catalogue = m_State.m_Catalogue;
-  const serving::Service *Known = Catalogue->findService(Service);
+  const serving::EngineSpec *Engine = Catalogue->findEngine(Service);
   const serving::ModelSpec *Model =
-      Known && Known->m_Engine ? Known->m_Engine->find(Name.m_Model) : nullptr;
+      Engine ? Engine->find(Name.m_Model) : nullptr;
   std::map<ZoneId, double> Seconds;
   if (Model)
     for (const serving::Endpoint *Item : m_State.m_Endpoints.serving(Service)) {
@@ -154,10 +151,8 @@
       Demand.m_Waiting = Found->second;
     const milliseconds Limit = &Choice == &Zones.back() ? LongestAsk : FirstAsk;
     Demand.m_WaitMs = std::min(toMilliseconds(Until - now()), Limit).count();
-    const auto *Known = m_State.m_Catalogue->findService(Service);
-    const auto *Model = Known && Known->m_Engine
-                            ? Known->m_Engine->find(Name.m_Model)
-                            : nullptr;
+    const auto *Engine = m_State.m_Catalogue->findEngine(Service);
+    const auto *Model = Engine ? Engine->find(Name.m_Model) : nullptr;
     Demand.m_MayLoadRemote =
         Model && Zones.front().m_Seconds >= Model->m_RemoteLoadSeconds;
     Answer = co_await ask(Demand);
@@ -177,7 +172,7 @@
     co_await sleepFor(AskPause);
   }
   m_Asked.erase(Name);
-  m_State.m_Changed.notify();
+  m_State.m_Changed.notifyAll();
 }
 
 Task<void> DemandRouter::reportUsage() {
--- a/Source/Core/Host/HostSettings.cpp
+++ b/Source/Core/Host/HostSettings.cpp
@@ -20,8 +20,7 @@
         .add(RetryRatioSetting)
         .add(RetryExtraSetting)
         .add(RetryWindowSetting)
-        .add(GraceSetting)
-        .add(DrainSetting);
+        .add(GraceSetting);
     return Result;
   }();
   return Instance;
--- a/Source/Core/Host/HostSettings.h
+++ b/Source/Core/Host/HostSettings.h
@@ -128,15 +128,6 @@
     .m_Range = {0.5, 3600},
     .m_Doc = "Time from the stop signal to the kill."};
 
-inline const Setting<milliseconds> DrainSetting{
-    .m_Section = "endpoints",
-    .m_Key = "drain_ms",
-    .m_Default = milliseconds(2000),
-    .m_Unit = "ms",
-    .m_Range = {100, 600000},
-    .m_Doc = "Time within which no request may reach an endpoint that "
-             "leaves."};
-
 /// All settings of the host program. Thread safety: any thread.
 const settings::Schema &hostSchema();
 
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -35,8 +35,7 @@
                      log::ProcessIdentity Identity, Platform Adapter)
     : m_Context(Context), m_Settings(Values), m_Identity(std::move(Identity)),
       m_Zone(m_Identity.m_Zone), m_Platform(std::move(Adapter)),
-      m_Http(Context.get_executor()), m_Changed(Context.get_executor()),
-      m_Chooser(m_Zone, std::random_device{}()),
+      m_Http(Context.get_executor()), m_Chooser(m_Zone, std::random_device{}()),
       m_Quarantine(MaxFingerprints, FingerprintPeriod),
       m_OwnDemand(DemandMemory) {}
 
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -7,11 +7,11 @@
 #include "Core/Serving/EndpointChooser.h"
 #include "Core/Serving/FleetSize.h"
 #include "Core/Serving/SharedRetryBudget.h"
-#include "Host/ChangeSignal.h"
 #include "Host/HostMetrics.h"
 #include "Host/HostSettings.h"
 #include "Host/Ports.h"
 #include "Net/Http/Client.h"
+#include "Net/Timers/Signal.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -20,6 +20,9 @@
 
 namespace sff::host {
 
+using timers::Signal;
+using timers::sleepFor;
+
 /// The time now, of the clock that the core is given.
 inline Instant now() { return std::chrono::steady_clock::now(); }
 
@@ -53,7 +56,7 @@
   Platform m_Platform;
   http::Client m_Http; ///< To endpoints.
   HostMetrics m_Metrics;
-  ChangeSignal m_Changed; ///< Catalogue, endpoints or inventories.
+  Signal m_Changed; ///< Catalogue, endpoints or inventories.
   std::shared_ptr<const serving::Catalogue> m_Catalogue;
   serving::EndpointDirectory m_Endpoints;
   /// The process is about to end: what has not been sent is refused.
--- a/Source/Core/Host/InventoryNotifier.cpp
+++ b/Source/Core/Host/InventoryNotifier.cpp
@@ -24,13 +24,13 @@
 void InventoryNotifier::onNotice(const InventoryNotice &Notice) {
   for (const InventoryChange &Change : Notice.m_Changes)
     apply(Change);
-  m_State.m_Changed.notify();
+  m_State.m_Changed.notifyAll();
 }
 
 void InventoryNotifier::publish(const InventoryChange &Change,
                                 const std::set<HostId> &Hosts) {
   apply(Change);
-  m_State.m_Changed.notify();
+  m_State.m_Changed.notifyAll();
   const bool First = m_Pending.m_Changes.empty();
   m_Pending.m_Changes.push_back(Change);
   m_Hosts.insert(Hosts.begin(), Hosts.end());
--- a/Source/Core/Host/OrderRights.cpp
+++ b/Source/Core/Host/OrderRights.cpp
@@ -50,7 +50,7 @@
   if (m_Released)
     co_return;
   if (!Answer) {
-    Lease.onStoreUnreachable(SentAt, bootTime());
+    Lease.onStoreUnreachable(SentAt);
     co_return;
   }
   const bool Held = Lease.holds();
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -49,7 +49,6 @@
   bool m_OtherEndpoint = false; ///< Another endpoint has the address.
   bool m_LacksModel = false;    ///< The model or adapter is not loaded.
   bool m_Sealed = false;        ///< The endpoint vouches for the answer.
-  bool m_Leaving = false;       ///< The endpoint closes the connection.
   std::optional<StatedLoad> m_Load;
 };
 
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -150,9 +150,7 @@
   if (Name.m_Model.empty() || !m_Service->m_Engine)
     return List;
   std::erase_if(List, [&Name](const serving::Endpoint *Item) {
-    const auto *Model = Item->inventory().find(Name.m_Model);
-    return !Model || (!Name.m_Adapter.empty() &&
-                      !Model->m_Adapters.contains(Name.m_Adapter));
+    return !Item->inventory().holds(Name);
   });
   return List;
 }
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -5,6 +5,8 @@
 #include "Host/DemandRouter.h"
 #include "Net/Http/Server.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <memory>
 #include <set>
 
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -84,6 +84,8 @@
 
 Task<RequestSession::Step> RequestSession::passStream(EndpointId Id,
                                                       OpenStream Answer) {
+  if (m_HeadSent)
+    m_State.m_Metrics.onResume();
   const StreamEnd End = co_await pipe(Id, Answer);
   if (End == StreamEnd::Whole) {
     m_State.m_Chooser.health().onResult(Id, serving::CallResult::Good, now());
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -50,7 +50,7 @@
     log::info(Part, "store.regained");
     return;
   }
-  m_State.m_Endpoints.onRegistryLost(now());
+  m_State.m_Endpoints.onRegistryLost();
   log::warning(Part, "store.lost");
   // A call that was sent into the outage may hang beyond its end.
   m_State.m_Platform.m_Store->abandonCalls();
@@ -70,7 +70,7 @@
             {{"version", Newest->m_Version},
              {"previous", Known},
              {"routes", Newest->m_Routes.size()}});
-  m_State.m_Changed.notify();
+  m_State.m_Changed.notifyAll();
 }
 
 Task<void> StoreFollower::followCatalogue() {
@@ -144,7 +144,7 @@
   }
   m_State.m_Endpoints.expire(now());
   m_State.m_Metrics.setEndpoints(m_State.m_Endpoints.all().size());
-  m_State.m_Changed.notify();
+  m_State.m_Changed.notifyAll();
 }
 
 Task<void> StoreFollower::followEndpoints() {
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -36,34 +36,12 @@
 /// slows all of them beyond.
 constexpr double ParallelRemoteLoads = 4;
 
-loading::WeightLocation locationOf(const serving::Inventory &Held,
-                                   std::string_view Model) {
-  if (Held.m_InHostMemory.contains(Model))
-    return loading::WeightLocation::Memory;
-  if (Held.m_OnDisk.contains(Model))
-    return loading::WeightLocation::Disk;
-  return loading::WeightLocation::Remote;
-}
-
-double loadSeconds(const serving::ModelSpec &Model,
-                   loading::WeightLocation Location) {
-  switch (Location) {
-  case loading::WeightLocation::Memory:
-    return Model.m_MemoryLoadSeconds;
-  case loading::WeightLocation::Disk:
-    return Model.m_DiskLoadSeconds;
-  case loading::WeightLocation::Remote:
-    return Model.m_RemoteLoadSeconds;
-  }
-  return Model.m_RemoteLoadSeconds;
-}
-
 } // namespace
 
 SwapService::SwapService(HostState &State, OrderRights &Rights,
                          InventoryNotifier &Notifier)
     : m_State(State), m_Rights(Rights), m_Notifier(Notifier),
-      m_Progress(State.m_Context.get_executor()), m_Demand(DemandMemory) {}
+      m_Demand(DemandMemory) {}
 
 void SwapService::assumeEarlierDemand() {
   if (std::exchange(m_DemandAssumed, true))
@@ -104,14 +82,11 @@
 
 std::optional<EndpointId>
 SwapService::findHolding(const ModelDemand &Demand) const {
-  for (const serving::Endpoint *Item : endpointsOf(Demand)) {
-    const auto *Model = Item->inventory().find(Demand.m_Model);
-    if (!Model || m_State.m_Chooser.health().isSuspended(Item->id(), now()))
-      continue;
-    if (Demand.m_Adapter.empty() ||
-        Model->m_Adapters.contains(Demand.m_Adapter))
+  const serving::ModelName Name{Demand.m_Model, Demand.m_Adapter};
+  for (const serving::Endpoint *Item : endpointsOf(Demand))
+    if (Item->inventory().holds(Name) &&
+        !m_State.m_Chooser.health().isSuspended(Item->id(), now()))
       return Item->id();
-  }
   return std::nullopt;
 }
 
@@ -149,10 +124,9 @@
     if (const auto Holding = findHolding(Demand))
       co_return DemandAnswer{DemandStatus::Ready, *Holding};
     const auto Catalogue = m_State.m_Catalogue;
-    const serving::Service *Service =
-        Catalogue ? Catalogue->findService(Demand.m_Service) : nullptr;
-    if (!Service || !Service->m_Engine ||
-        !Service->m_Engine->find(Demand.m_Model))
+    const serving::EngineSpec *Engine =
+        Catalogue ? Catalogue->findEngine(Demand.m_Service) : nullptr;
+    if (!Engine || !Engine->find(Demand.m_Model))
       co_return DemandAnswer{DemandStatus::Impossible, {}};
     if (now() >= Until)
       co_return DemandAnswer{DemandStatus::Busy, {}};
@@ -208,16 +182,16 @@
     if (Found == m_Pending.end())
       continue;
     const ModelDemand &Demand = Found->second;
-    const serving::Service *Service =
-        Catalogue ? Catalogue->findService(Demand.m_Service) : nullptr;
-    if (!Service || !Service->m_Engine || FullZones.contains(Demand.m_Zone))
+    const serving::EngineSpec *Engine =
+        Catalogue ? Catalogue->findEngine(Demand.m_Service) : nullptr;
+    if (!Engine || FullZones.contains(Demand.m_Zone))
       continue;
     if (!anyEndpointFree(Demand)) {
       FullZones.insert(Demand.m_Zone);
       continue;
     }
     if (!isLoading(Demand.m_Model) && !findHolding(Demand))
-      startWork(Demand, *Service->m_Engine, Item.m_Urgency);
+      startWork(Demand, *Engine, Item.m_Urgency);
   }
   std::erase_if(m_Pending, [&Names](const auto &Item) {
     return !Names.contains(Item.first);
@@ -226,13 +200,14 @@
 
 void SwapService::startWork(const ModelDemand &Demand,
                             const serving::EngineSpec &Engine, double Urgency) {
-  if (!Demand.m_Adapter.empty() && startAdapter(Demand))
+  if (!Demand.m_Adapter.empty() && startAdapter(Demand, Engine))
     return;
   if (const serving::ModelSpec *Model = Engine.find(Demand.m_Model))
     startSwap(Demand, Engine, *Model, Urgency);
 }
 
-bool SwapService::startAdapter(const ModelDemand &Demand) {
+bool SwapService::startAdapter(const ModelDemand &Demand,
+                               const serving::EngineSpec &Engine) {
   // All hosts spread the adapters of a model over its replicas alike.
   const serving::Endpoint *Best = nullptr;
   std::size_t BestHash = 0;
@@ -255,9 +230,7 @@
   Known.m_Busy = true;
   m_State.spawn(
       "load_adapter",
-      runAdapter(
-          {Best->id(), *Address, Demand.m_Zone}, Demand,
-          *m_State.m_Catalogue->findService(Demand.m_Service)->m_Engine));
+      runAdapter({Best->id(), *Address, Demand.m_Zone}, Demand, Engine));
   return true;
 }
 
@@ -290,16 +263,12 @@
   serving::SwapCandidate Result;
   Result.m_Endpoint = Id;
   Result.m_CapacityMb = Engine.m_CapacityMb;
-  Result.m_Location = locationOf(Held, Model.m_Name);
-  Result.m_LoadSeconds = loadSeconds(Model, Result.m_Location);
+  Result.m_Location = serving::locationOf(Held, Model.m_Name);
+  Result.m_LoadSeconds = serving::loadSeconds(Model, Result.m_Location);
   for (const serving::ResidentModel &Item : Held.m_Models) {
     const serving::ModelSpec *Spec = Engine.find(Item.m_Name);
     // A model that the catalogue no longer names takes at most what is left.
-    const double Size =
-        Spec
-            ? Spec->m_WeightMb + Spec->m_AdapterMb *
-                                     static_cast<double>(Item.m_Adapters.size())
-            : Model.m_WeightMb;
+    const double Size = Spec ? serving::sizeMb(*Spec, Item) : Model.m_WeightMb;
     Result.m_Held.push_back(
         {Item.m_Name, Size, m_Demand.rate(Item.m_Name, now()),
          otherReplicas(Item.m_Name), Engine.m_Slots * RatePerSlot,
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -67,7 +67,8 @@
   void countReplicas();
   void startWork(const ModelDemand &Demand, const serving::EngineSpec &Engine,
                  double Urgency);
-  bool startAdapter(const ModelDemand &Demand);
+  bool startAdapter(const ModelDemand &Demand,
+                    const serving::EngineSpec &Engine);
   void startSwap(const ModelDemand &Demand, const serving::EngineSpec &Engine,
                  const serving::ModelSpec &Model, double Urgency);
   serving::SwapCandidate candidateOf(const serving::Inventory &Held,
@@ -121,7 +122,7 @@
   HostState &m_State;
   OrderRights &m_Rights;
   InventoryNotifier &m_Notifier;
-  ChangeSignal m_Progress;
+  Signal m_Progress;
   std::map<EndpointId, Work> m_Work;
   serving::DemandQueue m_Queue;
   /// One of the waiting demands of each name in the queue.
--- a/Source/Core/Host/SwapServiceOrders.cpp
+++ b/Source/Core/Host/SwapServiceOrders.cpp
@@ -60,8 +60,7 @@
   double Sum = 0;
   for (const serving::ResidentModel &Model : Report.m_Inventory.m_Models)
     if (const serving::ModelSpec *Spec = Engine.find(Model.m_Name))
-      Sum += Spec->m_WeightMb +
-             Spec->m_AdapterMb * static_cast<double>(Model.m_Adapters.size());
+      Sum += serving::sizeMb(*Spec, Model);
   for (const serving::ModelName &Name : Report.m_PendingAdapters)
     if (const serving::ModelSpec *Spec = Engine.find(Name.m_Model))
       Sum += Spec->m_AdapterMb;
@@ -303,8 +302,8 @@
     Known.m_Report.reset();
     Known.m_RestUntil = now() + RestPeriod;
   }
-  m_Progress.notify();
-  m_State.m_Changed.notify();
+  m_Progress.notifyAll();
+  m_State.m_Changed.notifyAll();
   schedulePending();
 }
 
--- a/Source/StandIns/Support/Wait.cpp
+++ b/Source/StandIns/Support/Wait.cpp
@@ -1,48 +1,9 @@
 #include "StandIns/Support/Wait.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 
 namespace sff::standin {
 
-namespace asio = boost::asio;
-
-struct Signal::Waiter {
-  explicit Waiter(const asio::any_io_executor &Executor) : m_Timer(Executor) {}
-  asio::steady_timer m_Timer;
-};
-
-asio::awaitable<void> sleepFor(Duration Delay) {
-  if (Delay <= Duration::zero())
-    co_return;
-  const auto Executor = co_await asio::this_coro::executor;
-  asio::steady_timer Timer(Executor, Delay);
-  co_await Timer.async_wait(asio::use_awaitable);
-}
-
-asio::awaitable<void> Signal::wait(Duration Limit) {
-  const auto Executor = co_await asio::this_coro::executor;
-  auto Self = std::make_shared<Waiter>(Executor);
-  Self->m_Timer.expires_after(Limit);
-  std::erase_if(m_Waiters, [](const auto &Weak) { return Weak.expired(); });
-  m_Waiters.push_back(Self);
-  boost::system::error_code Ignored;
-  co_await Self->m_Timer.async_wait(
-      asio::redirect_error(asio::use_awaitable, Ignored));
-}
-
-void Signal::notifyAll() {
-  const auto Waiters = std::move(m_Waiters);
-  m_Waiters.clear();
-  for (const auto &Weak : Waiters)
-    if (const auto Live = Weak.lock())
-      Live->m_Timer.cancel();
-}
-
 Duration RateLimit::interval() const {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(1.0 / m_PerSecond));
--- a/Source/StandIns/Support/Wait.h
+++ b/Source/StandIns/Support/Wait.h
@@ -1,33 +1,11 @@
 #pragma once
 
-#include "Common/Time/Instant.h"
-
-#include <boost/asio/awaitable.hpp>
-
-#include <memory>
-#include <vector>
-
-namespace boost::asio {
-class io_context;
-}
+#include "Net/Timers/Signal.h"
 
 namespace sff::standin {
 
-/// Suspends the calling coroutine for \p Delay.
-boost::asio::awaitable<void> sleepFor(Duration Delay);
-
-/// Wakes coroutines that wait for a change.
-/// Thread safety: use from one thread.
-class Signal {
-public:
-  /// Waits until notifyAll() is called, at most \p Limit.
-  boost::asio::awaitable<void> wait(Duration Limit);
-  void notifyAll();
-
-private:
-  struct Waiter;
-  std::vector<std::weak_ptr<Waiter>> m_Waiters;
-};
+using timers::Signal;
+using timers::sleepFor;
 
 /// Limits how often something starts; starts that come too early queue.
 /// Thread safety: use from one thread.
--- a/Source/UnitTests/Core/Serving/EndpointDirectoryTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointDirectoryTest.cpp
@@ -65,7 +65,7 @@
 TEST(EndpointDirectoryTest, LapseDuringAnOutageIsNotTheEnd) {
   EndpointDirectory List;
   List.apply(makeRegistration(1, {}), Start);
-  List.onRegistryLost(Start);
+  List.onRegistryLost();
   List.onRegistryRegained(Start + std::chrono::seconds(10));
   const Instant Back = Start + std::chrono::seconds(10);
   EXPECT_FALSE(List.remove(First, Back + milliseconds(100)));
@@ -80,7 +80,7 @@
 TEST(EndpointDirectoryTest, ReturnAfterALapseClearsIt) {
   EndpointDirectory List;
   List.apply(makeRegistration(1, {}), Start);
-  List.onRegistryLost(Start);
+  List.onRegistryLost();
   List.remove(First, Start);
   List.onRegistryRegained(Start + std::chrono::seconds(5));
   List.apply(makeRegistration(2, {}), Start + std::chrono::seconds(6));
--- a/Source/UnitTests/Core/Serving/OrderLeaseTest.cpp
+++ b/Source/UnitTests/Core/Serving/OrderLeaseTest.cpp
@@ -39,8 +39,8 @@
   OrderLease Fenced = makeHeld(Start + 2 * Term, true);
   OrderLease Unfenced = makeHeld(Start + 2 * Term, false);
   const Instant Later = Start + 4 * Term;
-  Fenced.onStoreUnreachable(Later, Later);
-  Unfenced.onStoreUnreachable(Later, Later);
+  Fenced.onStoreUnreachable(Later);
+  Unfenced.onStoreUnreachable(Later);
   EXPECT_EQ(Fenced.mayOrder(Later), 7);
   EXPECT_FALSE(Unfenced.mayOrder(Later));
 }
--- a/Source/UnitTests/Core/Serving/PlacementTest.cpp
+++ b/Source/UnitTests/Core/Serving/PlacementTest.cpp
@@ -19,8 +19,8 @@
 }
 
 SwapCandidate makeCandidate(std::string Id, std::vector<HeldModel> Held) {
-  return {EndpointId(std::move(Id)),     CapacityMb, std::move(Held),
-          loading::WeightLocation::Disk, 1.0,        false};
+  return {EndpointId(std::move(Id)), CapacityMb, std::move(Held),
+          loading::WeightLocation::Disk, 1.0};
 }
 
 // Load: a busy model on a few endpoints beside many rare ones. Guards against
