Keep the header time limit, and answer 408 when a request is slow

The catalogue's limit on the time of a header was decoded and not used, and the timeout of Beast's stream closes the socket, so the 408 that was written for a slow request never left. A timer of the session cancels the read instead. HttpServerTest.SlowHeaderIsRefusedAndSlowBodyIsNot failed first (200 without the limit, then no answer at all). The first read of a request takes the whole header, one read fewer a request.

--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -48,6 +48,7 @@
   http::ServerLimits Result;
   Result.m_HeaderBytes = Limits.m_HeaderBytes;
   Result.m_BodyBytes = Limits.m_BodyBytes;
+  Result.m_HeaderTimeout = Limits.m_HeaderTimeout;
   Result.m_IdleTimeout = Limits.m_IdleTimeout + IdleSlack;
   return Result;
 }
--- a/Source/Core/Net/Http/Server.cpp
+++ b/Source/Core/Net/Http/Server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -28,6 +29,11 @@
   return asio::redirect_error(asio::use_awaitable, Error);
 }
 
+/// Holds the whole header of a usual request, so that one read takes it.
+constexpr std::size_t FirstReadBytes = 2048;
+
+using RequestParser = bhttp::request_parser<bhttp::string_body>;
+
 struct Shared {
   ServerLimits m_Limits;
   Handler m_Handle;
@@ -65,7 +71,8 @@
 public:
   Session(tcp::socket Socket, std::shared_ptr<Shared> State)
       : m_Stream(std::move(Socket)), m_State(std::move(State)),
-        m_Count(m_State->m_Connections), m_Number(++m_State->m_Accepted) {}
+        m_Count(m_State->m_Connections), m_Number(++m_State->m_Accepted),
+        m_ReadTimer(m_Stream.get_executor()) {}
 
   asio::awaitable<void> run() {
     while (!m_State->m_Stopping && m_Stream.socket().is_open())
@@ -213,28 +220,54 @@
     m_Idle = true;
     error_code Error;
     m_Stream.expires_after(m_State->m_Limits.m_IdleTimeout);
-    const std::size_t Read =
-        co_await m_Stream.async_read_some(m_Buffer.prepare(1), orError(Error));
+    const std::size_t Read = co_await m_Stream.async_read_some(
+        m_Buffer.prepare(FirstReadBytes), orError(Error));
     m_Idle = false;
     m_Buffer.commit(Read);
     co_return !Error;
   }
 
+  /// Ends the reading of a request after \p Limit. The stream's own timeout
+  /// would close the socket, and the caller would get no answer.
+  void limitRead(milliseconds Limit) {
+    m_ReadTimer.expires_after(Limit);
+    m_ReadTimer.async_wait(
+        [Self = shared_from_this(), Request = m_Requests](error_code Error) {
+          if (Error || Request != Self->m_Requests)
+            return;
+          Self->m_ReadTimedOut = true;
+          Self->m_Stream.cancel();
+        });
+  }
+
+  asio::awaitable<error_code> readRequest(RequestParser &Parser) {
+    const ServerLimits &Limits = m_State->m_Limits;
+    m_ReadTimedOut = false;
+    m_Stream.expires_never();
+    limitRead(Limits.m_HeaderTimeout.value_or(Limits.m_ReadTimeout));
+    error_code Error;
+    co_await bhttp::async_read_header(m_Stream, m_Buffer, Parser,
+                                      orError(Error));
+    if (!Error && !Parser.is_done()) {
+      limitRead(Limits.m_ReadTimeout);
+      co_await bhttp::async_read(m_Stream, m_Buffer, Parser, orError(Error));
+    }
+    m_ReadTimer.cancel();
+    co_return m_ReadTimedOut ? beast::error::timeout : Error;
+  }
+
   asio::awaitable<bool> serveOne() {
     if (!co_await waitForRequest())
       co_return false;
     ScopedCount Active(m_State->m_Active);
     m_Started = false;
     m_Finished = false;
-    bhttp::request_parser<bhttp::string_body> Parser;
+    RequestParser Parser;
     Parser.header_limit(m_State->m_Limits.m_HeaderBytes);
     Parser.body_limit(m_State->m_Limits.m_BodyBytes);
-    error_code Error;
-    m_Stream.expires_after(m_State->m_Limits.m_ReadTimeout);
-    co_await bhttp::async_read(m_Stream, m_Buffer, Parser, orError(Error));
+    const error_code Error = co_await readRequest(Parser);
     if (Error)
       co_return co_await refuseReadError(Error);
-    m_Stream.expires_never();
     m_KeepAlive = Parser.get().keep_alive();
     ++m_Requests;
     co_await handle(takeRequest(Parser.release()));
@@ -276,6 +309,7 @@
   std::shared_ptr<Shared> m_State;
   ScopedCount m_Count;
   std::uint64_t m_Number;
+  asio::steady_timer m_ReadTimer;
   beast::flat_buffer m_Buffer;
   std::function<void()> m_OnGone;
   std::uint64_t m_Requests = 0; ///< Tells a stale watch from the current one.
@@ -284,6 +318,7 @@
   bool m_Started = false;
   bool m_Finished = false;
   bool m_Idle = false;
+  bool m_ReadTimedOut = false;
 };
 
 } // namespace
--- a/Source/Core/Net/Http/Server.h
+++ b/Source/Core/Net/Http/Server.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace sff::http {
 
@@ -15,8 +16,10 @@
 struct ServerLimits {
   std::uint32_t m_HeaderBytes = 16 * 1024;
   std::uint64_t m_BodyBytes = 4 * 1024 * 1024;
-  milliseconds m_IdleTimeout{60000};  ///< Between requests of a connection.
-  milliseconds m_ReadTimeout{10000};  ///< From first byte to whole request.
+  milliseconds m_IdleTimeout{60000}; ///< Between requests of a connection.
+  milliseconds m_ReadTimeout{10000}; ///< From header to whole request.
+  /// From the first byte to the whole header; m_ReadTimeout where not set.
+  std::optional<milliseconds> m_HeaderTimeout = {};
   milliseconds m_WriteTimeout{10000}; ///< For one write of an answer.
   std::size_t m_Connections = 4096;
 };
--- a/Source/UnitTests/Net/Http/ServerTest.cpp
+++ b/Source/UnitTests/Net/Http/ServerTest.cpp
@@ -3,9 +3,15 @@
 #include "Net/Timers/DutyLoop.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <span>
+#include <thread>
+
 namespace sff::http {
 namespace {
 
@@ -75,5 +81,43 @@
   EXPECT_TRUE(std::get<TransportFailure>(Result).provesNotSent());
 }
 
+// Sends the pieces of a request with a pause before each further one, until an
+// answer arrives, and returns its status line.
+std::string sendSlowly(std::uint16_t Port, const std::vector<std::string> &Text,
+                       milliseconds Pause) {
+  asio::io_context Context;
+  asio::ip::tcp::socket Socket(Context);
+  Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+  asio::write(Socket, asio::buffer(Text.front()));
+  for (const std::string &Piece : std::span(Text).subspan(1)) {
+    std::this_thread::sleep_for(Pause);
+    if (Socket.available() > 0)
+      break;
+    asio::write(Socket, asio::buffer(Piece));
+  }
+  std::string Answer;
+  boost::system::error_code End;
+  asio::read_until(Socket, asio::dynamic_buffer(Answer), "\r\n", End);
+  return Answer.substr(0, Answer.find('\r'));
+}
+
+// Guards against a limit on the header that is read and not kept (slow headers
+// had the time of a whole request), or that also cuts off slow bodies.
+TEST_F(HttpServerTest, SlowHeaderIsRefusedAndSlowBodyIsNot) {
+  ServerLimits Limits;
+  Limits.m_HeaderTimeout = milliseconds(200);
+  Limits.m_ReadTimeout = milliseconds(10000);
+  Server Limited(m_Loop.context(), Limits, echo);
+  Limited.listen({"127.0.0.1", 0});
+  const std::string Start = "POST /echo HTTP/1.1\r\n";
+  const std::string Rest =
+      "Host: h\r\nConnection: close\r\nContent-Length: 2\r\n\r\n";
+  const milliseconds Pause(600);
+  EXPECT_EQ(sendSlowly(Limited.port(), {Start, Rest + "ok"}, Pause),
+            "HTTP/1.1 408 Request Timeout");
+  EXPECT_EQ(sendSlowly(Limited.port(), {Start + Rest, "ok"}, Pause),
+            "HTTP/1.1 200 OK");
+}
+
 } // namespace
 } // namespace sff::http
