Tell waiting requests from wishes, and keep zones apart, in the queue of demands

The holder kept one demand for each model: a wish for a further replica that came after a request took its place, so the load had to be as cheap as a wish demands and could not come from the weight store; a holder of two zones mixed their demands. The queue now holds the zone, the service and what each demand allows, and adds them up; SwapService keeps no copy. DemandQueue::urgency() was used by a test only and is gone.

--- a/Source/Core/Core/Serving/DemandQueue.cpp
+++ b/Source/Core/Core/Serving/DemandQueue.cpp
@@ -13,7 +13,7 @@
 
 double urgencyOf(const WaitingDemand &Demand, Instant Now) {
   double Weight = 1.0 / (1.0 + static_cast<double>(Demand.m_Rank));
-  if (!Demand.m_Name.m_Adapter.empty())
+  if (!Demand.m_Key.m_Name.m_Adapter.empty())
     Weight *= AdapterFactor;
   return Weight * static_cast<double>(Demand.m_Requests) *
          (1 + toSeconds(Now - Demand.m_Since));
@@ -25,24 +25,21 @@
   return m_Waiting.insert(m_Waiting.end(), std::move(Demand));
 }
 
-std::vector<ModelUrgency> DemandQueue::ordered(Instant Now) const {
-  std::map<ModelName, double> Sums;
-  for (const WaitingDemand &Demand : m_Waiting)
-    Sums[Demand.m_Name] += urgencyOf(Demand, Now);
-  std::vector<ModelUrgency> Result;
+std::vector<PendingDemand> DemandQueue::ordered(Instant Now) const {
+  std::map<DemandKey, PendingDemand> Sums;
+  for (const WaitingDemand &Demand : m_Waiting) {
+    PendingDemand &Sum = Sums[Demand.m_Key];
+    Sum.m_Key = Demand.m_Key;
+    Sum.m_Urgency += urgencyOf(Demand, Now);
+    Sum.m_MayLoadRemote |= Demand.m_MayLoadRemote;
+    Sum.m_Replica &= Demand.m_Replica;
+  }
+  std::vector<PendingDemand> Result;
   Result.reserve(Sums.size());
-  for (const auto &[Name, Urgency] : Sums)
-    Result.push_back({Name, Urgency});
-  std::ranges::stable_sort(Result, std::greater<>(), &ModelUrgency::m_Urgency);
+  for (auto &[Key, Sum] : Sums)
+    Result.push_back(std::move(Sum));
+  std::ranges::stable_sort(Result, std::greater<>(), &PendingDemand::m_Urgency);
   return Result;
 }
 
-double DemandQueue::urgency(const ModelName &Name, Instant Now) const {
-  double Sum = 0;
-  for (const WaitingDemand &Demand : m_Waiting)
-    if (Demand.m_Name == Name)
-      Sum += urgencyOf(Demand, Now);
-  return Sum;
-}
-
 } // namespace sff::serving
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -72,19 +72,18 @@
 }
 
 std::vector<const serving::Endpoint *>
-SwapService::endpointsOf(const ModelDemand &Demand) const {
-  auto List = m_State.m_Endpoints.serving(Demand.m_Service);
-  std::erase_if(List, [&Demand](const serving::Endpoint *Item) {
-    return Item->m_Registered.m_Zone != Demand.m_Zone;
+SwapService::endpointsOf(const serving::DemandKey &Key) const {
+  auto List = m_State.m_Endpoints.serving(Key.m_Service);
+  std::erase_if(List, [&Key](const serving::Endpoint *Item) {
+    return Item->m_Registered.m_Zone != Key.m_Zone;
   });
   return List;
 }
 
 std::optional<EndpointId>
-SwapService::findHolding(const ModelDemand &Demand) const {
-  const serving::ModelName Name{Demand.m_Model, Demand.m_Adapter};
-  for (const serving::Endpoint *Item : endpointsOf(Demand))
-    if (Item->inventory().holds(Name) &&
+SwapService::findHolding(const serving::DemandKey &Key) const {
+  for (const serving::Endpoint *Item : endpointsOf(Key))
+    if (Item->inventory().holds(Key.m_Name) &&
         !m_State.m_Chooser.health().isSuspended(Item->id(), now()))
       return Item->id();
   return std::nullopt;
@@ -110,18 +109,18 @@
 Task<DemandAnswer> SwapService::handle(ModelDemand Demand) {
   const Instant Until = now() + milliseconds(Demand.m_WaitMs);
   assumeEarlierDemand();
-  const serving::ModelName Name{Demand.m_Model, Demand.m_Adapter};
-  const auto Waiting =
-      m_Queue.add({Name, Demand.m_Waiting, Demand.m_Rank, now()});
+  const serving::DemandKey Key{
+      Demand.m_Zone, Demand.m_Service, {Demand.m_Model, Demand.m_Adapter}};
+  const auto Waiting = m_Queue.add({Key, Demand.m_Waiting, Demand.m_Rank, now(),
+                                    Demand.m_MayLoadRemote, Demand.m_Replica});
   const std::shared_ptr<void> Remove(
       nullptr, [this, Waiting](void *) { m_Queue.remove(Waiting); });
-  m_Pending[Name] = Demand;
   believeLacked(Demand);
   schedulePending();
   while (true) {
     if (!m_Rights.mayOrder(Demand.m_Zone))
       co_return DemandAnswer{DemandStatus::NotHolder, {}};
-    if (const auto Holding = findHolding(Demand))
+    if (const auto Holding = findHolding(Key))
       co_return DemandAnswer{DemandStatus::Ready, *Holding};
     const auto Catalogue = m_State.m_Catalogue;
     const serving::EngineSpec *Engine =
@@ -163,9 +162,9 @@
   }
 }
 
-bool SwapService::anyEndpointFree(const ModelDemand &Demand) const {
+bool SwapService::anyEndpointFree(const serving::DemandKey &Key) const {
   return std::ranges::any_of(
-      endpointsOf(Demand), [this](const serving::Endpoint *Item) {
+      endpointsOf(Key), [this](const serving::Endpoint *Item) {
         const auto Found = m_Work.find(Item->id());
         return Found == m_Work.end() || !Found->second.m_Busy;
       });
@@ -173,49 +172,44 @@
 
 void SwapService::startPending() {
   const auto Catalogue = m_State.m_Catalogue;
+  if (!Catalogue)
+    return;
   countReplicas();
-  std::set<serving::ModelName> Names;
   std::set<ZoneId> FullZones;
-  for (const serving::ModelUrgency &Item : m_Queue.ordered(now())) {
-    Names.insert(Item.m_Name);
-    const auto Found = m_Pending.find(Item.m_Name);
-    if (Found == m_Pending.end())
+  for (const serving::PendingDemand &Item : m_Queue.ordered(now())) {
+    const serving::DemandKey &Key = Item.m_Key;
+    const serving::EngineSpec *Engine = Catalogue->findEngine(Key.m_Service);
+    if (!Engine || FullZones.contains(Key.m_Zone))
       continue;
-    const ModelDemand &Demand = Found->second;
-    const serving::EngineSpec *Engine =
-        Catalogue ? Catalogue->findEngine(Demand.m_Service) : nullptr;
-    if (!Engine || FullZones.contains(Demand.m_Zone))
-      continue;
-    if (!anyEndpointFree(Demand)) {
-      FullZones.insert(Demand.m_Zone);
+    if (!anyEndpointFree(Key)) {
+      FullZones.insert(Key.m_Zone);
       continue;
     }
-    if (!isLoading(Demand.m_Model) && !findHolding(Demand))
-      startWork(Demand, *Engine, Item.m_Urgency);
+    if (!isLoading(Key.m_Name.m_Model) && !findHolding(Key))
+      startWork(Item, *Engine);
   }
-  std::erase_if(m_Pending, [&Names](const auto &Item) {
-    return !Names.contains(Item.first);
-  });
 }
 
-void SwapService::startWork(const ModelDemand &Demand,
-                            const serving::EngineSpec &Engine, double Urgency) {
-  if (!Demand.m_Adapter.empty() && startAdapter(Demand, Engine))
+void SwapService::startWork(const serving::PendingDemand &Demand,
+                            const serving::EngineSpec &Engine) {
+  const serving::ModelName &Name = Demand.m_Key.m_Name;
+  if (!Name.m_Adapter.empty() && startAdapter(Demand.m_Key, Engine))
     return;
-  if (const serving::ModelSpec *Model = Engine.find(Demand.m_Model))
-    startSwap(Demand, Engine, *Model, Urgency);
+  if (const serving::ModelSpec *Model = Engine.find(Name.m_Model))
+    startSwap(Demand, Engine, *Model);
 }
 
-bool SwapService::startAdapter(const ModelDemand &Demand,
+bool SwapService::startAdapter(const serving::DemandKey &Key,
                                const serving::EngineSpec &Engine) {
+  const serving::ModelName &Name = Key.m_Name;
   // All hosts spread the adapters of a model over its replicas alike.
   const serving::Endpoint *Best = nullptr;
   std::size_t BestHash = 0;
-  for (const serving::Endpoint *Item : endpointsOf(Demand)) {
-    if (!Item->inventory().find(Demand.m_Model))
+  for (const serving::Endpoint *Item : endpointsOf(Key)) {
+    if (!Item->inventory().find(Name.m_Model))
       continue;
     const std::size_t Hash = std::hash<std::string>()(
-        Item->id().str() + "/" + Demand.m_Model + "/" + Demand.m_Adapter);
+        Item->id().str() + "/" + Name.m_Model + "/" + Name.m_Adapter);
     if (!Best || Hash > BestHash) {
       Best = Item;
       BestHash = Hash;
@@ -228,9 +222,8 @@
   if (Known.m_Busy || now() < Known.m_RestUntil || !Address)
     return true;
   Known.m_Busy = true;
-  m_State.spawn(
-      "load_adapter",
-      runAdapter({Best->id(), *Address, Demand.m_Zone}, Demand, Engine));
+  m_State.spawn("load_adapter",
+                runAdapter({Best->id(), *Address, Key.m_Zone}, Name, Engine));
   return true;
 }
 
@@ -277,14 +270,14 @@
   return Result;
 }
 
-void SwapService::startSwap(const ModelDemand &Demand,
+void SwapService::startSwap(const serving::PendingDemand &Demand,
                             const serving::EngineSpec &Engine,
-                            const serving::ModelSpec &Model, double Urgency) {
+                            const serving::ModelSpec &Model) {
   const bool MayLoadRemote =
       Demand.m_MayLoadRemote ||
       (Demand.m_Replica && isOverloaded(Model.m_Name, Engine));
   Candidates List;
-  for (const serving::Endpoint *Item : endpointsOf(Demand)) {
+  for (const serving::Endpoint *Item : endpointsOf(Demand.m_Key)) {
     const Work &Known = m_Work[Item->id()];
     if (Known.m_Busy || now() < Known.m_RestUntil ||
         Item->inventory().find(Model.m_Name))
@@ -300,7 +293,7 @@
     return;
   // Evicting what others are about to ask for must be worth it.
   const double Worth =
-      Demand.m_Replica ? ReplicaCostSeconds : Urgency * WorthSeconds;
+      Demand.m_Replica ? ReplicaCostSeconds : Demand.m_Urgency * WorthSeconds;
   if (Plan->m_Cost - Plan->m_LoadSeconds > Worth)
     return;
   if (Plan->m_Location == loading::WeightLocation::Remote &&
@@ -320,8 +313,8 @@
               {"cost_s", Plan->m_Cost},
               {"replica", Demand.m_Replica}});
   m_State.spawn("swap",
-                runSwap({Plan->m_Endpoint, *Address, Demand.m_Zone}, Demand,
-                        Engine,
+                runSwap({Plan->m_Endpoint, *Address, Demand.m_Key.m_Zone},
+                        Model.m_Name, Engine,
                         Plan->m_Location == loading::WeightLocation::Remote));
 }
 
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -50,8 +50,8 @@
   using Candidates = std::vector<serving::SwapCandidate>;
 
   std::vector<const serving::Endpoint *>
-  endpointsOf(const ModelDemand &Demand) const;
-  std::optional<EndpointId> findHolding(const ModelDemand &Demand) const;
+  endpointsOf(const serving::DemandKey &Key) const;
+  std::optional<EndpointId> findHolding(const serving::DemandKey &Key) const;
   /// Corrects what this host believes of endpoints that have refused requests
   /// of the asking host for the lack of the model.
   void believeLacked(const ModelDemand &Demand);
@@ -62,15 +62,16 @@
   /// Calls startPending() soon, once for all causes of a short time.
   void schedulePending();
   Task<void> startPendingSoon();
-  bool anyEndpointFree(const ModelDemand &Demand) const;
+  bool anyEndpointFree(const serving::DemandKey &Key) const;
   /// Counts the replicas of each model on endpoints that take work.
   void countReplicas();
-  void startWork(const ModelDemand &Demand, const serving::EngineSpec &Engine,
-                 double Urgency);
-  bool startAdapter(const ModelDemand &Demand,
+  void startWork(const serving::PendingDemand &Demand,
+                 const serving::EngineSpec &Engine);
+  bool startAdapter(const serving::DemandKey &Key,
                     const serving::EngineSpec &Engine);
-  void startSwap(const ModelDemand &Demand, const serving::EngineSpec &Engine,
-                 const serving::ModelSpec &Model, double Urgency);
+  void startSwap(const serving::PendingDemand &Demand,
+                 const serving::EngineSpec &Engine,
+                 const serving::ModelSpec &Model);
   serving::SwapCandidate candidateOf(const serving::Inventory &Held,
                                      const EndpointId &Id,
                                      const serving::EngineSpec &Engine,
@@ -82,14 +83,14 @@
   bool isInUse(const std::string &Model) const;
   int otherReplicas(std::string_view Model) const;
 
-  Task<void> runSwap(Target Where, ModelDemand Demand,
+  Task<void> runSwap(Target Where, std::string Model,
                      serving::EngineSpec Engine, bool Remote);
   /// Takes the right to load from the weight store now: one at a time for
   /// each zone, and fewer while the store is slow.
   bool takeRemoteLoad(const serving::EngineSpec &Engine);
   void onRemoteLoad(Duration Taken, Duration Expected);
-  Task<bool> swap(Target Where, ModelDemand Demand, serving::EngineSpec Engine);
-  Task<void> runAdapter(Target Where, ModelDemand Demand,
+  Task<bool> swap(Target Where, std::string Model, serving::EngineSpec Engine);
+  Task<void> runAdapter(Target Where, serving::ModelName Name,
                         serving::EngineSpec Engine);
   Task<bool> loadAdapter(Target Where, serving::ModelName Name,
                          serving::EngineSpec Engine);
@@ -125,8 +126,6 @@
   Signal m_Progress;
   std::map<EndpointId, Work> m_Work;
   serving::DemandQueue m_Queue;
-  /// One of the waiting demands of each name in the queue.
-  std::map<serving::ModelName, ModelDemand> m_Pending;
   std::map<std::string, Instant, std::less<>> m_LoadedAt;
   std::map<std::string, int, std::less<>> m_Replicas;
   bool m_PendingScheduled = false;
--- a/Source/Core/Host/SwapServiceOrders.cpp
+++ b/Source/Core/Host/SwapServiceOrders.cpp
@@ -74,31 +74,31 @@
 
 } // namespace
 
-Task<void> SwapService::runSwap(Target Where, ModelDemand Demand,
+Task<void> SwapService::runSwap(Target Where, std::string Model,
                                 serving::EngineSpec Engine, bool Remote) {
   const Instant Start = now();
-  const serving::ModelSpec *Model = Engine.find(Demand.m_Model);
-  const Duration Expected = toDuration(Model ? Model->m_RemoteLoadSeconds : 0);
-  const bool Done = co_await swap(Where, Demand, std::move(Engine));
+  const serving::ModelSpec *Spec = Engine.find(Model);
+  const Duration Expected = toDuration(Spec ? Spec->m_RemoteLoadSeconds : 0);
+  const bool Done = co_await swap(Where, Model, std::move(Engine));
   if (Remote)
     onRemoteLoad(now() - Start, Expected);
   m_State.m_Metrics.onSwap(now() - Start);
-  log::entry(Part, Done ? "swap.done" : "swap.failed", Demand.m_Model,
+  log::entry(Part, Done ? "swap.done" : "swap.failed", Model,
              {{"endpoint", Where.m_Id},
               {"took_ms", toMilliseconds(now() - Start).count()}});
   finish(Where.m_Id, Done);
 }
 
-Task<bool> SwapService::swap(Target Where, ModelDemand Demand,
+Task<bool> SwapService::swap(Target Where, std::string Model,
                              serving::EngineSpec Engine) {
   const bool Fresh = co_await ensureReport(Where);
   if (!Fresh)
     co_return false;
-  const serving::ModelSpec *Model = Engine.find(Demand.m_Model);
+  const serving::ModelSpec *Spec = Engine.find(Model);
   // The plan came from the registration; the report is newer.
   const Candidates Only{candidateOf(m_Work[Where.m_Id].m_Report->m_Inventory,
-                                    Where.m_Id, Engine, *Model)};
-  const auto Plan = serving::planSwap(Model->m_WeightMb, Only);
+                                    Where.m_Id, Engine, *Spec)};
+  const auto Plan = serving::planSwap(Spec->m_WeightMb, Only);
   if (!Plan)
     co_return false;
   for (const std::string &Victim : Plan->m_Evict) {
@@ -112,7 +112,7 @@
   }
   // The endpoint takes the load only after the eviction has ended, so that
   // its memory is never overcommitted.
-  const serving::ModelName Name{Demand.m_Model, {}};
+  const serving::ModelName Name{Model, {}};
   const OrderStatus Loaded =
       co_await orderWhenFree(Where, OrderKind::Load, Name, EvictLimit);
   if (!isDone(Loaded))
@@ -120,7 +120,7 @@
   const Duration Expected = toDuration(Plan->m_LoadSeconds);
   const bool Held = co_await awaitHeld(Where, Name, Expected);
   if (Held) {
-    m_LoadedAt[Demand.m_Model] = now();
+    m_LoadedAt[Model] = now();
     noteInReport(Where.m_Id, Name, true);
     publish(Where.m_Id, Name, true);
   }
@@ -232,9 +232,8 @@
   co_return false;
 }
 
-Task<void> SwapService::runAdapter(Target Where, ModelDemand Demand,
+Task<void> SwapService::runAdapter(Target Where, serving::ModelName Name,
                                    serving::EngineSpec Engine) {
-  const serving::ModelName Name{Demand.m_Model, Demand.m_Adapter};
   const bool Done = co_await loadAdapter(Where, Name, std::move(Engine));
   log::entry(Part, Done ? "adapter.loaded" : "adapter.failed", Name.str(),
              {{"endpoint", Where.m_Id}});
--- /dev/null
+++ b/Source/UnitTests/Core/Serving/DemandRatesTest.cpp
@@ -0,0 +1,22 @@
+#include "Core/Serving/DemandRates.h"
+
+#include <gtest/gtest.h>
+
+namespace sff::serving {
+namespace {
+
+constexpr Instant Start{std::chrono::hours(1)};
+
+// Guards against rates that stay up after the demand has moved on.
+TEST(DemandRatesTest, RateFollowsTheDemand) {
+  DemandRates Rates{std::chrono::seconds(20)};
+  for (int Second = 0; Second < 100; ++Second)
+    Rates.add("m", 10, Start + std::chrono::seconds(Second));
+  const Instant End = Start + std::chrono::seconds(100);
+  EXPECT_NEAR(Rates.rate("m", End), 10, 1);
+  EXPECT_LT(Rates.rate("m", End + std::chrono::seconds(100)), 0.2);
+  EXPECT_EQ(Rates.rate("unknown", End), 0);
+}
+
+} // namespace
+} // namespace sff::serving
--- a/Source/UnitTests/Core/Serving/PlacementTest.cpp
+++ b/Source/UnitTests/Core/Serving/SwapPlannerTest.cpp
@@ -1,5 +1,3 @@
-#include "Core/Serving/DemandQueue.h"
-#include "Core/Serving/DemandRates.h"
 #include "Core/Serving/SwapPlanner.h"
 
 #include <gtest/gtest.h>
@@ -26,7 +24,7 @@
 // Load: a busy model on a few endpoints beside many rare ones. Guards against
 // the eviction of the busy model's replicas by rare models, which left one
 // overloaded replica for 80 requests per second.
-TEST(PlacementTest, BusyModelKeepsItsReplicas) {
+TEST(SwapPlannerTest, BusyModelKeepsItsReplicas) {
   EXPECT_GT(evictionCost(makeHeld("busy", 80, 1)),
             100 * evictionCost(makeHeld("rare", 0.1, 0)));
   EXPECT_GT(evictionCost(makeHeld("busy", 80, 3)),
@@ -35,7 +33,7 @@
 
 // Load: demand has moved on from a model with many replicas. Guards against
 // replicas that nobody uses and that keep rare models out.
-TEST(PlacementTest, ReplicasWithoutLoadGoFirst) {
+TEST(SwapPlannerTest, ReplicasWithoutLoadGoFirst) {
   const std::vector<SwapCandidate> List = {makeCandidate(
       "e1", {makeHeld("idle-replica", 0.2, 4), makeHeld("rare", 0.1, 0),
              makeHeld("other", 0.2, 0)})};
@@ -45,7 +43,7 @@
 }
 
 // Guards against a load on the endpoint whose models are asked for most.
-TEST(PlacementTest, CheapestEndpointIsChosen) {
+TEST(SwapPlannerTest, CheapestEndpointIsChosen) {
   const std::vector<SwapCandidate> List = {
       makeCandidate("used", {makeHeld("a", 1, 0), makeHeld("b", 1, 0),
                              makeHeld("c", 1, 0)}),
@@ -57,7 +55,7 @@
 }
 
 // Guards against a plan that overfills an endpoint, which crashes it.
-RC_GTEST_PROP(PlacementTest, PlanNeverOverfillsAnEndpoint, ()) {
+RC_GTEST_PROP(SwapPlannerTest, PlanNeverOverfillsAnEndpoint, ()) {
   std::vector<SwapCandidate> List;
   const int Endpoints = *rc::gen::inRange(1, 4);
   for (int Index = 0; Index < Endpoints; ++Index) {
@@ -88,58 +86,5 @@
   }
 }
 
-// Load: one model becomes busy while twenty rare ones wait as well. Guards
-// against a queue in which the busy one waits for its turn (254 callers of
-// one model had gone before it was loaded).
-TEST(PlacementTest, ModelWithManyWaitingRequestsComesFirst) {
-  DemandQueue Queue;
-  for (int Index = 0; Index < 20; ++Index)
-    Queue.add({{"rare" + std::to_string(Index), {}}, 1, 0, Start});
-  Queue.add({{"busy", {}}, 15, 0, Start});
-  Queue.add({{"busy", {}}, 10, 0, Start});
-  const auto Order = Queue.ordered(Start + milliseconds(100));
-  ASSERT_EQ(Order.size(), 21U);
-  EXPECT_EQ(Order.front().m_Name.m_Model, "busy");
-}
-
-// Guards against a rare model that never gets its turn.
-TEST(PlacementTest, WaitingTimeRaisesARareModel) {
-  DemandQueue Queue;
-  Queue.add({{"rare", {}}, 1, 0, Start});
-  const Instant Later = Start + std::chrono::seconds(9);
-  Queue.add({{"newer", {}}, 5, 0, Later});
-  EXPECT_EQ(Queue.ordered(Later).front().m_Name.m_Model, "rare");
-}
-
-// Load: endpoints that swap models all the time. Guards against adapters of
-// loaded models that wait behind all swaps (112 of 441 models and adapters of
-// a day were never served).
-TEST(PlacementTest, AdapterComesBeforeRareModels) {
-  DemandQueue Queue;
-  Queue.add({{"rare", {}}, 2, 0, Start});
-  Queue.add({{"busy", "a1"}, 1, 0, Start});
-  EXPECT_EQ(Queue.ordered(Start).front().m_Name.m_Adapter, "a1");
-}
-
-// Guards against a demand that still counts after its host stopped waiting.
-TEST(PlacementTest, RemovedDemandDoesNotCount) {
-  DemandQueue Queue;
-  const auto Item = Queue.add({{"m", {}}, 3, 0, Start});
-  Queue.remove(Item);
-  EXPECT_TRUE(Queue.ordered(Start).empty());
-  EXPECT_EQ(Queue.urgency({"m", {}}, Start), 0);
-}
-
-// Guards against rates that stay up after the demand has moved on.
-TEST(PlacementTest, RateFollowsTheDemand) {
-  DemandRates Rates{std::chrono::seconds(20)};
-  for (int Second = 0; Second < 100; ++Second)
-    Rates.add("m", 10, Start + std::chrono::seconds(Second));
-  const Instant End = Start + std::chrono::seconds(100);
-  EXPECT_NEAR(Rates.rate("m", End), 10, 1);
-  EXPECT_LT(Rates.rate("m", End + std::chrono::seconds(100)), 0.2);
-  EXPECT_EQ(Rates.rate("unknown", End), 0);
-}
-
 } // namespace
 } // namespace sff::serving
