Record an endpoint as one that may have run a request only when it may have

The look at a silent endpoint entered it among those that may have run the request, also while the connection was still being made, so a request that had not left used up one of the endpoints it may be sent to. What a request knows of its sends is AttemptHistory now, whose look ahead records nothing.

--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -79,6 +79,7 @@
     co_await answerProblem(404, "no_route", std::nullopt);
     co_return;
   }
+  m_History = serving::AttemptHistory(m_Route->m_MaxEndpoints);
   startClocks();
   m_Fingerprint = std::to_string(
       hashOf(m_Incoming.m_Target + m_Facts.m_Model.str() + m_Incoming.m_Body));
@@ -166,7 +167,7 @@
     co_return Step::Finished;
   }
   serving::ChoiceContext Context;
-  Context.m_Tried = &m_Tried;
+  Context.m_Tried = &m_History.excluded();
   Context.m_Affine = m_Sessions.find(m_Facts.m_Session);
   Context.m_AffineTokens = m_Facts.m_SessionTokens;
   const auto Chosen = m_State.m_Chooser.choose(List, Context, now());
@@ -174,19 +175,17 @@
     // All have refused or lost it. They may have room again, and one that lost
     // an answer may have it again where the request may run twice.
     const bool Repeats = m_Route->isIdempotent();
-    std::erase_if(m_Tried, [this, Repeats](const EndpointId &Id) {
-      return Repeats || !m_MayHaveRun.contains(Id);
-    });
-    if (!Repeats && m_MayHaveRun.size() >= List.size()) {
+    m_History.readmit(Repeats);
+    if (!Repeats && m_History.endpointsThatMayHaveRun() >= List.size()) {
       co_await giveUp("no_other_endpoint");
       co_return Step::Finished;
     }
-    if (m_Sends >= MaxSends) {
+    if (m_History.sends() >= MaxSends) {
       co_await giveUp("refused_by_endpoints");
       co_return Step::Finished;
     }
     // Endpoints that could not be reached count no send.
-    co_await sleepFor(FullPause * std::max(1, m_Sends));
+    co_await sleepFor(FullPause * std::max(1, m_History.sends()));
     co_return Step::TryAgain;
   }
   const std::string Address =
@@ -232,13 +231,12 @@
                   PatienceFactor * m_Route->m_TargetLatency);
 }
 
-bool RequestSession::canMoveOn() const {
-  if (!m_Route->isIdempotent() ||
-      static_cast<int>(m_MayHaveRun.size()) >= m_Route->m_MaxEndpoints)
+bool RequestSession::canMoveOn(const EndpointId &Current) const {
+  if (!m_Route->isIdempotent() || !m_History.mayRunElsewhereAfter(Current))
     return false;
   const auto List = candidates();
-  const bool Other = std::ranges::any_of(List, [this](const auto *Item) {
-    return !m_Tried.contains(Item->id()) &&
+  const bool Other = std::ranges::any_of(List, [&, this](const auto *Item) {
+    return Item->id() != Current && !m_History.isExcluded(Item->id()) &&
            !m_State.m_Chooser.health().isSuspended(Item->id(), now());
   });
   return Other && m_State.budget(m_Service->m_Name).allows(now());
@@ -251,11 +249,8 @@
         if (Error || Self->m_Ended)
           return;
         const Duration Silent = now() - Self->m_Progress;
-        // The endpoint itself must count as one that may have run the request.
-        Self->m_Tried.insert(Id);
-        Self->m_MayHaveRun.insert(Id);
         if (Silent >= Self->patience()) {
-          if (Self->canMoveOn()) {
+          if (Self->canMoveOn(Id)) {
             Self->m_GaveUpSilent = true;
             Self->m_Canceller->cancel();
             return;
@@ -290,30 +285,29 @@
 }
 
 bool RequestSession::mayRepeat() {
-  if (m_Sends == 0)
+  if (m_History.sends() == 0)
     return true;
-  if (static_cast<int>(m_MayHaveRun.size()) >= m_Route->m_MaxEndpoints)
-    return false;
-  return m_State.budget(m_Service->m_Name).tryRetry(now());
+  return m_History.mayRunElsewhere() &&
+         m_State.budget(m_Service->m_Name).tryRetry(now());
 }
 
 Task<RequestSession::Step> RequestSession::attempt(EndpointId Id,
                                                    std::string Address) {
   const auto Remote = http::Address::parse(Address);
   if (!Remote) {
-    m_Tried.insert(Id);
+    m_History.exclude(Id);
     co_return Step::TryAgain;
   }
   if (!std::exchange(m_RetryGranted, false) && !mayRepeat()) {
     co_await giveUp("retry_budget");
     co_return Step::Finished;
   }
-  if (m_Sends > 0)
+  if (m_History.sends() > 0)
     m_State.m_Metrics.onRetry();
   m_Canceller = std::make_shared<http::CallCanceller>();
   logStep("request.dispatched",
           {{"endpoint", Id},
-           {"send", m_Sends + 1},
+           {"send", m_History.sends() + 1},
            {"load", m_State.m_Chooser.loads().estimate(Id, now())},
            {"left_ms", toMilliseconds(left()).count()},
            {"catalogue", m_Catalogue->m_Version}});
@@ -334,16 +328,16 @@
       co_await m_State.m_Http.open(*Remote, std::move(Outgoing), callOptions());
   if (auto *Failure = std::get_if<http::TransportFailure>(&Result))
     co_return co_await onOpenFailed(Id, std::move(*Failure));
-  ++m_Sends;
+  m_History.onSent();
   m_State.m_Chooser.health().onLatency(Id, now() - SentAt);
   co_return co_await onHead(Id, std::get<OpenStream>(std::move(Result)));
 }
 
 Task<RequestSession::Step>
 RequestSession::onOpenFailed(EndpointId Id, http::TransportFailure Failure) {
-  m_Tried.insert(Id);
+  m_History.exclude(Id);
   if (!Failure.provesNotSent()) {
-    ++m_Sends;
+    m_History.onSent();
     co_return co_await onBroken(Id, resultOf(Failure), Failure.m_Detail);
   }
   if (isOver())
@@ -364,8 +358,8 @@
 Task<RequestSession::Step> RequestSession::onBroken(EndpointId Id,
                                                     serving::CallResult Result,
                                                     std::string Detail) {
-  m_MayHaveRun.insert(Id);
-  m_Tried.insert(Id);
+  m_History.onMayHaveRun(Id);
+  m_History.exclude(Id);
   m_Guard.markSent();
   if (isOver())
     co_return Step::TryAgain;
@@ -381,8 +375,7 @@
   }
   logStep("request.broken",
           {{"endpoint", Id}, {"silent", Silent}, {"detail", Detail}});
-  if (m_Route->isIdempotent() &&
-      static_cast<int>(m_MayHaveRun.size()) < m_Route->m_MaxEndpoints)
+  if (m_Route->isIdempotent() && m_History.mayRunElsewhere())
     co_return Step::TryAgain;
   co_await giveUp("endpoint_lost");
   co_return Step::Finished;
@@ -390,7 +383,7 @@
 
 Task<RequestSession::Step>
 RequestSession::onNotRun(EndpointId Id, AnswerFacts Facts, int Status) {
-  m_Tried.insert(Id);
+  m_History.exclude(Id);
   if (Facts.m_OtherEndpoint)
     m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
                                         now());
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Execution/Outcome.h"
+#include "Core/Serving/AttemptHistory.h"
 #include "Core/Streaming/EventBoundary.h"
 #include "Host/DemandRouter.h"
 #include "Net/Http/Server.h"
@@ -8,7 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
-#include <set>
+#include <optional>
 
 namespace sff::host {
 
@@ -66,8 +67,9 @@
   DispatchFacts dispatchFacts(const EndpointId &Id) const;
   /// Longest silence of an endpoint before another one is tried.
   milliseconds patience() const;
-  /// Another endpoint may have the request, and one is there to take it.
-  bool canMoveOn() const;
+  /// Another endpoint than \p Current may have the request, and one is there
+  /// to take it.
+  bool canMoveOn(const EndpointId &Current) const;
   /// Looks at the endpoint's silence when it may have lasted too long.
   void watchSilence(EndpointId Id);
   Duration left() const { return m_AnswerBy - now(); }
@@ -103,9 +105,7 @@
   bool m_Ended = false;
   /// Set once an endpoint may have run the request.
   execution::DispatchGuard m_Guard;
-  std::set<EndpointId> m_Tried; ///< Not to be chosen again for now.
-  std::set<EndpointId> m_MayHaveRun;
-  int m_Sends = 0;             ///< Requests that reached an endpoint.
+  serving::AttemptHistory m_History{1}; ///< Set with the route.
   bool m_RetryGranted = false; ///< The budget has paid for the next send.
   bool m_HeadSent = false;
   bool m_LoggedWait = false; ///< The wait for the model is logged once.
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -26,7 +26,7 @@
     Answer->close();
     co_return co_await onNotRun(Id, Facts, Head.m_Status);
   }
-  m_MayHaveRun.insert(Id);
+  m_History.onMayHaveRun(Id);
   m_Guard.markSent();
   if (!Facts.m_Sealed) {
     Answer->close();
@@ -57,12 +57,11 @@
   m_State.m_Chooser.health().onResult(
       Id, Failed ? serving::CallResult::Failed : serving::CallResult::Good,
       now());
-  const bool Repeat =
-      Failed && !m_HeadSent && m_Route->isIdempotent() &&
-      static_cast<int>(m_MayHaveRun.size()) < m_Route->m_MaxEndpoints &&
-      candidates().size() > m_Tried.size() + 1 && mayRepeat();
+  const bool Repeat = Failed && !m_HeadSent && m_Route->isIdempotent() &&
+                      candidates().size() > m_History.excluded().size() + 1 &&
+                      mayRepeat();
   if (Repeat) {
-    m_Tried.insert(Id);
+    m_History.exclude(Id);
     m_RetryGranted = true;
     logStep("request.failed_at_endpoint",
             {{"endpoint", Id}, {"status", Status}});
@@ -190,7 +189,7 @@
   logStep("request.finished", {{"outcome", Outcome},
                                {"status", Status},
                                {"reason", Reason},
-                               {"sends", m_Sends},
+                               {"sends", m_History.sends()},
                                {"took_ms", toMilliseconds(Taken).count()}});
 }
 
