Stay with the zone that loads a model instead of loading it in the next one too

The holder now says that a load runs and when it ends, and the host asks that zone until then. ModelWithoutWeightsIsLoadedInOneZoneOnly failed first (3 orders where 2 are due).

--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds UsageTimeout{1000};
 /// The same where endpoints of another zone have the weights at hand too.
 constexpr milliseconds FirstAsk{1200};
+/// A load may end this much later than expected before another zone is asked.
+constexpr milliseconds LoadSlack{1500};
 /// Pause before the zones are asked again.
 constexpr milliseconds AskPause{150};
 /// A model that this host is asked for this often deserves a replica in the
@@ -118,7 +120,7 @@
 Task<DemandAnswer> DemandRouter::ask(ModelDemand Demand) {
   const auto Holder = co_await m_Rights.holderOf(Demand.m_Zone);
   if (!Holder)
-    co_return DemandAnswer{DemandStatus::NotHolder, {}};
+    co_return DemandAnswer{DemandStatus::NotHolder, {}, 0};
   if (*Holder == m_Rights.member())
     co_return co_await m_Swaps.handle(Demand);
   const auto Answer = co_await callPeer<DemandAnswer>(
@@ -126,7 +128,27 @@
       milliseconds(Demand.m_WaitMs) + AnswerSlack);
   if (!Answer || Answer->m_Status == DemandStatus::NotHolder)
     m_Rights.forgetHolder(Demand.m_Zone);
-  co_return Answer.value_or(DemandAnswer{DemandStatus::NotHolder, {}});
+  co_return Answer.value_or(DemandAnswer{DemandStatus::NotHolder, {}, 0});
+}
+
+Task<DemandAnswer> DemandRouter::askZone(ModelDemand Demand, Duration Limit,
+                                         Instant Until) {
+  Demand.m_WantsEstimate = true;
+  Demand.m_WaitMs = toMilliseconds(std::min(Until - now(), Limit)).count();
+  DemandAnswer Answer = co_await ask(Demand);
+  if (Answer.m_Status != DemandStatus::Loading)
+    co_return Answer;
+  // Another zone would load it from the same store a second time.
+  const Instant Overdue = now() + milliseconds(Answer.m_ReadyInMs) + LoadSlack;
+  const Instant GiveUp = std::min(Overdue, Until);
+  Demand.m_WantsEstimate = false;
+  while (now() < GiveUp && (Answer.m_Status == DemandStatus::Loading ||
+                            Answer.m_Status == DemandStatus::Busy)) {
+    Demand.m_WaitMs =
+        toMilliseconds(std::min<Duration>(GiveUp - now(), LongestAsk)).count();
+    Answer = co_await ask(Demand);
+  }
+  co_return Answer;
 }
 
 Task<void> DemandRouter::obtain(std::string Service, serving::ModelName Name,
@@ -150,12 +172,11 @@
     if (const auto Found = m_Waiting.find(Name); Found != m_Waiting.end())
       Demand.m_Waiting = Found->second;
     const milliseconds Limit = &Choice == &Zones.back() ? LongestAsk : FirstAsk;
-    Demand.m_WaitMs = std::min(toMilliseconds(Until - now()), Limit).count();
     const auto *Engine = m_State.m_Catalogue->findEngine(Service);
     const auto *Model = Engine ? Engine->find(Name.m_Model) : nullptr;
     Demand.m_MayLoadRemote =
         Model && Zones.front().m_Seconds >= Model->m_RemoteLoadSeconds;
-    Answer = co_await ask(Demand);
+    Answer = co_await askZone(std::move(Demand), Limit, Until);
     log::entry(Part, "demand.answered", Name.str(),
                {{"zone", Choice.m_Zone},
                 {"status", Answer.m_Status},
--- a/Source/Core/Host/DemandRouter.h
+++ b/Source/Core/Host/DemandRouter.h
@@ -43,6 +43,8 @@
                    const serving::ModelName &Name,
                    const serving::ModelSpec &Model) const;
   Task<DemandAnswer> ask(ModelDemand Demand);
+  /// Asks a zone for at most \p Limit, and longer while it loads the model.
+  Task<DemandAnswer> askZone(ModelDemand Demand, Duration Limit, Instant Until);
   Task<void> reportUsage();
   Task<void> sendUsage(ZoneId Zone, UsageReport Report);
   /// Models that are busy here and have no replica in the host's zone.
--- a/Source/Core/Host/PeerMessages.h
+++ b/Source/Core/Host/PeerMessages.h
@@ -29,6 +29,9 @@
   bool m_MayLoadRemote = false; ///< No endpoint has the weights at hand.
   /// A further replica of a busy model: worth it only at little cost.
   bool m_Replica = false;
+  /// Asks to be told as soon as a load has begun or cannot begin yet, and not
+  /// only when the model is there.
+  bool m_WantsEstimate = false;
   /// Endpoints that have just told the asking host that they lack the model,
   /// whatever others believe.
   std::vector<EndpointId> m_LackedBy;
@@ -44,12 +47,14 @@
                            field("waiting", &ModelDemand::m_Waiting),
                            field("remote", &ModelDemand::m_MayLoadRemote),
                            field("replica", &ModelDemand::m_Replica),
+                           field("estimate", &ModelDemand::m_WantsEstimate),
                            field("lacked_by", &ModelDemand::m_LackedBy));
   }
 };
 
 enum class DemandStatus {
   Ready,     ///< The endpoint holds the model and the adapter.
+  Loading,   ///< A load of the model runs.
   Busy,      ///< Not within the time that the host waits.
   NotHolder, ///< The asked host has no right to order in the zone.
   Impossible ///< No endpoint of the zone can load it.
@@ -58,17 +63,21 @@
 NLOHMANN_JSON_SERIALIZE_ENUM(DemandStatus,
                              {{DemandStatus::Busy, "busy"},
                               {DemandStatus::Ready, "ready"},
+                              {DemandStatus::Loading, "loading"},
                               {DemandStatus::NotHolder, "not_holder"},
                               {DemandStatus::Impossible, "impossible"}})
 
 struct DemandAnswer {
   DemandStatus m_Status = DemandStatus::Busy;
   EndpointId m_Endpoint;
+  /// While it is loading or busy: the model is not there sooner than this.
+  std::int64_t m_ReadyInMs = 0;
 
   static constexpr auto describe() {
     using codec::field;
     return std::make_tuple(field("status", &DemandAnswer::m_Status),
-                           field("endpoint", &DemandAnswer::m_Endpoint));
+                           field("endpoint", &DemandAnswer::m_Endpoint),
+                           field("ready_in_ms", &DemandAnswer::m_ReadyInMs));
   }
 };
 
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -100,10 +100,12 @@
   }
 }
 
-bool SwapService::isLoading(const std::string &Model) const {
-  return std::ranges::any_of(m_Work, [&Model](const auto &Item) {
-    return Item.second.m_Busy && Item.second.m_Loading == Model;
-  });
+std::optional<Instant>
+SwapService::loadingUntil(const std::string &Model) const {
+  for (const auto &[Id, Known] : m_Work)
+    if (Known.m_Busy && Known.m_Loading == Model)
+      return Known.m_ReadyAt;
+  return std::nullopt;
 }
 
 Task<DemandAnswer> SwapService::handle(ModelDemand Demand) {
@@ -119,16 +121,20 @@
   schedulePending();
   while (true) {
     if (!m_Rights.mayOrder(Demand.m_Zone))
-      co_return DemandAnswer{DemandStatus::NotHolder, {}};
+      co_return DemandAnswer{DemandStatus::NotHolder, {}, 0};
     if (const auto Holding = findHolding(Key))
-      co_return DemandAnswer{DemandStatus::Ready, *Holding};
+      co_return DemandAnswer{DemandStatus::Ready, *Holding, 0};
     const auto Catalogue = m_State.m_Catalogue;
     const serving::EngineSpec *Engine =
         Catalogue ? Catalogue->findEngine(Demand.m_Service) : nullptr;
     if (!Engine || !Engine->find(Demand.m_Model))
-      co_return DemandAnswer{DemandStatus::Impossible, {}};
+      co_return DemandAnswer{DemandStatus::Impossible, {}, 0};
+    const auto ReadyAt = loadingUntil(Demand.m_Model);
+    if (ReadyAt && Demand.m_WantsEstimate)
+      co_return DemandAnswer{
+          DemandStatus::Loading, {}, toMilliseconds(*ReadyAt - now()).count()};
     if (now() >= Until)
-      co_return DemandAnswer{DemandStatus::Busy, {}};
+      co_return DemandAnswer{DemandStatus::Busy, {}, 0};
     co_await m_Progress.wait(std::min<Duration>(Until - now(), RecheckPeriod));
   }
 }
@@ -185,7 +191,7 @@
       FullZones.insert(Key.m_Zone);
       continue;
     }
-    if (!isLoading(Key.m_Name.m_Model) && !findHolding(Key))
+    if (!loadingUntil(Key.m_Name.m_Model) && !findHolding(Key))
       startWork(Item, *Engine);
   }
 }
@@ -306,6 +312,9 @@
   Work &Known = m_Work[Plan->m_Endpoint];
   Known.m_Busy = true;
   Known.m_Loading = Model.m_Name;
+  Known.m_ReadyAt =
+      now() + std::chrono::duration_cast<Duration>(
+                  std::chrono::duration<double>(Plan->m_LoadSeconds));
   log::entry(Part, "swap.planned", Model.m_Name,
              {{"endpoint", Plan->m_Endpoint},
               {"evict", Plan->m_Evict},
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -36,6 +36,7 @@
   struct Work {
     bool m_Busy = false;   ///< A coroutine gives it orders.
     std::string m_Loading; ///< The model of that coroutine.
+    Instant m_ReadyAt;     ///< Expected end of that load.
     Instant m_RestUntil;   ///< It did not answer; leave it alone.
     /// What it holds and how many orders it has accepted: its report, kept in
     /// step with the orders of this host since.
@@ -55,7 +56,8 @@
   /// Corrects what this host believes of endpoints that have refused requests
   /// of the asking host for the lack of the model.
   void believeLacked(const ModelDemand &Demand);
-  bool isLoading(const std::string &Model) const;
+  /// Expected end of a load of the model, if one runs.
+  std::optional<Instant> loadingUntil(const std::string &Model) const;
   /// Starts what the waiting demands need, the most urgent first, as far as
   /// endpoints are free.
   void startPending();
