Give overloaded models further replicas by the holders of the zones

Cause: hosts wish for a replica only where their own zone has none, and each wish stays in the queue for 100 ms every two seconds, so it hardly ever meets a free load of the weight store. EngineLoad adds up what the models of an endpoint need, and each holder gives an overloaded model a replica on an endpoint that takes a good part of the load, worth an eviction by what it saves.

--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -93,6 +93,7 @@
   waitForSignal();
   m_Follower.start();
   m_Rights.start();
+  m_Swaps.start();
   m_Demands.start();
   m_State.spawn("follow_limits", followLimits());
   const settings::Settings &Values = m_State.m_Settings;
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -10,6 +10,7 @@
 
 /// Time over which the rates of models are averaged.
 constexpr milliseconds DemandMemory{20000};
+constexpr milliseconds RecentMemory{4000};
 /// A model with a request this recently has requests running.
 constexpr milliseconds InUsePeriod{1000};
 /// Events within this time lead to one look at the queue of demands, which
@@ -41,7 +42,11 @@
 SwapService::SwapService(HostState &State, OrderRights &Rights,
                          InventoryNotifier &Notifier)
     : m_State(State), m_Rights(Rights), m_Notifier(Notifier),
-      m_Demand(DemandMemory) {}
+      m_Demand(DemandMemory), m_RecentDemand(RecentMemory) {}
+
+void SwapService::start() {
+  m_State.spawn("relieve_overloads", relieveOverloads());
+}
 
 void SwapService::assumeEarlierDemand() {
   if (std::exchange(m_DemandAssumed, true))
@@ -64,8 +69,10 @@
 UsageAnswer SwapService::onUsage(const UsageReport &Report) {
   assumeEarlierDemand();
   m_Fleet.onReport(Report.m_Host, now());
-  for (const auto &[Model, Requests] : Report.m_Requests)
+  for (const auto &[Model, Requests] : Report.m_Requests) {
     m_Demand.add(Model, Requests, now());
+    m_RecentDemand.add(Model, Requests, now());
+  }
   m_State.mergeCrashes(Report.m_Crashes);
   return {static_cast<std::int64_t>(m_Fleet.count(now())),
           m_State.m_Quarantine.recentSuspects(now())};
@@ -201,8 +208,18 @@
   const serving::ModelName &Name = Demand.m_Key.m_Name;
   if (!Name.m_Adapter.empty() && startAdapter(Demand.m_Key, Engine))
     return;
-  if (const serving::ModelSpec *Model = Engine.find(Name.m_Model))
-    startSwap(Demand, Engine, *Model);
+  const serving::ModelSpec *Model = Engine.find(Name.m_Model);
+  if (!Model)
+    return;
+  SwapWish Wish;
+  Wish.m_Key = Demand.m_Key;
+  Wish.m_Replica = Demand.m_Replica;
+  Wish.m_MayLoadRemote =
+      Demand.m_MayLoadRemote ||
+      (Demand.m_Replica && isOverloaded(Model->m_Name, Engine));
+  Wish.m_WorthSeconds =
+      Demand.m_Replica ? ReplicaCostSeconds : Demand.m_Urgency * WorthSeconds;
+  startSwap(Wish, Engine, *Model);
 }
 
 bool SwapService::startAdapter(const serving::DemandKey &Key,
@@ -276,21 +293,19 @@
   return Result;
 }
 
-void SwapService::startSwap(const serving::PendingDemand &Demand,
+void SwapService::startSwap(const SwapWish &Wish,
                             const serving::EngineSpec &Engine,
                             const serving::ModelSpec &Model) {
-  const bool MayLoadRemote =
-      Demand.m_MayLoadRemote ||
-      (Demand.m_Replica && isOverloaded(Model.m_Name, Engine));
   Candidates List;
-  for (const serving::Endpoint *Item : endpointsOf(Demand.m_Key)) {
+  for (const serving::Endpoint *Item : endpointsOf(Wish.m_Key)) {
     const Work &Known = m_Work[Item->id()];
     if (Known.m_Busy || now() < Known.m_RestUntil ||
-        Item->inventory().find(Model.m_Name))
+        Item->inventory().find(Model.m_Name) ||
+        (Wish.m_MayUse && !Wish.m_MayUse(Item->id())))
       continue;
     auto Candidate = candidateOf(Item->inventory(), Item->id(), Engine, Model);
     if (Candidate.m_Location == loading::WeightLocation::Remote &&
-        !MayLoadRemote)
+        !Wish.m_MayLoadRemote)
       continue;
     List.push_back(std::move(Candidate));
   }
@@ -298,9 +313,7 @@
   if (!Plan)
     return;
   // Evicting what others are about to ask for must be worth it.
-  const double Worth =
-      Demand.m_Replica ? ReplicaCostSeconds : Demand.m_Urgency * WorthSeconds;
-  if (Plan->m_Cost - Plan->m_LoadSeconds > Worth)
+  if (Plan->m_Cost - Plan->m_LoadSeconds > Wish.m_WorthSeconds)
     return;
   if (Plan->m_Location == loading::WeightLocation::Remote &&
       !takeRemoteLoad(Engine))
@@ -320,9 +333,9 @@
               {"evict", Plan->m_Evict},
               {"load_s", Plan->m_LoadSeconds},
               {"cost_s", Plan->m_Cost},
-              {"replica", Demand.m_Replica}});
+              {"replica", Wish.m_Replica}});
   m_State.spawn("swap",
-                runSwap({Plan->m_Endpoint, *Address, Demand.m_Key.m_Zone},
+                runSwap({Plan->m_Endpoint, *Address, Wish.m_Key.m_Zone},
                         Model.m_Name, Engine,
                         Plan->m_Location == loading::WeightLocation::Remote));
 }
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -2,6 +2,7 @@
 
 #include "Core/Loading/LoadScheduler.h"
 #include "Core/Serving/DemandQueue.h"
+#include "Core/Serving/EngineLoad.h"
 #include "Core/Serving/FleetSize.h"
 #include "Core/Serving/SwapPlanner.h"
 #include "Host/InventoryNotifier.h"
@@ -21,6 +22,7 @@
   SwapService(HostState &State, OrderRights &Rights,
               InventoryNotifier &Notifier);
 
+  void start();
   /// Answers when the model is loaded, or after the time that the asking host
   /// waits.
   Task<DemandAnswer> handle(ModelDemand Demand);
@@ -49,6 +51,16 @@
     ZoneId m_Zone;
   };
   using Candidates = std::vector<serving::SwapCandidate>;
+  /// A load of a model that is worth its cost within a bound.
+  struct SwapWish {
+    serving::DemandKey m_Key;
+    bool m_MayLoadRemote = false;
+    bool m_Replica = false;
+    /// Seconds of waiting that evictions for it may cause.
+    double m_WorthSeconds = 0;
+    /// Endpoints that may load it; all when empty.
+    std::function<bool(const EndpointId &)> m_MayUse = {};
+  };
 
   std::vector<const serving::Endpoint *>
   endpointsOf(const serving::DemandKey &Key) const;
@@ -71,9 +83,16 @@
                  const serving::EngineSpec &Engine);
   bool startAdapter(const serving::DemandKey &Key,
                     const serving::EngineSpec &Engine);
-  void startSwap(const serving::PendingDemand &Demand,
-                 const serving::EngineSpec &Engine,
+  void startSwap(const SwapWish &Wish, const serving::EngineSpec &Engine,
                  const serving::ModelSpec &Model);
+  /// Looks for overloaded models from time to time.
+  Task<void> relieveOverloads();
+  void relieveZone(const std::string &Service,
+                   const serving::EngineSpec &Engine, const ZoneId &Zone);
+  std::vector<serving::EndpointPlacement>
+  placementsOf(const std::string &Service) const;
+  /// The zones take turns, so that not all of them add a replica at once.
+  bool isTurnOf(const ZoneId &Zone, const std::string &Model) const;
   serving::SwapCandidate candidateOf(const serving::Inventory &Held,
                                      const EndpointId &Id,
                                      const serving::EngineSpec &Engine,
@@ -132,7 +151,9 @@
   std::map<std::string, int, std::less<>> m_Replicas;
   bool m_PendingScheduled = false;
   serving::DemandRates m_Demand; ///< Of all hosts that report.
-  serving::FleetSize m_Fleet;    ///< The hosts that report usage.
+  /// The same over a short time, to notice a jump in the demand.
+  serving::DemandRates m_RecentDemand;
+  serving::FleetSize m_Fleet; ///< The hosts that report usage.
   bool m_DemandAssumed = false;
   bool m_RemoteLoadRuns = false;
   Instant m_NextRemoteLoad;
--- /dev/null
+++ b/Source/Core/Host/SwapServiceReplicas.cpp
@@ -0,0 +1,89 @@
+#include "Host/SwapService.h"
+
+#include <algorithm>
+
+namespace sff::host {
+
+namespace {
+
+constexpr auto Part = log::Category::Loading;
+
+/// Requests are reported every second or more.
+constexpr milliseconds ReliefPeriod{500};
+/// Each zone may add a replica of a model for this long, then the next one.
+constexpr milliseconds TurnTime{2000};
+/// Requests per second that one endpoint serves without much waiting, for each
+/// of its slots.
+constexpr double RatePerSlot = 0.5;
+/// Beyond this utilization requests pile up, and no zone waits for its turn.
+constexpr double GraveUtilization = 1.2;
+
+} // namespace
+
+Task<void> SwapService::relieveOverloads() {
+  while (true) {
+    co_await sleepFor(ReliefPeriod);
+    const auto Catalogue = m_State.m_Catalogue;
+    if (!Catalogue)
+      continue;
+    for (const auto &[Name, Service] : Catalogue->m_Services)
+      for (const std::string &Zone : m_State.m_Settings.get(ZonesSetting))
+        if (Service.m_Engine && m_Rights.mayOrder(ZoneId(Zone)))
+          relieveZone(Name, *Service.m_Engine, ZoneId(Zone));
+  }
+}
+
+std::vector<serving::EndpointPlacement>
+SwapService::placementsOf(const std::string &Service) const {
+  std::vector<serving::EndpointPlacement> Result;
+  for (const serving::Endpoint *Item : m_State.m_Endpoints.serving(Service)) {
+    serving::EndpointPlacement Placement{Item->id(), {}};
+    for (const serving::ResidentModel &Model : Item->inventory().m_Models)
+      Placement.m_Models.push_back(Model.m_Name);
+    Result.push_back(std::move(Placement));
+  }
+  return Result;
+}
+
+bool SwapService::isTurnOf(const ZoneId &Zone, const std::string &Model) const {
+  const auto Zones =
+      static_cast<std::int64_t>(m_State.m_Settings.get(ZonesSetting).size());
+  const auto Offset = static_cast<std::int64_t>(
+      std::hash<std::string>()(Zone.str() + Model) % 1000);
+  return (now().time_since_epoch() / TurnTime + Offset) % Zones == 0;
+}
+
+void SwapService::relieveZone(const std::string &Service,
+                              const serving::EngineSpec &Engine,
+                              const ZoneId &Zone) {
+  const auto Placements = placementsOf(Service);
+  const serving::EngineLoad Load(
+      Placements,
+      [this](std::string_view Model) {
+        return m_RecentDemand.rate(Model, now());
+      },
+      RatePerSlot * Engine.m_Slots);
+  countReplicas();
+  for (const serving::Overload &Item : Load.overloads()) {
+    const serving::ModelSpec *Model = Engine.find(Item.m_Model);
+    const bool Due =
+        Item.m_Utilization > GraveUtilization || isTurnOf(Zone, Item.m_Model);
+    if (!Model || !Due || loadingUntil(Item.m_Model))
+      continue;
+    log::entry(Part, "model.overloaded", Item.m_Model,
+               {{"utilization", Item.m_Utilization},
+                {"relief_s", Item.m_ReliefSeconds},
+                {"zone", Zone}});
+    SwapWish Wish;
+    Wish.m_Key = {Zone, Service, {Item.m_Model, {}}};
+    Wish.m_MayLoadRemote = true;
+    Wish.m_Replica = true;
+    Wish.m_WorthSeconds = Item.m_ReliefSeconds;
+    Wish.m_MayUse = [&Load, &Item](const EndpointId &Id) {
+      return Load.relieves(Id, Item);
+    };
+    startSwap(Wish, Engine, *Model);
+  }
+}
+
+} // namespace sff::host
