Relieve overloaded models when an endpoint becomes free, and only beyond 0.7

The look every half second seldom met an endpoint without an order, and a replica from half of the capacity on took loads from rare models.

--- a/Source/Core/Core/Serving/EngineLoad.cpp
+++ b/Source/Core/Core/Serving/EngineLoad.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Beyond this part of its capacity an endpoint answers noticeably later.
-constexpr double BusyUtilization = 0.5;
+constexpr double BusyUtilization = 0.7;
 /// A replica on an endpoint with more than this part of the load of the
 /// present ones would only move the overload.
 constexpr double ReliefPart = 0.5;
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -44,9 +44,7 @@
     : m_State(State), m_Rights(Rights), m_Notifier(Notifier),
       m_Demand(DemandMemory), m_RecentDemand(RecentMemory) {}
 
-void SwapService::start() {
-  m_State.spawn("relieve_overloads", relieveOverloads());
-}
+void SwapService::start() { m_State.spawn("watch_load", watchLoad()); }
 
 void SwapService::assumeEarlierDemand() {
   if (std::exchange(m_DemandAssumed, true))
@@ -188,6 +186,7 @@
   if (!Catalogue)
     return;
   countReplicas();
+  relieveOverloads();
   std::set<ZoneId> FullZones;
   for (const serving::PendingDemand &Item : m_Queue.ordered(now())) {
     const serving::DemandKey &Key = Item.m_Key;
@@ -293,7 +292,7 @@
   return Result;
 }
 
-void SwapService::startSwap(const SwapWish &Wish,
+bool SwapService::startSwap(const SwapWish &Wish,
                             const serving::EngineSpec &Engine,
                             const serving::ModelSpec &Model) {
   Candidates List;
@@ -311,17 +310,17 @@
   }
   const auto Plan = serving::planSwap(Model.m_WeightMb, List);
   if (!Plan)
-    return;
+    return false;
   // Evicting what others are about to ask for must be worth it.
   if (Plan->m_Cost - Plan->m_LoadSeconds > Wish.m_WorthSeconds)
-    return;
+    return false;
   if (Plan->m_Location == loading::WeightLocation::Remote &&
       !takeRemoteLoad(Engine))
-    return;
+    return false;
   const serving::Endpoint *Chosen = m_State.m_Endpoints.find(Plan->m_Endpoint);
   const auto Address = http::Address::parse(Chosen->m_Registered.m_Address);
   if (!Address)
-    return;
+    return false;
   Work &Known = m_Work[Plan->m_Endpoint];
   Known.m_Busy = true;
   Known.m_Loading = Model.m_Name;
@@ -338,6 +337,7 @@
                 runSwap({Plan->m_Endpoint, *Address, Wish.m_Key.m_Zone},
                         Model.m_Name, Engine,
                         Plan->m_Location == loading::WeightLocation::Remote));
+  return true;
 }
 
 bool SwapService::takeRemoteLoad(const serving::EngineSpec &Engine) {
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -83,10 +83,12 @@
                  const serving::EngineSpec &Engine);
   bool startAdapter(const serving::DemandKey &Key,
                     const serving::EngineSpec &Engine);
-  void startSwap(const SwapWish &Wish, const serving::EngineSpec &Engine,
+  bool startSwap(const SwapWish &Wish, const serving::EngineSpec &Engine,
                  const serving::ModelSpec &Model);
-  /// Looks for overloaded models from time to time.
-  Task<void> relieveOverloads();
+  /// Looks at the load from time to time, also where nothing is waited for.
+  Task<void> watchLoad();
+  /// Starts replicas of overloaded models in the zones of this holder.
+  void relieveOverloads();
   void relieveZone(const std::string &Service,
                    const serving::EngineSpec &Engine, const ZoneId &Zone);
   std::vector<serving::EndpointPlacement>
@@ -154,6 +156,7 @@
   /// The same over a short time, to notice a jump in the demand.
   serving::DemandRates m_RecentDemand;
   serving::FleetSize m_Fleet; ///< The hosts that report usage.
+  Instant m_RelievedAt;
   bool m_DemandAssumed = false;
   bool m_RemoteLoadRuns = false;
   Instant m_NextRemoteLoad;
--- a/Source/Core/Host/SwapServiceReplicas.cpp
+++ b/Source/Core/Host/SwapServiceReplicas.cpp
@@ -10,29 +10,37 @@
 
 /// Requests are reported every second or more.
 constexpr milliseconds ReliefPeriod{500};
+/// Load changes little within this time, however often endpoints become free.
+constexpr milliseconds LeastReliefPause{100};
 /// Each zone may add a replica of a model for this long, then the next one.
 constexpr milliseconds TurnTime{2000};
 /// Requests per second that one endpoint serves without much waiting, for each
 /// of its slots.
 constexpr double RatePerSlot = 0.5;
-/// Beyond this utilization requests pile up, and no zone waits for its turn.
-constexpr double GraveUtilization = 1.2;
+/// Beyond this utilization requests pile up: no zone waits for its turn, and
+/// the weight store is better used for this than for a model that is rare.
+constexpr double GraveUtilization = 1;
 
 } // namespace
 
-Task<void> SwapService::relieveOverloads() {
+Task<void> SwapService::watchLoad() {
   while (true) {
     co_await sleepFor(ReliefPeriod);
-    const auto Catalogue = m_State.m_Catalogue;
-    if (!Catalogue)
-      continue;
-    for (const auto &[Name, Service] : Catalogue->m_Services)
-      for (const std::string &Zone : m_State.m_Settings.get(ZonesSetting))
-        if (Service.m_Engine && m_Rights.mayOrder(ZoneId(Zone)))
-          relieveZone(Name, *Service.m_Engine, ZoneId(Zone));
+    schedulePending();
   }
 }
 
+void SwapService::relieveOverloads() {
+  const auto Catalogue = m_State.m_Catalogue;
+  if (!Catalogue || now() - m_RelievedAt < LeastReliefPause)
+    return;
+  m_RelievedAt = now();
+  for (const auto &[Name, Service] : Catalogue->m_Services)
+    for (const std::string &Zone : m_State.m_Settings.get(ZonesSetting))
+      if (Service.m_Engine && m_Rights.mayOrder(ZoneId(Zone)))
+        relieveZone(Name, *Service.m_Engine, ZoneId(Zone));
+}
+
 std::vector<serving::EndpointPlacement>
 SwapService::placementsOf(const std::string &Service) const {
   std::vector<serving::EndpointPlacement> Result;
@@ -63,26 +71,25 @@
         return m_RecentDemand.rate(Model, now());
       },
       RatePerSlot * Engine.m_Slots);
-  countReplicas();
   for (const serving::Overload &Item : Load.overloads()) {
     const serving::ModelSpec *Model = Engine.find(Item.m_Model);
-    const bool Due =
-        Item.m_Utilization > GraveUtilization || isTurnOf(Zone, Item.m_Model);
+    const bool Grave = Item.m_Utilization > GraveUtilization;
+    const bool Due = Grave || isTurnOf(Zone, Item.m_Model);
     if (!Model || !Due || loadingUntil(Item.m_Model))
       continue;
-    log::entry(Part, "model.overloaded", Item.m_Model,
-               {{"utilization", Item.m_Utilization},
-                {"relief_s", Item.m_ReliefSeconds},
-                {"zone", Zone}});
     SwapWish Wish;
     Wish.m_Key = {Zone, Service, {Item.m_Model, {}}};
-    Wish.m_MayLoadRemote = true;
+    Wish.m_MayLoadRemote = Grave;
     Wish.m_Replica = true;
     Wish.m_WorthSeconds = Item.m_ReliefSeconds;
     Wish.m_MayUse = [&Load, &Item](const EndpointId &Id) {
       return Load.relieves(Id, Item);
     };
-    startSwap(Wish, Engine, *Model);
+    if (startSwap(Wish, Engine, *Model))
+      log::entry(Part, "model.overloaded", Item.m_Model,
+                 {{"utilization", Item.m_Utilization},
+                  {"relief_s", Item.m_ReliefSeconds},
+                  {"zone", Zone}});
   }
 }
 
