Refuse requests at once whose model cannot be there in time

Cause: a request for a model with its weights at hand nowhere was held until its caller left, though a load from the weight store takes longer than that. The holders now say when a load ends or could begin at the earliest, and the host refuses what cannot be served by then, with that time as the time to come back; the load goes on.

--- a/Source/Core/Common/Time/Instant.h
+++ b/Source/Core/Common/Time/Instant.h
@@ -20,4 +20,10 @@
   return std::chrono::duration<double>(Value).count();
 }
 
+/// The reverse of toSeconds(), rounded down to the clock's ticks.
+constexpr Duration fromSeconds(double Seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
 } // namespace sff
--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -3,6 +3,7 @@
 #include "Host/PeerCall.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace sff::host {
 
@@ -131,66 +132,103 @@
   co_return Answer.value_or(DemandAnswer{DemandStatus::NotHolder, {}, 0});
 }
 
+std::optional<Instant> DemandRouter::readyAt(const std::string &Model) const {
+  const auto Found = m_ReadyAt.find(Model);
+  if (Found == m_ReadyAt.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+void DemandRouter::expect(const std::string &Model, Instant ReadyAt) {
+  m_ReadyAt[Model] = ReadyAt;
+  m_State.m_Changed.notifyAll();
+}
+
 Task<DemandAnswer> DemandRouter::askZone(ModelDemand Demand, Duration Limit,
                                          Instant Until) {
   Demand.m_WantsEstimate = true;
   Demand.m_WaitMs = toMilliseconds(std::min(Until - now(), Limit)).count();
-  DemandAnswer Answer = co_await ask(Demand);
+  const DemandAnswer Answer = co_await ask(Demand);
   if (Answer.m_Status != DemandStatus::Loading)
     co_return Answer;
+  const Instant ReadyAt = now() + milliseconds(Answer.m_ReadyInMs);
+  expect(Demand.m_Model, ReadyAt);
   // Another zone would load it from the same store a second time.
-  const Instant Overdue = now() + milliseconds(Answer.m_ReadyInMs) + LoadSlack;
-  const Instant GiveUp = std::min(Overdue, Until);
+  co_return co_await stayWith(std::move(Demand),
+                              std::min(Until, ReadyAt + LoadSlack));
+}
+
+Task<DemandAnswer> DemandRouter::stayWith(ModelDemand Demand, Instant Until) {
   Demand.m_WantsEstimate = false;
-  while (now() < GiveUp && (Answer.m_Status == DemandStatus::Loading ||
-                            Answer.m_Status == DemandStatus::Busy)) {
+  DemandAnswer Answer;
+  while (now() < Until && Answer.m_Status == DemandStatus::Busy) {
     Demand.m_WaitMs =
-        toMilliseconds(std::min<Duration>(GiveUp - now(), LongestAsk)).count();
+        toMilliseconds(std::min<Duration>(Until - now(), LongestAsk)).count();
     Answer = co_await ask(Demand);
   }
   co_return Answer;
 }
 
-Task<void> DemandRouter::obtain(std::string Service, serving::ModelName Name,
-                                std::int64_t Rank, Instant Until) {
-  const Instant Start = now();
-  const auto Zones = zonesFor(Service, Name);
-  std::set<EndpointId> Lacked;
-  if (auto Found = m_Lacked.extract(Name))
-    Lacked = std::move(Found.mapped());
+Task<DemandAnswer> DemandRouter::askZones(ModelDemand Demand,
+                                          std::span<const ZoneChoice> Zones,
+                                          Instant Until) {
   DemandAnswer Answer;
+  ZoneId Soonest;
+  std::int64_t ReadyInMs = std::numeric_limits<std::int64_t>::max();
   for (const ZoneChoice &Choice : Zones) {
     if (now() >= Until)
       break;
-    ModelDemand Demand;
     Demand.m_Zone = Choice.m_Zone;
-    Demand.m_Service = Service;
-    Demand.m_Model = Name.m_Model;
-    Demand.m_Adapter = Name.m_Adapter;
-    Demand.m_Rank = Rank;
-    Demand.m_LackedBy.assign(Lacked.begin(), Lacked.end());
-    if (const auto Found = m_Waiting.find(Name); Found != m_Waiting.end())
-      Demand.m_Waiting = Found->second;
-    const milliseconds Limit = &Choice == &Zones.back() ? LongestAsk : FirstAsk;
-    const auto *Engine = m_State.m_Catalogue->findEngine(Service);
-    const auto *Model = Engine ? Engine->find(Name.m_Model) : nullptr;
-    Demand.m_MayLoadRemote =
-        Model && Zones.front().m_Seconds >= Model->m_RemoteLoadSeconds;
-    Answer = co_await askZone(std::move(Demand), Limit, Until);
-    log::entry(Part, "demand.answered", Name.str(),
+    const Duration Limit = &Choice == &Zones.back() ? LongestAsk : FirstAsk;
+    Answer = co_await askZone(Demand, Limit, Until);
+    log::entry(Part, "demand.answered", Demand.m_Model,
                {{"zone", Choice.m_Zone},
+                {"adapter", Demand.m_Adapter},
                 {"status", Answer.m_Status},
-                {"endpoint", Answer.m_Endpoint},
-                {"took_ms", toMilliseconds(now() - Start).count()}});
+                {"ready_in_ms", Answer.m_ReadyInMs},
+                {"endpoint", Answer.m_Endpoint}});
     if (Answer.m_Status == DemandStatus::Ready)
-      break;
+      co_return Answer;
+    if (Answer.m_ReadyInMs > 0 && Answer.m_ReadyInMs < ReadyInMs) {
+      Soonest = Choice.m_Zone;
+      ReadyInMs = Answer.m_ReadyInMs;
+    }
   }
+  if (Soonest.str().empty() || now() >= Until)
+    co_return Answer;
+  // All zones have loads of other models to end first.
+  expect(Demand.m_Model, now() + milliseconds(ReadyInMs));
+  Demand.m_Zone = Soonest;
+  co_return co_await stayWith(std::move(Demand), Until);
+}
+
+Task<void> DemandRouter::obtain(std::string Service, serving::ModelName Name,
+                                std::int64_t Rank, Instant Until) {
+  const auto Zones = zonesFor(Service, Name);
+  const auto *Engine = m_State.m_Catalogue->findEngine(Service);
+  const auto *Model = Engine ? Engine->find(Name.m_Model) : nullptr;
+  ModelDemand Demand;
+  Demand.m_Service = Service;
+  Demand.m_Model = Name.m_Model;
+  Demand.m_Adapter = Name.m_Adapter;
+  Demand.m_Rank = Rank;
+  if (const auto Lacked = m_Lacked.extract(Name))
+    Demand.m_LackedBy.assign(Lacked.mapped().begin(), Lacked.mapped().end());
+  if (const auto Found = m_Waiting.find(Name); Found != m_Waiting.end())
+    Demand.m_Waiting = Found->second;
+  Demand.m_MayLoadRemote =
+      Model && !Zones.empty() &&
+      Zones.front().m_Seconds >= Model->m_RemoteLoadSeconds;
+  const DemandAnswer Answer =
+      co_await askZones(std::move(Demand), Zones, Until);
   if (Answer.m_Status == DemandStatus::Ready) {
+    m_ReadyAt.erase(Name.m_Model);
     m_State.m_Endpoints.noteHeld(Answer.m_Endpoint, {Name.m_Model, {}}, now());
     if (!Name.m_Adapter.empty())
       m_State.m_Endpoints.noteHeld(Answer.m_Endpoint, Name, now());
   } else {
     co_await sleepFor(AskPause);
+    m_ReadyAt.erase(Name.m_Model);
   }
   m_Asked.erase(Name);
   m_State.m_Changed.notifyAll();
--- a/Source/Core/Host/DemandRouter.h
+++ b/Source/Core/Host/DemandRouter.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <set>
+#include <span>
 
 namespace sff::host {
 
@@ -21,6 +22,9 @@
   /// directory shows when it is there.
   void ensure(const std::string &Service, const serving::ModelName &Name,
               std::int64_t Rank, Instant Until);
+  /// The earliest time at which the model can be there, as far as the holders
+  /// of the zones know.
+  std::optional<Instant> readyAt(const std::string &Model) const;
   void onRequest(const serving::ModelName &Name);
   /// An endpoint has answered that it lacks the model or adapter.
   void onLacked(const serving::ModelName &Name, const EndpointId &Endpoint);
@@ -45,6 +49,12 @@
   Task<DemandAnswer> ask(ModelDemand Demand);
   /// Asks a zone for at most \p Limit, and longer while it loads the model.
   Task<DemandAnswer> askZone(ModelDemand Demand, Duration Limit, Instant Until);
+  /// Asks one zone again until the model is there or \p Until.
+  Task<DemandAnswer> stayWith(ModelDemand Demand, Instant Until);
+  /// Asks the zones one after the other, the best first.
+  Task<DemandAnswer> askZones(ModelDemand Demand,
+                              std::span<const ZoneChoice> Zones, Instant Until);
+  void expect(const std::string &Model, Instant ReadyAt);
   Task<void> reportUsage();
   Task<void> sendUsage(ZoneId Zone, UsageReport Report);
   /// Models that are busy here and have no replica in the host's zone.
@@ -59,6 +69,8 @@
   std::map<serving::ModelName, std::int64_t> m_Waiting;
   /// What endpoints have said that they lack, until a holder has been told.
   std::map<serving::ModelName, std::set<EndpointId>> m_Lacked;
+  /// When models are expected to be there, for those that are asked for.
+  std::map<std::string, Instant, std::less<>> m_ReadyAt;
   std::map<std::string, double> m_Usage; ///< Since the last report.
   std::map<ZoneId, std::int64_t> m_HostsByZone;
 };
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -32,7 +32,6 @@
 /// Endpoints that one request is sent to at most, with those that refuse it;
 /// each further one is taken from the retry budget.
 constexpr int MaxSends = 4;
-constexpr milliseconds DefaultRetryAfter{1000};
 /// A request that crashed endpoints is not worth another try soon.
 constexpr milliseconds QuarantineRetryAfter{30000};
 /// Requests with less time left than this are refused while they wait.
@@ -215,6 +214,11 @@
   if (!std::exchange(m_LoggedWait, true))
     logStep("request.waiting", {{"catalogue", m_Catalogue->m_Version},
                                 {"useful_ms", toMilliseconds(Useful).count()}});
+  const auto ReadyAt = m_Demands.readyAt(m_Facts.m_Model.m_Model);
+  if (ReadyAt && *ReadyAt - now() > Useful) {
+    co_await giveUp("model_too_late", toMilliseconds(*ReadyAt - now()));
+    co_return Step::Finished;
+  }
   m_Demands.onWaiting(m_Facts.m_Model, 1);
   m_Demands.ensure(m_Service->m_Name, m_Facts.m_Model, m_Route->m_Rank,
                    now() + Useful);
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -43,6 +43,9 @@
   /// How an answer that passes through ended.
   enum class StreamEnd { Whole, EndpointBroke, CallerGone };
 
+  /// Said to callers where nothing is known of when it is worth coming back.
+  static constexpr milliseconds DefaultRetryAfter{1000};
+
   using OpenStream = std::shared_ptr<http::ResponseStream>;
 
   bool findRoute();
@@ -79,7 +82,8 @@
   Task<void> answerProblem(int Status, std::string_view Reason,
                            std::optional<milliseconds> RetryAfter);
   /// Says that the request has not run, or that this is unknown.
-  Task<void> giveUp(std::string_view Reason);
+  Task<void> giveUp(std::string_view Reason,
+                    milliseconds RetryAfter = DefaultRetryAfter);
   Task<void> refuse(std::string_view Reason, milliseconds RetryAfter);
   void finish(std::string_view Outcome, int Status, std::string_view Reason);
   void logStep(std::string_view Event, nlohmann::json Fields) const;
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -8,8 +8,6 @@
 
 constexpr auto Part = log::Category::Routing;
 
-constexpr milliseconds DefaultRetryAfter{1000};
-
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 } // namespace
@@ -141,7 +139,8 @@
   }
 }
 
-Task<void> RequestSession::giveUp(std::string_view Reason) {
+Task<void> RequestSession::giveUp(std::string_view Reason,
+                                  milliseconds RetryAfter) {
   if (m_CallerGone) {
     finish("caller_gone", 0, Reason);
     co_return;
@@ -155,7 +154,7 @@
     co_await answerProblem(m_Expired ? 504 : 502, Reason, std::nullopt);
     co_return;
   }
-  co_await refuse(Reason, DefaultRetryAfter);
+  co_await refuse(Reason, RetryAfter);
 }
 
 Task<void> RequestSession::refuse(std::string_view Reason,
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -16,6 +16,8 @@
 /// Events within this time lead to one look at the queue of demands, which
 /// costs more the longer it is.
 constexpr milliseconds PendingDelay{5};
+/// By then it is known whether a load begins for a demand.
+constexpr milliseconds PlanTime{20};
 /// Wake-up of a waiting demand, which is also woken by each end of an order.
 constexpr milliseconds RecheckPeriod{100};
 /// A load from the weight store that took longer than this multiple of its
@@ -115,6 +117,7 @@
 
 Task<DemandAnswer> SwapService::handle(ModelDemand Demand) {
   const Instant Until = now() + milliseconds(Demand.m_WaitMs);
+  const Instant Planned = now() + PlanTime;
   assumeEarlierDemand();
   const serving::DemandKey Key{
       Demand.m_Zone, Demand.m_Service, {Demand.m_Model, Demand.m_Adapter}};
@@ -125,25 +128,43 @@
   believeLacked(Demand);
   schedulePending();
   while (true) {
-    if (!m_Rights.mayOrder(Demand.m_Zone))
-      co_return DemandAnswer{DemandStatus::NotHolder, {}, 0};
-    if (const auto Holding = findHolding(Key))
-      co_return DemandAnswer{DemandStatus::Ready, *Holding, 0};
-    const auto Catalogue = m_State.m_Catalogue;
-    const serving::EngineSpec *Engine =
-        Catalogue ? Catalogue->findEngine(Demand.m_Service) : nullptr;
-    if (!Engine || !Engine->find(Demand.m_Model))
-      co_return DemandAnswer{DemandStatus::Impossible, {}, 0};
-    const auto ReadyAt = loadingUntil(Demand.m_Model);
-    if (ReadyAt && Demand.m_WantsEstimate)
-      co_return DemandAnswer{
-          DemandStatus::Loading, {}, toMilliseconds(*ReadyAt - now()).count()};
+    if (const auto Answer = answerTo(Demand, Key, now() >= Planned))
+      co_return *Answer;
     if (now() >= Until)
       co_return DemandAnswer{DemandStatus::Busy, {}, 0};
-    co_await m_Progress.wait(std::min<Duration>(Until - now(), RecheckPeriod));
+    const Instant Next = Demand.m_WantsEstimate && now() < Planned
+                             ? Planned
+                             : now() + RecheckPeriod;
+    co_await m_Progress.wait(std::min(Until, Next) - now());
   }
 }
 
+std::optional<DemandAnswer> SwapService::answerTo(const ModelDemand &Demand,
+                                                  const serving::DemandKey &Key,
+                                                  bool Planned) const {
+  if (!m_Rights.mayOrder(Key.m_Zone))
+    return DemandAnswer{DemandStatus::NotHolder, {}, 0};
+  if (const auto Holding = findHolding(Key))
+    return DemandAnswer{DemandStatus::Ready, *Holding, 0};
+  const auto Catalogue = m_State.m_Catalogue;
+  const serving::EngineSpec *Engine =
+      Catalogue ? Catalogue->findEngine(Key.m_Service) : nullptr;
+  const serving::ModelSpec *Model =
+      Engine ? Engine->find(Key.m_Name.m_Model) : nullptr;
+  if (!Model)
+    return DemandAnswer{DemandStatus::Impossible, {}, 0};
+  if (!Demand.m_WantsEstimate)
+    return std::nullopt;
+  if (const auto ReadyAt = loadingUntil(Model->m_Name))
+    return DemandAnswer{
+        DemandStatus::Loading, {}, toMilliseconds(*ReadyAt - now()).count()};
+  if (Planned && Demand.m_MayLoadRemote)
+    return DemandAnswer{DemandStatus::Busy,
+                        {},
+                        toMilliseconds(remoteLoadBound(*Model)).count()};
+  return std::nullopt;
+}
+
 void SwapService::schedulePending() {
   if (std::exchange(m_PendingScheduled, true))
     return;
@@ -315,7 +336,7 @@
   if (Plan->m_Cost - Plan->m_LoadSeconds > Wish.m_WorthSeconds)
     return false;
   if (Plan->m_Location == loading::WeightLocation::Remote &&
-      !takeRemoteLoad(Engine))
+      !takeRemoteLoad(Engine, Model))
     return false;
   const serving::Endpoint *Chosen = m_State.m_Endpoints.find(Plan->m_Endpoint);
   const auto Address = http::Address::parse(Chosen->m_Registered.m_Address);
@@ -340,7 +361,8 @@
   return true;
 }
 
-bool SwapService::takeRemoteLoad(const serving::EngineSpec &Engine) {
+bool SwapService::takeRemoteLoad(const serving::EngineSpec &Engine,
+                                 const serving::ModelSpec &Model) {
   if (m_RemoteLoadRuns || now() < m_NextRemoteLoad)
     return false;
   if (!m_Permits)
@@ -349,9 +371,17 @@
   if (m_Permits->tryReserved(Zones, now()) > milliseconds(0))
     return false;
   m_RemoteLoadRuns = true;
+  m_RemoteReadyAt = now() + fromSeconds(Model.m_RemoteLoadSeconds);
   return true;
 }
 
+Duration SwapService::remoteLoadBound(const serving::ModelSpec &Model) const {
+  Instant Start = std::max(now(), m_NextRemoteLoad);
+  if (m_RemoteLoadRuns)
+    Start = std::max(Start, m_RemoteReadyAt);
+  return Start - now() + fromSeconds(Model.m_RemoteLoadSeconds);
+}
+
 void SwapService::onRemoteLoad(Duration Taken, Duration Expected) {
   m_RemoteLoadRuns = false;
   // All zones share the store, and none knows of the others' loads.
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -70,6 +70,11 @@
   void believeLacked(const ModelDemand &Demand);
   /// Expected end of a load of the model, if one runs.
   std::optional<Instant> loadingUntil(const std::string &Model) const;
+  /// What can be said of a demand now. \p Planned: it has been looked at since
+  /// it came.
+  std::optional<DemandAnswer> answerTo(const ModelDemand &Demand,
+                                       const serving::DemandKey &Key,
+                                       bool Planned) const;
   /// Starts what the waiting demands need, the most urgent first, as far as
   /// endpoints are free.
   void startPending();
@@ -110,8 +115,11 @@
                      serving::EngineSpec Engine, bool Remote);
   /// Takes the right to load from the weight store now: one at a time for
   /// each zone, and fewer while the store is slow.
-  bool takeRemoteLoad(const serving::EngineSpec &Engine);
+  bool takeRemoteLoad(const serving::EngineSpec &Engine,
+                      const serving::ModelSpec &Model);
   void onRemoteLoad(Duration Taken, Duration Expected);
+  /// Shortest time until the model can be there from the weight store.
+  Duration remoteLoadBound(const serving::ModelSpec &Model) const;
   Task<bool> swap(Target Where, std::string Model, serving::EngineSpec Engine);
   Task<void> runAdapter(Target Where, serving::ModelName Name,
                         serving::EngineSpec Engine);
@@ -159,7 +167,8 @@
   Instant m_RelievedAt;
   bool m_DemandAssumed = false;
   bool m_RemoteLoadRuns = false;
-  Instant m_NextRemoteLoad;
+  Instant m_RemoteReadyAt;  ///< Expected end of that load.
+  Instant m_NextRemoteLoad; ///< No load from the weight store before this.
   std::optional<loading::LoadPermits> m_Permits;
 };
 
--- a/Source/Core/Host/SwapServiceOrders.cpp
+++ b/Source/Core/Host/SwapServiceOrders.cpp
@@ -67,18 +67,13 @@
   return Sum;
 }
 
-Duration toDuration(double Seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Seconds));
-}
-
 } // namespace
 
 Task<void> SwapService::runSwap(Target Where, std::string Model,
                                 serving::EngineSpec Engine, bool Remote) {
   const Instant Start = now();
   const serving::ModelSpec *Spec = Engine.find(Model);
-  const Duration Expected = toDuration(Spec ? Spec->m_RemoteLoadSeconds : 0);
+  const Duration Expected = fromSeconds(Spec ? Spec->m_RemoteLoadSeconds : 0);
   const bool Done = co_await swap(Where, Model, std::move(Engine));
   if (Remote)
     onRemoteLoad(now() - Start, Expected);
@@ -117,7 +112,7 @@
       co_await orderWhenFree(Where, OrderKind::Load, Name, EvictLimit);
   if (!isDone(Loaded))
     co_return false;
-  const Duration Expected = toDuration(Plan->m_LoadSeconds);
+  const Duration Expected = fromSeconds(Plan->m_LoadSeconds);
   const bool Held = co_await awaitHeld(Where, Name, Expected);
   if (Held) {
     m_LoadedAt[Model] = now();
