Give busy models a replica before a release takes their last one

ReleaseWatch notices that endpoints leave while others are added; EngineLoad takes a busy model whose endpoints all are being replaced as one at risk, and the holders load it on new ones.

--- a/Source/Core/Core/Serving/EndpointDirectory.cpp
+++ b/Source/Core/Core/Serving/EndpointDirectory.cpp
@@ -65,11 +65,18 @@
     Model->m_Adapters.erase(Name.m_Adapter);
 }
 
+bool EndpointDirectory::isLeaving(const Endpoint &Item, Instant Now) const {
+  return Item.m_Registered.m_Draining ||
+         m_Releases.isReplacing(Item.m_Registered.m_Service, Item.m_AddedAt,
+                                Now);
+}
+
 RegistrationEffect EndpointDirectory::apply(Registration Item, Instant Now) {
   const auto Found = m_Endpoints.find(Item.m_Id);
   if (Found == m_Endpoints.end()) {
+    m_Releases.onAdded(Item.m_Service, Now);
     EndpointId Id = Item.m_Id;
-    m_Endpoints.emplace(std::move(Id), Endpoint{std::move(Item), {}});
+    m_Endpoints.emplace(std::move(Id), Endpoint{std::move(Item), {}, Now});
     return RegistrationEffect::Added;
   }
   Endpoint &Known = Found->second;
@@ -82,7 +89,9 @@
   // An endpoint that leaves does not come back to work.
   if (Effect != RegistrationEffect::Restarted)
     Item.m_Draining = Item.m_Draining || Known.m_Registered.m_Draining;
-  Known = Endpoint{std::move(Item), {}};
+  if (Item.m_Draining && !Known.m_Registered.m_Draining)
+    m_Releases.onLeaving(Item.m_Service, Now);
+  Known = Endpoint{std::move(Item), {}, Known.m_AddedAt};
   return Effect;
 }
 
@@ -96,6 +105,7 @@
     return false;
   Endpoint &Known = Found->second;
   if (Known.m_Registered.m_Draining || !isRegistryDoubtful(Now)) {
+    m_Releases.onLeaving(Known.m_Registered.m_Service, Now);
     m_Endpoints.erase(Found);
     m_Notes.erase(Id);
     return true;
--- a/Source/Core/Core/Serving/EndpointDirectory.h
+++ b/Source/Core/Core/Serving/EndpointDirectory.h
@@ -3,6 +3,7 @@
 #include "Common/Identity/Ids.h"
 #include "Common/Time/Instant.h"
 #include "Core/Serving/Catalogue.h"
+#include "Core/Serving/ReleaseWatch.h"
 
 #include <map>
 #include <optional>
@@ -58,6 +59,7 @@
   /// The entry lapsed at a time at which the registry was away, so the
   /// endpoint may live; it counts as gone from this time on.
   std::optional<Instant> m_GoneAt;
+  Instant m_AddedAt; ///< When this host first heard of it.
 
   bool takesWork() const { return !m_Registered.m_Draining; }
   const EndpointId &id() const { return m_Registered.m_Id; }
@@ -109,6 +111,9 @@
   /// Endpoints of a service that take work.
   std::vector<const Endpoint *> serving(std::string_view Service) const;
   const std::map<EndpointId, Endpoint> &all() const { return m_Endpoints; }
+  /// The endpoint leaves or is about to: it drains, or the endpoints of its
+  /// service are being replaced.
+  bool isLeaving(const Endpoint &Item, Instant Now) const;
 
 private:
   struct Note {
@@ -124,6 +129,7 @@
 
   std::map<EndpointId, Endpoint> m_Endpoints;
   std::map<EndpointId, Notes> m_Notes;
+  ReleaseWatch m_Releases;
   bool m_RegistryLost = false;
   std::optional<Instant> m_RegainedAt;
 };
--- a/Source/Core/Core/Serving/EngineLoad.h
+++ b/Source/Core/Core/Serving/EngineLoad.h
@@ -4,6 +4,8 @@
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,13 +17,16 @@
 struct EndpointPlacement {
   EndpointId m_Endpoint;
   std::vector<std::string> m_Models;
+  bool m_TakesWork = true;
+  bool m_Leaving = false; ///< It drains, or a release is about to replace it.
 };
 
-/// A model whose replicas all have more requests than they serve without much
-/// waiting.
+/// A busy model whose replicas all have more requests than they serve without
+/// much waiting, or are all about to leave.
 struct Overload {
   std::string m_Model;
   double m_Utilization = 0; ///< Of its least loaded endpoint.
+  bool m_AtRisk = false;    ///< All its endpoints are leaving.
   /// Seconds of waiting that a further replica is expected to save.
   double m_ReliefSeconds = 0;
 };
@@ -48,11 +53,18 @@
 
 private:
   struct Spread {
-    double m_RateEach = 0; ///< Requests per second at each replica.
-    std::vector<EndpointId> m_Endpoints;
+    double m_Rate = 0;
+    int m_Staying = 0; ///< Endpoints that are not about to leave.
+    std::vector<EndpointId> m_Endpoints; ///< Those that take work.
+
+    double rateEach() const;
   };
 
+  std::optional<Overload> overloadOf(const std::string &Model,
+                                     const Spread &Where) const;
+
   double m_Capacity;
+  std::set<EndpointId> m_Leaving;
   std::map<std::string, Spread, std::less<>> m_Models;
   std::map<EndpointId, double> m_Utilization;
 };
--- a/Source/Core/Host/SwapServiceReplicas.cpp
+++ b/Source/Core/Host/SwapServiceReplicas.cpp
@@ -44,9 +44,14 @@
 std::vector<serving::EndpointPlacement>
 SwapService::placementsOf(const std::string &Service) const {
   std::vector<serving::EndpointPlacement> Result;
-  for (const serving::Endpoint *Item : m_State.m_Endpoints.serving(Service)) {
-    serving::EndpointPlacement Placement{Item->id(), {}};
-    for (const serving::ResidentModel &Model : Item->inventory().m_Models)
+  for (const auto &[Id, Item] : m_State.m_Endpoints.all()) {
+    if (Item.m_Registered.m_Service != Service)
+      continue;
+    serving::EndpointPlacement Placement;
+    Placement.m_Endpoint = Id;
+    Placement.m_TakesWork = Item.takesWork();
+    Placement.m_Leaving = m_State.m_Endpoints.isLeaving(Item, now());
+    for (const serving::ResidentModel &Model : Item.inventory().m_Models)
       Placement.m_Models.push_back(Model.m_Name);
     Result.push_back(std::move(Placement));
   }
@@ -73,8 +78,9 @@
       RatePerSlot * Engine.m_Slots);
   for (const serving::Overload &Item : Load.overloads()) {
     const serving::ModelSpec *Model = Engine.find(Item.m_Model);
-    const bool Grave = Item.m_Utilization > GraveUtilization;
-    const bool Due = Grave || isTurnOf(Zone, Item.m_Model);
+    const bool Grave = Item.m_AtRisk || Item.m_Utilization > GraveUtilization;
+    const bool Due =
+        Item.m_Utilization > GraveUtilization || isTurnOf(Zone, Item.m_Model);
     if (!Model || !Due || loadingUntil(Item.m_Model))
       continue;
     SwapWish Wish;
@@ -88,6 +94,7 @@
     if (startSwap(Wish, Engine, *Model))
       log::entry(Part, "model.overloaded", Item.m_Model,
                  {{"utilization", Item.m_Utilization},
+                  {"at_risk", Item.m_AtRisk},
                   {"relief_s", Item.m_ReliefSeconds},
                   {"zone", Zone}});
   }
