--- a/Source/Core/Ctl/SettingsReference.cpp
+++ b/Source/Core/Ctl/SettingsReference.cpp
@@ -1,5 +1,6 @@
 #include "Controller/ControllerSettings.h"
 #include "Ctl/Commands.h"
+#include "Host/HostSettings.h"
 #include "Relay/RelaySettings.h"
 #include "Router/RouterSettings.h"
 
@@ -10,6 +11,7 @@
       {"sff-relay", relay::makeSchema()},
       {"sff-controller", controller::makeSchema()},
       {"sff-router", router::makeSchema()},
+      {"sff-host", host::hostSchema()},
   };
   Out << "# Settings\n\nThis page is written by `sffctl settings-reference`.\n";
   for (const auto &[Name, Schema] : Programs)
--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -180,13 +180,15 @@
       break;
     Demand.m_Zone = Choice.m_Zone;
     const Duration Limit = &Choice == &Zones.back() ? LongestAsk : FirstAsk;
+    const Instant AskedAt = now();
     Answer = co_await askZone(Demand, Limit, Until);
     log::entry(Part, "demand.answered", Demand.m_Model,
                {{"zone", Choice.m_Zone},
                 {"adapter", Demand.m_Adapter},
                 {"status", Answer.m_Status},
                 {"ready_in_ms", Answer.m_ReadyInMs},
-                {"endpoint", Answer.m_Endpoint}});
+                {"endpoint", Answer.m_Endpoint},
+                {"took_ms", toMilliseconds(now() - AskedAt).count()}});
     if (Answer.m_Status == DemandStatus::Ready)
       co_return Answer;
     if (Answer.m_ReadyInMs > 0 && Answer.m_ReadyInMs < ReadyInMs) {
