Let wishes use weights at hand only, and share the capacity of an endpoint

The holders relieve overloaded models themselves, so the second rule of the same kind goes: a wish for a replica no longer loads from the weight store. The requests that an endpoint serves without much waiting are stated once.

--- a/Source/Core/Core/Serving/EngineLoad.cpp
+++ b/Source/Core/Core/Serving/EngineLoad.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+/// Requests are short, and a full batch makes each of them slower.
+constexpr double RatePerSlot = 0.5;
 /// Beyond this part of its capacity an endpoint answers noticeably later.
 constexpr double BusyUtilization = 0.7;
 /// A replica on an endpoint with more than this part of the load of the
@@ -25,6 +27,8 @@
 
 } // namespace
 
+double comfortableRate(int Slots) { return RatePerSlot * Slots; }
+
 EngineLoad::EngineLoad(std::span<const EndpointPlacement> Placements,
                        const RateOf &Rate, double Capacity)
     : m_Capacity(std::max(Capacity, 1e-6)) {
--- a/Source/Core/Core/Serving/EngineLoad.h
+++ b/Source/Core/Core/Serving/EngineLoad.h
@@ -13,6 +13,10 @@
 
 namespace sff::serving {
 
+/// Requests per second that an endpoint with so many slots serves without much
+/// waiting. Thread safety: reentrant.
+double comfortableRate(int Slots);
+
 /// An endpoint and the models that it holds.
 struct EndpointPlacement {
   EndpointId m_Endpoint;
@@ -25,8 +29,9 @@
 /// much waiting, or are all about to leave.
 struct Overload {
   std::string m_Model;
-  double m_Utilization = 0; ///< Of its least loaded endpoint.
-  bool m_AtRisk = false;    ///< All its endpoints are leaving.
+  /// Of its least loaded endpoint; infinite when none takes work.
+  double m_Utilization = 0;
+  bool m_AtRisk = false; ///< All its endpoints are leaving.
   /// Seconds of waiting that a further replica is expected to save.
   double m_ReliefSeconds = 0;
 };
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -25,14 +25,8 @@
 constexpr double SlowLoadFactor = 1.5;
 /// Requests per second that a replica at the start stands for.
 constexpr double AssumedReplicaRate = 2;
-/// Requests per second that one replica serves without much waiting, for each
-/// of its slots.
-constexpr double RatePerSlot = 0.5;
 /// A further replica may cost callers of other models this many seconds.
 constexpr double ReplicaCostSeconds = 2.5;
-/// Part of a replica's capacity beyond which a further one is worth a load
-/// from the weight store.
-constexpr double BusyPart = 0.5;
 /// Seconds of waiting that an eviction may cause for each unit of urgency.
 constexpr double WorthSeconds = 4;
 /// Loads that run at full speed at once over all zones; the weight store
@@ -231,15 +225,13 @@
   const serving::ModelSpec *Model = Engine.find(Name.m_Model);
   if (!Model)
     return;
-  SwapWish Wish;
-  Wish.m_Key = Demand.m_Key;
-  Wish.m_Replica = Demand.m_Replica;
-  Wish.m_MayLoadRemote =
-      Demand.m_MayLoadRemote ||
-      (Demand.m_Replica && isOverloaded(Model->m_Name, Engine));
-  Wish.m_WorthSeconds =
+  SwapRequest Request;
+  Request.m_Key = Demand.m_Key;
+  Request.m_Replica = Demand.m_Replica;
+  Request.m_MayLoadRemote = Demand.m_MayLoadRemote;
+  Request.m_WorthSeconds =
       Demand.m_Replica ? ReplicaCostSeconds : Demand.m_Urgency * WorthSeconds;
-  startSwap(Wish, Engine, *Model);
+  startSwap(Request, Engine, *Model);
 }
 
 bool SwapService::startAdapter(const serving::DemandKey &Key,
@@ -276,14 +268,6 @@
   return Found == m_Replicas.end() ? 0 : std::max(0, Found->second - 1);
 }
 
-bool SwapService::isOverloaded(const std::string &Model,
-                               const serving::EngineSpec &Engine) const {
-  const auto Found = m_Replicas.find(Model);
-  const int Replicas = Found == m_Replicas.end() ? 1 : Found->second;
-  return m_Demand.rate(Model, now()) / std::max(1, Replicas) >
-         BusyPart * RatePerSlot * Engine.m_Slots;
-}
-
 bool SwapService::isInUse(const std::string &Model) const {
   const auto Loaded = m_LoadedAt.find(Model);
   const Instant LoadedAt =
@@ -307,25 +291,25 @@
     const double Size = Spec ? serving::sizeMb(*Spec, Item) : Model.m_WeightMb;
     Result.m_Held.push_back(
         {Item.m_Name, Size, m_Demand.rate(Item.m_Name, now()),
-         otherReplicas(Item.m_Name), Engine.m_Slots * RatePerSlot,
+         otherReplicas(Item.m_Name), serving::comfortableRate(Engine.m_Slots),
          isInUse(Item.m_Name)});
   }
   return Result;
 }
 
-bool SwapService::startSwap(const SwapWish &Wish,
+bool SwapService::startSwap(const SwapRequest &Request,
                             const serving::EngineSpec &Engine,
                             const serving::ModelSpec &Model) {
   Candidates List;
-  for (const serving::Endpoint *Item : endpointsOf(Wish.m_Key)) {
+  for (const serving::Endpoint *Item : endpointsOf(Request.m_Key)) {
     const Work &Known = m_Work[Item->id()];
     if (Known.m_Busy || now() < Known.m_RestUntil ||
         Item->inventory().find(Model.m_Name) ||
-        (Wish.m_MayUse && !Wish.m_MayUse(Item->id())))
+        (Request.m_MayUse && !Request.m_MayUse(Item->id())))
       continue;
     auto Candidate = candidateOf(Item->inventory(), Item->id(), Engine, Model);
     if (Candidate.m_Location == loading::WeightLocation::Remote &&
-        !Wish.m_MayLoadRemote)
+        !Request.m_MayLoadRemote)
       continue;
     List.push_back(std::move(Candidate));
   }
@@ -333,7 +317,7 @@
   if (!Plan)
     return false;
   // Evicting what others are about to ask for must be worth it.
-  if (Plan->m_Cost - Plan->m_LoadSeconds > Wish.m_WorthSeconds)
+  if (Plan->m_Cost - Plan->m_LoadSeconds > Request.m_WorthSeconds)
     return false;
   if (Plan->m_Location == loading::WeightLocation::Remote &&
       !takeRemoteLoad(Engine, Model))
@@ -353,9 +337,9 @@
               {"evict", Plan->m_Evict},
               {"load_s", Plan->m_LoadSeconds},
               {"cost_s", Plan->m_Cost},
-              {"replica", Wish.m_Replica}});
+              {"replica", Request.m_Replica}});
   m_State.spawn("swap",
-                runSwap({Plan->m_Endpoint, *Address, Wish.m_Key.m_Zone},
+                runSwap({Plan->m_Endpoint, *Address, Request.m_Key.m_Zone},
                         Model.m_Name, Engine,
                         Plan->m_Location == loading::WeightLocation::Remote));
   return true;
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -52,7 +52,7 @@
   };
   using Candidates = std::vector<serving::SwapCandidate>;
   /// A load of a model that is worth its cost within a bound.
-  struct SwapWish {
+  struct SwapRequest {
     serving::DemandKey m_Key;
     bool m_MayLoadRemote = false;
     bool m_Replica = false;
@@ -88,7 +88,7 @@
                  const serving::EngineSpec &Engine);
   bool startAdapter(const serving::DemandKey &Key,
                     const serving::EngineSpec &Engine);
-  bool startSwap(const SwapWish &Wish, const serving::EngineSpec &Engine,
+  bool startSwap(const SwapRequest &Request, const serving::EngineSpec &Engine,
                  const serving::ModelSpec &Model);
   /// Looks at the load from time to time, also where nothing is waited for.
   Task<void> watchLoad();
@@ -104,9 +104,6 @@
                                      const EndpointId &Id,
                                      const serving::EngineSpec &Engine,
                                      const serving::ModelSpec &Model) const;
-  /// Its replicas have more requests than they serve without much waiting.
-  bool isOverloaded(const std::string &Model,
-                    const serving::EngineSpec &Engine) const;
   /// Requests of the model may be running.
   bool isInUse(const std::string &Model) const;
   int otherReplicas(std::string_view Model) const;
--- a/Source/Core/Host/SwapServiceReplicas.cpp
+++ b/Source/Core/Host/SwapServiceReplicas.cpp
@@ -14,9 +14,6 @@
 constexpr milliseconds LeastReliefPause{100};
 /// Each zone may add a replica of a model for this long, then the next one.
 constexpr milliseconds TurnTime{2000};
-/// Requests per second that one endpoint serves without much waiting, for each
-/// of its slots.
-constexpr double RatePerSlot = 0.5;
 /// Beyond this utilization requests pile up: no zone waits for its turn, and
 /// the weight store is better used for this than for a model that is rare.
 constexpr double GraveUtilization = 1;
@@ -75,7 +72,7 @@
       [this](std::string_view Model) {
         return m_RecentDemand.rate(Model, now());
       },
-      RatePerSlot * Engine.m_Slots);
+      serving::comfortableRate(Engine.m_Slots));
   for (const serving::Overload &Item : Load.overloads()) {
     const serving::ModelSpec *Model = Engine.find(Item.m_Model);
     const bool Grave = Item.m_AtRisk || Item.m_Utilization > GraveUtilization;
@@ -83,15 +80,15 @@
         Item.m_Utilization > GraveUtilization || isTurnOf(Zone, Item.m_Model);
     if (!Model || !Due || loadingUntil(Item.m_Model))
       continue;
-    SwapWish Wish;
-    Wish.m_Key = {Zone, Service, {Item.m_Model, {}}};
-    Wish.m_MayLoadRemote = Grave;
-    Wish.m_Replica = true;
-    Wish.m_WorthSeconds = Item.m_ReliefSeconds;
-    Wish.m_MayUse = [&Load, &Item](const EndpointId &Id) {
+    SwapRequest Request;
+    Request.m_Key = {Zone, Service, {Item.m_Model, {}}};
+    Request.m_MayLoadRemote = Grave;
+    Request.m_Replica = true;
+    Request.m_WorthSeconds = Item.m_ReliefSeconds;
+    Request.m_MayUse = [&Load, &Item](const EndpointId &Id) {
       return Load.relieves(Id, Item);
     };
-    if (startSwap(Wish, Engine, *Model))
+    if (startSwap(Request, Engine, *Model))
       log::entry(Part, "model.overloaded", Item.m_Model,
                  {{"utilization", Item.m_Utilization},
                   {"at_risk", Item.m_AtRisk},
