--- a/Source/ProcessTests/Support/ChildProcess.cpp
+++ b/Source/ProcessTests/Support/ChildProcess.cpp
@@ -92,7 +92,6 @@
   if (waitForExit(ShutdownLimit))
     return;
   kill();
-  reap(0);
 }
 
 void ChildProcess::reap(int Options) {
@@ -115,7 +114,12 @@
     ::kill(m_Pid, Signal);
 }
 
-void ChildProcess::kill() { signal(SIGKILL); }
+void ChildProcess::kill() {
+  signal(SIGKILL);
+  // Until it is gone the kernel still accepts connections for it.
+  reap(0);
+}
+
 void ChildProcess::terminate() { signal(SIGTERM); }
 void ChildProcess::pause() { signal(SIGSTOP); }
 void ChildProcess::resume() { signal(SIGCONT); }
--- a/Source/ProcessTests/Support/ChildProcess.h
+++ b/Source/ProcessTests/Support/ChildProcess.h
@@ -38,7 +38,7 @@
   pid_t pid() const { return m_Pid; }
   bool isRunning();
   void signal(int Signal);
-  /// Ends it at once, as a crash would.
+  /// Ends it at once, as a crash would, and returns when it is gone.
   void kill();
   /// Asks it to shut down. Does not wait.
   void terminate();
--- a/Source/UnitTests/Core/Serving/SwapPlannerTest.cpp
+++ b/Source/UnitTests/Core/Serving/SwapPlannerTest.cpp
@@ -6,7 +6,6 @@
 namespace sff::serving {
 namespace {
 
-constexpr Instant Start{std::chrono::hours(1)};
 constexpr double ModelMb = 70000;
 constexpr double CapacityMb = 220000;
 
