Load a model only where the endpoint still holds its slot

Cause of the red RightsTest: a controller remembers a router's demand for some seconds and loaded the model for it although its slot had been released; the next plan unloaded it as unwanted, and so on (11 times in two seconds), and when the count rose to 1 two endpoints held the model. planLoads now asks for the slot.

--- a/Source/Core/Core/Control/OwnedEndpointOrders.cpp
+++ b/Source/Core/Core/Control/OwnedEndpointOrders.cpp
@@ -205,8 +205,10 @@
         Base && stateOf(Spec.m_Base) != ReplicaState::Ready ? Spec.m_Base
                                                             : Entry;
     const catalogue::EntrySpec &TargetSpec = Target == Entry ? Spec : *Base;
+    // A demand may be older than the release of the slot.
     if (stateOf(Target) != ReplicaState::Cold || Leaving.contains(Target) ||
-        isReleasePending(State, Target))
+        isReleasePending(State, Target) ||
+        !State.holdsSlotAt(Target, m_Info.m_Endpoint))
       continue;
     if (addLoad(Target, TargetSpec, Demand, Now, Out))
       continue;
--- a/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
+++ b/Source/UnitTests/Core/Control/OwnedEndpointTest.cpp
@@ -313,6 +313,22 @@
   EXPECT_EQ(plan().size(), 1u);
 }
 
+// Guards against a replica beyond the count: a request that came before the
+// slot was released made the controller load and unload the model in turn (11
+// times in two seconds in RightsTest.LoweredCountUnloads*).
+TEST_F(OwnedEndpointTest, DemandWithoutASlotLoadsNothing) {
+  takeOver();
+  addModel("a", 100);
+  EXPECT_FALSE(borrow("a"));
+  const fold::Slot Slot = *m_State.findSlot(EntryName("a"), 0);
+  m_State.apply(
+      nextOffset(),
+      fold::SlotRelease{makeId<RecordId>(),
+                        Self,
+                        {{EntryName("a"), 0, {}, Slot.m_Offset, Token}}});
+  EXPECT_TRUE(plan().empty());
+}
+
 TEST_F(OwnedEndpointTest, NewVersionReplacesTheLoadedOne) {
   takeOver();
   addModel("a", 100);
