Share metrics, body parsing, header names, addresses and times

The copy in callPeer threw at a value of another type, which ended the coroutine that asks for a model, so the host never asked for it again (BodyTest). The log's client logs an answer that it cannot read, which it swallowed. - http::sameName serves headers, the adapter and the router; fromSeconds the places that cast by hand; HostState::addressOf the four that parsed an endpoint's address; Catalogue::findModel the three that looked it up in two steps; the memory of the rates of models is stated once. - The load of an engine's endpoints is worked out once for all zones of a holder; the permit for a load is taken only when the load can start. - Gone: ResponseStream::reused(), which nothing called, a flag that the page key tells, a default time that stood for never.

--- a/Source/Core/Common/Logging/Log.cpp
+++ b/Source/Core/Common/Logging/Log.cpp
@@ -75,6 +75,8 @@
 /// JSON object; other libraries' messages are wrapped as text.
 class JsonLinesSink : public google::LogSink {
 public:
+  explicit JsonLinesSink(LineWriter &Writer) : m_Writer(Writer) {}
+
   void send(google::LogSeverity Severity, const char *, const char *, int,
             const google::LogMessageTime &, const char *Message,
             size_t Length) override {
@@ -96,9 +98,6 @@
   }
 
   LineWriter &m_Writer;
-
-public:
-  explicit JsonLinesSink(LineWriter &Writer) : m_Writer(Writer) {}
 };
 
 struct State {
--- a/Source/Core/Controller/EndpointClient.cpp
+++ b/Source/Core/Controller/EndpointClient.cpp
@@ -1,11 +1,9 @@
 #include "Controller/EndpointClient.h"
 
-#include "Common/Codec/Codec.h"
-#include "Common/Logging/Log.h"
+#include "Net/Http/Body.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/leaf/handle_errors.hpp>
 
 namespace sff::controller {
 
@@ -26,24 +24,6 @@
   }
 };
 
-template <typename T>
-std::optional<T> parseAnswer(const http::SendResult &Result) {
-  const auto *Answer = std::get_if<http::Response>(&Result);
-  if (!Answer || Answer->m_Status != 200)
-    return std::nullopt;
-  return boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<std::optional<T>> {
-        BOOST_LEAF_AUTO(Value, codec::parseJson<T>(Answer->m_Body));
-        return std::optional<T>(std::move(Value));
-      },
-      [](const codec::DecodeError &Error) {
-        log::warning(log::Category::Platform, "answer.undecodable",
-                     {{"detail", Error.m_Detail}});
-        return std::optional<T>();
-      },
-      [] { return std::optional<T>(); });
-}
-
 bool isBusy(const std::string &Body) {
   const auto Parsed = nlohmann::json::parse(Body, nullptr, false);
   return Parsed.is_object() && Parsed.value("reason", "") == "busy";
@@ -121,7 +101,8 @@
         if (Mode == Caching::EntityTag && Answer && Answer->m_Status == 200)
           m_HostListTag = Answer->m_Headers.find("ETag").value_or("");
         m_Control.postCompletion(
-            [Done, Value = parseAnswer<T>(Result)] { Done(Value); });
+            [Done, Value = http::parseAnswer<T>(
+                       Result, log::Category::Platform)] { Done(Value); });
       },
       asio::detached);
 }
--- a/Source/Core/Core/Serving/Catalogue.cpp
+++ b/Source/Core/Core/Serving/Catalogue.cpp
@@ -76,6 +76,12 @@
   return Found && Found->m_Engine ? &*Found->m_Engine : nullptr;
 }
 
+const ModelSpec *Catalogue::findModel(std::string_view ServiceName,
+                                      std::string_view Model) const {
+  const EngineSpec *Engine = findEngine(ServiceName);
+  return Engine ? Engine->find(Model) : nullptr;
+}
+
 ModelName ModelName::parse(std::string_view Text) {
   const auto Slash = Text.find('/');
   if (Slash == std::string_view::npos)
--- a/Source/Core/Core/Serving/Catalogue.h
+++ b/Source/Core/Core/Serving/Catalogue.h
@@ -92,6 +92,9 @@
   const Service *findService(std::string_view Name) const;
   /// The engine of a service that runs models.
   const EngineSpec *findEngine(std::string_view ServiceName) const;
+  /// A model of such a service.
+  const ModelSpec *findModel(std::string_view ServiceName,
+                             std::string_view Model) const;
   /// Builds the index of findRoute(). Call once, after the routes are set.
   void buildIndex();
 
--- a/Source/Core/Core/Serving/DemandRates.h
+++ b/Source/Core/Core/Serving/DemandRates.h
@@ -12,6 +12,9 @@
 /// Thread safety: none.
 class DemandRates {
 public:
+  /// Long enough that a rare model has had some requests in it.
+  static constexpr milliseconds UsualMemory{20000};
+
   explicit DemandRates(Duration Memory) : m_Memory(Memory) {}
 
   void add(std::string_view Model, double Requests, Instant Now);
--- a/Source/Core/Core/Serving/ReleaseWatch.cpp
+++ b/Source/Core/Core/Serving/ReleaseWatch.cpp
@@ -7,11 +7,15 @@
 /// Steps of one replacement follow each other within this time.
 constexpr std::chrono::seconds StepTime{8};
 
+bool isRecent(std::optional<Instant> Event, Instant Now) {
+  return Event && Now - *Event <= StepTime;
+}
+
 } // namespace
 
 void ReleaseWatch::onAdded(const std::string &Service, Instant Now) {
   Wave &Known = m_Waves[Service];
-  if (Known.m_FirstAdded == Instant() || Now - Known.m_LastAdded > StepTime)
+  if (!isRecent(Known.m_LastAdded, Now))
     Known.m_FirstAdded = Now;
   Known.m_LastAdded = Now;
 }
@@ -26,11 +30,8 @@
   if (Known == m_Waves.end())
     return false;
   const Wave &Latest = Known->second;
-  const bool Adds =
-      Latest.m_LastAdded != Instant() && Now - Latest.m_LastAdded <= StepTime;
-  const bool Leaves = Latest.m_LastLeaving != Instant() &&
-                      Now - Latest.m_LastLeaving <= StepTime;
-  return Adds && Leaves && AddedAt < Latest.m_FirstAdded;
+  return isRecent(Latest.m_LastAdded, Now) &&
+         isRecent(Latest.m_LastLeaving, Now) && AddedAt < *Latest.m_FirstAdded;
 }
 
 } // namespace sff::serving
--- a/Source/Core/Core/Serving/ReleaseWatch.h
+++ b/Source/Core/Core/Serving/ReleaseWatch.h
@@ -3,6 +3,7 @@
 #include "Common/Time/Instant.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace sff::serving {
@@ -21,9 +22,10 @@
 
 private:
   struct Wave {
-    Instant m_FirstAdded; ///< Of additions that follow each other closely.
-    Instant m_LastAdded;
-    Instant m_LastLeaving;
+    /// Of additions that follow each other closely.
+    std::optional<Instant> m_FirstAdded;
+    std::optional<Instant> m_LastAdded;
+    std::optional<Instant> m_LastLeaving;
   };
 
   std::map<std::string, Wave> m_Waves;
--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -80,10 +80,8 @@
 std::vector<DemandRouter::ZoneChoice>
 DemandRouter::zonesFor(const std::string &Service,
                        const serving::ModelName &Name) const {
-  const auto Catalogue = m_State.m_Catalogue;
-  const serving::EngineSpec *Engine = Catalogue->findEngine(Service);
   const serving::ModelSpec *Model =
-      Engine ? Engine->find(Name.m_Model) : nullptr;
+      m_State.m_Catalogue->findModel(Service, Name.m_Model);
   std::map<ZoneId, double> Seconds;
   if (Model)
     for (const serving::Endpoint *Item : m_State.m_Endpoints.serving(Service)) {
@@ -207,8 +205,7 @@
 Task<void> DemandRouter::obtain(std::string Service, serving::ModelName Name,
                                 std::int64_t Rank, Instant Until) {
   const auto Zones = zonesFor(Service, Name);
-  const auto *Engine = m_State.m_Catalogue->findEngine(Service);
-  const auto *Model = Engine ? Engine->find(Name.m_Model) : nullptr;
+  const auto *Model = m_State.m_Catalogue->findModel(Service, Name.m_Model);
   ModelDemand Demand;
   Demand.m_Service = Service;
   Demand.m_Model = Name.m_Model;
@@ -224,14 +221,13 @@
   const DemandAnswer Answer =
       co_await askZones(std::move(Demand), Zones, Until);
   if (Answer.m_Status == DemandStatus::Ready) {
-    m_ReadyAt.erase(Name.m_Model);
     m_State.m_Endpoints.noteHeld(Answer.m_Endpoint, {Name.m_Model, {}}, now());
     if (!Name.m_Adapter.empty())
       m_State.m_Endpoints.noteHeld(Answer.m_Endpoint, Name, now());
   } else {
     co_await sleepFor(AskPause);
-    m_ReadyAt.erase(Name.m_Model);
   }
+  m_ReadyAt.erase(Name.m_Model);
   m_Asked.erase(Name);
   m_State.m_Changed.notifyAll();
 }
--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -1,6 +1,7 @@
 #include "Host/Host.h"
 
 #include "Common/Process/Program.h"
+#include "Net/Http/Body.h"
 
 #include <boost/leaf/handle_errors.hpp>
 
@@ -28,14 +29,9 @@
 constexpr milliseconds PoolIdle{8000};
 
 template <typename Message>
-std::optional<Message> parseMessage(const std::string &Body) {
-  try {
-    return nlohmann::json::parse(Body).get<Message>();
-  } catch (const nlohmann::json::exception &Error) {
-    log::warning(log::Category::Peer, "peer.message_unreadable",
-                 {{"detail", Error.what()}});
-    return std::nullopt;
-  }
+std::optional<Message> parseMessage(const http::Request &Incoming) {
+  return http::parseBody<Message>(Incoming.m_Body, log::Category::Peer,
+                                  "peer.message_unreadable");
 }
 
 http::ServerLimits internalLimits() {
@@ -123,13 +119,13 @@
 Task<void> Host::handlePeer(http::Request Incoming, http::Exchange &Caller) {
   nlohmann::json Answer;
   if (Incoming.path() == DemandPath) {
-    if (auto Demand = parseMessage<ModelDemand>(Incoming.m_Body))
+    if (auto Demand = parseMessage<ModelDemand>(Incoming))
       Answer = co_await m_Swaps.handle(std::move(*Demand));
   } else if (Incoming.path() == UsagePath) {
-    if (const auto Report = parseMessage<UsageReport>(Incoming.m_Body))
+    if (const auto Report = parseMessage<UsageReport>(Incoming))
       Answer = m_Swaps.onUsage(*Report);
   } else if (Incoming.path() == InventoryPath) {
-    if (const auto Notice = parseMessage<InventoryNotice>(Incoming.m_Body)) {
+    if (const auto Notice = parseMessage<InventoryNotice>(Incoming)) {
       m_Notifier.onNotice(*Notice);
       Answer = Received{};
     }
@@ -142,10 +138,7 @@
 }
 
 Task<void> Host::handleMetrics(http::Request, http::Exchange &Caller) {
-  http::Response Answer;
-  Answer.m_Headers.set("Content-Type", "text/plain; version=0.0.4");
-  Answer.m_Body = m_State.m_Metrics.serialize();
-  co_await Caller.respond(std::move(Answer));
+  co_await Caller.respond(m_State.m_Metrics.answer());
 }
 
 Task<void> Host::followLimits() {
@@ -194,10 +187,8 @@
 
 Task<void> Host::stop() {
   const Instant Start = now();
-  const std::chrono::duration<double> Grace(
-      m_State.m_Settings.get(GraceSetting));
   const Instant Latest =
-      Start + std::chrono::duration_cast<Duration>(Grace) - ExitMargin;
+      Start + fromSeconds(m_State.m_Settings.get(GraceSetting)) - ExitMargin;
   m_Draining = true;
   log::info(Part, "process.stopping",
             {{"requests", m_Callers.activeRequests()},
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -1,17 +1,9 @@
 #include "Host/HostMetrics.h"
 
-#include <prometheus/text_serializer.h>
-
 namespace sff::host {
 
 namespace {
 
-prometheus::Family<prometheus::Counter> &
-counterFamily(prometheus::Registry &Registry, const std::string &Name,
-              const std::string &Help) {
-  return prometheus::BuildCounter().Name(Name).Help(Help).Register(Registry);
-}
-
 prometheus::Histogram::BucketBoundaries latencyBuckets() {
   return {0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 3, 5, 10, 20};
 }
@@ -19,49 +11,34 @@
 } // namespace
 
 HostMetrics::HostMetrics()
-    : m_Requests(counterFamily(m_Registry, "sff_host_requests_total",
-                               "Requests of callers by outcome")),
-      m_Orders(counterFamily(m_Registry, "sff_host_orders_total",
-                             "Orders to endpoints by result")),
-      m_StoreCalls(counterFamily(m_Registry, "sff_host_store_calls_total",
-                                 "Calls to the store by call and result")),
+    : m_Requests(m_Set.counterFamily("sff_host_requests_total",
+                                     "Requests of callers by outcome")),
+      m_Orders(m_Set.counterFamily("sff_host_orders_total",
+                                   "Orders to endpoints by result")),
+      m_StoreCalls(
+          m_Set.counterFamily("sff_host_store_calls_total",
+                              "Calls to the store by call and result")),
       m_Durations(histogram("sff_host_request_seconds",
                             "Time from a request to the end of its answer")),
       m_FirstByte(histogram("sff_host_first_byte_seconds",
                             "Time from a request to the head of its answer")),
       m_Swaps(histogram("sff_host_swap_seconds",
                         "Time from the plan of a load to its end")),
-      m_Retries(counter("sff_host_retries_total",
-                        "Requests sent to a further endpoint")),
-      m_Resumes(counter("sff_host_resumes_total",
-                        "Streams that went on at another endpoint")),
-      m_Unreadable(counter("sff_host_unreadable_records_total",
-                           "Records of the store that were not understood")),
-      m_Endpoints(gauge("sff_host_endpoints", "Known endpoints")),
-      m_CatalogueVersion(gauge("sff_host_catalogue_version",
-                               "Version of the configuration in force")) {}
-
-prometheus::Counter &HostMetrics::counter(const std::string &Name,
-                                          const std::string &Help) {
-  return counterFamily(m_Registry, Name, Help).Add({});
+      m_Retries(m_Set.counter("sff_host_retries_total",
+                              "Requests sent to a further endpoint")),
+      m_Resumes(m_Set.counter("sff_host_resumes_total",
+                              "Streams that went on at another endpoint")),
+      m_Unreadable(
+          m_Set.counter("sff_host_unreadable_records_total",
+                        "Records of the store that were not understood")),
+      m_Endpoints(m_Set.gauge("sff_host_endpoints", "Known endpoints")),
+      m_CatalogueVersion(m_Set.gauge("sff_host_catalogue_version",
+                                     "Version of the configuration in force")) {
 }
 
 prometheus::Histogram &HostMetrics::histogram(const std::string &Name,
                                               const std::string &Help) {
-  return prometheus::BuildHistogram()
-      .Name(Name)
-      .Help(Help)
-      .Register(m_Registry)
-      .Add({}, latencyBuckets());
-}
-
-prometheus::Gauge &HostMetrics::gauge(const std::string &Name,
-                                      const std::string &Help) {
-  return prometheus::BuildGauge()
-      .Name(Name)
-      .Help(Help)
-      .Register(m_Registry)
-      .Add({});
+  return m_Set.histogramFamily(Name, Help).Add({}, latencyBuckets());
 }
 
 void HostMetrics::observe(prometheus::Histogram &Into, Duration Taken) {
@@ -96,8 +73,4 @@
   m_CatalogueVersion.Set(static_cast<double>(Version));
 }
 
-std::string HostMetrics::serialize() const {
-  return prometheus::TextSerializer().Serialize(m_Registry.Collect());
-}
-
 } // namespace sff::host
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -1,11 +1,7 @@
 #pragma once
 
 #include "Common/Time/Instant.h"
-
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/histogram.h>
-#include <prometheus/registry.h>
+#include "Net/Metrics/MetricSet.h"
 
 #include <string>
 #include <string_view>
@@ -32,17 +28,14 @@
   void setCatalogueVersion(std::int64_t Version);
 
   /// All metrics in the text format.
-  std::string serialize() const;
+  http::Response answer() const { return m_Set.answer(); }
 
 private:
   static void observe(prometheus::Histogram &Into, Duration Taken);
-  prometheus::Counter &counter(const std::string &Name,
-                               const std::string &Help);
   prometheus::Histogram &histogram(const std::string &Name,
                                    const std::string &Help);
-  prometheus::Gauge &gauge(const std::string &Name, const std::string &Help);
 
-  prometheus::Registry m_Registry;
+  metrics::MetricSet m_Set;
   prometheus::Family<prometheus::Counter> &m_Requests;
   prometheus::Family<prometheus::Counter> &m_Orders;
   prometheus::Family<prometheus::Counter> &m_StoreCalls;
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -12,13 +12,10 @@
 /// Fingerprints of requests that crashed endpoints, and how long they count.
 constexpr std::size_t MaxFingerprints = 1000;
 constexpr milliseconds FingerprintPeriod{60000};
-/// Time over which the rates of models are averaged.
-constexpr milliseconds DemandMemory{20000};
 
 serving::RetryBounds retryBounds(const settings::Settings &Values) {
-  const std::chrono::duration<double> Window(Values.get(RetryWindowSetting));
   return {Values.get(RetryRatioSetting), Values.get(RetryExtraSetting),
-          std::chrono::duration_cast<Duration>(Window)};
+          fromSeconds(Values.get(RetryWindowSetting))};
 }
 
 } // namespace
@@ -37,7 +34,7 @@
       m_Zone(m_Identity.m_Zone), m_Platform(std::move(Adapter)),
       m_Http(Context.get_executor()), m_Chooser(m_Zone, std::random_device{}()),
       m_Quarantine(MaxFingerprints, FingerprintPeriod),
-      m_OwnDemand(DemandMemory) {}
+      m_OwnDemand(serving::DemandRates::UsualMemory) {}
 
 serving::SharedRetryBudget &HostState::budget(const std::string &Service) {
   const auto Found = m_Budgets.find(Service);
@@ -54,6 +51,12 @@
     Budget.setHosts(Hosts);
 }
 
+std::optional<http::Address> HostState::addressOf(const EndpointId &Id) const {
+  const serving::Endpoint *Known = m_Endpoints.find(Id);
+  return Known ? http::Address::parse(Known->m_Registered.m_Address)
+               : std::nullopt;
+}
+
 void HostState::onEndpointDown(const EndpointId &Id) {
   for (const std::string &Fingerprint : m_CrashWatch.onDown(Id, now())) {
     const auto Crashes = m_Quarantine.onCrash(Fingerprint, now());
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -40,6 +40,8 @@
   /// The number of hosts that share the retry budget has changed.
   void setHosts(std::size_t Hosts);
   std::size_t hosts() const { return m_Hosts; }
+  /// Where a known endpoint is reached.
+  std::optional<http::Address> addressOf(const EndpointId &Id) const;
   /// The endpoint refuses connections or has started anew: requests that were
   /// lost with it are suspects.
   void onEndpointDown(const EndpointId &Id);
--- a/Source/Core/Host/PeerCall.h
+++ b/Source/Core/Host/PeerCall.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "Common/Logging/Log.h"
 #include "Host/PeerMessages.h"
 #include "Host/Ports.h"
-#include "Net/Http/Client.h"
+#include "Net/Http/Body.h"
 
 #include <optional>
 #include <string>
@@ -39,10 +38,7 @@
                   {"detail", Failure ? Failure->m_Detail : "status"}});
     co_return std::nullopt;
   }
-  const auto Parsed = nlohmann::json::parse(Received->m_Body, nullptr, false);
-  if (Parsed.is_discarded())
-    co_return std::nullopt;
-  co_return Parsed.get<Answer>();
+  co_return http::parseBody<Answer>(Received->m_Body, log::Category::Peer);
 }
 
 } // namespace sff::host
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -187,9 +187,7 @@
     co_await sleepFor(FullPause * std::max(1, m_History.sends()));
     co_return Step::TryAgain;
   }
-  const std::string Address =
-      m_State.m_Endpoints.find(*Chosen)->m_Registered.m_Address;
-  co_return co_await attempt(*Chosen, Address);
+  co_return co_await attempt(*Chosen);
 }
 
 Task<RequestSession::Step> RequestSession::waitForModel() {
@@ -295,9 +293,8 @@
          m_State.budget(m_Service->m_Name).tryRetry(now());
 }
 
-Task<RequestSession::Step> RequestSession::attempt(EndpointId Id,
-                                                   std::string Address) {
-  const auto Remote = http::Address::parse(Address);
+Task<RequestSession::Step> RequestSession::attempt(EndpointId Id) {
+  const auto Remote = m_State.addressOf(Id);
   if (!Remote) {
     m_History.exclude(Id);
     co_return Step::TryAgain;
@@ -371,12 +368,8 @@
   const bool Silent = Result == serving::CallResult::Silent;
   if (!Silent)
     m_State.m_CrashWatch.onBroken(Id, m_Fingerprint, now());
-  if (Silent) {
-    if (const serving::Endpoint *Known = m_State.m_Endpoints.find(Id))
-      if (const auto Remote =
-              http::Address::parse(Known->m_Registered.m_Address))
-        m_State.m_Http.dropIdle(*Remote);
-  }
+  if (const auto Remote = m_State.addressOf(Id); Silent && Remote)
+    m_State.m_Http.dropIdle(*Remote);
   logStep("request.broken",
           {{"endpoint", Id}, {"silent", Silent}, {"detail", Detail}});
   if (m_Route->isIdempotent() && m_History.mayRunElsewhere())
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -54,7 +54,7 @@
   Task<Step> serveOnce();
   std::vector<const serving::Endpoint *> candidates() const;
   Task<Step> waitForModel();
-  Task<Step> attempt(EndpointId Id, std::string Address);
+  Task<Step> attempt(EndpointId Id);
   Task<Step> onOpenFailed(EndpointId Id, http::TransportFailure Failure);
   Task<Step> onNotRun(EndpointId Id, AnswerFacts Facts, int Status);
   Task<Step> onHead(EndpointId Id, OpenStream Answer);
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -8,8 +8,7 @@
 
 constexpr auto Part = log::Category::Loading;
 
-/// Time over which the rates of models are averaged.
-constexpr milliseconds DemandMemory{20000};
+/// Short enough to notice a jump in the demand.
 constexpr milliseconds RecentMemory{4000};
 /// A model with a request this recently has requests running.
 constexpr milliseconds InUsePeriod{1000};
@@ -38,7 +37,8 @@
 SwapService::SwapService(HostState &State, OrderRights &Rights,
                          InventoryNotifier &Notifier)
     : m_State(State), m_Rights(Rights), m_Notifier(Notifier),
-      m_Demand(DemandMemory), m_RecentDemand(RecentMemory) {}
+      m_Demand(serving::DemandRates::UsualMemory),
+      m_RecentDemand(RecentMemory) {}
 
 void SwapService::start() { m_State.spawn("watch_load", watchLoad()); }
 
@@ -51,7 +51,9 @@
       ++Replicas[Model.m_Name];
   for (const auto &[Model, Count] : Replicas)
     if (Count > 1)
-      m_Demand.add(Model, Count * AssumedReplicaRate * toSeconds(DemandMemory),
+      m_Demand.add(Model,
+                   Count * AssumedReplicaRate *
+                       toSeconds(serving::DemandRates::UsualMemory),
                    now());
 }
 
@@ -141,10 +143,9 @@
   if (const auto Holding = findHolding(Key))
     return DemandAnswer{DemandStatus::Ready, *Holding, 0};
   const auto Catalogue = m_State.m_Catalogue;
-  const serving::EngineSpec *Engine =
-      Catalogue ? Catalogue->findEngine(Key.m_Service) : nullptr;
   const serving::ModelSpec *Model =
-      Engine ? Engine->find(Key.m_Name.m_Model) : nullptr;
+      Catalogue ? Catalogue->findModel(Key.m_Service, Key.m_Name.m_Model)
+                : nullptr;
   if (!Model)
     return DemandAnswer{DemandStatus::Impossible, {}, 0};
   if (!Demand.m_WantsEstimate)
@@ -253,7 +254,7 @@
   if (!Best)
     return false;
   Work &Known = m_Work[Best->id()];
-  const auto Address = http::Address::parse(Best->m_Registered.m_Address);
+  const auto Address = m_State.addressOf(Best->id());
   if (Known.m_Busy || now() < Known.m_RestUntil || !Address)
     return true;
   Known.m_Busy = true;
@@ -319,19 +320,16 @@
   // Evicting what others are about to ask for must be worth it.
   if (Plan->m_Cost - Plan->m_LoadSeconds > Request.m_WorthSeconds)
     return false;
+  const auto Address = m_State.addressOf(Plan->m_Endpoint);
+  if (!Address)
+    return false;
   if (Plan->m_Location == loading::WeightLocation::Remote &&
       !takeRemoteLoad(Engine, Model))
     return false;
-  const serving::Endpoint *Chosen = m_State.m_Endpoints.find(Plan->m_Endpoint);
-  const auto Address = http::Address::parse(Chosen->m_Registered.m_Address);
-  if (!Address)
-    return false;
   Work &Known = m_Work[Plan->m_Endpoint];
   Known.m_Busy = true;
   Known.m_Loading = Model.m_Name;
-  Known.m_ReadyAt =
-      now() + std::chrono::duration_cast<Duration>(
-                  std::chrono::duration<double>(Plan->m_LoadSeconds));
+  Known.m_ReadyAt = now() + fromSeconds(Plan->m_LoadSeconds);
   log::entry(Part, "swap.planned", Model.m_Name,
              {{"endpoint", Plan->m_Endpoint},
               {"evict", Plan->m_Evict},
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -94,8 +94,13 @@
   Task<void> watchLoad();
   /// Starts replicas of overloaded models in the zones of this holder.
   void relieveOverloads();
-  void relieveZone(const std::string &Service,
-                   const serving::EngineSpec &Engine, const ZoneId &Zone);
+  void relieveService(const std::string &Service,
+                      const serving::EngineSpec &Engine,
+                      std::span<const ZoneId> Zones);
+  /// Starts a replica of the model in the zone, if it is due there.
+  void relieve(const serving::Overload &Item, const serving::EngineLoad &Load,
+               const serving::DemandKey &Key,
+               const serving::EngineSpec &Engine);
   std::vector<serving::EndpointPlacement>
   placementsOf(const std::string &Service) const;
   /// The zones take turns, so that not all of them add a replica at once.
--- a/Source/Core/Host/SwapServiceReplicas.cpp
+++ b/Source/Core/Host/SwapServiceReplicas.cpp
@@ -32,10 +32,15 @@
   if (!Catalogue || now() - m_RelievedAt < LeastReliefPause)
     return;
   m_RelievedAt = now();
+  std::vector<ZoneId> Zones;
+  for (const std::string &Zone : m_State.m_Settings.get(ZonesSetting))
+    if (m_Rights.mayOrder(ZoneId(Zone)))
+      Zones.emplace_back(Zone);
+  if (Zones.empty())
+    return;
   for (const auto &[Name, Service] : Catalogue->m_Services)
-    for (const std::string &Zone : m_State.m_Settings.get(ZonesSetting))
-      if (Service.m_Engine && m_Rights.mayOrder(ZoneId(Zone)))
-        relieveZone(Name, *Service.m_Engine, ZoneId(Zone));
+    if (Service.m_Engine)
+      relieveService(Name, *Service.m_Engine, Zones);
 }
 
 std::vector<serving::EndpointPlacement>
@@ -63,9 +68,9 @@
   return (now().time_since_epoch() / TurnTime + Offset) % Zones == 0;
 }
 
-void SwapService::relieveZone(const std::string &Service,
-                              const serving::EngineSpec &Engine,
-                              const ZoneId &Zone) {
+void SwapService::relieveService(const std::string &Service,
+                                 const serving::EngineSpec &Engine,
+                                 std::span<const ZoneId> Zones) {
   const auto Placements = placementsOf(Service);
   const serving::EngineLoad Load(
       Placements,
@@ -73,28 +78,35 @@
         return m_RecentDemand.rate(Model, now());
       },
       serving::comfortableRate(Engine.m_Slots));
-  for (const serving::Overload &Item : Load.overloads()) {
-    const serving::ModelSpec *Model = Engine.find(Item.m_Model);
-    const bool Grave = Item.m_AtRisk || Item.m_Utilization > GraveUtilization;
-    const bool Due =
-        Item.m_Utilization > GraveUtilization || isTurnOf(Zone, Item.m_Model);
-    if (!Model || !Due || loadingUntil(Item.m_Model))
-      continue;
-    SwapRequest Request;
-    Request.m_Key = {Zone, Service, {Item.m_Model, {}}};
-    Request.m_MayLoadRemote = Grave;
-    Request.m_Replica = true;
-    Request.m_WorthSeconds = Item.m_ReliefSeconds;
-    Request.m_MayUse = [&Load, &Item](const EndpointId &Id) {
-      return Load.relieves(Id, Item);
-    };
-    if (startSwap(Request, Engine, *Model))
-      log::entry(Part, "model.overloaded", Item.m_Model,
-                 {{"utilization", Item.m_Utilization},
-                  {"at_risk", Item.m_AtRisk},
-                  {"relief_s", Item.m_ReliefSeconds},
-                  {"zone", Zone}});
-  }
+  const auto Overloads = Load.overloads();
+  for (const ZoneId &Zone : Zones)
+    for (const serving::Overload &Item : Overloads)
+      relieve(Item, Load, {Zone, Service, {Item.m_Model, {}}}, Engine);
+}
+
+void SwapService::relieve(const serving::Overload &Item,
+                          const serving::EngineLoad &Load,
+                          const serving::DemandKey &Key,
+                          const serving::EngineSpec &Engine) {
+  const serving::ModelSpec *Model = Engine.find(Item.m_Model);
+  const bool Overfull = Item.m_Utilization > GraveUtilization;
+  const bool Due = Overfull || isTurnOf(Key.m_Zone, Item.m_Model);
+  if (!Model || !Due || loadingUntil(Item.m_Model))
+    return;
+  SwapRequest Request;
+  Request.m_Key = Key;
+  Request.m_MayLoadRemote = Overfull || Item.m_AtRisk;
+  Request.m_Replica = true;
+  Request.m_WorthSeconds = Item.m_ReliefSeconds;
+  Request.m_MayUse = [&Load, &Item](const EndpointId &Id) {
+    return Load.relieves(Id, Item);
+  };
+  if (startSwap(Request, Engine, *Model))
+    log::entry(Part, "model.overloaded", Item.m_Model,
+               {{"utilization", Item.m_Utilization},
+                {"at_risk", Item.m_AtRisk},
+                {"relief_s", Item.m_ReliefSeconds},
+                {"zone", Key.m_Zone}});
 }
 
 } // namespace sff::host
--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -254,8 +254,6 @@
     m_Connection->m_Stream.socket().close(Ignored);
   }
 
-  bool reused() const override { return m_Reused; }
-
 private:
   void startParser() {
     m_Parser.emplace();
--- a/Source/Core/Net/Http/Client.h
+++ b/Source/Core/Net/Http/Client.h
@@ -87,8 +87,6 @@
   read() = 0;
   /// Closes the connection, which tells the endpoint to stop.
   virtual void close() = 0;
-  /// True when the answer came on a connection that had served others.
-  virtual bool reused() const = 0;
 };
 
 using OpenResult =
--- a/Source/Core/Net/Http/Message.cpp
+++ b/Source/Core/Net/Http/Message.cpp
@@ -7,16 +7,11 @@
 
 namespace sff::http {
 
-namespace {
-
-/// Compares header names without a locale, which would dominate the cost.
 bool sameName(std::string_view Left, std::string_view Right) {
   return boost::beast::iequals({Left.data(), Left.size()},
                                {Right.data(), Right.size()});
 }
 
-} // namespace
-
 void Headers::set(std::string_view Name, std::string Value) {
   for (Header &Item : m_Items)
     if (sameName(Item.m_Name, Name)) {
--- a/Source/Core/Net/Http/Message.h
+++ b/Source/Core/Net/Http/Message.h
@@ -14,6 +14,10 @@
   std::string m_Value;
 };
 
+/// Compares header names as HTTP does, without a locale, which would dominate
+/// the cost. Thread safety: reentrant.
+bool sameName(std::string_view Left, std::string_view Right);
+
 /// Header list; names compare without regard to case.
 /// Thread safety: none.
 class Headers {
--- a/Source/Core/Net/Platform/LogClient.cpp
+++ b/Source/Core/Net/Platform/LogClient.cpp
@@ -1,8 +1,6 @@
 #include "Net/Platform/LogClient.h"
 
-#include "Common/Codec/Codec.h"
-
-#include <boost/leaf/handle_errors.hpp>
+#include "Net/Http/Body.h"
 
 namespace sff::platform {
 
@@ -10,14 +8,7 @@
 
 namespace {
 
-template <typename T> std::optional<T> parseBody(const std::string &Body) {
-  return boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<std::optional<T>> {
-        BOOST_LEAF_AUTO(Value, codec::parseJson<T>(Body));
-        return std::optional<T>(std::move(Value));
-      },
-      [] { return std::optional<T>(); });
-}
+constexpr auto Part = log::Category::Platform;
 
 struct AppendAnswer {
   Offset m_Offset = 0;
@@ -37,7 +28,7 @@
     return {AppendStatus::NotAppended, 0};
   if (Answer.m_Status != 200)
     return {AppendStatus::Unknown, 0};
-  const auto Parsed = parseBody<AppendAnswer>(Answer.m_Body);
+  const auto Parsed = http::parseBody<AppendAnswer>(Answer.m_Body, Part);
   if (!Parsed || Parsed->m_Offset == 0)
     return {AppendStatus::Unknown, 0};
   return {AppendStatus::Appended, Parsed->m_Offset};
@@ -72,10 +63,7 @@
   Options.m_ReadTimeout = Wait + m_Timeout;
   const http::SendResult Result =
       co_await m_Http.send(m_Remote, std::move(Message), Options);
-  const auto *Answer = std::get_if<http::Response>(&Result);
-  if (!Answer || Answer->m_Status != 200)
-    co_return std::nullopt;
-  co_return parseBody<ReadResult>(Answer->m_Body);
+  co_return http::parseAnswer<ReadResult>(Result, Part);
 }
 
 } // namespace sff::platform
--- a/Source/Core/Router/CallerRequest.cpp
+++ b/Source/Core/Router/CallerRequest.cpp
@@ -117,7 +117,7 @@
   http::Headers Result;
   for (const http::Header &Item : Incoming.items()) {
     const auto IsThis = [&](std::string_view Own) {
-      return boost::algorithm::iequals(Own, Item.m_Name);
+      return http::sameName(Own, Item.m_Name);
     };
     if (std::none_of(OwnHeaders.begin(), OwnHeaders.end(), IsThis))
       Result.set(Item.m_Name, Item.m_Value);
--- a/Source/Core/Router/FrontEnd.cpp
+++ b/Source/Core/Router/FrontEnd.cpp
@@ -99,10 +99,7 @@
   Metrics.running().Set(static_cast<double>(Figures.m_Running));
   Metrics.logReachable().Set(Figures.m_LogReachable ? 1 : 0);
   Metrics.appliedOffset().Set(static_cast<double>(Figures.m_AppliedOffset));
-  http::Response Answer;
-  Answer.m_Headers.set("Content-Type", "text/plain; version=0.0.4");
-  Answer.m_Body = Metrics.serialize();
-  co_await Caller.respond(std::move(Answer));
+  co_await Caller.respond(Metrics.answer());
 }
 
 FrontEnd::Task<void> FrontEnd::answerModels(http::Exchange &Caller) {
--- a/Source/Core/Router/RouterMetrics.cpp
+++ b/Source/Core/Router/RouterMetrics.cpp
@@ -2,8 +2,6 @@
 
 #include "Router/OutcomeResponse.h"
 
-#include <prometheus/text_serializer.h>
-
 namespace sff::router {
 
 namespace {
@@ -15,56 +13,35 @@
   return nlohmann::json(Class).get<std::string>();
 }
 
-prometheus::Family<prometheus::Histogram> &
-histogram(prometheus::Registry &Registry, const std::string &Name,
-          const std::string &Help) {
-  return prometheus::BuildHistogram().Name(Name).Help(Help).Register(Registry);
-}
-
 } // namespace
 
 RouterMetrics::RouterMetrics()
-    : m_Requests(prometheus::BuildCounter()
-                     .Name("sff_router_requests_total")
-                     .Help("Requests by class, outcome and reason.")
-                     .Register(m_Registry)),
-      m_Durations(histogram(m_Registry, "sff_router_request_duration_seconds",
-                            "Time from arrival to the end of the answer.")),
-      m_FirstTokens(histogram(m_Registry,
-                              "sff_router_time_to_first_token_seconds",
-                              "Time from arrival to the first token.")),
-      m_Retries(counter("sff_router_retries_total", "Attempts repeated.")),
-      m_Resumes(counter("sff_router_resumes_total", "Streams resumed.")),
-      m_Crashes(counter("sff_router_endpoint_crashes_total",
-                        "Endpoints lost while they ran a request.")),
-      m_Mismatches(counter("sff_router_wrong_answers_total",
-                           "Answers that belonged to another request.")),
-      m_Cancels(counter("sff_router_cancels_total",
-                        "Requests cancelled at an endpoint.")),
-      m_Waiting(gauge("sff_router_waiting_requests", "Requests that wait.")),
-      m_Running(gauge("sff_router_running_requests", "Requests that run.")),
-      m_LogReachable(gauge("sff_router_log_reachable",
-                           "1 while the relay has contact with the log.")),
-      m_AppliedOffset(gauge("sff_router_applied_offset",
-                            "Offset of the control stream in force.")) {}
-
-prometheus::Counter &RouterMetrics::counter(const std::string &Name,
-                                            const std::string &Help) {
-  return prometheus::BuildCounter()
-      .Name(Name)
-      .Help(Help)
-      .Register(m_Registry)
-      .Add({});
-}
-
-prometheus::Gauge &RouterMetrics::gauge(const std::string &Name,
-                                        const std::string &Help) {
-  return prometheus::BuildGauge()
-      .Name(Name)
-      .Help(Help)
-      .Register(m_Registry)
-      .Add({});
-}
+    : m_Requests(m_Set.counterFamily("sff_router_requests_total",
+                                     "Requests by class, outcome and reason.")),
+      m_Durations(
+          m_Set.histogramFamily("sff_router_request_duration_seconds",
+                                "Time from arrival to the end of the answer.")),
+      m_FirstTokens(
+          m_Set.histogramFamily("sff_router_time_to_first_token_seconds",
+                                "Time from arrival to the first token.")),
+      m_Retries(
+          m_Set.counter("sff_router_retries_total", "Attempts repeated.")),
+      m_Resumes(m_Set.counter("sff_router_resumes_total", "Streams resumed.")),
+      m_Crashes(m_Set.counter("sff_router_endpoint_crashes_total",
+                              "Endpoints lost while they ran a request.")),
+      m_Mismatches(m_Set.counter("sff_router_wrong_answers_total",
+                                 "Answers that belonged to another request.")),
+      m_Cancels(m_Set.counter("sff_router_cancels_total",
+                              "Requests cancelled at an endpoint.")),
+      m_Waiting(
+          m_Set.gauge("sff_router_waiting_requests", "Requests that wait.")),
+      m_Running(
+          m_Set.gauge("sff_router_running_requests", "Requests that run.")),
+      m_LogReachable(
+          m_Set.gauge("sff_router_log_reachable",
+                      "1 while the relay has contact with the log.")),
+      m_AppliedOffset(m_Set.gauge("sff_router_applied_offset",
+                                  "Offset of the control stream in force.")) {}
 
 void RouterMetrics::count(catalogue::TrafficClass Class,
                           std::string_view Outcome, std::string_view Reason,
@@ -94,8 +71,4 @@
       .Observe(toSeconds(Taken));
 }
 
-std::string RouterMetrics::serialize() const {
-  return prometheus::TextSerializer().Serialize(m_Registry.Collect());
-}
-
 } // namespace sff::router
--- a/Source/Core/Router/RouterMetrics.h
+++ b/Source/Core/Router/RouterMetrics.h
@@ -2,11 +2,7 @@
 
 #include "Core/Catalogue/EntrySpec.h"
 #include "Core/Execution/Outcome.h"
-
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/histogram.h>
-#include <prometheus/registry.h>
+#include "Net/Metrics/MetricSet.h"
 
 #include <string>
 
@@ -38,16 +34,13 @@
   prometheus::Gauge &appliedOffset() { return m_AppliedOffset; }
 
   /// All metrics in the text format.
-  std::string serialize() const;
+  http::Response answer() const { return m_Set.answer(); }
 
 private:
-  prometheus::Counter &counter(const std::string &Name,
-                               const std::string &Help);
-  prometheus::Gauge &gauge(const std::string &Name, const std::string &Help);
   void count(catalogue::TrafficClass Class, std::string_view Outcome,
              std::string_view Reason, Duration Taken);
 
-  prometheus::Registry m_Registry;
+  metrics::MetricSet m_Set;
   prometheus::Family<prometheus::Counter> &m_Requests;
   prometheus::Family<prometheus::Histogram> &m_Durations;
   prometheus::Family<prometheus::Histogram> &m_FirstTokens;
--- a/Source/StandIns/Support/Wait.cpp
+++ b/Source/StandIns/Support/Wait.cpp
@@ -4,10 +4,7 @@
 
 namespace sff::standin {
 
-Duration RateLimit::interval() const {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(1.0 / m_PerSecond));
-}
+Duration RateLimit::interval() const { return fromSeconds(1.0 / m_PerSecond); }
 
 Duration RateLimit::reserve(Instant Now) {
   if (m_PerSecond <= 0)
--- a/Source/StandIns/WeightStore/WeightService.cpp
+++ b/Source/StandIns/WeightStore/WeightService.cpp
@@ -36,9 +36,8 @@
                                               double Bytes) {
   Instant Last = std::chrono::steady_clock::now();
   while (Bytes > 0) {
-    const std::chrono::duration<double> Whole(Bytes / bytesPerSecond());
     co_await sleepFor(std::min<Duration>(
-        TransferStep, std::chrono::duration_cast<Duration>(Whole)));
+        TransferStep, fromSeconds(Bytes / bytesPerSecond())));
     if (Caller.callerGone())
       co_return false;
     const Instant Now = std::chrono::steady_clock::now();
