Log fingerprints of lost requests and crash counts of other hosts

Cause: the logs could not tell the hypotheses on crashing requests apart. No line carried the fingerprint of a lost request, and what a host learned from another one left no trace.

Change: request.broken carries the fingerprint; crash.reported is logged when a reported count changes a belief; request.quarantined names the fingerprint of a rejected request; sff_host_lost_requests_total and sff_host_crashes_total (by source) are served. Decisions are unchanged.

--- a/Source/Core/Core/Retry/CrashQuarantine.cpp
+++ b/Source/Core/Core/Retry/CrashQuarantine.cpp
@@ -20,7 +20,7 @@
   Record.m_Crashes = std::max(Record.m_Crashes, Crashes);
 }
 
-void CrashQuarantine::mergeCrashCount(const std::string &Fingerprint,
+bool CrashQuarantine::mergeCrashCount(const std::string &Fingerprint,
                                       std::int64_t Crashes, Instant Now) {
   const auto Found = m_Records.find(Fingerprint);
   const bool IsKnown = Found != m_Records.end() &&
@@ -28,6 +28,7 @@
                        Found->second.m_Crashes >= Crashes;
   if (!IsKnown)
     merge(Fingerprint, Crashes, Now);
+  return !IsKnown;
 }
 
 void CrashQuarantine::onSuccess(const std::string &Fingerprint) {
--- a/Source/Core/Core/Retry/CrashQuarantine.h
+++ b/Source/Core/Core/Retry/CrashQuarantine.h
@@ -28,8 +28,9 @@
   void merge(const std::string &Fingerprint, std::int64_t Crashes, Instant Now);
   /// Same as merge(), for totals that hosts exchange periodically. A total that
   /// is already known does not extend the lifetime of the fingerprint, because
-  /// otherwise hosts would keep it alive by repeating it to each other.
-  void mergeCrashCount(const std::string &Fingerprint, std::int64_t Crashes,
+  /// otherwise hosts would keep it alive by repeating it to each other. Returns
+  /// true if the total was not known.
+  bool mergeCrashCount(const std::string &Fingerprint, std::int64_t Crashes,
                        Instant Now);
   /// The request has completed, so its fingerprint is removed.
   void onSuccess(const std::string &Fingerprint);
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -28,6 +28,12 @@
                               "Requests sent to a further endpoint")),
       m_Resumes(m_Set.counter("sff_host_resumes_total",
                               "Streams that went on at another endpoint")),
+      m_LostRequests(
+          m_Set.counter("sff_host_lost_requests_total",
+                        "Requests whose connection to the endpoint was lost")),
+      m_Crashes(m_Set.counterFamily(
+          "sff_host_crashes_total",
+          "Endpoint crashes attributed to a request, by source")),
       m_MalformedRecords(
           m_Set.counter("sff_host_unreadable_records_total",
                         "Records of the store that were not understood")),
@@ -50,6 +56,10 @@
   observe(m_Durations, Taken);
 }
 
+void HostMetrics::onCrash(std::string_view Source) {
+  m_Crashes.Add({{"source", std::string(Source)}}).Increment();
+}
+
 void HostMetrics::onOrder(std::string_view Result) {
   m_Orders.Add({{"result", std::string(Result)}}).Increment();
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -19,6 +19,11 @@
   void onOutcome(std::string_view Outcome, Duration Taken);
   void onFirstByte(Duration Taken) { observe(m_FirstByte, Taken); }
   void onRetry() { m_Retries.Increment(); }
+  /// Counts a request whose connection was lost before a complete answer.
+  void onLostRequest() { m_LostRequests.Increment(); }
+  /// Counts a crash that is attributed to a request. \p Source tells whether
+  /// this host has observed the crash or was told of it.
+  void onCrash(std::string_view Source);
   void onResume() { m_Resumes.Increment(); }
   void onOrder(std::string_view Result);
   void onSwap(Duration Taken) { observe(m_Swaps, Taken); }
@@ -44,6 +49,8 @@
   prometheus::Histogram &m_Swaps;
   prometheus::Counter &m_Retries;
   prometheus::Counter &m_Resumes;
+  prometheus::Counter &m_LostRequests;
+  prometheus::Family<prometheus::Counter> &m_Crashes;
   prometheus::Counter &m_MalformedRecords;
   prometheus::Gauge &m_Endpoints;
   prometheus::Gauge &m_CatalogueVersion;
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -64,13 +64,19 @@
     log::warning(
         log::Category::Execution, "request.crashed_endpoint",
         {{"endpoint", Id}, {"fingerprint", Fingerprint}, {"crashes", Crashes}});
+    m_Metrics.onCrash("observed");
   }
 }
 
 void HostState::mergeCrashes(
     const std::map<std::string, std::int64_t> &Crashes) {
-  for (const auto &[Fingerprint, Count] : Crashes)
-    m_Quarantine.mergeCrashCount(Fingerprint, Count, now());
+  for (const auto &[Fingerprint, Count] : Crashes) {
+    if (!m_Quarantine.mergeCrashCount(Fingerprint, Count, now()))
+      continue;
+    log::info(log::Category::Execution, "crash.reported",
+              {{"fingerprint", Fingerprint}, {"crashes", Count}});
+    m_Metrics.onCrash("reported");
+  }
 }
 
 void HostState::spawn(std::string TaskName, Task<void> Operation) {
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -87,10 +87,12 @@
   m_Fingerprint = std::to_string(
       hashOf(m_Incoming.m_Target + m_Facts.m_Model.str() + m_Incoming.m_Body));
   if (m_State.m_Quarantine.verdict(m_Fingerprint, now()) ==
-      retry::QuarantineVerdict::Reject)
+      retry::QuarantineVerdict::Reject) {
+    logEvent("request.quarantined", {{"fingerprint", m_Fingerprint}});
     co_await refuse("crashed_endpoints", QuarantineRetryAfter);
-  else
+  } else {
     co_await serve();
+  }
   m_Ended = true;
   m_Timer.cancel();
   m_SilenceTimer.cancel();
@@ -388,8 +390,11 @@
     m_State.m_CrashWatch.onConnectionLost(Id, m_Fingerprint, now());
   if (const auto Remote = m_State.addressOf(Id); Silent && Remote)
     m_State.m_Http.dropIdle(*Remote);
-  logEvent("request.broken",
-           {{"endpoint", Id}, {"silent", Silent}, {"detail", Detail}});
+  logEvent("request.broken", {{"endpoint", Id},
+                              {"silent", Silent},
+                              {"detail", Detail},
+                              {"fingerprint", m_Fingerprint}});
+  m_State.m_Metrics.onLostRequest();
   if (m_Route->isIdempotent() && m_History.canTryAnotherEndpoint())
     co_return Step::TryAgain;
   co_await endWithFailure("endpoint_lost");
