--- a/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
@@ -55,6 +55,21 @@
   EXPECT_EQ(Second.verdict("f", Now), QuarantineVerdict::Normal);
 }
 
+// Guards against a request that crashes one endpoint for each host: each host
+// sees one crash, and the crashes of different hosts have to add up.
+TEST(CrashQuarantineTest, CrashesSeenByDifferentHostsAddUp) {
+  CrashQuarantine First(10, Period);
+  CrashQuarantine Second(10, Period);
+  First.onCrash("f", Start);
+  Second.onCrash("f", Start);
+  for (const auto &[Fingerprint, Crashes] : First.recentCrashCounts(Start))
+    Second.mergeCrashCount(Fingerprint, Crashes, Start);
+  for (const auto &[Fingerprint, Crashes] : Second.recentCrashCounts(Start))
+    First.mergeCrashCount(Fingerprint, Crashes, Start);
+  EXPECT_EQ(First.verdict("f", Start), QuarantineVerdict::Reject);
+  EXPECT_EQ(Second.verdict("f", Start), QuarantineVerdict::Reject);
+}
+
 // Guards against unbounded memory for crashing requests.
 TEST(CrashQuarantineTest, OldestFingerprintIsEvicted) {
   CrashQuarantine Quarantine(2, Period);
