Count the crashes of a request as a set instead of merging totals

What callers saw: nothing; endpoints went down one after another, because a request that crashes its endpoint was sent on by each host.

Cause: each host counted the crashes that it saw itself, and totals of other hosts were merged by the larger one. If N hosts see one crash each, all of them know "one", and a request is rejected after two. The routers of the product's own programs merged in the same way.

Change: a crash is described by the endpoint and its incarnation, and a request has a set of crashes. Reports add up in any order, a repeated one has no effect, and a crash that several hosts notice counts once. Reports carry the time of the crash, so a repeated report does not keep an old one alive and the separate merge rule for hosts is not needed. A success marks the crashes known so far as not counting, so that another host's report does not bring them back. The code on crashes in HostState moves to CrashTracker.

The tests of totals now use crashes with an identity; the reference replay of RetryProperties follows the new rule, and HostsWithTheSameReportsAgree is new. RepeatedNoticeIsCountedOnce became SameCrashIsCountedOnce, which checks also reports with another time.

--- a/Source/Core/Core/Messages/RouterMessages.h
+++ b/Source/Core/Core/Messages/RouterMessages.h
@@ -3,6 +3,7 @@
 #include "Common/Codec/Fields.h"
 #include "Common/Identity/Ids.h"
 #include "Core/Messages/ControllerMessages.h"
+#include "Core/Retry/CrashQuarantine.h"
 
 #include <string>
 
@@ -50,11 +51,11 @@
   static constexpr const char *Name = "crash_notice";
 
   std::string m_Fingerprint; ///< Fingerprint of the entry and the body.
-  std::int64_t m_Crashes = 0;
+  retry::EndpointCrash m_Crash;
 
   static constexpr auto describe() {
     return std::make_tuple(field("fingerprint", &CrashNotice::m_Fingerprint),
-                           field("crashes", &CrashNotice::m_Crashes));
+                           field("crash", &CrashNotice::m_Crash));
   }
 };
 
--- a/Source/Core/Core/Retry/CrashDetector.cpp
+++ b/Source/Core/Core/Retry/CrashDetector.cpp
@@ -2,25 +2,24 @@
 
 namespace sff::retry {
 
-void CrashDetector::onConnectionLost(const EndpointId &Endpoint,
+void CrashDetector::onConnectionLost(const EndpointCrash &Possible,
                                      std::string Fingerprint, Instant Now) {
-  std::deque<BrokenRequest> &List = m_BrokenRequests[Endpoint];
+  std::deque<CrashReport> &List = m_LostRequests[Possible.m_Endpoint];
   while (!List.empty() && (Now - List.front().m_At > CorrelationWindow ||
                            List.size() >= MaxPerEndpoint))
     List.pop_front();
-  List.push_back({std::move(Fingerprint), Now});
+  List.push_back({std::move(Fingerprint), Possible, Now});
 }
 
-std::vector<std::string>
+std::vector<CrashReport>
 CrashDetector::popLostRequests(const EndpointId &Endpoint, Instant Now) {
-  const auto Found = m_BrokenRequests.find(Endpoint);
-  if (Found == m_BrokenRequests.end())
+  auto Lost = m_LostRequests.extract(Endpoint);
+  if (Lost.empty())
     return {};
-  std::vector<std::string> Result;
-  for (BrokenRequest &Request : Found->second)
-    if (Now - Request.m_At <= CorrelationWindow)
-      Result.push_back(std::move(Request.m_Fingerprint));
-  m_BrokenRequests.erase(Found);
+  std::vector<CrashReport> Result;
+  for (CrashReport &Report : Lost.mapped())
+    if (Now - Report.m_At <= CorrelationWindow)
+      Result.push_back(std::move(Report));
   return Result;
 }
 
--- a/Source/Core/Core/Retry/CrashDetector.h
+++ b/Source/Core/Core/Retry/CrashDetector.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "Common/Identity/Ids.h"
-#include "Common/Time/Instant.h"
+#include "Core/Retry/CrashQuarantine.h"
 
 #include <deque>
 #include <map>
@@ -20,21 +19,19 @@
   static constexpr milliseconds CorrelationWindow{3000};
 
   /// Records that the connection of a request was lost without an answer.
-  void onConnectionLost(const EndpointId &Endpoint, std::string Fingerprint,
+  /// \p Possible describes the crash that may be the cause.
+  void onConnectionLost(const EndpointCrash &Possible, std::string Fingerprint,
                         Instant Now);
-  /// Call when the endpoint refuses connections or has restarted. Returns the
-  /// fingerprints of the requests that were lost with it, each only once.
-  std::vector<std::string> popLostRequests(const EndpointId &Endpoint,
+  /// Call when the endpoint refuses connections or has restarted. Returns a
+  /// report for each request that was lost with it, each only once.
+  std::vector<CrashReport> popLostRequests(const EndpointId &Endpoint,
                                            Instant Now);
 
 private:
-  struct BrokenRequest {
-    std::string m_Fingerprint;
-    Instant m_At;
-  };
   static constexpr std::size_t MaxPerEndpoint = 100;
 
-  std::map<EndpointId, std::deque<BrokenRequest>> m_BrokenRequests;
+  /// The reports to make if the endpoint is found to have crashed.
+  std::map<EndpointId, std::deque<CrashReport>> m_LostRequests;
 };
 
 } // namespace sff::retry
--- a/Source/Core/Core/Retry/CrashQuarantine.cpp
+++ b/Source/Core/Core/Retry/CrashQuarantine.cpp
@@ -8,73 +8,71 @@
                                  milliseconds Period)
     : m_MaxFingerprints(MaxFingerprints), m_Period(Period) {}
 
-std::int64_t CrashQuarantine::onCrash(const std::string &Fingerprint,
-                                      Instant Now) {
-  CrashRecord &Record = updateRecord(Fingerprint, Now);
-  return ++Record.m_Crashes;
+bool CrashQuarantine::add(const CrashReport &Report, Instant Now) {
+  if (Now - Report.m_At >= m_Period)
+    return false;
+  if (!m_Records.contains(Report.m_Fingerprint) &&
+      m_Records.size() >= std::max<std::size_t>(m_MaxFingerprints, 1))
+    evictRecords(Now);
+  CrashRecord &Record = m_Records[Report.m_Fingerprint];
+  if (isExpired(Record, Now))
+    Record.m_Crashes.clear();
+  const bool IsNew =
+      Record.m_Crashes.try_emplace(Report.m_Crash, KnownCrash{Report.m_At, Now})
+          .second;
+  if (IsNew)
+    Record.m_LastCrash = std::max(Record.m_LastCrash, Report.m_At);
+  return IsNew;
 }
 
-void CrashQuarantine::merge(const std::string &Fingerprint,
-                            std::int64_t Crashes, Instant Now) {
-  CrashRecord &Record = updateRecord(Fingerprint, Now);
-  Record.m_Crashes = std::max(Record.m_Crashes, Crashes);
+void CrashQuarantine::onSuccess(const std::string &Fingerprint) {
+  const auto Found = m_Records.find(Fingerprint);
+  if (Found == m_Records.end())
+    return;
+  for (auto &[Crash, Known] : Found->second.m_Crashes)
+    Known.m_Counts = false;
 }
 
-bool CrashQuarantine::mergeCrashCount(const std::string &Fingerprint,
-                                      std::int64_t Crashes, Instant Now) {
-  const auto Found = m_Records.find(Fingerprint);
-  const bool IsKnown = Found != m_Records.end() &&
-                       !isExpired(Found->second, Now) &&
-                       Found->second.m_Crashes >= Crashes;
-  if (!IsKnown)
-    merge(Fingerprint, Crashes, Now);
-  return !IsKnown;
+std::size_t CrashQuarantine::crashCount(const std::string &Fingerprint,
+                                        Instant Now) const {
+  const CrashRecord *Record = find(Fingerprint, Now);
+  if (!Record)
+    return 0;
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Record->m_Crashes, [](const auto &Entry) {
+        return Entry.second.m_Counts;
+      }));
 }
 
-void CrashQuarantine::onSuccess(const std::string &Fingerprint) {
-  m_Records.erase(Fingerprint);
+QuarantineVerdict CrashQuarantine::verdict(const std::string &Fingerprint,
+                                           Instant Now) const {
+  const std::size_t Crashes = crashCount(Fingerprint, Now);
+  if (Crashes >= 2)
+    return QuarantineVerdict::Reject;
+  return Crashes == 1 ? QuarantineVerdict::Isolate : QuarantineVerdict::Normal;
 }
 
-std::map<std::string, std::int64_t>
-CrashQuarantine::recentCrashCounts(Instant Now) const {
-  std::map<std::string, std::int64_t> Result;
+std::vector<CrashReport> CrashQuarantine::recentReports(Instant Now) const {
+  std::vector<CrashReport> Result;
   for (const auto &[Fingerprint, Record] : m_Records)
-    if (Now - Record.m_LastCrash < RecentCrashPeriod)
-      Result.emplace(Fingerprint, Record.m_Crashes);
+    for (const auto &[Crash, Known] : Record.m_Crashes)
+      if (Now - Known.m_AddedAt < RecentCrashPeriod)
+        Result.push_back({Fingerprint, Crash, Known.m_At});
   return Result;
 }
 
-QuarantineVerdict CrashQuarantine::verdict(const std::string &Fingerprint,
-                                           Instant Now) {
+const CrashQuarantine::CrashRecord *
+CrashQuarantine::find(const std::string &Fingerprint, Instant Now) const {
   const auto Found = m_Records.find(Fingerprint);
-  if (Found == m_Records.end())
-    return QuarantineVerdict::Normal;
-  if (isExpired(Found->second, Now)) {
-    m_Records.erase(Found);
-    return QuarantineVerdict::Normal;
-  }
-  if (Found->second.m_Crashes >= 2)
-    return QuarantineVerdict::Reject;
-  return Found->second.m_Crashes == 1 ? QuarantineVerdict::Isolate
-                                      : QuarantineVerdict::Normal;
+  if (Found == m_Records.end() || isExpired(Found->second, Now))
+    return nullptr;
+  return &Found->second;
 }
 
 bool CrashQuarantine::isExpired(const CrashRecord &Record, Instant Now) const {
   return Now - Record.m_LastCrash >= m_Period;
 }
 
-CrashQuarantine::CrashRecord &
-CrashQuarantine::updateRecord(const std::string &Fingerprint, Instant Now) {
-  if (!m_Records.contains(Fingerprint) &&
-      m_Records.size() >= std::max<std::size_t>(m_MaxFingerprints, 1))
-    evictRecords(Now);
-  CrashRecord &Record = m_Records[Fingerprint];
-  if (isExpired(Record, Now))
-    Record.m_Crashes = 0;
-  Record.m_LastCrash = std::max(Record.m_LastCrash, Now);
-  return Record;
-}
-
 void CrashQuarantine::evictRecords(Instant Now) {
   if (std::erase_if(m_Records, [&](const auto &Item) {
         return isExpired(Item.second, Now);
--- a/Source/Core/Core/Retry/CrashQuarantine.h
+++ b/Source/Core/Core/Retry/CrashQuarantine.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "Common/Codec/Fields.h"
+#include "Common/Identity/Ids.h"
 #include "Common/Time/Instant.h"
 
-#include <cstdint>
+#include <compare>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace sff::retry {
 
@@ -15,40 +18,66 @@
   Reject, ///< Crashed two endpoints: reject it.
 };
 
+/// The end of one incarnation of an endpoint. Hosts that observe the same crash
+/// describe it by the same value, so that it is counted once.
+struct EndpointCrash {
+  EndpointId m_Endpoint;
+  IncarnationId m_Incarnation;
+
+  friend auto operator<=>(const EndpointCrash &,
+                          const EndpointCrash &) = default;
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("endpoint", &EndpointCrash::m_Endpoint),
+                           field("incarnation", &EndpointCrash::m_Incarnation));
+  }
+};
+
+/// A crash that is attributed to a request.
+struct CrashReport {
+  std::string m_Fingerprint; ///< Identifies repetitions of the request.
+  EndpointCrash m_Crash;
+  Instant m_At; ///< Time at which a host noticed the crash.
+};
+
 /// Records requests that were running when their endpoint crashed, by a
-/// fingerprint of entry and body. Fingerprints expire after a period, and their
-/// number is bounded. Thread safety: none.
+/// fingerprint of the request. The crashes of a request are a set, so reports
+/// of several hosts add up in any order and repeated reports have no effect.
+/// Fingerprints expire after a period without a further crash, and their number
+/// is bounded. Thread safety: none.
 class CrashQuarantine {
 public:
   CrashQuarantine(std::size_t MaxFingerprints, milliseconds Period);
 
-  /// Records a crash and returns the total for this fingerprint.
-  std::int64_t onCrash(const std::string &Fingerprint, Instant Now);
-  /// Merges another router's total; the larger total counts.
-  void merge(const std::string &Fingerprint, std::int64_t Crashes, Instant Now);
-  /// Same as merge(), for totals that hosts exchange periodically. A total that
-  /// is already known does not extend the lifetime of the fingerprint, because
-  /// otherwise hosts would keep it alive by repeating it to each other. Returns
-  /// true if the total was not known.
-  bool mergeCrashCount(const std::string &Fingerprint, std::int64_t Crashes,
-                       Instant Now);
-  /// The request has completed, so its fingerprint is removed.
+  /// Records a crash. Returns false if it is known already, or older than the
+  /// period.
+  bool add(const CrashReport &Report, Instant Now);
+  /// The request has completed, so the crashes known so far do not count.
   void onSuccess(const std::string &Fingerprint);
-  /// Returns the fingerprints whose totals have increased within
-  /// RecentCrashPeriod, for other hosts to merge.
-  std::map<std::string, std::int64_t> recentCrashCounts(Instant Now) const;
-  QuarantineVerdict verdict(const std::string &Fingerprint, Instant Now);
+  /// Number of crashes that count for the fingerprint.
+  std::size_t crashCount(const std::string &Fingerprint, Instant Now) const;
+  QuarantineVerdict verdict(const std::string &Fingerprint, Instant Now) const;
+  /// Returns the crashes that were added within RecentCrashPeriod, for other
+  /// hosts to add.
+  std::vector<CrashReport> recentReports(Instant Now) const;
 
-  /// Time for which an increased total is sent to other hosts.
+  /// Time for which a crash is sent to other hosts.
   static constexpr milliseconds RecentCrashPeriod{5000};
 
 private:
+  struct KnownCrash {
+    Instant m_At;
+    Instant m_AddedAt;
+    bool m_Counts = true; ///< Cleared when the request completes.
+  };
   struct CrashRecord {
-    std::int64_t m_Crashes = 0;
+    std::map<EndpointCrash, KnownCrash> m_Crashes;
     Instant m_LastCrash;
   };
+  /// Returns the record of the fingerprint unless it has expired.
+  const CrashRecord *find(const std::string &Fingerprint, Instant Now) const;
   bool isExpired(const CrashRecord &Record, Instant Now) const;
-  CrashRecord &updateRecord(const std::string &Fingerprint, Instant Now);
   /// Removes the expired fingerprints or, if there are none, the one with the
   /// oldest crash.
   void evictRecords(Instant Now);
--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -252,7 +252,7 @@
                                  static_cast<std::int64_t>(m_State.hosts())));
     UsageReport Report{HostId(m_OrderLeases.member()),
                        std::exchange(m_Usage, {}),
-                       m_State.m_Quarantine.recentCrashCounts(now())};
+                       m_State.m_Crashes.recentMessages()};
     std::set<ZoneId> Zones;
     for (const auto &[Id, Known] : m_State.m_Endpoints.all())
       if (!Known.inventory().m_Models.empty())
@@ -276,7 +276,7 @@
     m_OrderLeases.invalidateHolder(Zone);
     co_return;
   }
-  m_State.mergeCrashes(Answer->m_Crashes);
+  m_State.m_Crashes.onMessages(Answer->m_Crashes);
   // A new holder has seen reports of few hosts, so the largest count is used.
   m_HostsByZone[Zone] = Answer->m_Hosts;
   std::int64_t Hosts = 1;
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// Capacity of the crash quarantine and how long it keeps a fingerprint.
-constexpr std::size_t MaxFingerprints = 1000;
-constexpr milliseconds FingerprintLifetime{60000};
-
 serving::RetryLimits retryBounds(const settings::Settings &Values) {
   return {Values.get(RetryRatioSetting), Values.get(RetryExtraSetting),
           fromSeconds(Values.get(RetryWindowSetting))};
@@ -33,7 +29,7 @@
     : m_Context(Context), m_Settings(Values), m_Identity(std::move(Identity)),
       m_Zone(m_Identity.m_Zone), m_Platform(std::move(Adapter)),
       m_Http(Context.get_executor()), m_Chooser(m_Zone, std::random_device{}()),
-      m_Quarantine(MaxFingerprints, FingerprintLifetime),
+      m_Crashes(m_Metrics),
       m_OwnDemand(serving::DemandRates::DefaultTimeConstant) {}
 
 serving::SharedRetryBudget &HostState::budget(const std::string &Service) {
@@ -57,28 +53,6 @@
                : std::nullopt;
 }
 
-void HostState::onEndpointDown(const EndpointId &Id) {
-  for (const std::string &Fingerprint :
-       m_CrashWatch.popLostRequests(Id, now())) {
-    const auto Crashes = m_Quarantine.onCrash(Fingerprint, now());
-    log::warning(
-        log::Category::Execution, "request.crashed_endpoint",
-        {{"endpoint", Id}, {"fingerprint", Fingerprint}, {"crashes", Crashes}});
-    m_Metrics.onCrash("observed");
-  }
-}
-
-void HostState::mergeCrashes(
-    const std::map<std::string, std::int64_t> &Crashes) {
-  for (const auto &[Fingerprint, Count] : Crashes) {
-    if (!m_Quarantine.mergeCrashCount(Fingerprint, Count, now()))
-      continue;
-    log::info(log::Category::Execution, "crash.reported",
-              {{"fingerprint", Fingerprint}, {"crashes", Count}});
-    m_Metrics.onCrash("reported");
-  }
-}
-
 void HostState::spawn(std::string TaskName, Task<void> Operation) {
   boost::asio::co_spawn(
       m_Context, std::move(Operation),
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "Common/Logging/Log.h"
-#include "Core/Retry/CrashDetector.h"
-#include "Core/Retry/CrashQuarantine.h"
 #include "Core/Serving/DemandRates.h"
 #include "Core/Serving/EndpointChooser.h"
 #include "Core/Serving/FleetSize.h"
 #include "Core/Serving/SharedRetryBudget.h"
+#include "Host/CrashTracker.h"
 #include "Host/HostMetrics.h"
 #include "Host/HostSettings.h"
 #include "Host/Ports.h"
@@ -45,11 +44,6 @@
   /// The address of an endpoint; nothing when the endpoint is unknown or its
   /// address is not valid.
   std::optional<http::Address> addressOf(const EndpointId &Id) const;
-  /// Called when the endpoint refuses connections or has restarted. Counts a
-  /// crash for the requests that were lost at it shortly before.
-  void onEndpointDown(const EndpointId &Id);
-  /// Merges crash counts by request fingerprint that other hosts have reported.
-  void mergeCrashes(const std::map<std::string, std::int64_t> &Crashes);
   /// Starts a detached coroutine. An exception that escapes it is logged with
   /// \p TaskName.
   void spawn(std::string TaskName, Task<void> Operation);
@@ -71,8 +65,7 @@
   /// The registry has been listed at least once.
   bool m_EndpointsKnown = false;
   serving::EndpointChooser m_Chooser;
-  retry::CrashQuarantine m_Quarantine;
-  retry::CrashDetector m_CrashWatch;
+  CrashTracker m_Crashes;
   /// Request rates of models at this host.
   serving::DemandRates m_OwnDemand;
 
--- a/Source/Core/Host/PeerMessages.h
+++ b/Source/Core/Host/PeerMessages.h
@@ -2,6 +2,7 @@
 
 #include "Common/Codec/Fields.h"
 #include "Common/Identity/Ids.h"
+#include "Core/Retry/CrashQuarantine.h"
 
 #include <nlohmann/json.hpp>
 
@@ -88,15 +89,28 @@
   }
 };
 
-/// Number of endpoint crashes by request fingerprint.
-using CrashCounts = std::map<std::string, std::int64_t>;
+/// A crash of an endpoint that is attributed to a request.
+struct CrashMessage {
+  std::string m_Fingerprint; ///< Identifies repetitions of the request.
+  retry::EndpointCrash m_Crash;
+  /// Time at which a host noticed the crash, as Unix time in milliseconds.
+  std::int64_t m_NoticedAtUnixMs = 0;
 
-/// A host's number of requests by model since its last report, and its crash
-/// counts.
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(
+        field("fingerprint", &CrashMessage::m_Fingerprint),
+        field("crash", &CrashMessage::m_Crash),
+        field("noticed_unix_ms", &CrashMessage::m_NoticedAtUnixMs));
+  }
+};
+
+/// A host's number of requests by model since its last report, and the crashes
+/// that it has noticed or learned of recently.
 struct UsageReport {
   HostId m_Host;
   std::map<std::string, double> m_Requests;
-  CrashCounts m_Crashes;
+  std::vector<CrashMessage> m_Crashes;
 
   static constexpr auto describe() {
     using codec::field;
@@ -109,7 +123,8 @@
 struct UsageResponse {
   /// Number of hosts that report usage to this holder.
   std::int64_t m_Hosts = 0;
-  CrashCounts m_Crashes; ///< Merged crash counts of all hosts that report.
+  /// Recent crashes that the holder has noticed or learned of.
+  std::vector<CrashMessage> m_Crashes;
 
   static constexpr auto describe() {
     using codec::field;
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -86,8 +86,7 @@
   startTimers();
   m_Fingerprint = std::to_string(
       hashOf(m_Incoming.m_Target + m_Facts.m_Model.str() + m_Incoming.m_Body));
-  if (m_State.m_Quarantine.verdict(m_Fingerprint, now()) ==
-      retry::QuarantineVerdict::Reject) {
+  if (m_State.m_Crashes.isRejected(m_Fingerprint)) {
     logEvent("request.quarantined", {{"fingerprint", m_Fingerprint}});
     co_await refuse("crashed_endpoints", QuarantineRetryAfter);
   } else {
@@ -364,7 +363,7 @@
     co_return Step::TryAgain;
   m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
                                       now());
-  m_State.onEndpointDown(Id);
+  m_State.m_Crashes.onEndpointDown(Id);
   logEvent("request.not_sent",
            {{"endpoint", Id}, {"detail", Failure.m_Detail}});
   co_return Step::TryAgain;
@@ -386,8 +385,8 @@
     co_return Step::TryAgain;
   m_State.m_Chooser.health().onResult(Id, Result, now());
   const bool Silent = Result == serving::CallResult::Silent;
-  if (!Silent)
-    m_State.m_CrashWatch.onConnectionLost(Id, m_Fingerprint, now());
+  if (const auto *Known = m_State.m_Endpoints.find(Id); Known && !Silent)
+    m_State.m_Crashes.onRequestLost(*Known, m_Fingerprint);
   if (const auto Remote = m_State.addressOf(Id); Silent && Remote)
     m_State.m_Http.dropIdle(*Remote);
   logEvent("request.broken", {{"endpoint", Id},
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -89,7 +89,7 @@
   if (End == StreamResult::Complete) {
     m_State.m_Chooser.health().onResult(Id, serving::CallResult::Success,
                                         now());
-    m_State.m_Quarantine.onSuccess(m_Fingerprint);
+    m_State.m_Crashes.onSuccess(m_Fingerprint);
     co_await m_Caller.endStream();
     recordOutcome("answered", Answer->head().m_Status, "");
     co_return Step::Finished;
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -107,7 +107,7 @@
   if (Effect == serving::RegistrationEffect::Refreshed)
     return;
   if (Effect == serving::RegistrationEffect::Restarted) {
-    m_State.onEndpointDown(Item.m_Id);
+    m_State.m_Crashes.onEndpointDown(Item.m_Id);
     m_State.m_Chooser.forget(Item.m_Id);
   }
   log::info(log::Category::Membership, "endpoint.registration",
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -75,9 +75,9 @@
     m_Demand.add(Model, Requests, now());
     m_RecentDemand.add(Model, Requests, now());
   }
-  m_State.mergeCrashes(Report.m_Crashes);
+  m_State.m_Crashes.onMessages(Report.m_Crashes);
   return {static_cast<std::int64_t>(m_Fleet.count(now())),
-          m_State.m_Quarantine.recentCrashCounts(now())};
+          m_State.m_Crashes.recentMessages()};
 }
 
 std::vector<const serving::Endpoint *>
--- a/Source/Core/Router/CrashRegistry.h
+++ b/Source/Core/Router/CrashRegistry.h
@@ -16,9 +16,11 @@
       : m_View(View), m_Peers(Peers), m_OwnAddress(std::move(OwnAddress)),
         m_Quarantine(MaxFingerprints, Period) {}
 
-  /// Records a crash, notifies the other routers, and returns the total.
-  std::int64_t onCrash(const std::string &Fingerprint);
-  /// Merges the total that another router reported.
+  /// Records that a request crashed \p Endpoint, notifies the other routers,
+  /// and returns the number of crashes of the request.
+  std::int64_t onCrash(const std::string &Fingerprint,
+                       const EndpointId &Endpoint);
+  /// Adds the crash that another router reported.
   void onCrashNotice(const messages::CrashNotice &Notice);
 
   retry::CrashQuarantine &quarantine() { return m_Quarantine; }
--- a/Source/Core/Router/IntentSession.cpp
+++ b/Source/Core/Router/IntentSession.cpp
@@ -184,7 +184,7 @@
   if (Failure && !co_await probe(m_State, *Addr)) {
     Report.m_EndpointDown = true;
     if (!Failure->m_TimedOut)
-      co_await reportCrash();
+      co_await reportCrash(Assigned.m_Endpoint);
   }
   co_await finishPlacement(m_State, std::move(Assigned), Report);
   if (!Matches) {
@@ -209,12 +209,12 @@
   co_await postToRoutingCore(m_State, std::move(Work));
 }
 
-IntentSession::Task<void> IntentSession::reportCrash() {
+IntentSession::Task<void> IntentSession::reportCrash(EndpointId Endpoint) {
   m_State.m_Metrics.crashes().Increment();
   RoutingCore &Core = m_State.m_RoutingCore;
   timers::EventLoop::Task Work =
-      [&Core, Fingerprint = m_Request.m_Placement.m_Fingerprint] {
-        Core.crashes().onCrash(Fingerprint);
+      [&Core, Fingerprint = m_Request.m_Placement.m_Fingerprint, Endpoint] {
+        Core.crashes().onCrash(Fingerprint, Endpoint);
       };
   co_await postToRoutingCore(m_State, std::move(Work));
 }
--- a/Source/Core/Router/IntentSession.h
+++ b/Source/Core/Router/IntentSession.h
@@ -34,7 +34,7 @@
   Task<Result> runIfNotExpired(Placement First);
   Task<Result> dispatch(Placement Assigned);
   Task<void> voidAttempt();
-  Task<void> reportCrash();
+  Task<void> reportCrash(EndpointId Endpoint);
   Task<void> reportExecuted(std::optional<execution::Answered> Answer);
   Task<execution::Outcome> awaitOtherAttempt(execution::ValidIntent Valid);
   Task<messages::FetchOutcomeReply> fetch(execution::ValidIntent Valid);
--- a/Source/Core/Router/RequestSession.cpp
+++ b/Source/Core/Router/RequestSession.cpp
@@ -108,13 +108,14 @@
   co_return Result;
 }
 
-RequestSession::Task<std::int64_t> RequestSession::reportCrash() {
+RequestSession::Task<std::int64_t>
+RequestSession::reportCrash(EndpointId Endpoint) {
   m_State.m_Metrics.crashes().Increment();
   RoutingCore &Core = m_State.m_RoutingCore;
   std::function<void(std::function<void(std::int64_t)>)> Start =
-      [&Core, Fingerprint = m_Request.m_Placement.m_Fingerprint](
-          const std::function<void(std::int64_t)> &Done) {
-        Done(Core.crashes().onCrash(Fingerprint));
+      [&Core, Fingerprint = m_Request.m_Placement.m_Fingerprint,
+       Endpoint](const std::function<void(std::int64_t)> &Done) {
+        Done(Core.crashes().onCrash(Fingerprint, Endpoint));
       };
   const auto Total =
       co_await queryRoutingCore<std::int64_t>(m_State, std::move(Start));
@@ -159,7 +160,8 @@
   case AttemptResult::Interrupted:
     break;
   }
-  const std::int64_t Crashes = m_EndpointCrashed ? co_await reportCrash() : 0;
+  const std::int64_t Crashes =
+      m_EndpointCrashed ? co_await reportCrash(Assigned.m_Endpoint) : 0;
   if (m_EndpointDown || Result == AttemptResult::NotSent) {
     co_await finishPlacement(m_State, Assigned, Report);
     co_return co_await retryOrRefuse(std::move(Assigned), Result, Crashes);
--- a/Source/Core/Router/RequestSession.h
+++ b/Source/Core/Router/RequestSession.h
@@ -23,7 +23,7 @@
   Task<PlacementResult> awaitPlacement();
   Task<void> withdraw();
   Task<AttemptResult> attempt(Placement Assigned);
-  Task<std::int64_t> reportCrash();
+  Task<std::int64_t> reportCrash(EndpointId Endpoint);
   Task<bool> finishAttempt(Placement Assigned, AttemptResult Result);
   Task<bool> cancelAndFinish(Placement Assigned);
   Task<bool> retryOrRefuse(Placement Assigned, AttemptResult Result,
--- a/Source/UnitTests/Core/Retry/CrashDetectorTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashDetectorTest.cpp
@@ -6,39 +6,46 @@
 namespace {
 
 constexpr Instant Start{std::chrono::hours(1)};
-const EndpointId First("e1");
-const EndpointId Second("e2");
+const EndpointCrash First{EndpointId("e1"), IncarnationId("1")};
+const EndpointCrash Second{EndpointId("e2"), IncarnationId("1")};
 
 // Guards against rejecting callers because one of their answers was lost in
 // transit while the endpoint was alive.
-TEST(CrashWatchTest, LostAnswerDoesNotCountAsACrash) {
-  CrashDetector Watch;
-  Watch.onConnectionLost(First, "f", Start);
-  EXPECT_TRUE(Watch.popLostRequests(Second, Start).empty());
-  EXPECT_TRUE(Watch
-                  .popLostRequests(First, Start +
-                                              CrashDetector::CorrelationWindow +
-                                              milliseconds(1))
+TEST(CrashDetectorTest, LostAnswerDoesNotCountAsACrash) {
+  CrashDetector Detector;
+  Detector.onConnectionLost(First, "f", Start);
+  EXPECT_TRUE(Detector.popLostRequests(Second.m_Endpoint, Start).empty());
+  EXPECT_TRUE(Detector
+                  .popLostRequests(First.m_Endpoint,
+                                   Start + CrashDetector::CorrelationWindow +
+                                       milliseconds(1))
                   .empty());
 }
 
 // Guards against a request that crashes one endpoint after another without
 // being noticed.
-TEST(CrashWatchTest, RequestsLostWithTheEndpointAreReportedOnce) {
-  CrashDetector Watch;
-  Watch.onConnectionLost(First, "a", Start);
-  Watch.onConnectionLost(First, "b", Start + milliseconds(10));
-  const std::vector<std::string> Expected = {"a", "b"};
-  EXPECT_EQ(Watch.popLostRequests(First, Start + milliseconds(500)), Expected);
-  EXPECT_TRUE(Watch.popLostRequests(First, Start + milliseconds(600)).empty());
+TEST(CrashDetectorTest, RequestsLostWithTheEndpointAreReportedOnce) {
+  CrashDetector Detector;
+  Detector.onConnectionLost(First, "a", Start);
+  Detector.onConnectionLost(First, "b", Start + milliseconds(10));
+  const auto Reports =
+      Detector.popLostRequests(First.m_Endpoint, Start + milliseconds(500));
+  ASSERT_EQ(Reports.size(), 2U);
+  EXPECT_EQ(Reports[0].m_Fingerprint, "a");
+  EXPECT_EQ(Reports[1].m_Fingerprint, "b");
+  EXPECT_EQ(Reports[0].m_Crash, First);
+  EXPECT_EQ(Reports[1].m_Crash, First);
+  EXPECT_TRUE(
+      Detector.popLostRequests(First.m_Endpoint, Start + milliseconds(600))
+          .empty());
 }
 
 // Guards against unbounded memory for requests whose connection was lost.
-TEST(CrashWatchTest, RecordedRequestsAreBounded) {
-  CrashDetector Watch;
+TEST(CrashDetectorTest, RecordedRequestsAreBounded) {
+  CrashDetector Detector;
   for (int Index = 0; Index < 1000; ++Index)
-    Watch.onConnectionLost(First, std::to_string(Index), Start);
-  EXPECT_LE(Watch.popLostRequests(First, Start).size(), 100U);
+    Detector.onConnectionLost(First, std::to_string(Index), Start);
+  EXPECT_LE(Detector.popLostRequests(First.m_Endpoint, Start).size(), 100U);
 }
 
 } // namespace
--- a/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
@@ -8,48 +8,83 @@
 constexpr Instant Start{std::chrono::hours(1)};
 constexpr milliseconds Period{60000};
 
+/// The crash of one incarnation of an endpoint, noticed at \p At.
+CrashReport crashOf(const std::string &Fingerprint, const std::string &Endpoint,
+                    Instant At = Start) {
+  return {Fingerprint, {EndpointId(Endpoint), IncarnationId("1")}, At};
+}
+
 // Guards against a request that crashes one endpoint after another.
 TEST(CrashQuarantineTest, RequestIsRejectedAfterTheSecondCrash) {
   CrashQuarantine Quarantine(10, Period);
   EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Normal);
-  EXPECT_EQ(Quarantine.onCrash("f", Start), 1);
+  EXPECT_TRUE(Quarantine.add(crashOf("f", "e1"), Start));
+  EXPECT_EQ(Quarantine.crashCount("f", Start), 1U);
   EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Isolate);
-  EXPECT_EQ(Quarantine.onCrash("f", Start), 2);
+  EXPECT_TRUE(Quarantine.add(crashOf("f", "e2"), Start));
+  EXPECT_EQ(Quarantine.crashCount("f", Start), 2U);
   EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Reject);
 }
 
-// Guards against counting a notice twice that is delivered twice.
-TEST(CrashQuarantineTest, RepeatedNoticeIsCountedOnce) {
+// Guards against counting a crash twice that several hosts notice or that is
+// reported twice.
+TEST(CrashQuarantineTest, SameCrashIsCountedOnce) {
   CrashQuarantine Quarantine(10, Period);
-  Quarantine.merge("f", 1, Start);
-  Quarantine.merge("f", 1, Start);
+  EXPECT_TRUE(Quarantine.add(crashOf("f", "e1"), Start));
+  EXPECT_FALSE(Quarantine.add(crashOf("f", "e1"), Start));
+  EXPECT_FALSE(
+      Quarantine.add(crashOf("f", "e1", Start + milliseconds(5)), Start));
   EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Isolate);
 }
 
+// Guards against two crashes of one endpoint that are taken for one because the
+// endpoint came back under its id.
+TEST(CrashQuarantineTest, IncarnationsOfAnEndpointCountSeparately) {
+  CrashQuarantine Quarantine(10, Period);
+  CrashReport Report = crashOf("f", "e1");
+  Quarantine.add(Report, Start);
+  Report.m_Crash.m_Incarnation = IncarnationId("2");
+  Quarantine.add(Report, Start);
+  EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Reject);
+}
+
 // Guards against a request that stays quarantined forever after an unrelated
 // crash.
 TEST(CrashQuarantineTest, QuarantineEndsAfterSuccessOrPeriod) {
   CrashQuarantine Quarantine(10, Period);
-  Quarantine.onCrash("f", Start);
+  Quarantine.add(crashOf("f", "e1"), Start);
+  Quarantine.onSuccess("f");
+  EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Normal);
+  Quarantine.add(crashOf("f", "e2"), Start);
+  EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Isolate);
+  const Instant End = Start + Period;
+  EXPECT_EQ(Quarantine.verdict("f", End), QuarantineVerdict::Normal);
+  Quarantine.add(crashOf("f", "e3", End), End);
+  EXPECT_EQ(Quarantine.crashCount("f", End), 1U);
+}
+
+// Guards against a request that is quarantined again after a success because
+// another host reports the crashes from before it.
+TEST(CrashQuarantineTest, CrashesBeforeASuccessStayRefuted) {
+  CrashQuarantine Quarantine(10, Period);
+  Quarantine.add(crashOf("f", "e1"), Start);
   Quarantine.onSuccess("f");
+  EXPECT_FALSE(Quarantine.add(crashOf("f", "e1"), Start));
   EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Normal);
-  Quarantine.onCrash("f", Start);
-  EXPECT_EQ(Quarantine.verdict("f", Start + Period), QuarantineVerdict::Normal);
-  EXPECT_EQ(Quarantine.onCrash("f", Start + Period), 1);
 }
 
-// Guards against two hosts that keep an old crash count alive by repeating it
-// to each other.
-TEST(CrashQuarantineTest, OldCrashCountsExpireOnAllHosts) {
+// Guards against two hosts that keep an old crash alive by repeating it to each
+// other.
+TEST(CrashQuarantineTest, OldCrashesExpireOnAllHosts) {
   CrashQuarantine First(10, Period);
   CrashQuarantine Second(10, Period);
-  First.onCrash("f", Start);
+  First.add(crashOf("f", "e1"), Start);
   Instant Now = Start;
   for (; Now < Start + 3 * Period; Now += milliseconds(1000)) {
-    for (const auto &[Fingerprint, Crashes] : First.recentCrashCounts(Now))
-      Second.mergeCrashCount(Fingerprint, Crashes, Now);
-    for (const auto &[Fingerprint, Crashes] : Second.recentCrashCounts(Now))
-      First.mergeCrashCount(Fingerprint, Crashes, Now);
+    for (const CrashReport &Report : First.recentReports(Now))
+      Second.add(Report, Now);
+    for (const CrashReport &Report : Second.recentReports(Now))
+      First.add(Report, Now);
   }
   EXPECT_EQ(First.verdict("f", Now), QuarantineVerdict::Normal);
   EXPECT_EQ(Second.verdict("f", Now), QuarantineVerdict::Normal);
@@ -60,12 +95,12 @@
 TEST(CrashQuarantineTest, CrashesSeenByDifferentHostsAddUp) {
   CrashQuarantine First(10, Period);
   CrashQuarantine Second(10, Period);
-  First.onCrash("f", Start);
-  Second.onCrash("f", Start);
-  for (const auto &[Fingerprint, Crashes] : First.recentCrashCounts(Start))
-    Second.mergeCrashCount(Fingerprint, Crashes, Start);
-  for (const auto &[Fingerprint, Crashes] : Second.recentCrashCounts(Start))
-    First.mergeCrashCount(Fingerprint, Crashes, Start);
+  First.add(crashOf("f", "e1"), Start);
+  Second.add(crashOf("f", "e2"), Start);
+  for (const CrashReport &Report : First.recentReports(Start))
+    Second.add(Report, Start);
+  for (const CrashReport &Report : Second.recentReports(Start))
+    First.add(Report, Start);
   EXPECT_EQ(First.verdict("f", Start), QuarantineVerdict::Reject);
   EXPECT_EQ(Second.verdict("f", Start), QuarantineVerdict::Reject);
 }
@@ -73,12 +108,13 @@
 // Guards against unbounded memory for crashing requests.
 TEST(CrashQuarantineTest, OldestFingerprintIsEvicted) {
   CrashQuarantine Quarantine(2, Period);
-  Quarantine.onCrash("a", Start);
-  Quarantine.onCrash("b", Start + milliseconds(1));
-  Quarantine.onCrash("c", Start + milliseconds(2));
-  EXPECT_EQ(Quarantine.verdict("a", Start), QuarantineVerdict::Normal);
-  EXPECT_EQ(Quarantine.verdict("b", Start), QuarantineVerdict::Isolate);
-  EXPECT_EQ(Quarantine.verdict("c", Start), QuarantineVerdict::Isolate);
+  const Instant Now = Start + milliseconds(2);
+  Quarantine.add(crashOf("a", "e1"), Now);
+  Quarantine.add(crashOf("b", "e1", Start + milliseconds(1)), Now);
+  Quarantine.add(crashOf("c", "e1", Now), Now);
+  EXPECT_EQ(Quarantine.verdict("a", Now), QuarantineVerdict::Normal);
+  EXPECT_EQ(Quarantine.verdict("b", Now), QuarantineVerdict::Isolate);
+  EXPECT_EQ(Quarantine.verdict("c", Now), QuarantineVerdict::Isolate);
 }
 
 } // namespace
--- a/Source/UnitTests/Core/Retry/RetryProperties.cpp
+++ b/Source/UnitTests/Core/Retry/RetryProperties.cpp
@@ -4,6 +4,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <random>
+#include <set>
+
 namespace sff::retry {
 namespace {
 
@@ -32,33 +36,50 @@
   }
 }
 
+enum class EventKind { Crash, Success };
+
 struct Event {
-  int m_Kind;
-  std::int64_t m_Total;
-  Instant m_At;
+  EventKind m_Kind;
+  CrashReport m_Report; ///< For EventKind::Crash.
+  Instant m_ProcessedAt;
 };
 
 /// Replays the complete history of one fingerprint.
 QuarantineVerdict referenceVerdict(const std::vector<Event> &History,
                                    Instant Now, milliseconds Period) {
-  std::int64_t Crashes = 0;
+  std::set<EndpointCrash> Known;
+  std::set<EndpointCrash> Counted;
   Instant Latest;
   for (const Event &Action : History) {
-    if (Action.m_At - Latest >= Period || Action.m_Kind == 2)
-      Crashes = 0;
-    if (Action.m_Kind == 2)
+    if (Action.m_ProcessedAt - Latest >= Period) {
+      Known.clear();
+      Counted.clear();
+    }
+    if (Action.m_Kind == EventKind::Success) {
+      Counted.clear();
+      continue;
+    }
+    if (Action.m_ProcessedAt - Action.m_Report.m_At >= Period ||
+        !Known.insert(Action.m_Report.m_Crash).second)
       continue;
-    Crashes =
-        Action.m_Kind == 0 ? Crashes + 1 : std::max(Crashes, Action.m_Total);
-    Latest = Action.m_At;
+    Counted.insert(Action.m_Report.m_Crash);
+    Latest = std::max(Latest, Action.m_Report.m_At);
   }
-  if (Crashes == 0 || Now - Latest >= Period)
+  if (Counted.empty() || Now - Latest >= Period)
     return QuarantineVerdict::Normal;
-  return Crashes == 1 ? QuarantineVerdict::Isolate : QuarantineVerdict::Reject;
+  return Counted.size() == 1 ? QuarantineVerdict::Isolate
+                             : QuarantineVerdict::Reject;
+}
+
+CrashReport arbitraryReport(const std::string &Name, Instant Now) {
+  const EndpointId Endpoint(std::string(1, *rc::gen::inRange('x', '{')));
+  const IncarnationId Incarnation(std::to_string(*rc::gen::inRange(0, 2)));
+  const milliseconds Age(*rc::gen::element(0, 0, 300, 999, 1000));
+  return {Name, {Endpoint, Incarnation}, Now - Age};
 }
 
 // Guards against verdicts that depend on when other fingerprints were queried,
-// on repeated or late notices, or on expired history.
+// on repeated or late reports, or on expired history.
 RC_GTEST_PROP(RetryProperties, QuarantineMatchesTheReferenceReplay, ()) {
   constexpr milliseconds Period{1000};
   CrashQuarantine Quarantine(100, Period);
@@ -68,26 +89,58 @@
   for (int Step = 0; Step < Steps; ++Step) {
     Now += milliseconds(*rc::gen::element(0, 1, 300, 999, 1000));
     const std::string Name(1, *rc::gen::inRange('a', 'd'));
-    const Event Action{*rc::gen::inRange(0, 4), *rc::gen::inRange(1, 4), Now};
-    switch (Action.m_Kind) {
+    switch (*rc::gen::inRange(0, 4)) {
     case 0:
-      Quarantine.onCrash(Name, Now);
-      break;
-    case 1:
-      Quarantine.merge(Name, Action.m_Total, Now);
-      Quarantine.merge(Name, Action.m_Total, Now);
+    case 1: {
+      const CrashReport Report = arbitraryReport(Name, Now);
+      Quarantine.add(Report, Now);
+      if (*rc::gen::arbitrary<bool>())
+        RC_ASSERT(!Quarantine.add(Report, Now));
+      Histories[Name].push_back({EventKind::Crash, Report, Now});
       break;
+    }
     case 2:
       Quarantine.onSuccess(Name);
+      Histories[Name].push_back({EventKind::Success, {}, Now});
       break;
     default:
       RC_ASSERT(Quarantine.verdict(Name, Now) ==
                 referenceVerdict(Histories[Name], Now, Period));
-      continue;
     }
-    Histories[Name].push_back(Action);
   }
 }
 
+/// Delivers each report to a host in a random order, some of them twice.
+CrashQuarantine deliver(std::vector<CrashReport> Reports, Instant Now) {
+  constexpr milliseconds Period{60000};
+  CrashQuarantine Host(100, Period);
+  std::vector<CrashReport> Repeated = Reports;
+  Reports.insert(Reports.end(), Repeated.begin(), Repeated.end());
+  std::mt19937 Random(*rc::gen::arbitrary<std::uint32_t>());
+  std::ranges::shuffle(Reports, Random);
+  for (const CrashReport &Report : Reports)
+    Host.add(Report, Now);
+  return Host;
+}
+
+// Guards against hosts that disagree on a request because they got the reports
+// of the same crashes in another order.
+RC_GTEST_PROP(RetryProperties, HostsWithTheSameReportsAgree, ()) {
+  const Instant Now{std::chrono::hours(1)};
+  const std::string Name = "f";
+  std::vector<CrashReport> Reports;
+  std::set<EndpointCrash> Crashes;
+  const int Count = *rc::gen::inRange(0, 8);
+  for (int Index = 0; Index < Count; ++Index) {
+    Reports.push_back(arbitraryReport(Name, Now));
+    Crashes.insert(Reports.back().m_Crash);
+  }
+  const CrashQuarantine First = deliver(Reports, Now);
+  const CrashQuarantine Second = deliver(Reports, Now);
+  RC_ASSERT(First.crashCount(Name, Now) == Crashes.size());
+  RC_ASSERT(Second.crashCount(Name, Now) == Crashes.size());
+  RC_ASSERT(First.verdict(Name, Now) == Second.verdict(Name, Now));
+}
+
 } // namespace
 } // namespace sff::retry
