Probe an endpoint that lost a request, and count lapsed ones as crashed

What callers saw: nothing at first; a request that crashes its endpoint was sent on, because its crashes were not counted.

Cause: a host counted a lost request as a crash only if it met the endpoint down by chance within 3 s: a later request of the same host had to be refused a connection, or the registry had to show a restart under the same id. The routers of the product's own programs probe at once; the host did not.

Change: after a lost connection the host opens a new one to the endpoint, which stays in the pool when it succeeds; a retry elsewhere waits for that, an answer to the caller does not. A registration that vanishes without notice counts as a crash too; the window covers three missed heartbeats and the interval between reads. Requests that ended while the endpoint was silent are remembered as well.

--- a/Source/Core/Core/Retry/CrashDetector.cpp
+++ b/Source/Core/Core/Retry/CrashDetector.cpp
@@ -2,8 +2,8 @@
 
 namespace sff::retry {
 
-void CrashDetector::onConnectionLost(const EndpointCrash &Possible,
-                                     std::string Fingerprint, Instant Now) {
+void CrashDetector::onRequestLost(const EndpointCrash &Possible,
+                                  std::string Fingerprint, Instant Now) {
   std::deque<CrashReport> &List = m_LostRequests[Possible.m_Endpoint];
   while (!List.empty() && (Now - List.front().m_At > CorrelationWindow ||
                            List.size() >= MaxPerEndpoint))
--- a/Source/Core/Core/Retry/CrashDetector.h
+++ b/Source/Core/Core/Retry/CrashDetector.h
@@ -11,19 +11,21 @@
 
 /// Distinguishes a crash from a lost answer: a request is considered to have
 /// crashed its endpoint only if the endpoint is found to be down soon after the
-/// request's connection was lost. Thread safety: none.
+/// request was lost. Thread safety: none.
 class CrashDetector {
 public:
-  /// Time within which this host notices that a crashed endpoint refuses
-  /// connections or has restarted.
-  static constexpr milliseconds CorrelationWindow{3000};
-
-  /// Records that the connection of a request was lost without an answer.
-  /// \p Possible describes the crash that may be the cause.
-  void onConnectionLost(const EndpointCrash &Possible, std::string Fingerprint,
-                        Instant Now);
-  /// Call when the endpoint refuses connections or has restarted. Returns a
-  /// report for each request that was lost with it, each only once.
+  /// Time within which this host notices that an endpoint has crashed. The
+  /// slowest evidence is the removal of its registration after three missed
+  /// heartbeats.
+  static constexpr milliseconds CorrelationWindow{8000};
+
+  /// Records that a request got no complete answer. \p Possible describes the
+  /// crash that may be the cause.
+  void onRequestLost(const EndpointCrash &Possible, std::string Fingerprint,
+                     Instant Now);
+  /// Call when the endpoint refuses connections, has restarted or has vanished
+  /// from the registry. Returns a report for each request that was lost with
+  /// it, each only once.
   std::vector<CrashReport> popLostRequests(const EndpointId &Endpoint,
                                            Instant Now);
 
--- a/Source/Core/Host/CrashTracker.cpp
+++ b/Source/Core/Host/CrashTracker.cpp
@@ -43,7 +43,7 @@
   const serving::Registration &Known = Endpoint.m_Registration;
   const IncarnationId Incarnation(
       std::to_string(Known.m_Incarnation.m_StartedAtMs));
-  m_Detector.onConnectionLost({Known.m_Id, Incarnation}, Fingerprint, now());
+  m_Detector.onRequestLost({Known.m_Id, Incarnation}, Fingerprint, now());
 }
 
 void CrashTracker::onEndpointDown(const EndpointId &Id) {
--- a/Source/Core/Host/CrashTracker.h
+++ b/Source/Core/Host/CrashTracker.h
@@ -24,8 +24,9 @@
   /// run it.
   void onRequestLost(const serving::Endpoint &Endpoint,
                      const std::string &Fingerprint);
-  /// Called when the endpoint refuses connections or has restarted. Counts a
-  /// crash for the requests that were lost at it shortly before.
+  /// Called when the endpoint refuses connections, has restarted or has
+  /// vanished from the registry. Counts a crash for the requests that were lost
+  /// at it shortly before.
   void onEndpointDown(const EndpointId &Id);
   void onSuccess(const std::string &Fingerprint) {
     m_Quarantine.onSuccess(Fingerprint);
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -16,6 +16,8 @@
 /// Used when neither the caller sets a deadline nor the route a timeout.
 constexpr milliseconds DefaultTimeout{30000};
 constexpr milliseconds ConnectTimeout{600};
+/// A request that was lost fails over only after the probe of its endpoint.
+constexpr milliseconds ProbeTimeout{200};
 constexpr milliseconds ReadSlack{1000};
 /// Pooled connections that have been idle for longer are not reused.
 constexpr milliseconds MaxIdleTime{4000};
@@ -361,9 +363,7 @@
   }
   if (isOver())
     co_return Step::TryAgain;
-  m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
-                                      now());
-  m_State.m_Crashes.onEndpointDown(Id);
+  onUnreachable(Id);
   logEvent("request.not_sent",
            {{"endpoint", Id}, {"detail", Failure.m_Detail}});
   co_return Step::TryAgain;
@@ -381,12 +381,12 @@
   m_History.onPossiblyExecuted(Id);
   m_History.exclude(Id);
   m_DispatchGuard.markSent();
+  if (const auto *Known = m_State.m_Endpoints.find(Id))
+    m_State.m_Crashes.onRequestLost(*Known, m_Fingerprint);
   if (isOver())
     co_return Step::TryAgain;
   m_State.m_Chooser.health().onResult(Id, Result, now());
   const bool Silent = Result == serving::CallResult::Silent;
-  if (const auto *Known = m_State.m_Endpoints.find(Id); Known && !Silent)
-    m_State.m_Crashes.onRequestLost(*Known, m_Fingerprint);
   if (const auto Remote = m_State.addressOf(Id); Silent && Remote)
     m_State.m_Http.dropIdle(*Remote);
   logEvent("request.broken", {{"endpoint", Id},
@@ -394,12 +394,38 @@
                               {"detail", Detail},
                               {"fingerprint", m_Fingerprint}});
   m_State.m_Metrics.onLostRequest();
-  if (m_Route->isIdempotent() && m_History.canTryAnotherEndpoint())
+  if (m_Route->isIdempotent() && m_History.canTryAnotherEndpoint()) {
+    if (!Silent)
+      co_await probe(shared_from_this(), Id);
     co_return Step::TryAgain;
+  }
+  // The caller gets the answer without waiting for the probe.
+  if (!Silent)
+    m_State.spawn("probe_endpoint", probe(shared_from_this(), Id));
   co_await endWithFailure("endpoint_lost");
   co_return Step::Finished;
 }
 
+Task<void> RequestSession::probe(std::shared_ptr<RequestSession> Self,
+                                 EndpointId Id) {
+  const auto Remote = Self->m_State.addressOf(Id);
+  if (!Remote)
+    co_return;
+  const auto Failure =
+      co_await Self->m_State.m_Http.connect(*Remote, ProbeTimeout);
+  if (!Failure)
+    co_return;
+  Self->logEvent("endpoint.probe_failed",
+                 {{"endpoint", Id}, {"detail", Failure->m_Detail}});
+  Self->onUnreachable(Id);
+}
+
+void RequestSession::onUnreachable(const EndpointId &Id) {
+  m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
+                                      now());
+  m_State.m_Crashes.onEndpointDown(Id);
+}
+
 Task<RequestSession::Step>
 RequestSession::onNotRun(EndpointId Id, ResponseMetadata Facts, int Status) {
   m_History.exclude(Id);
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -62,6 +62,10 @@
   Task<Step> forwardBuffered(EndpointId Id, OpenStream Answer);
   Task<Step> forwardStream(EndpointId Id, OpenStream Answer);
   Task<StreamResult> copyStream(EndpointId Id, OpenStream Answer);
+  void onUnreachable(const EndpointId &Id);
+  /// Connects to an endpoint that lost the request, to tell a crash from a lost
+  /// answer. May outlive the call of run().
+  static Task<void> probe(std::shared_ptr<RequestSession> Self, EndpointId Id);
   serving::CallResult resultOf(const http::TransportFailure &Failure) const;
   /// Handles an attempt that ended without a complete response, though the
   /// endpoint may have run the request.
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -120,9 +120,13 @@
 }
 
 void StoreFollower::applyRemoval(const EndpointId &Id) {
-  if (!m_State.m_Endpoints.find(Id))
+  const serving::Endpoint *Known = m_State.m_Endpoints.find(Id);
+  if (!Known)
     return;
+  const bool Announced = Known->m_Registration.m_Draining;
   const bool Gone = m_State.m_Endpoints.remove(Id, now());
+  if (Gone && !Announced)
+    m_State.m_Crashes.onEndpointDown(Id);
   if (Gone)
     m_State.m_Chooser.forget(Id);
   log::info(log::Category::Membership, "endpoint.removed",
--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -413,6 +413,22 @@
   co_return Stream;
 }
 
+asio::awaitable<std::optional<TransportFailure>>
+Client::connect(Address Remote, milliseconds Timeout) {
+  ClientOptions Options;
+  Options.m_ConnectTimeout = Timeout;
+  Options.m_ForceNewConnection = true;
+  auto Pool = m_Impl;
+  Impl::AcquireResult Connected = co_await Pool->acquire(Remote, Options);
+  if (auto *Failure = std::get_if<TransportFailure>(&Connected))
+    co_return std::move(*Failure);
+  auto NewConnection =
+      std::get<std::shared_ptr<Connection>>(std::move(Connected));
+  NewConnection->m_Stream.expires_never();
+  Pool->release(Remote, std::move(NewConnection));
+  co_return std::nullopt;
+}
+
 asio::awaitable<SendResult> Client::send(Address Remote, Request Message,
                                          ClientOptions Options) {
   OpenResult Opened =
--- a/Source/Core/Net/Http/Client.h
+++ b/Source/Core/Net/Http/Client.h
@@ -111,6 +111,11 @@
   boost::asio::awaitable<OpenResult> open(Address Remote, Request Message,
                                           ClientOptions Options = {});
 
+  /// Opens a connection and keeps it in the pool for the next call. Returns the
+  /// failure when no connection is established within \p Timeout.
+  boost::asio::awaitable<std::optional<TransportFailure>>
+  connect(Address Remote, milliseconds Timeout);
+
   /// Drops all pooled connections to \p Remote, for example after one of them
   /// became unresponsive.
   void dropIdle(const Address &Remote);
--- a/Source/UnitTests/Core/Retry/CrashDetectorTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashDetectorTest.cpp
@@ -13,7 +13,7 @@
 // transit while the endpoint was alive.
 TEST(CrashDetectorTest, LostAnswerDoesNotCountAsACrash) {
   CrashDetector Detector;
-  Detector.onConnectionLost(First, "f", Start);
+  Detector.onRequestLost(First, "f", Start);
   EXPECT_TRUE(Detector.popLostRequests(Second.m_Endpoint, Start).empty());
   EXPECT_TRUE(Detector
                   .popLostRequests(First.m_Endpoint,
@@ -26,8 +26,8 @@
 // being noticed.
 TEST(CrashDetectorTest, RequestsLostWithTheEndpointAreReportedOnce) {
   CrashDetector Detector;
-  Detector.onConnectionLost(First, "a", Start);
-  Detector.onConnectionLost(First, "b", Start + milliseconds(10));
+  Detector.onRequestLost(First, "a", Start);
+  Detector.onRequestLost(First, "b", Start + milliseconds(10));
   const auto Reports =
       Detector.popLostRequests(First.m_Endpoint, Start + milliseconds(500));
   ASSERT_EQ(Reports.size(), 2U);
@@ -44,7 +44,7 @@
 TEST(CrashDetectorTest, RecordedRequestsAreBounded) {
   CrashDetector Detector;
   for (int Index = 0; Index < 1000; ++Index)
-    Detector.onConnectionLost(First, std::to_string(Index), Start);
+    Detector.onRequestLost(First, std::to_string(Index), Start);
   EXPECT_LE(Detector.popLostRequests(First.m_Endpoint, Start).size(), 100U);
 }
 
