Share crashes through a log in the store

What callers saw: nothing; endpoints went down, one for each host that had not heard of the crashes yet.

Cause: crashes travelled in usage reports only. A host reports every 50 ms x hosts (4 s with 81) to a holder and hears of the others' crashes in the answer to its next report, so news took up to 8 s, twice the contact time, and was repeated for 5 s: a host that started or was cut off meanwhile learned nothing.

Change: the host that notices a crash appends it within 100 ms to a log in the store (sff.crashes); all hosts follow it by long polls, with pauses of 0.8 s while crashes come in, so that many crashes do not use up the store's reads. A host that starts reads what the log retains. Requests that a host lost in a crash that another host noticed are counted by it too. The exchange with usage reports stays for the time when the store is away. Weighed: broadcasts by the holders (lost with a holder, unknown to hosts that start, cut off with a zone), and a topic with keys (never discarded by the store, so somebody must clean it up).

--- a/Source/Core/Core/Retry/CrashDetector.cpp
+++ b/Source/Core/Core/Retry/CrashDetector.cpp
@@ -23,4 +23,20 @@
   return Result;
 }
 
+std::vector<CrashReport>
+CrashDetector::popLostRequests(const EndpointCrash &Crash, Instant Now) {
+  std::vector<CrashReport> Result;
+  const auto Lost = m_LostRequests.find(Crash.m_Endpoint);
+  if (Lost == m_LostRequests.end())
+    return Result;
+  std::erase_if(Lost->second, [&](const CrashReport &Report) {
+    if (Report.m_Crash != Crash)
+      return false;
+    if (Now - Report.m_At <= CorrelationWindow)
+      Result.push_back(Report);
+    return true;
+  });
+  return Result;
+}
+
 } // namespace sff::retry
--- a/Source/Core/Core/Retry/CrashDetector.h
+++ b/Source/Core/Core/Retry/CrashDetector.h
@@ -28,6 +28,10 @@
   /// it, each only once.
   std::vector<CrashReport> popLostRequests(const EndpointId &Endpoint,
                                            Instant Now);
+  /// Call when another host has noticed the crash. Same as above for one
+  /// incarnation of the endpoint.
+  std::vector<CrashReport> popLostRequests(const EndpointCrash &Crash,
+                                           Instant Now);
 
 private:
   static constexpr std::size_t MaxPerEndpoint = 100;
--- a/Source/Core/Core/Retry/CrashQuarantine.cpp
+++ b/Source/Core/Core/Retry/CrashQuarantine.cpp
@@ -61,6 +61,26 @@
   return Result;
 }
 
+void CrashQuarantine::onShared(const std::string &Fingerprint, Instant Now) {
+  const auto Found = m_Records.find(Fingerprint);
+  if (Found != m_Records.end())
+    Found->second.m_LastShared = Now;
+}
+
+std::vector<CrashReport>
+CrashQuarantine::reportsToShareAgain(const std::string &Fingerprint,
+                                     Instant Now) {
+  std::vector<CrashReport> Result;
+  const CrashRecord *Record = find(Fingerprint, Now);
+  if (!Record || Now - Record->m_LastShared < SharePeriod)
+    return Result;
+  for (const auto &[Crash, Known] : Record->m_Crashes)
+    if (Known.m_Counts)
+      Result.push_back({Fingerprint, Crash, Known.m_At});
+  onShared(Fingerprint, Now);
+  return Result;
+}
+
 const CrashQuarantine::CrashRecord *
 CrashQuarantine::find(const std::string &Fingerprint, Instant Now) const {
   const auto Found = m_Records.find(Fingerprint);
--- a/Source/Core/Core/Retry/CrashQuarantine.h
+++ b/Source/Core/Core/Retry/CrashQuarantine.h
@@ -62,6 +62,16 @@
   /// hosts to add.
   std::vector<CrashReport> recentReports(Instant Now) const;
 
+  /// Records that the crashes of the fingerprint are in the log that hosts
+  /// share.
+  void onShared(const std::string &Fingerprint, Instant Now);
+  /// Returns the counting crashes of the fingerprint if they were not shared
+  /// for SharePeriod, and assumes that they are shared now.
+  std::vector<CrashReport> reportsToShareAgain(const std::string &Fingerprint,
+                                               Instant Now);
+
+  /// Must be shorter than the time for which the shared log keeps a record.
+  static constexpr milliseconds SharePeriod{8000};
   /// Time for which a crash is sent to other hosts.
   static constexpr milliseconds RecentCrashPeriod{5000};
 
@@ -74,6 +84,7 @@
   struct CrashRecord {
     std::map<EndpointCrash, KnownCrash> m_Crashes;
     Instant m_LastCrash;
+    Instant m_LastShared;
   };
   /// Returns the record of the fingerprint unless it has expired.
   const CrashRecord *find(const std::string &Fingerprint, Instant Now) const;
--- a/Source/Core/Host/CrashTracker.h
+++ b/Source/Core/Host/CrashTracker.h
@@ -4,7 +4,8 @@
 #include "Core/Retry/CrashQuarantine.h"
 #include "Core/Serving/EndpointDirectory.h"
 #include "Host/HostMetrics.h"
-#include "Host/PeerMessages.h"
+#include "Host/Ports.h"
+#include "Net/Timers/AsyncCondition.h"
 
 #include <span>
 #include <vector>
@@ -12,13 +13,20 @@
 namespace sff::host {
 
 /// Attributes crashes of endpoints to the requests that were running there, and
-/// exchanges them with other hosts, so that all hosts reject a request that
-/// crashes endpoints.
+/// shares them with the other hosts through a log in the store, so that all
+/// hosts reject a request that crashes endpoints. Hosts that start later read
+/// the retained part of the log. While the store is unreachable, hosts learn of
+/// crashes from the messages that they exchange anyway.
 /// Thread safety: use from the host's io_context only.
 class CrashTracker {
 public:
   /// Precondition: \p Metrics outlives the object.
-  explicit CrashTracker(HostMetrics &Metrics);
+  CrashTracker(std::shared_ptr<Store> Log, HostMetrics &Metrics);
+
+  /// Reads the crashes that other hosts share. Does not return.
+  Task<void> follow();
+  /// Shares the crashes that this host notices. Does not return.
+  Task<void> publish();
 
   /// Called when a request got no complete answer though \p Endpoint may have
   /// run it.
@@ -36,13 +44,22 @@
 
   /// Returns true if the request has crashed too many endpoints to be sent.
   bool isRejected(const std::string &Fingerprint) const;
+  /// Called when a request is rejected. Shares its crashes again before the
+  /// store discards them, for hosts that start later.
+  void onRejected(const std::string &Fingerprint);
   /// Returns the crashes that this host has noticed or learned of recently.
   std::vector<CrashMessage> recentMessages() const;
 
 private:
+  void onNoticed(const retry::CrashReport &Report);
+  void share(const retry::CrashReport &Report);
+
+  std::shared_ptr<Store> m_Log;
   HostMetrics &m_Metrics;
   retry::CrashQuarantine m_Quarantine;
   retry::CrashDetector m_Detector;
+  std::vector<CrashMessage> m_Unpublished;
+  timers::AsyncCondition m_PublishRequested;
 };
 
 } // namespace sff::host
--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -93,6 +93,8 @@
   m_Swaps.start();
   m_Demands.start();
   m_State.spawn("follow_limits", followLimits());
+  m_State.spawn("follow_crashes", m_State.m_Crashes.follow());
+  m_State.spawn("publish_crashes", m_State.m_Crashes.publish());
   const settings::Settings &Values = m_State.m_Settings;
   m_Peers.listen(addressOf(Values, PeersSetting));
   m_Metrics.listen(addressOf(Values, MetricsSetting));
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -29,7 +29,7 @@
     : m_Context(Context), m_Settings(Values), m_Identity(std::move(Identity)),
       m_Zone(m_Identity.m_Zone), m_Platform(std::move(Adapter)),
       m_Http(Context.get_executor()), m_Chooser(m_Zone, std::random_device{}()),
-      m_Crashes(m_Metrics),
+      m_Crashes(m_Platform.m_Store, m_Metrics),
       m_OwnDemand(serving::DemandRates::DefaultTimeConstant) {}
 
 serving::SharedRetryBudget &HostState::budget(const std::string &Service) {
--- a/Source/Core/Host/PeerMessages.h
+++ b/Source/Core/Host/PeerMessages.h
@@ -2,7 +2,7 @@
 
 #include "Common/Codec/Fields.h"
 #include "Common/Identity/Ids.h"
-#include "Core/Retry/CrashQuarantine.h"
+#include "Host/CrashMessage.h"
 
 #include <nlohmann/json.hpp>
 
@@ -89,22 +89,6 @@
   }
 };
 
-/// A crash of an endpoint that is attributed to a request.
-struct CrashMessage {
-  std::string m_Fingerprint; ///< Identifies repetitions of the request.
-  retry::EndpointCrash m_Crash;
-  /// Time at which a host noticed the crash, as Unix time in milliseconds.
-  std::int64_t m_NoticedAtUnixMs = 0;
-
-  static constexpr auto describe() {
-    using codec::field;
-    return std::make_tuple(
-        field("fingerprint", &CrashMessage::m_Fingerprint),
-        field("crash", &CrashMessage::m_Crash),
-        field("noticed_unix_ms", &CrashMessage::m_NoticedAtUnixMs));
-  }
-};
-
 /// A host's number of requests by model since its last report, and the crashes
 /// that it has noticed or learned of recently.
 struct UsageReport {
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -3,6 +3,7 @@
 #include "Core/Serving/Catalogue.h"
 #include "Core/Serving/EndpointDirectory.h"
 #include "Core/Serving/OrderLease.h"
+#include "Host/CrashMessage.h"
 #include "Net/Http/Client.h"
 #include "Net/Http/Message.h"
 
@@ -106,6 +107,14 @@
   int m_MalformedRecords = 0;
 };
 
+struct CrashBatch {
+  FollowStatus m_Status = FollowStatus::Unreachable;
+  std::vector<CrashMessage> m_Crashes;
+  /// Where to read on, also after HistoryCompacted.
+  Cursor m_Next = 0;
+  int m_MalformedRecords = 0;
+};
+
 struct GroupMembership {
   serving::FencingToken m_Generation = 0;
   bool m_IsHolder = false; ///< This member is the holder of the group.
@@ -128,6 +137,12 @@
   virtual Task<EndpointBatch> listEndpoints() = 0;
   virtual Task<EndpointBatch> followEndpoints(Cursor From,
                                               milliseconds Wait) = 0;
+  /// Appends crashes to the log that all hosts follow. Returns false when the
+  /// store has not confirmed them; it may have appended them nevertheless.
+  virtual Task<bool> appendCrashes(std::vector<CrashMessage> Crashes) = 0;
+  /// Reads the crashes from \p From on and waits up to \p Wait for the first
+  /// one.
+  virtual Task<CrashBatch> followCrashes(Cursor From, milliseconds Wait) = 0;
   /// Joins the group of \p Zone or renews the membership. Returns nothing when
   /// the store does not respond.
   virtual Task<std::optional<GroupMembership>>
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -90,6 +90,7 @@
       hashOf(m_Incoming.m_Target + m_Facts.m_Model.str() + m_Incoming.m_Body));
   if (m_State.m_Crashes.isRejected(m_Fingerprint)) {
     logEvent("request.quarantined", {{"fingerprint", m_Fingerprint}});
+    m_State.m_Crashes.onRejected(m_Fingerprint);
     co_await refuse("crashed_endpoints", QuarantineRetryAfter);
   } else {
     co_await serve();
--- a/Source/UnitTests/Core/Retry/CrashDetectorTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashDetectorTest.cpp
@@ -40,6 +40,17 @@
           .empty());
 }
 
+// Guards against a crash that only one host counts, because the others do not
+// connect to the endpoint soon enough to find it down.
+TEST(CrashDetectorTest, CrashNoticedByAnotherHostIsAttributed) {
+  CrashDetector Detector;
+  Detector.onRequestLost(First, "a", Start);
+  const EndpointCrash LaterIncarnation{First.m_Endpoint, IncarnationId("2")};
+  EXPECT_TRUE(Detector.popLostRequests(LaterIncarnation, Start).empty());
+  EXPECT_EQ(Detector.popLostRequests(First, Start).size(), 1U);
+  EXPECT_TRUE(Detector.popLostRequests(First, Start).empty());
+}
+
 // Guards against unbounded memory for requests whose connection was lost.
 TEST(CrashDetectorTest, RecordedRequestsAreBounded) {
   CrashDetector Detector;
--- a/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
@@ -105,6 +105,20 @@
   EXPECT_EQ(Second.verdict("f", Start), QuarantineVerdict::Reject);
 }
 
+// Guards against hosts that start later and know nothing of a rejected request
+// because the log no longer holds its crashes, and against a write for each
+// rejection.
+TEST(CrashQuarantineTest, RejectedRequestIsSharedAgainOncePerPeriod) {
+  CrashQuarantine Quarantine(10, Period);
+  Quarantine.add(crashOf("f", "e1"), Start);
+  Quarantine.add(crashOf("f", "e2"), Start);
+  Quarantine.onShared("f", Start);
+  EXPECT_TRUE(Quarantine.reportsToShareAgain("f", Start).empty());
+  const Instant Later = Start + CrashQuarantine::SharePeriod;
+  EXPECT_EQ(Quarantine.reportsToShareAgain("f", Later).size(), 2U);
+  EXPECT_TRUE(Quarantine.reportsToShareAgain("f", Later).empty());
+}
+
 // Guards against unbounded memory for crashing requests.
 TEST(CrashQuarantineTest, OldestFingerprintIsEvicted) {
   CrashQuarantine Quarantine(2, Period);
