Check the crash quarantine before each send of a request

Cause: the quarantine was asked only when a request arrived. A request that had crashed one endpoint earlier and crashed its second one now was retried at a third, as were requests that waited for a model while their repetitions crashed endpoints.

Change: the check is made before each send; a request that may have run ends with 502, one that has not run with 503.

Test: HostCrashTest.RequestIsNotRetriedAfterTheSecondCrash failed before (both endpoints crash) and passes (one does). All tests of HostCrashTest pass.

--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -88,13 +88,7 @@
   startTimers();
   m_Fingerprint = std::to_string(
       hashOf(m_Incoming.m_Target + m_Facts.m_Model.str() + m_Incoming.m_Body));
-  if (m_State.m_Crashes.isRejected(m_Fingerprint)) {
-    logEvent("request.quarantined", {{"fingerprint", m_Fingerprint}});
-    m_State.m_Crashes.onRejected(m_Fingerprint);
-    co_await refuse("crashed_endpoints", QuarantineRetryAfter);
-  } else {
-    co_await serve();
-  }
+  co_await serve();
   m_Ended = true;
   m_Timer.cancel();
   m_SilenceTimer.cancel();
@@ -165,6 +159,12 @@
 }
 
 Task<RequestSession::Step> RequestSession::serveOnce() {
+  if (m_State.m_Crashes.isRejected(m_Fingerprint)) {
+    logEvent("request.quarantined", {{"fingerprint", m_Fingerprint}});
+    m_State.m_Crashes.onRejected(m_Fingerprint);
+    co_await endWithFailure("crashed_endpoints", QuarantineRetryAfter);
+    co_return Step::Finished;
+  }
   const auto List = candidates();
   const bool NeedsModel =
       m_Service->m_Engine && !m_Facts.m_Model.m_Model.empty();
