Write log lines in chunks that a pipe takes at once

Cause: the log writer handed all lines of 200 ms to one write.

Change: each write holds whole lines of at most PIPE_BUF bytes, which a pipe takes at once.

--- a/Source/Core/Common/Logging/Log.cpp
+++ b/Source/Core/Common/Logging/Log.cpp
@@ -2,12 +2,14 @@
 
 #include "Common/Concurrency/BoundedQueue.h"
 #include "Common/Concurrency/NamedThread.h"
+#include "Common/Logging/LineChunk.h"
 
 #include <glog/logging.h>
 
 #include <unistd.h>
 
 #include <atomic>
+#include <climits>
 #include <cstdlib>
 #include <memory>
 
@@ -58,8 +60,11 @@
                 std::to_string(DroppedCount) + "}\n";
     std::string_view Remaining = Buffer;
     while (!Remaining.empty()) {
+      // A pipe takes up to PIPE_BUF bytes at once, without mixing them with the
+      // output of other processes.
+      const std::string_view Chunk = leadingLines(Remaining, PIPE_BUF);
       const ssize_t Written =
-          ::write(STDOUT_FILENO, Remaining.data(), Remaining.size());
+          ::write(STDOUT_FILENO, Chunk.data(), Chunk.size());
       // There is no other channel to report the failure to; the lines are lost.
       if (Written <= 0)
         return;
