Reject a request for longer with each endpoint that it crashes

Cause: a fingerprint was forgotten 60 s after its last crash, so a request that always crashes its endpoint took down two endpoints a minute for as long as it came, beyond the three sends that the users allow. And the oldest fingerprint was evicted when the quarantine was full: the crash of a crowded endpoint makes many requests suspect, and could push out one that is rejected.

Change: crashes count until maxAge() (32 periods); the request is rejected for one period after its second crash, twice that after the third, up to 16 periods. The fingerprint with the fewest crashes is evicted first. The verdict is a function of the set of crashes and the time, so the order of reports does not matter. A crash long before the second one now counts, unless the request completed in between.

QuarantineEndsAfter- SuccessOrPeriod checked that a crash no longer counts one period later; it now checks that at the age from which crashes are forgotten. The reference replay of RetryProperties follows the new rule.

--- a/Source/Core/Core/Retry/CrashQuarantine.cpp
+++ b/Source/Core/Core/Retry/CrashQuarantine.cpp
@@ -1,6 +1,7 @@
 #include "Core/Retry/CrashQuarantine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sff::retry {
 
@@ -9,20 +10,17 @@
     : m_MaxFingerprints(MaxFingerprints), m_Period(Period) {}
 
 bool CrashQuarantine::add(const CrashReport &Report, Instant Now) {
-  if (Now - Report.m_At >= m_Period)
+  if (Now - Report.m_At >= maxAge())
     return false;
   if (!m_Records.contains(Report.m_Fingerprint) &&
       m_Records.size() >= std::max<std::size_t>(m_MaxFingerprints, 1))
-    evictRecords(Now);
-  CrashRecord &Record = m_Records[Report.m_Fingerprint];
-  if (isExpired(Record, Now))
-    Record.m_Crashes.clear();
-  const bool IsNew =
-      Record.m_Crashes.try_emplace(Report.m_Crash, KnownCrash{Report.m_At, Now})
-          .second;
-  if (IsNew)
-    Record.m_LastCrash = std::max(Record.m_LastCrash, Report.m_At);
-  return IsNew;
+    evictRecord(Now);
+  auto &Crashes = m_Records[Report.m_Fingerprint].m_Crashes;
+  std::erase_if(Crashes, [&](const auto &Entry) {
+    return Now - Entry.second.m_At >= maxAge();
+  });
+  return Crashes.try_emplace(Report.m_Crash, KnownCrash{Report.m_At, Now})
+      .second;
 }
 
 void CrashQuarantine::onSuccess(const std::string &Fingerprint) {
@@ -35,21 +33,21 @@
 
 std::size_t CrashQuarantine::crashCount(const std::string &Fingerprint,
                                         Instant Now) const {
-  const CrashRecord *Record = find(Fingerprint, Now);
-  if (!Record)
-    return 0;
-  return static_cast<std::size_t>(
-      std::ranges::count_if(Record->m_Crashes, [](const auto &Entry) {
-        return Entry.second.m_Counts;
-      }));
+  const auto Found = m_Records.find(Fingerprint);
+  return Found == m_Records.end() ? 0 : summarize(Found->second, Now).m_Count;
 }
 
 QuarantineVerdict CrashQuarantine::verdict(const std::string &Fingerprint,
                                            Instant Now) const {
-  const std::size_t Crashes = crashCount(Fingerprint, Now);
-  if (Crashes >= 2)
-    return QuarantineVerdict::Reject;
-  return Crashes == 1 ? QuarantineVerdict::Isolate : QuarantineVerdict::Normal;
+  const auto Found = m_Records.find(Fingerprint);
+  if (Found == m_Records.end())
+    return QuarantineVerdict::Normal;
+  const auto [Crashes, Last] = summarize(Found->second, Now);
+  const bool IsRecent = Now - Last < periodFor(Crashes);
+  if (Crashes == 0 || (Crashes == 1 && !IsRecent))
+    return QuarantineVerdict::Normal;
+  return Crashes >= 2 && IsRecent ? QuarantineVerdict::Reject
+                                  : QuarantineVerdict::Isolate;
 }
 
 std::vector<CrashReport> CrashQuarantine::recentReports(Instant Now) const {
@@ -71,36 +69,40 @@
 CrashQuarantine::reportsToShareAgain(const std::string &Fingerprint,
                                      Instant Now) {
   std::vector<CrashReport> Result;
-  const CrashRecord *Record = find(Fingerprint, Now);
-  if (!Record || Now - Record->m_LastShared < SharePeriod)
+  const auto Found = m_Records.find(Fingerprint);
+  if (Found == m_Records.end() ||
+      Now - Found->second.m_LastShared < SharePeriod)
     return Result;
-  for (const auto &[Crash, Known] : Record->m_Crashes)
-    if (Known.m_Counts)
+  for (const auto &[Crash, Known] : Found->second.m_Crashes)
+    if (counts(Known, Now))
       Result.push_back({Fingerprint, Crash, Known.m_At});
-  onShared(Fingerprint, Now);
+  Found->second.m_LastShared = Now;
   return Result;
 }
 
-const CrashQuarantine::CrashRecord *
-CrashQuarantine::find(const std::string &Fingerprint, Instant Now) const {
-  const auto Found = m_Records.find(Fingerprint);
-  if (Found == m_Records.end() || isExpired(Found->second, Now))
-    return nullptr;
-  return &Found->second;
+CrashQuarantine::CrashSummary
+CrashQuarantine::summarize(const CrashRecord &Record, Instant Now) const {
+  CrashSummary Result;
+  for (const auto &[Crash, Known] : Record.m_Crashes) {
+    if (!counts(Known, Now))
+      continue;
+    ++Result.m_Count;
+    Result.m_Last = std::max(Result.m_Last, Known.m_At);
+  }
+  return Result;
 }
 
-bool CrashQuarantine::isExpired(const CrashRecord &Record, Instant Now) const {
-  return Now - Record.m_LastCrash >= m_Period;
+milliseconds CrashQuarantine::periodFor(std::size_t Crashes) const {
+  const std::size_t Doublings =
+      std::min(std::max<std::size_t>(Crashes, 2) - 2, MaxDoublings);
+  return m_Period * (1 << Doublings);
 }
 
-void CrashQuarantine::evictRecords(Instant Now) {
-  if (std::erase_if(m_Records, [&](const auto &Item) {
-        return isExpired(Item.second, Now);
-      }) > 0)
-    return;
-  m_Records.erase(std::min_element(
-      m_Records.begin(), m_Records.end(), [](const auto &A, const auto &B) {
-        return A.second.m_LastCrash < B.second.m_LastCrash;
+void CrashQuarantine::evictRecord(Instant Now) {
+  m_Records.erase(
+      std::ranges::min_element(m_Records, {}, [&](const auto &Item) {
+        const CrashSummary Summary = summarize(Item.second, Now);
+        return std::pair(Summary.m_Count, Summary.m_Last);
       }));
 }
 
--- a/Source/Core/Core/Retry/CrashQuarantine.h
+++ b/Source/Core/Core/Retry/CrashQuarantine.h
@@ -44,14 +44,18 @@
 /// Records requests that were running when their endpoint crashed, by a
 /// fingerprint of the request. The crashes of a request are a set, so reports
 /// of several hosts add up in any order and repeated reports have no effect.
-/// Fingerprints expire after a period without a further crash, and their number
-/// is bounded. Thread safety: none.
+///
+/// A request is rejected for a period after its second crash. The period
+/// doubles with each further crash, so that a request that always crashes its
+/// endpoint is tried less and less often. Crashes older than maxAge() are
+/// forgotten, and the number of fingerprints is bounded. Thread safety: none.
 class CrashQuarantine {
 public:
+  /// \p Period is the time for which a request is rejected after two crashes.
   CrashQuarantine(std::size_t MaxFingerprints, milliseconds Period);
 
-  /// Records a crash. Returns false if it is known already, or older than the
-  /// period.
+  /// Records a crash. Returns false if it is known already, or older than
+  /// maxAge().
   bool add(const CrashReport &Report, Instant Now);
   /// The request has completed, so the crashes known so far do not count.
   void onSuccess(const std::string &Fingerprint);
@@ -75,6 +79,11 @@
   /// Time for which a crash is sent to other hosts.
   static constexpr milliseconds RecentCrashPeriod{5000};
 
+  /// Number of times that the period doubles.
+  static constexpr std::size_t MaxDoublings = 4;
+  /// Age from which a crash no longer counts.
+  milliseconds maxAge() const { return 2 * periodFor(MaxDoublings + 2); }
+
 private:
   struct KnownCrash {
     Instant m_At;
@@ -83,15 +92,24 @@
   };
   struct CrashRecord {
     std::map<EndpointCrash, KnownCrash> m_Crashes;
-    Instant m_LastCrash;
     Instant m_LastShared;
   };
-  /// Returns the record of the fingerprint unless it has expired.
-  const CrashRecord *find(const std::string &Fingerprint, Instant Now) const;
-  bool isExpired(const CrashRecord &Record, Instant Now) const;
-  /// Removes the expired fingerprints or, if there are none, the one with the
-  /// oldest crash.
-  void evictRecords(Instant Now);
+  /// The crashes of a request that count.
+  struct CrashSummary {
+    std::size_t m_Count = 0;
+    Instant m_Last;
+  };
+
+  CrashSummary summarize(const CrashRecord &Record, Instant Now) const;
+  /// Time after the last of \p Crashes for which the request is rejected, or
+  /// isolated after a single crash.
+  milliseconds periodFor(std::size_t Crashes) const;
+  bool counts(const KnownCrash &Known, Instant Now) const {
+    return Known.m_Counts && Now - Known.m_At < maxAge();
+  }
+  /// Removes the fingerprint with the fewest crashes, and among these the one
+  /// with the oldest.
+  void evictRecord(Instant Now);
 
   std::size_t m_MaxFingerprints;
   milliseconds m_Period;
--- a/Source/Core/Host/CrashTracker.cpp
+++ b/Source/Core/Host/CrashTracker.cpp
@@ -8,16 +8,17 @@
 
 namespace {
 
-/// Capacity of the crash quarantine and how long it keeps a fingerprint.
+/// Capacity of the crash quarantine, and the time for which it rejects a
+/// request after two crashes.
 constexpr std::size_t MaxFingerprints = 1000;
-constexpr milliseconds FingerprintLifetime{60000};
+constexpr milliseconds RejectionPeriod{60000};
 
 /// Longest wait of one read of the log. Bounded because a dead connection is
 /// noticed only by the next read.
 constexpr milliseconds MaxFollowWait{3000};
 /// Delay between reads while there are crashes, so that all hosts together stay
 /// within the read rate of the store when many endpoints crash at once.
-constexpr milliseconds FollowInterval{800};
+constexpr milliseconds FollowInterval{1500};
 /// Crashes that are noticed within this time are appended by one call.
 constexpr milliseconds PublishDelay{100};
 constexpr milliseconds StoreRetryDelay{1000};
@@ -51,7 +52,7 @@
 
 CrashTracker::CrashTracker(std::shared_ptr<Store> Log, HostMetrics &Metrics)
     : m_Log(std::move(Log)), m_Metrics(Metrics),
-      m_Quarantine(MaxFingerprints, FingerprintLifetime) {}
+      m_Quarantine(MaxFingerprints, RejectionPeriod) {}
 
 Task<void> CrashTracker::follow() {
   Cursor Position = 0;
--- a/Source/Core/Router/RouterSettings.h
+++ b/Source/Core/Router/RouterSettings.h
@@ -184,7 +184,8 @@
     .m_Default = milliseconds(600000),
     .m_Unit = "ms",
     .m_Range = {100, 86400000},
-    .m_Doc = "Time for which a request that crashed endpoints is remembered."};
+    .m_Doc = "Time for which a request is rejected after it has crashed two "
+             "endpoints; doubles with each further crash."};
 
 inline const Setting<std::int64_t> QuarantineSizeSetting{
     .m_Section = "retry",
--- a/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
@@ -59,8 +59,10 @@
   EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Isolate);
   const Instant End = Start + Period;
   EXPECT_EQ(Quarantine.verdict("f", End), QuarantineVerdict::Normal);
-  Quarantine.add(crashOf("f", "e3", End), End);
-  EXPECT_EQ(Quarantine.crashCount("f", End), 1U);
+  const Instant Forgotten = Start + Quarantine.maxAge();
+  EXPECT_EQ(Quarantine.crashCount("f", Forgotten), 0U);
+  Quarantine.add(crashOf("f", "e3", Forgotten), Forgotten);
+  EXPECT_EQ(Quarantine.crashCount("f", Forgotten), 1U);
 }
 
 // Guards against a request that is quarantined again after a success because
@@ -119,6 +121,34 @@
   EXPECT_TRUE(Quarantine.reportsToShareAgain("f", Later).empty());
 }
 
+// Guards against a request that crashes two endpoints again after each period.
+TEST(CrashQuarantineTest, RequestThatCrashesAgainIsRejectedForLonger) {
+  CrashQuarantine Quarantine(10, Period);
+  Instant Now = Start;
+  Quarantine.add(crashOf("f", "e0", Now), Now);
+  milliseconds Expected = Period;
+  for (int Crash = 1; Crash < 5; ++Crash) {
+    Quarantine.add(crashOf("f", "e" + std::to_string(Crash), Now), Now);
+    EXPECT_EQ(Quarantine.verdict("f", Now + Expected - milliseconds(1)),
+              QuarantineVerdict::Reject);
+    Now += Expected;
+    EXPECT_EQ(Quarantine.verdict("f", Now), QuarantineVerdict::Isolate);
+    Expected *= 2;
+  }
+}
+
+// Guards against a rejected request that is forgotten when the crash of a
+// crowded endpoint makes many other requests suspect.
+TEST(CrashQuarantineTest, SuspectsAreEvictedBeforeRejectedRequests) {
+  CrashQuarantine Quarantine(10, Period);
+  Quarantine.add(crashOf("f", "e1"), Start);
+  Quarantine.add(crashOf("f", "e2"), Start);
+  const Instant Now = Start + milliseconds(1);
+  for (int Index = 0; Index < 100; ++Index)
+    Quarantine.add(crashOf(std::to_string(Index), "e3", Now), Now);
+  EXPECT_EQ(Quarantine.verdict("f", Now), QuarantineVerdict::Reject);
+}
+
 // Guards against unbounded memory for crashing requests.
 TEST(CrashQuarantineTest, OldestFingerprintIsEvicted) {
   CrashQuarantine Quarantine(2, Period);
--- a/Source/UnitTests/Core/Retry/RetryProperties.cpp
+++ b/Source/UnitTests/Core/Retry/RetryProperties.cpp
@@ -47,34 +47,44 @@
 /// Replays the complete history of one fingerprint.
 QuarantineVerdict referenceVerdict(const std::vector<Event> &History,
                                    Instant Now, milliseconds Period) {
-  std::set<EndpointCrash> Known;
-  std::set<EndpointCrash> Counted;
-  Instant Latest;
+  const milliseconds MaxAge = 32 * Period;
+  std::map<EndpointCrash, Instant> Known;
+  std::set<EndpointCrash> Refuted;
   for (const Event &Action : History) {
-    if (Action.m_ProcessedAt - Latest >= Period) {
-      Known.clear();
-      Counted.clear();
-    }
-    if (Action.m_Kind == EventKind::Success) {
-      Counted.clear();
-      continue;
-    }
-    if (Action.m_ProcessedAt - Action.m_Report.m_At >= Period ||
-        !Known.insert(Action.m_Report.m_Crash).second)
+    const auto IsForgotten = [&](const auto &Entry) {
+      const bool Old = Action.m_ProcessedAt - Entry.second >= MaxAge;
+      if (Old)
+        Refuted.erase(Entry.first);
+      return Old;
+    };
+    std::erase_if(Known, IsForgotten);
+    if (Action.m_Kind == EventKind::Success)
+      for (const auto &[Crash, At] : Known)
+        Refuted.insert(Crash);
+    else if (Action.m_ProcessedAt - Action.m_Report.m_At < MaxAge)
+      Known.emplace(Action.m_Report.m_Crash, Action.m_Report.m_At);
+  }
+  std::size_t Crashes = 0;
+  Instant Last;
+  for (const auto &[Crash, At] : Known) {
+    if (Refuted.contains(Crash) || Now - At >= MaxAge)
       continue;
-    Counted.insert(Action.m_Report.m_Crash);
-    Latest = std::max(Latest, Action.m_Report.m_At);
+    ++Crashes;
+    Last = std::max(Last, At);
   }
-  if (Counted.empty() || Now - Latest >= Period)
-    return QuarantineVerdict::Normal;
-  return Counted.size() == 1 ? QuarantineVerdict::Isolate
-                             : QuarantineVerdict::Reject;
+  constexpr int PeriodsByCrashes[] = {0, 1, 1, 2, 4, 8, 16};
+  const int Periods = PeriodsByCrashes[std::min<std::size_t>(Crashes, 6)];
+  if (Crashes >= 2)
+    return Now - Last < Periods * Period ? QuarantineVerdict::Reject
+                                         : QuarantineVerdict::Isolate;
+  return Crashes == 1 && Now - Last < Period ? QuarantineVerdict::Isolate
+                                             : QuarantineVerdict::Normal;
 }
 
 CrashReport arbitraryReport(const std::string &Name, Instant Now) {
   const EndpointId Endpoint(std::string(1, *rc::gen::inRange('x', '{')));
   const IncarnationId Incarnation(std::to_string(*rc::gen::inRange(0, 2)));
-  const milliseconds Age(*rc::gen::element(0, 0, 300, 999, 1000));
+  const milliseconds Age(*rc::gen::element(0, 0, 300, 999, 1000, 40000));
   return {Name, {Endpoint, Incarnation}, Now - Age};
 }
 
@@ -87,7 +97,7 @@
   Instant Now{std::chrono::hours(1)};
   const int Steps = *rc::gen::inRange(0, 80);
   for (int Step = 0; Step < Steps; ++Step) {
-    Now += milliseconds(*rc::gen::element(0, 1, 300, 999, 1000));
+    Now += milliseconds(*rc::gen::element(0, 1, 300, 999, 1000, 4000));
     const std::string Name(1, *rc::gen::inRange('a', 'd'));
     switch (*rc::gen::inRange(0, 4)) {
     case 0:
@@ -112,6 +122,7 @@
 
 /// Delivers each report to a host in a random order, some of them twice.
 CrashQuarantine deliver(std::vector<CrashReport> Reports, Instant Now) {
+  // All reports are younger than the period.
   constexpr milliseconds Period{60000};
   CrashQuarantine Host(100, Period);
   std::vector<CrashReport> Repeated = Reports;
