Keep the retry budget for requests that are sent

Cause: each choice of an endpoint took a retry from the budget, also when the connection was refused and nothing was sent.

Change: what was taken covers the next send of the same request.

Test: HostRequestTest.RefusedConnectionsDoNotUseTheRetryBudget failed before (502 instead of 504) and passes.

--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -362,6 +362,8 @@
     co_return co_await onIncompleteResponse(Id, resultOf(Failure),
                                             Failure.m_Detail);
   }
+  // Nothing was sent, so what was taken from the budget covers the next send.
+  m_RetryGranted = m_History.sends() > 0;
   if (isOver())
     co_return Step::TryAgain;
   onUnreachable(Id);
