Wait for open connections, not only for active requests, at a stop

Cause: idle connections are closed by a posted handler, and the check for active requests ran before it. A request that was read in between was sent on and cut by the exit of the process.

Change: Server::drain waits until no connection is open; Host::stop uses it. A connection on which bytes have arrived is not closed as idle.

Test: HttpServerDrainTest.RequestThatArrivesWithTheStopIsAnswered failed with the former condition (no answer) and passes.

--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -19,7 +19,8 @@
 constexpr milliseconds BalancerDrainTime{3000};
 /// Part of the grace time that is reserved for the exit of the process.
 constexpr milliseconds ExitMargin{600};
-constexpr milliseconds DrainPollInterval{50};
+/// Lets the kernel send the last responses before the process exits.
+constexpr milliseconds ExitDelay{50};
 /// Idle timeout of listeners that only the platform and other hosts can reach.
 constexpr milliseconds InternalIdleTimeout{60000};
 /// Added to the idle timeout that callers assume, so that a request sent just
@@ -206,15 +207,13 @@
   // The load balancer opens no new connections. Requests that arrive on
   // kept-alive connections from now on could not be finished, so idle
   // connections are closed.
-  m_Callers.stopAccepting();
   m_State.m_Stopping = true;
-  while (now() < Deadline && m_Callers.activeRequests() > 0)
-    co_await sleepFor(DrainPollInterval);
+  co_await m_Callers.drain(Deadline);
   log::info(LogCategory, "process.drained",
             {{"requests", m_Callers.activeRequests()},
              {"connections", m_Callers.connections()},
              {"took_ms", toMilliseconds(now() - Start).count()}});
-  co_await sleepFor(DrainPollInterval);
+  co_await sleepFor(ExitDelay);
   m_Context.stop();
 }
 
--- a/Source/Core/Net/Http/Server.cpp
+++ b/Source/Core/Net/Http/Server.cpp
@@ -1,6 +1,7 @@
 #include "Net/Http/Server.h"
 
 #include "Common/Logging/Log.h"
+#include "Net/Timers/AsyncCondition.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -86,11 +87,12 @@
     m_Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
   }
 
-  /// Closes the connection if no request is in progress on it.
+  /// Closes the connection if no request is in progress on it and none has
+  /// arrived.
   void closeIfIdle() {
-    if (!m_Idle)
-      return;
     error_code Ignored;
+    if (!m_Idle || m_Stream.socket().available(Ignored) > 0)
+      return;
     m_Stream.socket().close(Ignored);
   }
 
@@ -418,6 +420,15 @@
 void Server::beginDrain() { m_Impl->beginDrain(); }
 std::size_t Server::connections() const { return m_Impl->connections(); }
 void Server::stopAccepting() { m_Impl->stopAccepting(); }
+
+asio::awaitable<void> Server::drain(Instant Deadline) {
+  constexpr milliseconds PollInterval{50};
+  stopAccepting();
+  // Idle connections are closed by a posted handler, and a request that arrives
+  // before it runs is served. So no active request is not enough.
+  while (std::chrono::steady_clock::now() < Deadline && connections() > 0)
+    co_await timers::sleepFor(PollInterval);
+}
 std::size_t Server::activeRequests() const { return m_Impl->activeRequests(); }
 
 } // namespace sff::http
--- a/Source/Core/Net/Http/Server.h
+++ b/Source/Core/Net/Http/Server.h
@@ -86,6 +86,10 @@
   /// Closes the listening socket and all idle connections. Requests in progress
   /// are completed.
   void stopAccepting();
+  /// Calls stopAccepting() and waits until all connections are closed, or until
+  /// \p Deadline. Call from the server's io_context only.
+  /// Precondition: the server outlives the call.
+  boost::asio::awaitable<void> drain(Instant Deadline);
   /// Returns the number of requests whose response is not completely sent.
   std::size_t activeRequests() const;
   /// Returns the number of open connections.
--- a/Source/UnitTests/Net/Http/ServerTest.cpp
+++ b/Source/UnitTests/Net/Http/ServerTest.cpp
@@ -1,5 +1,6 @@
 #include "Net/Http/Server.h"
 #include "Net/Http/Client.h"
+#include "Net/Timers/AsyncCondition.h"
 #include "Net/Timers/EventLoop.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -120,5 +121,40 @@
             "HTTP/1.1 200 OK");
 }
 
+// Guards against a request that is sent to an endpoint and gets no answer
+// because it arrived with the stop of the host: no request was active when the
+// idle connections were about to be closed, so the process exited (LOST on
+// shohag-boards-grown, hunt-cff6-3).
+TEST(HttpServerDrainTest, RequestThatArrivesWithTheStopIsAnswered) {
+  constexpr milliseconds HandlingTime{120};
+  asio::io_context Context(1);
+  Server Stopping(
+      Context, {},
+      [=](Request Incoming, Exchange &Caller) -> asio::awaitable<void> {
+        co_await timers::sleepFor(HandlingTime);
+        co_await echo(std::move(Incoming), Caller);
+      });
+  Stopping.listen({"127.0.0.1", 0});
+  asio::io_context CallerContext;
+  asio::ip::tcp::socket Caller(CallerContext);
+  Caller.connect({asio::ip::make_address_v4("127.0.0.1"), Stopping.port()});
+  while (Stopping.connections() == 0)
+    Context.poll();
+  asio::write(Caller, asio::buffer(std::string_view(
+                          "GET /echo HTTP/1.1\r\nHost: a\r\n\r\n")));
+  std::this_thread::sleep_for(milliseconds(20));
+  const Instant Deadline =
+      std::chrono::steady_clock::now() + milliseconds(5000);
+  asio::co_spawn(Context, Stopping.drain(Deadline),
+                 [&Context](const std::exception_ptr &) { Context.stop(); });
+  Context.run();
+  std::string Answer(15, '\0');
+  boost::system::error_code Error;
+  Caller.non_blocking(true);
+  Caller.read_some(asio::buffer(Answer), Error);
+  EXPECT_EQ(Answer, "HTTP/1.1 200 OK");
+  EXPECT_LT(std::chrono::steady_clock::now(), Deadline);
+}
+
 } // namespace
 } // namespace sff::http
