Bound the time of a reported crash by the present

A report with a time outside the clock's range would overflow the age that is computed from it; such a crash counts as noticed at the start of the epoch, which is forgotten, or now.

--- a/Source/Core/Host/CrashTracker.cpp
+++ b/Source/Core/Host/CrashTracker.cpp
@@ -42,10 +42,11 @@
 }
 
 retry::CrashReport toReport(const CrashMessage &Message) {
-  const milliseconds Age = unixTime() - milliseconds(Message.m_NoticedAtUnixMs);
   // Clocks of hosts differ, so a crash may seem to lie in the future.
+  const milliseconds NoticedAt = std::clamp(
+      milliseconds(Message.m_NoticedAtUnixMs), milliseconds(0), unixTime());
   return {Message.m_Fingerprint, Message.m_Crash,
-          now() - std::max(Age, milliseconds(0))};
+          now() - (unixTime() - NoticedAt)};
 }
 
 } // namespace
