Check that the connection of a probe stays open

Change: a probe succeeds only if its connection is still open 20 ms later. A retry after a lost connection starts 20 ms later than before.

--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -1,5 +1,7 @@
 #include "Net/Http/Client.h"
 
+#include "Net/Timers/AsyncCondition.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -58,6 +60,10 @@
 /// with the wait for the response.
 constexpr std::size_t LargeRequestBytes = 16 * 1024;
 
+/// The listener of a process that terminates may accept a connection after the
+/// other connections of the process are closed.
+constexpr milliseconds ConnectSettleTime{20};
+
 /// Maximum number of late responses to earlier requests that a call skips on
 /// its connection.
 constexpr int MaxSkippedResponses = 2;
@@ -141,6 +147,15 @@
       Pool.push_back(std::move(ActiveConnection));
   }
 
+  static bool isUsable(Connection &Idle) {
+    char Byte = 0;
+    error_code Error;
+    Idle.m_Stream.socket().non_blocking(true, Error);
+    Idle.m_Stream.socket().receive(asio::buffer(&Byte, 1),
+                                   tcp::socket::message_peek, Error);
+    return Error == asio::error::would_block;
+  }
+
   void dropIdle(const Address &Remote) { m_Idle.erase(Remote); }
 
   void closeIdle(milliseconds MaxIdle) {
@@ -155,15 +170,6 @@
 private:
   static constexpr std::size_t MaxIdlePerAddress = 32;
 
-  static bool isUsable(Connection &Idle) {
-    char Byte = 0;
-    error_code Error;
-    Idle.m_Stream.socket().non_blocking(true, Error);
-    Idle.m_Stream.socket().receive(asio::buffer(&Byte, 1),
-                                   tcp::socket::message_peek, Error);
-    return Error == asio::error::would_block;
-  }
-
   std::shared_ptr<Connection> popIdle(const Address &Remote,
                                       milliseconds MaxIdle) {
     auto &Pool = m_Idle[Remote];
@@ -425,6 +431,10 @@
   auto NewConnection =
       std::get<std::shared_ptr<Connection>>(std::move(Connected));
   NewConnection->m_Stream.expires_never();
+  co_await timers::sleepFor(ConnectSettleTime);
+  if (!Impl::isUsable(*NewConnection))
+    co_return TransportFailure{FailureStage::Connect, false,
+                               "closed after it was accepted"};
   Pool->release(Remote, std::move(NewConnection));
   co_return std::nullopt;
 }
--- a/Source/Core/Net/Http/Client.h
+++ b/Source/Core/Net/Http/Client.h
@@ -112,7 +112,8 @@
                                           ClientOptions Options = {});
 
   /// Opens a connection and keeps it in the pool for the next call. Returns the
-  /// failure when no connection is established within \p Timeout.
+  /// failure when no connection is established within \p Timeout, or when it is
+  /// closed at once, as by a process that terminates.
   boost::asio::awaitable<std::optional<TransportFailure>>
   connect(Address Remote, milliseconds Timeout);
 
--- a/Source/UnitTests/Net/Http/ServerTest.cpp
+++ b/Source/UnitTests/Net/Http/ServerTest.cpp
@@ -121,6 +121,25 @@
             "HTTP/1.1 200 OK");
 }
 
+// Guards against an endpoint that is taken for alive because its listener still
+// accepts connections while the process terminates: a request was retried
+// though it had just crashed its second endpoint.
+TEST_F(HttpServerTest, ConnectionThatIsClosedAtOnceIsAFailure) {
+  asio::ip::tcp::acceptor Terminating(
+      m_Loop.context(), {asio::ip::make_address_v4("127.0.0.1"), 0});
+  Terminating.async_accept(
+      [](boost::system::error_code, asio::ip::tcp::socket) {});
+  const auto Connect = [this](std::uint16_t Port) {
+    Client Http(m_Loop.context().get_executor());
+    return asio::co_spawn(m_Loop.context(),
+                          Http.connect({"127.0.0.1", Port}, milliseconds(1000)),
+                          asio::use_future)
+        .get();
+  };
+  EXPECT_TRUE(Connect(Terminating.local_endpoint().port()));
+  EXPECT_FALSE(Connect(m_Server.port()));
+}
+
 // Guards against a request that is sent to an endpoint and gets no answer
 // because it arrived with the stop of the host: no request was active when the
 // idle connections were about to be closed, so the process exited (LOST on
