Tell runs, refusal reasons and refuted crashes apart in logs and metrics

A crash report names the caller's attempt that ended (`run`), requests are counted by outcome and reason, requests that crashed two endpoints have a time series each (20 at most), and completions that clear crashes are logged and counted.

--- a/Source/Core/Core/Retry/CrashDetector.cpp
+++ b/Source/Core/Core/Retry/CrashDetector.cpp
@@ -3,12 +3,13 @@
 namespace sff::retry {
 
 void CrashDetector::onRequestLost(const EndpointCrash &Possible,
-                                  std::string Fingerprint, Instant Now) {
+                                  std::string Fingerprint, RequestId Run,
+                                  Instant Now) {
   std::deque<CrashReport> &List = m_LostRequests[Possible.m_Endpoint];
   while (!List.empty() && (Now - List.front().m_At > CorrelationWindow ||
                            List.size() >= MaxPerEndpoint))
     List.pop_front();
-  List.push_back({std::move(Fingerprint), Possible, Now});
+  List.push_back({std::move(Fingerprint), Possible, Now, std::move(Run)});
 }
 
 std::vector<CrashReport>
--- a/Source/Core/Core/Retry/CrashDetector.h
+++ b/Source/Core/Core/Retry/CrashDetector.h
@@ -19,10 +19,10 @@
   /// heartbeats.
   static constexpr milliseconds CorrelationWindow{8000};
 
-  /// Records that a request got no complete answer. \p Possible describes the
-  /// crash that may be the cause.
+  /// Records that the attempt \p Run of a request got no complete answer.
+  /// \p Possible describes the crash that may be the cause.
   void onRequestLost(const EndpointCrash &Possible, std::string Fingerprint,
-                     Instant Now);
+                     RequestId Run, Instant Now);
   /// Call when the endpoint refuses connections, has restarted or has vanished
   /// from the registry. Returns a report for each request that was lost with
   /// it, each only once.
--- a/Source/Core/Core/Retry/CrashQuarantine.h
+++ b/Source/Core/Core/Retry/CrashQuarantine.h
@@ -39,6 +39,9 @@
   std::string m_Fingerprint; ///< Identifies repetitions of the request.
   EndpointCrash m_Crash;
   Instant m_At; ///< Time at which a host noticed the crash.
+  /// The caller's attempt that ended with the endpoint. Repetitions of a
+  /// request have the same fingerprint and different ids.
+  RequestId m_Run{};
 };
 
 /// Records requests that were running when their endpoint crashed, by a
--- a/Source/Core/Host/CrashMessage.h
+++ b/Source/Core/Host/CrashMessage.h
@@ -13,13 +13,15 @@
   retry::EndpointCrash m_Crash;
   /// Time at which a host noticed the crash, as Unix time in milliseconds.
   std::int64_t m_NoticedAtUnixMs = 0;
+  RequestId m_Run; ///< The caller's attempt that ended with the endpoint.
 
   static constexpr auto describe() {
     using codec::field;
     return std::make_tuple(
         field("fingerprint", &CrashMessage::m_Fingerprint),
         field("crash", &CrashMessage::m_Crash),
-        field("noticed_unix_ms", &CrashMessage::m_NoticedAtUnixMs));
+        field("noticed_unix_ms", &CrashMessage::m_NoticedAtUnixMs),
+        field("run", &CrashMessage::m_Run));
   }
 };
 
--- a/Source/Core/Host/CrashTracker.cpp
+++ b/Source/Core/Host/CrashTracker.cpp
@@ -38,7 +38,8 @@
 
 CrashMessage toMessage(const retry::CrashReport &Report) {
   const auto Age = toMilliseconds(now() - Report.m_At);
-  return {Report.m_Fingerprint, Report.m_Crash, (unixTime() - Age).count()};
+  return {Report.m_Fingerprint, Report.m_Crash, (unixTime() - Age).count(),
+          Report.m_Run};
 }
 
 retry::CrashReport toReport(const CrashMessage &Message) {
@@ -46,7 +47,7 @@
   const milliseconds NoticedAt = std::clamp(
       milliseconds(Message.m_NoticedAtUnixMs), milliseconds(0), unixTime());
   return {Message.m_Fingerprint, Message.m_Crash,
-          now() - (unixTime() - NoticedAt)};
+          now() - (unixTime() - NoticedAt), Message.m_Run};
 }
 
 } // namespace
@@ -111,11 +112,26 @@
 }
 
 void CrashTracker::onRequestLost(const serving::Endpoint &Endpoint,
-                                 const std::string &Fingerprint) {
+                                 const std::string &Fingerprint,
+                                 const RequestId &Run) {
   const serving::Registration &Known = Endpoint.m_Registration;
   const IncarnationId Incarnation(
       std::to_string(Known.m_Incarnation.m_StartedAtMs));
-  m_Detector.onRequestLost({Known.m_Id, Incarnation}, Fingerprint, now());
+  m_Detector.onRequestLost({Known.m_Id, Incarnation}, Fingerprint, Run, now());
+}
+
+void CrashTracker::onSuccess(const std::string &Fingerprint) {
+  if (m_Quarantine.crashCount(Fingerprint, now()) == 0)
+    return;
+  m_Quarantine.onSuccess(Fingerprint);
+  log::info(LogCategory, "crash.refuted", {{"fingerprint", Fingerprint}});
+  m_Metrics.onCrash("refuted");
+  measure(Fingerprint);
+}
+
+void CrashTracker::measure(const std::string &Fingerprint) {
+  m_Metrics.setSuspect(Fingerprint,
+                       m_Quarantine.crashCount(Fingerprint, now()));
 }
 
 void CrashTracker::onNoticed(const retry::CrashReport &Report) {
@@ -126,8 +142,10 @@
       {{"endpoint", Report.m_Crash.m_Endpoint},
        {"incarnation", Report.m_Crash.m_Incarnation},
        {"fingerprint", Report.m_Fingerprint},
+       {"run", Report.m_Run},
        {"crashes", m_Quarantine.crashCount(Report.m_Fingerprint, now())}});
   m_Metrics.onCrash("observed");
+  measure(Report.m_Fingerprint);
   share(Report);
 }
 
@@ -149,9 +167,11 @@
         {{"endpoint", Message.m_Crash.m_Endpoint},
          {"incarnation", Message.m_Crash.m_Incarnation},
          {"fingerprint", Message.m_Fingerprint},
+         {"run", Message.m_Run},
          {"noticed_unix_ms", Message.m_NoticedAtUnixMs},
          {"crashes", m_Quarantine.crashCount(Message.m_Fingerprint, now())}});
     m_Metrics.onCrash("reported");
+    measure(Message.m_Fingerprint);
   }
 }
 
--- a/Source/Core/Host/CrashTracker.h
+++ b/Source/Core/Host/CrashTracker.h
@@ -28,17 +28,15 @@
   /// Shares the crashes that this host notices. Does not return.
   Task<void> publish();
 
-  /// Called when a request got no complete answer though \p Endpoint may have
-  /// run it.
+  /// Called when the attempt \p Run of a request got no complete answer though
+  /// \p Endpoint may have run it.
   void onRequestLost(const serving::Endpoint &Endpoint,
-                     const std::string &Fingerprint);
+                     const std::string &Fingerprint, const RequestId &Run);
   /// Called when the endpoint refuses connections, has restarted or has
   /// vanished from the registry. Counts a crash for the requests that were lost
   /// at it shortly before.
   void onEndpointDown(const EndpointId &Id);
-  void onSuccess(const std::string &Fingerprint) {
-    m_Quarantine.onSuccess(Fingerprint);
-  }
+  void onSuccess(const std::string &Fingerprint);
   /// Adds the crashes that other hosts have noticed.
   void onMessages(std::span<const CrashMessage> Messages);
 
@@ -52,6 +50,8 @@
 
 private:
   void onNoticed(const retry::CrashReport &Report);
+  /// Updates the metrics of a request that has crashed endpoints.
+  void measure(const std::string &Fingerprint);
   void share(const retry::CrashReport &Report);
 
   std::shared_ptr<Store> m_Log;
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -11,8 +11,9 @@
 } // namespace
 
 HostMetrics::HostMetrics()
-    : m_Requests(m_Set.counterFamily("sff_host_requests_total",
-                                     "Requests of callers by outcome")),
+    : m_Requests(
+          m_Set.counterFamily("sff_host_requests_total",
+                              "Requests of callers by outcome and reason")),
       m_Orders(m_Set.counterFamily("sff_host_orders_total",
                                    "Orders to endpoints by result")),
       m_StoreCalls(
@@ -34,6 +35,9 @@
       m_Crashes(m_Set.counterFamily(
           "sff_host_crashes_total",
           "Endpoint crashes attributed to a request, by source")),
+      m_SuspectCrashes(m_Set.gaugeFamily(
+          "sff_host_suspect_crashes",
+          "Crashes that count for a request, by its fingerprint")),
       m_MalformedRecords(
           m_Set.counter("sff_host_unreadable_records_total",
                         "Records of the store that were not understood")),
@@ -51,8 +55,11 @@
   Target.Observe(toSeconds(Taken));
 }
 
-void HostMetrics::onOutcome(std::string_view Outcome, Duration Taken) {
-  m_Requests.Add({{"outcome", std::string(Outcome)}}).Increment();
+void HostMetrics::onOutcome(std::string_view Outcome, std::string_view Reason,
+                            Duration Taken) {
+  m_Requests
+      .Add({{"outcome", std::string(Outcome)}, {"reason", std::string(Reason)}})
+      .Increment();
   observe(m_Durations, Taken);
 }
 
@@ -60,6 +67,18 @@
   m_Crashes.Add({{"source", std::string(Source)}}).Increment();
 }
 
+void HostMetrics::setSuspect(const std::string &Fingerprint,
+                             std::size_t Crashes) {
+  auto Found = m_Suspects.find(Fingerprint);
+  if (Found == m_Suspects.end()) {
+    if (Crashes < 2 || m_Suspects.size() >= MaxSuspects)
+      return;
+    auto &Series = m_SuspectCrashes.Add({{"fingerprint", Fingerprint}});
+    Found = m_Suspects.emplace(Fingerprint, &Series).first;
+  }
+  Found->second->Set(static_cast<double>(Crashes));
+}
+
 void HostMetrics::onOrder(std::string_view Result) {
   m_Orders.Add({{"result", std::string(Result)}}).Increment();
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -3,20 +3,24 @@
 #include "Common/Time/Instant.h"
 #include "Net/Metrics/MetricSet.h"
 
+#include <map>
 #include <string>
 #include <string_view>
 
 namespace sff::host {
 
-/// Metrics of one host. Labels name outcomes, results and store calls only:
-/// with labels for models, each of thousands of models would add a time series.
-/// Thread safety: any thread.
+/// Metrics of one host. Labels name outcomes, reasons, results, store calls and
+/// a bounded number of requests that crash endpoints: with labels for models,
+/// each of thousands of models would add a time series.
+/// Thread safety: any thread, but setSuspect() from one thread only.
 class HostMetrics {
 public:
   HostMetrics();
 
-  /// Counts a finished caller request and records its duration.
-  void onOutcome(std::string_view Outcome, Duration Taken);
+  /// Counts a finished caller request and records its duration. \p Reason is
+  /// empty for answered requests.
+  void onOutcome(std::string_view Outcome, std::string_view Reason,
+                 Duration Taken);
   void onFirstByte(Duration Taken) { observe(m_FirstByte, Taken); }
   void onRetry() { m_Retries.Increment(); }
   /// Counts a request whose connection was lost before a complete answer.
@@ -24,6 +28,9 @@
   /// Counts a crash that is attributed to a request. \p Source tells whether
   /// this host has observed the crash or was told of it.
   void onCrash(std::string_view Source);
+  /// Records how many crashes count for a request. Of the requests that have
+  /// crashed two endpoints or more, the first MaxSuspects get a time series.
+  void setSuspect(const std::string &Fingerprint, std::size_t Crashes);
   void onResume() { m_Resumes.Increment(); }
   void onOrder(std::string_view Result);
   void onSwap(Duration Taken) { observe(m_Swaps, Taken); }
@@ -36,6 +43,8 @@
   http::Response answer() const { return m_Set.answer(); }
 
 private:
+  static constexpr std::size_t MaxSuspects = 20;
+
   static void observe(prometheus::Histogram &Target, Duration Taken);
   prometheus::Histogram &histogram(const std::string &Name,
                                    const std::string &Help);
@@ -51,6 +60,8 @@
   prometheus::Counter &m_Resumes;
   prometheus::Counter &m_LostRequests;
   prometheus::Family<prometheus::Counter> &m_Crashes;
+  prometheus::Family<prometheus::Gauge> &m_SuspectCrashes;
+  std::map<std::string, prometheus::Gauge *> m_Suspects; ///< By fingerprint.
   prometheus::Counter &m_MalformedRecords;
   prometheus::Gauge &m_Endpoints;
   prometheus::Gauge &m_CatalogueVersion;
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -189,7 +189,7 @@
 void RequestSession::recordOutcome(std::string_view Outcome, int Status,
                                    std::string_view Reason) {
   const Duration Taken = now() - m_ArrivedAt;
-  m_State.m_Metrics.onOutcome(Outcome, Taken);
+  m_State.m_Metrics.onOutcome(Outcome, Reason, Taken);
   logEvent("request.finished", {{"outcome", Outcome},
                                 {"status", Status},
                                 {"reason", Reason},
--- a/Source/Core/Net/Metrics/MetricSet.cpp
+++ b/Source/Core/Net/Metrics/MetricSet.cpp
@@ -14,13 +14,14 @@
   return counterFamily(Name, Help).Add({});
 }
 
+prometheus::Family<prometheus::Gauge> &
+MetricSet::gaugeFamily(const std::string &Name, const std::string &Help) {
+  return prometheus::BuildGauge().Name(Name).Help(Help).Register(m_Registry);
+}
+
 prometheus::Gauge &MetricSet::gauge(const std::string &Name,
                                     const std::string &Help) {
-  return prometheus::BuildGauge()
-      .Name(Name)
-      .Help(Help)
-      .Register(m_Registry)
-      .Add({});
+  return gaugeFamily(Name, Help).Add({});
 }
 
 prometheus::Family<prometheus::Histogram> &
--- a/Source/Core/Net/Metrics/MetricSet.h
+++ b/Source/Core/Net/Metrics/MetricSet.h
@@ -20,6 +20,8 @@
   counterFamily(const std::string &Name, const std::string &Help);
   prometheus::Counter &counter(const std::string &Name,
                                const std::string &Help);
+  prometheus::Family<prometheus::Gauge> &gaugeFamily(const std::string &Name,
+                                                     const std::string &Help);
   prometheus::Gauge &gauge(const std::string &Name, const std::string &Help);
   prometheus::Family<prometheus::Histogram> &
   histogramFamily(const std::string &Name, const std::string &Help);
--- a/Source/UnitTests/Core/Retry/CrashDetectorTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashDetectorTest.cpp
@@ -7,13 +7,14 @@
 
 constexpr Instant Start{std::chrono::hours(1)};
 const EndpointCrash First{EndpointId("e1"), IncarnationId("1")};
+const RequestId FirstRun("r1");
 const EndpointCrash Second{EndpointId("e2"), IncarnationId("1")};
 
 // Guards against rejecting callers because one of their answers was lost in
 // transit while the endpoint was alive.
 TEST(CrashDetectorTest, LostAnswerDoesNotCountAsACrash) {
   CrashDetector Detector;
-  Detector.onRequestLost(First, "f", Start);
+  Detector.onRequestLost(First, "f", FirstRun, Start);
   EXPECT_TRUE(Detector.popLostRequests(Second.m_Endpoint, Start).empty());
   EXPECT_TRUE(Detector
                   .popLostRequests(First.m_Endpoint,
@@ -26,8 +27,8 @@
 // being noticed.
 TEST(CrashDetectorTest, RequestsLostWithTheEndpointAreReportedOnce) {
   CrashDetector Detector;
-  Detector.onRequestLost(First, "a", Start);
-  Detector.onRequestLost(First, "b", Start + milliseconds(10));
+  Detector.onRequestLost(First, "a", FirstRun, Start);
+  Detector.onRequestLost(First, "b", FirstRun, Start + milliseconds(10));
   const auto Reports =
       Detector.popLostRequests(First.m_Endpoint, Start + milliseconds(500));
   ASSERT_EQ(Reports.size(), 2U);
@@ -44,7 +45,7 @@
 // connect to the endpoint soon enough to find it down.
 TEST(CrashDetectorTest, CrashNoticedByAnotherHostIsAttributed) {
   CrashDetector Detector;
-  Detector.onRequestLost(First, "a", Start);
+  Detector.onRequestLost(First, "a", FirstRun, Start);
   const EndpointCrash LaterIncarnation{First.m_Endpoint, IncarnationId("2")};
   EXPECT_TRUE(Detector.popLostRequests(LaterIncarnation, Start).empty());
   EXPECT_EQ(Detector.popLostRequests(First, Start).size(), 1U);
@@ -55,7 +56,7 @@
 TEST(CrashDetectorTest, RecordedRequestsAreBounded) {
   CrashDetector Detector;
   for (int Index = 0; Index < 1000; ++Index)
-    Detector.onRequestLost(First, std::to_string(Index), Start);
+    Detector.onRequestLost(First, std::to_string(Index), FirstRun, Start);
   EXPECT_LE(Detector.popLostRequests(First.m_Endpoint, Start).size(), 100U);
 }
 
