Count the runs that end with one endpoint

What callers and endpoints saw: copies of a stream that must not run twice ended three runs with one endpoint, waited at all hosts for the model, and four more were sent in the moment when another endpoint had loaded it (BUDGET in the users' record, 7 runs ended in all).

Cause: a crash was named by endpoint and incarnation only, so runs that ended together counted as one crash, and one crash does not reject a request.

Change: a crash report names the caller's attempt, crashes keep the set of their runs, and a request is rejected after two crashes or after a crash that ended three of its runs. The rule counts from the third, so this is known before any send that could be one too many.

--- a/Source/Core/Core/Retry/CrashQuarantine.cpp
+++ b/Source/Core/Core/Retry/CrashQuarantine.cpp
@@ -1,7 +1,7 @@
 #include "Core/Retry/CrashQuarantine.h"
 
 #include <algorithm>
-#include <utility>
+#include <tuple>
 
 namespace sff::retry {
 
@@ -19,8 +19,12 @@
   std::erase_if(Crashes, [&](const auto &Entry) {
     return Now - Entry.second.m_At >= maxAge();
   });
-  return Crashes.try_emplace(Report.m_Crash, KnownCrash{Report.m_At, Now})
-      .second;
+  const auto Known =
+      Crashes.try_emplace(Report.m_Crash, KnownCrash{Report.m_At, Now}).first;
+  if (!Known->second.addRun(Report.m_Run))
+    return false;
+  Known->second.m_AddedAt = Now;
+  return true;
 }
 
 void CrashQuarantine::onSuccess(const std::string &Fingerprint) {
@@ -42,12 +46,20 @@
   const auto Found = m_Records.find(Fingerprint);
   if (Found == m_Records.end())
     return QuarantineVerdict::Normal;
-  const auto [Crashes, Last] = summarize(Found->second, Now);
-  const bool IsRecent = Now - Last < periodFor(Crashes);
-  if (Crashes == 0 || (Crashes == 1 && !IsRecent))
+  const CrashSummary Summary = summarize(Found->second, Now);
+  const bool IsRecent = Now - Summary.m_Last < periodFor(Summary.m_Count);
+  if (Summary.m_Count == 0 || (Summary.m_Count == 1 && !IsRecent))
     return QuarantineVerdict::Normal;
-  return Crashes >= 2 && IsRecent ? QuarantineVerdict::Reject
-                                  : QuarantineVerdict::Isolate;
+  return Summary.isRejectable() && IsRecent ? QuarantineVerdict::Reject
+                                            : QuarantineVerdict::Isolate;
+}
+
+void CrashQuarantine::appendReports(std::vector<CrashReport> &Out,
+                                    const std::string &Fingerprint,
+                                    const EndpointCrash &Crash,
+                                    const KnownCrash &Known) {
+  for (const RequestId &Run : Known.m_Runs)
+    Out.push_back({Fingerprint, Crash, Known.m_At, Run});
 }
 
 std::vector<CrashReport> CrashQuarantine::recentReports(Instant Now) const {
@@ -55,7 +67,7 @@
   for (const auto &[Fingerprint, Record] : m_Records)
     for (const auto &[Crash, Known] : Record.m_Crashes)
       if (Now - Known.m_AddedAt < RecentCrashPeriod)
-        Result.push_back({Fingerprint, Crash, Known.m_At});
+        appendReports(Result, Fingerprint, Crash, Known);
   return Result;
 }
 
@@ -75,7 +87,7 @@
     return Result;
   for (const auto &[Crash, Known] : Found->second.m_Crashes)
     if (counts(Known, Now))
-      Result.push_back({Fingerprint, Crash, Known.m_At});
+      appendReports(Result, Fingerprint, Crash, Known);
   Found->second.m_LastShared = Now;
   return Result;
 }
@@ -87,6 +99,7 @@
     if (!counts(Known, Now))
       continue;
     ++Result.m_Count;
+    Result.m_Runs += Known.m_Runs.size();
     Result.m_Last = std::max(Result.m_Last, Known.m_At);
   }
   return Result;
@@ -102,7 +115,7 @@
   m_Records.erase(
       std::ranges::min_element(m_Records, {}, [&](const auto &Item) {
         const CrashSummary Summary = summarize(Item.second, Now);
-        return std::pair(Summary.m_Count, Summary.m_Last);
+        return std::tuple(Summary.m_Count, Summary.m_Runs, Summary.m_Last);
       }));
 }
 
--- a/Source/Core/Core/Retry/CrashQuarantine.h
+++ b/Source/Core/Core/Retry/CrashQuarantine.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,7 +16,7 @@
   Normal,
   /// Crashed one endpoint: run it on one endpoint by itself, without retries.
   Isolate,
-  Reject, ///< Crashed two endpoints: reject it.
+  Reject, ///< Crashed two endpoints, or three of its runs crashed: reject it.
 };
 
 /// The end of one incarnation of an endpoint. Hosts that observe the same crash
@@ -45,28 +46,32 @@
 };
 
 /// Records requests that were running when their endpoint crashed, by a
-/// fingerprint of the request. The crashes of a request are a set, so reports
-/// of several hosts add up in any order and repeated reports have no effect.
+/// fingerprint of the request. The crashes of a request are a set, and so are
+/// the runs that ended with each crash, so reports of several hosts add up in
+/// any order and repeated reports have no effect.
 ///
-/// A request is rejected for a period after its second crash. The period
-/// doubles with each further crash, so that a request that always crashes its
-/// endpoint is tried less and less often. Crashes older than maxAge() are
-/// forgotten, and the number of fingerprints is bounded. Thread safety: none.
+/// A request is rejected for a period after its second crash, or after a crash
+/// that ended three of its runs: one crash may have any cause, but copies of a
+/// request are sent together, and each is a run of a request that ends its
+/// endpoint. The period doubles with each further crash, so that a request that
+/// always crashes its endpoint is tried less and less often. Crashes older than
+/// maxAge() are forgotten, and the number of fingerprints is bounded. Thread
+/// safety: none.
 class CrashQuarantine {
 public:
   /// \p Period is the time for which a request is rejected after two crashes.
   CrashQuarantine(std::size_t MaxFingerprints, milliseconds Period);
 
-  /// Records a crash. Returns false if it is known already, or older than
-  /// maxAge().
+  /// Records a run that ended with a crash. Returns false if the run is known
+  /// already, or the crash is older than maxAge().
   bool add(const CrashReport &Report, Instant Now);
   /// The request has completed, so the crashes known so far do not count.
   void onSuccess(const std::string &Fingerprint);
   /// Number of crashes that count for the fingerprint.
   std::size_t crashCount(const std::string &Fingerprint, Instant Now) const;
   QuarantineVerdict verdict(const std::string &Fingerprint, Instant Now) const;
-  /// Returns the crashes that were added within RecentCrashPeriod, for other
-  /// hosts to add.
+  /// Returns the runs of the crashes that were added within RecentCrashPeriod,
+  /// for other hosts to add.
   std::vector<CrashReport> recentReports(Instant Now) const;
 
   /// Records that the crashes of the fingerprint are in the log that hosts
@@ -82,6 +87,8 @@
   /// Time for which a crash is sent to other hosts.
   static constexpr milliseconds RecentCrashPeriod{5000};
 
+  /// Number of runs that end with one crash from which a request is rejected.
+  static constexpr std::size_t MaxRunsOfOneCrash = 3;
   /// Number of times that the period doubles.
   static constexpr std::size_t MaxDoublings = 4;
   /// Age from which a crash no longer counts.
@@ -92,6 +99,12 @@
     Instant m_At;
     Instant m_AddedAt;
     bool m_Counts = true; ///< Cleared when the request completes.
+    /// The first MaxRunsOfOneCrash runs that are known to have ended with it.
+    std::set<RequestId> m_Runs{};
+
+    bool addRun(const RequestId &Run) {
+      return m_Runs.size() < MaxRunsOfOneCrash && m_Runs.insert(Run).second;
+    }
   };
   struct CrashRecord {
     std::map<EndpointCrash, KnownCrash> m_Crashes;
@@ -100,9 +113,19 @@
   /// The crashes of a request that count.
   struct CrashSummary {
     std::size_t m_Count = 0;
+    std::size_t m_Runs = 0; ///< Of all crashes together.
     Instant m_Last;
+
+    bool isRejectable() const {
+      return m_Count >= 2 || m_Runs >= MaxRunsOfOneCrash;
+    }
   };
 
+  /// Appends a report for each run that ended with \p Crash.
+  static void appendReports(std::vector<CrashReport> &Out,
+                            const std::string &Fingerprint,
+                            const EndpointCrash &Crash,
+                            const KnownCrash &Known);
   CrashSummary summarize(const CrashRecord &Record, Instant Now) const;
   /// Time after the last of \p Crashes for which the request is rejected, or
   /// isolated after a single crash.
--- a/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
@@ -10,8 +10,11 @@
 
 /// The crash of one incarnation of an endpoint, noticed at \p At.
 CrashReport crashOf(const std::string &Fingerprint, const std::string &Endpoint,
-                    Instant At = Start) {
-  return {Fingerprint, {EndpointId(Endpoint), IncarnationId("1")}, At};
+                    Instant At = Start, const std::string &Run = "r1") {
+  return {Fingerprint,
+          {EndpointId(Endpoint), IncarnationId("1")},
+          At,
+          RequestId(Run)};
 }
 
 // Guards against a request that crashes one endpoint after another.
@@ -37,6 +40,32 @@
   EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Isolate);
 }
 
+// Guards against copies of a request that end with one endpoint and count as a
+// single crash, so that the copies that come next are all sent.
+TEST(CrashQuarantineTest, RequestIsRejectedAfterThreeRunsOfOneCrash) {
+  CrashQuarantine First(10, Period);
+  CrashQuarantine Second(10, Period);
+  EXPECT_TRUE(First.add(crashOf("f", "e1", Start, "r1"), Start));
+  EXPECT_TRUE(First.add(crashOf("f", "e1", Start, "r2"), Start));
+  EXPECT_FALSE(First.add(crashOf("f", "e1", Start, "r2"), Start));
+  EXPECT_EQ(First.crashCount("f", Start), 1U);
+  EXPECT_EQ(First.verdict("f", Start), QuarantineVerdict::Isolate);
+  Second.add(crashOf("f", "e1", Start, "r3"), Start);
+  for (const CrashReport &Report : First.recentReports(Start))
+    EXPECT_TRUE(Second.add(Report, Start));
+  EXPECT_EQ(Second.verdict("f", Start), QuarantineVerdict::Reject);
+  EXPECT_EQ(Second.verdict("f", Start + Period), QuarantineVerdict::Normal);
+}
+
+// Guards against an endpoint's crash with many other requests that makes each
+// of them suspect.
+TEST(CrashQuarantineTest, RunsOfOtherRequestsDoNotCount) {
+  CrashQuarantine Quarantine(10, Period);
+  for (const std::string Name : {"a", "b", "c", "d"})
+    Quarantine.add(crashOf(Name, "e1", Start, "r" + Name), Start);
+  EXPECT_EQ(Quarantine.verdict("a", Start), QuarantineVerdict::Isolate);
+}
+
 // Guards against two crashes of one endpoint that are taken for one because the
 // endpoint came back under its id.
 TEST(CrashQuarantineTest, IncarnationsOfAnEndpointCountSeparately) {
--- a/Source/UnitTests/Core/Retry/RetryProperties.cpp
+++ b/Source/UnitTests/Core/Retry/RetryProperties.cpp
@@ -49,27 +49,34 @@
                                    Instant Now, milliseconds Period) {
   const milliseconds MaxAge = 32 * Period;
   std::map<EndpointCrash, Instant> Known;
+  std::map<EndpointCrash, std::set<RequestId>> Runs;
   std::set<EndpointCrash> Refuted;
   for (const Event &Action : History) {
     const auto IsForgotten = [&](const auto &Entry) {
       const bool Old = Action.m_ProcessedAt - Entry.second >= MaxAge;
-      if (Old)
+      if (Old) {
         Refuted.erase(Entry.first);
+        Runs.erase(Entry.first);
+      }
       return Old;
     };
     std::erase_if(Known, IsForgotten);
     if (Action.m_Kind == EventKind::Success)
       for (const auto &[Crash, At] : Known)
         Refuted.insert(Crash);
-    else if (Action.m_ProcessedAt - Action.m_Report.m_At < MaxAge)
+    else if (Action.m_ProcessedAt - Action.m_Report.m_At < MaxAge) {
       Known.emplace(Action.m_Report.m_Crash, Action.m_Report.m_At);
+      Runs[Action.m_Report.m_Crash].insert(Action.m_Report.m_Run);
+    }
   }
   std::size_t Crashes = 0;
+  std::size_t EndedRuns = 0;
   Instant Last;
   for (const auto &[Crash, At] : Known) {
     if (Refuted.contains(Crash) || Now - At >= MaxAge)
       continue;
     ++Crashes;
+    EndedRuns += Runs[Crash].size();
     Last = std::max(Last, At);
   }
   constexpr int PeriodsByCrashes[] = {0, 1, 1, 2, 4, 8, 16};
@@ -77,15 +84,18 @@
   if (Crashes >= 2)
     return Now - Last < Periods * Period ? QuarantineVerdict::Reject
                                          : QuarantineVerdict::Isolate;
-  return Crashes == 1 && Now - Last < Period ? QuarantineVerdict::Isolate
-                                             : QuarantineVerdict::Normal;
+  if (Crashes == 0 || Now - Last >= Period)
+    return QuarantineVerdict::Normal;
+  return EndedRuns >= 3 ? QuarantineVerdict::Reject
+                        : QuarantineVerdict::Isolate;
 }
 
 CrashReport arbitraryReport(const std::string &Name, Instant Now) {
   const EndpointId Endpoint(std::string(1, *rc::gen::inRange('x', '{')));
   const IncarnationId Incarnation(std::to_string(*rc::gen::inRange(0, 2)));
   const milliseconds Age(*rc::gen::element(0, 0, 300, 999, 1000, 40000));
-  return {Name, {Endpoint, Incarnation}, Now - Age};
+  const RequestId Run(std::to_string(*rc::gen::inRange(0, 4)));
+  return {Name, {Endpoint, Incarnation}, Now - Age, Run};
 }
 
 // Guards against verdicts that depend on when other fingerprints were queried,
