Count the crash of an endpoint that goes silent

Cause: a crash was attributed only to requests that had already been lost. The requests of an endpoint that goes dark are still running when its registration lapses; when they time out, the endpoint is no longer known, and nobody counts them. An endpoint that was missing in a new listing, or whose removal had been delayed by an outage of the store, was not reported as gone at all.

Change: hosts keep the requests that run at each endpoint. All three ways of leaving the directory take one path; if requests run at an endpoint that vanished without notice, it is connected to once, and if that fails, or its address has another owner, they count as ended by its crash. Endpoints that leave without notice and complete their requests still answer the connection.

--- a/Source/Core/Core/Retry/CrashDetector.cpp
+++ b/Source/Core/Core/Retry/CrashDetector.cpp
@@ -12,6 +12,37 @@
   List.push_back({std::move(Fingerprint), Possible, Now, std::move(Run)});
 }
 
+void CrashDetector::onRequestSent(const EndpointCrash &Possible,
+                                  std::string Fingerprint, RequestId Run,
+                                  Instant Now) {
+  CrashReport Report{std::move(Fingerprint), Possible, Now, Run};
+  m_RunningRequests[Possible.m_Endpoint].insert_or_assign(std::move(Run),
+                                                          std::move(Report));
+}
+
+void CrashDetector::onRequestEnded(const EndpointId &Endpoint,
+                                   const RequestId &Run) {
+  const auto Running = m_RunningRequests.find(Endpoint);
+  if (Running == m_RunningRequests.end())
+    return;
+  Running->second.erase(Run);
+  if (Running->second.empty())
+    m_RunningRequests.erase(Running);
+}
+
+std::vector<CrashReport>
+CrashDetector::popRunningRequests(const EndpointId &Endpoint, Instant Now) {
+  auto Running = m_RunningRequests.extract(Endpoint);
+  if (Running.empty())
+    return {};
+  std::vector<CrashReport> Result;
+  for (auto &[Run, Report] : Running.mapped()) {
+    Report.m_At = Now;
+    Result.push_back(std::move(Report));
+  }
+  return Result;
+}
+
 std::vector<CrashReport>
 CrashDetector::popLostRequests(const EndpointId &Endpoint, Instant Now) {
   auto Lost = m_LostRequests.extract(Endpoint);
--- a/Source/Core/Core/Retry/CrashDetector.h
+++ b/Source/Core/Core/Retry/CrashDetector.h
@@ -19,6 +19,15 @@
   /// heartbeats.
   static constexpr milliseconds CorrelationWindow{8000};
 
+  /// Records that the attempt \p Run of a request was sent to an endpoint, and
+  /// that it has ended there in whatever way.
+  void onRequestSent(const EndpointCrash &Possible, std::string Fingerprint,
+                     RequestId Run, Instant Now);
+  void onRequestEnded(const EndpointId &Endpoint, const RequestId &Run);
+  bool hasRunningRequests(const EndpointId &Endpoint) const {
+    return m_RunningRequests.contains(Endpoint);
+  }
+
   /// Records that the attempt \p Run of a request got no complete answer.
   /// \p Possible describes the crash that may be the cause.
   void onRequestLost(const EndpointCrash &Possible, std::string Fingerprint,
@@ -28,6 +37,10 @@
   /// it, each only once.
   std::vector<CrashReport> popLostRequests(const EndpointId &Endpoint,
                                            Instant Now);
+  /// Call when the endpoint has crashed without closing its connections.
+  /// Returns a report for each request that runs there, each only once.
+  std::vector<CrashReport> popRunningRequests(const EndpointId &Endpoint,
+                                              Instant Now);
   /// Call when another host has noticed the crash. Same as above for one
   /// incarnation of the endpoint.
   std::vector<CrashReport> popLostRequests(const EndpointCrash &Crash,
@@ -38,6 +51,8 @@
 
   /// The reports to make if the endpoint is found to have crashed.
   std::map<EndpointId, std::deque<CrashReport>> m_LostRequests;
+  /// The requests that run at each endpoint; no entry is empty.
+  std::map<EndpointId, std::map<RequestId, CrashReport>> m_RunningRequests;
 };
 
 } // namespace sff::retry
--- a/Source/Core/Core/Serving/EndpointDirectory.cpp
+++ b/Source/Core/Core/Serving/EndpointDirectory.cpp
@@ -105,32 +105,36 @@
           Now < *m_RegistryRestoredAt + ExpiryGracePeriod);
 }
 
-bool EndpointDirectory::remove(const EndpointId &Id, Instant Now) {
+std::optional<Endpoint> EndpointDirectory::remove(const EndpointId &Id,
+                                                  Instant Now) {
   const auto Found = m_Endpoints.find(Id);
   if (Found == m_Endpoints.end())
-    return false;
+    return std::nullopt;
   Endpoint &Existing = Found->second;
   if (Existing.m_Registration.m_Draining || !isRegistryStateUncertain(Now)) {
     m_RolloutDetector.onLeaving(Existing.m_Registration.m_Service, Now);
-    m_Endpoints.erase(Found);
+    auto Removed = m_Endpoints.extract(Found);
     m_Overrides.erase(Id);
-    return true;
+    return std::move(Removed.mapped());
   }
   if (!Existing.m_ExpiresAt)
     Existing.m_ExpiresAt = m_RegistryUnavailable
                                ? Instant::max()
                                : *m_RegistryRestoredAt + ExpiryGracePeriod;
-  return false;
+  return std::nullopt;
 }
 
-void EndpointDirectory::retain(const std::set<EndpointId> &Present,
-                               Instant Now) {
+std::vector<Endpoint>
+EndpointDirectory::retain(const std::set<EndpointId> &Present, Instant Now) {
   std::vector<EndpointId> Missing;
   for (const auto &[Id, Existing] : m_Endpoints)
     if (!Present.contains(Id))
       Missing.push_back(Id);
+  std::vector<Endpoint> Removed;
   for (const EndpointId &Id : Missing)
-    remove(Id, Now);
+    if (auto Gone = remove(Id, Now))
+      Removed.push_back(std::move(*Gone));
+  return Removed;
 }
 
 void EndpointDirectory::onRegistryUnavailable() {
@@ -147,10 +151,16 @@
       Existing.m_ExpiresAt = Now + ExpiryGracePeriod;
 }
 
-void EndpointDirectory::expire(Instant Now) {
-  std::erase_if(m_Endpoints, [Now](const auto &Entry) {
-    return Entry.second.m_ExpiresAt && *Entry.second.m_ExpiresAt <= Now;
+std::vector<Endpoint> EndpointDirectory::expire(Instant Now) {
+  std::vector<Endpoint> Removed;
+  std::erase_if(m_Endpoints, [&](const auto &Entry) {
+    const auto &ExpiresAt = Entry.second.m_ExpiresAt;
+    const bool IsExpired = ExpiresAt && *ExpiresAt <= Now;
+    if (IsExpired)
+      Removed.push_back(Entry.second);
+    return IsExpired;
   });
+  return Removed;
 }
 
 void EndpointDirectory::setLoaded(const EndpointId &Id, const ModelName &Name,
--- a/Source/Core/Core/Serving/EndpointDirectory.h
+++ b/Source/Core/Core/Serving/EndpointDirectory.h
@@ -89,18 +89,19 @@
   static constexpr milliseconds OverrideValidity{2500};
 
   RegistrationEffect apply(Registration Incoming, Instant Now);
-  /// Handles an entry that is no longer in the registry. Returns true if the
-  /// endpoint was removed immediately, false if it is unknown or its removal is
+  /// Handles an entry that is no longer in the registry. Returns the endpoint
+  /// if it was removed immediately, nothing if it is unknown or its removal is
   /// delayed.
-  bool remove(const EndpointId &Id, Instant Now);
+  std::optional<Endpoint> remove(const EndpointId &Id, Instant Now);
   /// Calls remove() for each endpoint that is not in \p Present, which is a
-  /// complete listing of the registry.
-  void retain(const std::set<EndpointId> &Present, Instant Now);
+  /// complete listing of the registry. Returns the endpoints that were removed.
+  std::vector<Endpoint> retain(const std::set<EndpointId> &Present,
+                               Instant Now);
 
   void onRegistryUnavailable();
   void onRegistryRestored(Instant Now);
-  /// Removes endpoints whose grace period has ended.
-  void expire(Instant Now);
+  /// Removes endpoints whose grace period has ended, and returns them.
+  std::vector<Endpoint> expire(Instant Now);
 
   /// Records that the model, or the adapter of a loaded model, is loaded at the
   /// endpoint. Overrides the endpoint's registrations for OverrideValidity.
--- a/Source/Core/Host/CrashTracker.cpp
+++ b/Source/Core/Host/CrashTracker.cpp
@@ -50,6 +50,13 @@
           now() - (unixTime() - NoticedAt), Message.m_Run};
 }
 
+/// The crash that would end the present incarnation of \p Endpoint.
+retry::EndpointCrash possibleCrash(const serving::Endpoint &Endpoint) {
+  const serving::Registration &Known = Endpoint.m_Registration;
+  return {Known.m_Id,
+          IncarnationId(std::to_string(Known.m_Incarnation.m_StartedAtMs))};
+}
+
 } // namespace
 
 CrashTracker::CrashTracker(std::shared_ptr<Store> Log, HostMetrics &Metrics)
@@ -114,10 +121,13 @@
 void CrashTracker::onRequestLost(const serving::Endpoint &Endpoint,
                                  const std::string &Fingerprint,
                                  const RequestId &Run) {
-  const serving::Registration &Known = Endpoint.m_Registration;
-  const IncarnationId Incarnation(
-      std::to_string(Known.m_Incarnation.m_StartedAtMs));
-  m_Detector.onRequestLost({Known.m_Id, Incarnation}, Fingerprint, Run, now());
+  m_Detector.onRequestLost(possibleCrash(Endpoint), Fingerprint, Run, now());
+}
+
+void CrashTracker::onRequestSent(const serving::Endpoint &Endpoint,
+                                 const std::string &Fingerprint,
+                                 const RequestId &Run) {
+  m_Detector.onRequestSent(possibleCrash(Endpoint), Fingerprint, Run, now());
 }
 
 void CrashTracker::onSuccess(const std::string &Fingerprint) {
@@ -154,6 +164,13 @@
     onNoticed(Report);
 }
 
+void CrashTracker::onEndpointCrashed(const EndpointId &Id) {
+  onEndpointDown(Id);
+  for (const retry::CrashReport &Report :
+       m_Detector.popRunningRequests(Id, now()))
+    onNoticed(Report);
+}
+
 void CrashTracker::onMessages(std::span<const CrashMessage> Messages) {
   for (const CrashMessage &Message : Messages) {
     // Requests that this host lost there were lost by the same crash.
--- a/Source/Core/Host/CrashTracker.h
+++ b/Source/Core/Host/CrashTracker.h
@@ -28,6 +28,17 @@
   /// Shares the crashes that this host notices. Does not return.
   Task<void> publish();
 
+  /// Called before the attempt \p Run of a request is sent to \p Endpoint, and
+  /// when it has ended there in whatever way.
+  void onRequestSent(const serving::Endpoint &Endpoint,
+                     const std::string &Fingerprint, const RequestId &Run);
+  void onRequestEnded(const EndpointId &Endpoint, const RequestId &Run) {
+    m_Detector.onRequestEnded(Endpoint, Run);
+  }
+  bool hasRunningRequests(const EndpointId &Endpoint) const {
+    return m_Detector.hasRunningRequests(Endpoint);
+  }
+
   /// Called when the attempt \p Run of a request got no complete answer though
   /// \p Endpoint may have run it.
   void onRequestLost(const serving::Endpoint &Endpoint,
@@ -36,6 +47,9 @@
   /// vanished from the registry. Counts a crash for the requests that were lost
   /// at it shortly before.
   void onEndpointDown(const EndpointId &Id);
+  /// Called when the endpoint has crashed, though its connections may still be
+  /// open. Counts a crash also for the requests that run there.
+  void onEndpointCrashed(const EndpointId &Id);
   void onSuccess(const std::string &Fingerprint);
   /// Adds the crashes that other hosts have noticed.
   void onMessages(std::span<const CrashMessage> Messages);
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -336,6 +336,11 @@
   Loads.onDispatched(Id, now());
   const std::shared_ptr<void> Done(
       nullptr, [&Loads, Id](void *) { Loads.onFinished(Id, now()); });
+  if (const auto *Known = m_State.m_Endpoints.find(Id))
+    m_State.m_Crashes.onRequestSent(*Known, m_Fingerprint, m_Facts.m_Id);
+  const std::shared_ptr<void> Ended(nullptr, [this, &Id](void *) {
+    m_State.m_Crashes.onRequestEnded(Id, m_Facts.m_Id);
+  });
   const Instant SentAt = now();
   m_LastProgressAt = SentAt;
   m_SilenceTimedOut = false;
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -1,5 +1,7 @@
 #include "Host/StoreFollower.h"
 
+#include <algorithm>
+
 namespace sff::host {
 
 namespace {
@@ -16,6 +18,8 @@
 /// no more requests.
 constexpr milliseconds BatchInterval{800};
 constexpr milliseconds RetryDelay{300};
+/// Longest wait for a connection to an endpoint that vanished.
+constexpr milliseconds ProbeTimeout{300};
 
 constexpr auto LogCategory = log::Category::Platform;
 
@@ -120,17 +124,48 @@
 }
 
 void StoreFollower::applyRemoval(const EndpointId &Id) {
-  const serving::Endpoint *Known = m_State.m_Endpoints.find(Id);
-  if (!Known)
+  if (!m_State.m_Endpoints.find(Id))
     return;
-  const bool Announced = Known->m_Registration.m_Draining;
-  const bool Gone = m_State.m_Endpoints.remove(Id, now());
-  if (Gone && !Announced)
-    m_State.m_Crashes.onEndpointDown(Id);
-  if (Gone)
-    m_State.m_Chooser.forget(Id);
+  if (const auto Gone = m_State.m_Endpoints.remove(Id, now()))
+    onGone(*Gone);
+  else
+    log::info(log::Category::Membership, "endpoint.removal_delayed",
+              {{"endpoint", Id}});
+}
+
+void StoreFollower::onGone(const serving::Endpoint &Gone) {
+  const serving::Registration &Last = Gone.m_Registration;
   log::info(log::Category::Membership, "endpoint.removed",
-            {{"endpoint", Id}, {"at_once", Gone}});
+            {{"endpoint", Last.m_Id},
+             {"draining", Last.m_Draining},
+             {"heartbeat", Last.m_Heartbeat}});
+  m_State.m_Chooser.forget(Last.m_Id);
+  if (Last.m_Draining)
+    return;
+  m_State.m_Crashes.onEndpointDown(Last.m_Id);
+  if (!m_State.m_Crashes.hasRunningRequests(Last.m_Id))
+    return;
+  const auto Remote = http::Address::parse(Last.m_Address);
+  if (!Remote || isAddressReused(Last.m_Address))
+    m_State.m_Crashes.onEndpointCrashed(Last.m_Id);
+  else
+    m_State.spawn("probe_gone", probeGone(Last.m_Id, *Remote));
+}
+
+bool StoreFollower::isAddressReused(const std::string &Address) const {
+  return std::ranges::any_of(
+      m_State.m_Endpoints.all(), [&Address](const auto &Entry) {
+        return Entry.second.m_Registration.m_Address == Address;
+      });
+}
+
+Task<void> StoreFollower::probeGone(EndpointId Id, http::Address Remote) {
+  const auto Failure = co_await m_State.m_Http.connect(Remote, ProbeTimeout);
+  if (!Failure)
+    co_return;
+  log::info(log::Category::Membership, "endpoint.probe_failed",
+            {{"endpoint", Id}, {"detail", Failure->m_Detail}});
+  m_State.m_Crashes.onEndpointCrashed(Id);
 }
 
 void StoreFollower::apply(const EndpointBatch &Batch, bool WholeListing) {
@@ -144,10 +179,12 @@
     applyRegistration(*Change.m_Registration);
   }
   if (WholeListing) {
-    m_State.m_Endpoints.retain(Present, now());
+    for (const auto &Gone : m_State.m_Endpoints.retain(Present, now()))
+      onGone(Gone);
     m_State.m_EndpointsKnown = true;
   }
-  m_State.m_Endpoints.expire(now());
+  for (const auto &Gone : m_State.m_Endpoints.expire(now()))
+    onGone(Gone);
   m_State.m_Metrics.setEndpoints(m_State.m_Endpoints.all().size());
   m_State.m_Changed.notifyAll();
 }
--- a/Source/Core/Host/StoreFollower.h
+++ b/Source/Core/Host/StoreFollower.h
@@ -21,6 +21,12 @@
   void apply(const EndpointBatch &Batch, bool WholeListing);
   void applyRegistration(const serving::Registration &Item);
   void applyRemoval(const EndpointId &Id);
+  /// Called when an endpoint is no longer in the directory.
+  void onGone(const serving::Endpoint &Gone);
+  /// Connects to an endpoint that vanished while requests were running there.
+  /// Some endpoints leave without notice and complete their requests.
+  Task<void> probeGone(EndpointId Id, http::Address Remote);
+  bool isAddressReused(const std::string &Address) const;
   void setReachable(bool Reachable);
 
   HostState &m_State;
--- a/Source/UnitTests/Core/Retry/CrashDetectorTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashDetectorTest.cpp
@@ -52,6 +52,23 @@
   EXPECT_TRUE(Detector.popLostRequests(First, Start).empty());
 }
 
+// Guards against a crash of a silent endpoint that is not attributed to the
+// requests that run there, and against counting those that have ended.
+TEST(CrashDetectorTest, RunningRequestsAreReportedOnce) {
+  CrashDetector Detector;
+  const RequestId SecondRun("r2");
+  Detector.onRequestSent(First, "a", FirstRun, Start);
+  Detector.onRequestSent(First, "b", SecondRun, Start);
+  Detector.onRequestEnded(First.m_Endpoint, SecondRun);
+  EXPECT_TRUE(Detector.hasRunningRequests(First.m_Endpoint));
+  EXPECT_TRUE(Detector.popLostRequests(First.m_Endpoint, Start).empty());
+  const auto Reports = Detector.popRunningRequests(First.m_Endpoint, Start);
+  ASSERT_EQ(Reports.size(), 1U);
+  EXPECT_EQ(Reports[0].m_Run, FirstRun);
+  EXPECT_FALSE(Detector.hasRunningRequests(First.m_Endpoint));
+  EXPECT_TRUE(Detector.popRunningRequests(First.m_Endpoint, Start).empty());
+}
+
 // Guards against unbounded memory for requests whose connection was lost.
 TEST(CrashDetectorTest, RecordedRequestsAreBounded) {
   CrashDetector Detector;
--- a/Source/UnitTests/Core/Serving/EndpointDirectoryTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointDirectoryTest.cpp
@@ -70,12 +70,26 @@
   Directory.onRegistryRestored(Start + std::chrono::seconds(10));
   const Instant Restored = Start + std::chrono::seconds(10);
   EXPECT_FALSE(Directory.remove(First, Restored + milliseconds(100)));
-  Directory.expire(Restored + milliseconds(2000));
+  EXPECT_TRUE(Directory.expire(Restored + milliseconds(2000)).empty());
   EXPECT_NE(Directory.find(First), nullptr);
-  Directory.expire(Restored + EndpointDirectory::ExpiryGracePeriod);
+  const auto Expired =
+      Directory.expire(Restored + EndpointDirectory::ExpiryGracePeriod);
+  ASSERT_EQ(Expired.size(), 1U);
+  EXPECT_EQ(Expired[0].id(), First);
   EXPECT_EQ(Directory.find(First), nullptr);
 }
 
+// Guards against an endpoint that is missing in a new listing and that nobody
+// hears of, so that the requests lost there are not attributed to a crash.
+TEST(EndpointDirectoryTest, EndpointsMissingInAListingAreReturned) {
+  EndpointDirectory Directory;
+  Directory.apply(makeRegistration(1, {}), Start);
+  EXPECT_TRUE(Directory.retain({First}, Start).empty());
+  const auto Removed = Directory.retain({}, Start);
+  ASSERT_EQ(Removed.size(), 1U);
+  EXPECT_EQ(Removed[0].id(), First);
+}
+
 // Guards against removing an endpoint at the end of the grace period although
 // it has registered again.
 TEST(EndpointDirectoryTest, RegistrationAfterAnExpiryCancelsTheRemoval) {
