Share the request rate that an endpoint names among the hosts

What endpoints saw: an endpoint that named 3.8 requests a second went on to get 9 to 17 a second (LIMIT; 49 in 4 s in, where 28 are allowed).

Cause: nothing read the header. Each host that kept the figure by itself would still break the rule with six hosts.

Holders place models at endpoints without a limit while there are any. A request that finds no room goes to another endpoint, waits, or is refused at once with the time after which it can be sent.

--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -85,8 +85,10 @@
   const serving::ModelSpec *Model =
       m_State.m_Catalogue->findModel(Service, Name.m_Model);
   std::map<ZoneId, double> LoadSecondsByZone;
+  auto Endpoints = m_State.m_Endpoints.serving(Service);
+  m_State.preferUnlimited(Endpoints);
   if (Model)
-    for (const serving::Endpoint *Item : m_State.m_Endpoints.serving(Service)) {
+    for (const serving::Endpoint *Item : Endpoints) {
       const double LoadSeconds = loadSecondsAt(*Item, Name, *Model);
       const auto [Position, Inserted] = LoadSecondsByZone.try_emplace(
           Item->m_Registration.m_Zone, LoadSeconds);
@@ -237,9 +239,12 @@
                                          now());
     if (!Name.m_Adapter.empty())
       m_State.m_Endpoints.overrideAsLoaded(Answer.m_Endpoint, Name, now());
-  } else {
-    co_await sleepFor(DemandRetryDelay);
   }
+  // A holder that does not know the limit of an endpoint answers at once that
+  // it has the model.
+  if (Answer.m_Status != DemandStatus::Ready ||
+      !m_State.m_RateLimits.allows(Answer.m_Endpoint, now()))
+    co_await sleepFor(DemandRetryDelay);
   m_ReadyAt.erase(Name.m_Model);
   m_Requested.erase(Name);
   m_State.m_Changed.notifyAll();
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -42,6 +42,9 @@
           m_Set.counter("sff_host_unreadable_records_total",
                         "Records of the store that were not understood")),
       m_Endpoints(m_Set.gauge("sff_host_endpoints", "Known endpoints")),
+      m_LimitedEndpoints(
+          m_Set.gauge("sff_host_limited_endpoints",
+                      "Endpoints that name a limit on their request rate")),
       m_CatalogueVersion(m_Set.gauge("sff_host_catalogue_version",
                                      "Version of the configuration in force")) {
 }
@@ -98,6 +101,10 @@
   m_Endpoints.Set(static_cast<double>(Count));
 }
 
+void HostMetrics::setLimitedEndpoints(std::size_t Count) {
+  m_LimitedEndpoints.Set(static_cast<double>(Count));
+}
+
 void HostMetrics::setCatalogueVersion(std::int64_t Version) {
   m_CatalogueVersion.Set(static_cast<double>(Version));
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -37,6 +37,8 @@
   void onStoreCall(std::string_view Call, bool Answered);
   void onUnreadableRecords(int Records);
   void setEndpoints(std::size_t Count);
+  /// Sets the number of endpoints that name a request rate.
+  void setLimitedEndpoints(std::size_t Count);
   void setCatalogueVersion(std::int64_t Version);
 
   /// All metrics in the Prometheus text format.
@@ -64,6 +66,7 @@
   std::map<std::string, prometheus::Gauge *> m_Suspects; ///< By fingerprint.
   prometheus::Counter &m_MalformedRecords;
   prometheus::Gauge &m_Endpoints;
+  prometheus::Gauge &m_LimitedEndpoints;
   prometheus::Gauge &m_CatalogueVersion;
 };
 
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 
+#include <algorithm>
 #include <ctime>
 #include <random>
 
@@ -29,8 +30,11 @@
     : m_Context(Context), m_Settings(Values), m_Identity(std::move(Identity)),
       m_Zone(m_Identity.m_Zone), m_Platform(std::move(Adapter)),
       m_Http(Context.get_executor()), m_Chooser(m_Zone, std::random_device{}()),
+      m_RateLimits(std::random_device{}()),
       m_Crashes(m_Platform.m_Store, m_Metrics),
-      m_OwnDemand(serving::DemandRates::DefaultTimeConstant) {}
+      m_OwnDemand(serving::DemandRates::DefaultTimeConstant) {
+  m_RateLimits.setHosts(m_Hosts);
+}
 
 serving::SharedRetryBudget &HostState::budget(const std::string &Service) {
   const auto Found = m_Budgets.find(Service);
@@ -45,6 +49,21 @@
   m_Hosts = Hosts;
   for (auto &[Service, Budget] : m_Budgets)
     Budget.setHosts(Hosts);
+  m_RateLimits.setHosts(Hosts);
+}
+
+void HostState::forgetEndpoint(const EndpointId &Id) {
+  m_Chooser.forget(Id);
+  m_RateLimits.forget(Id);
+}
+
+void HostState::preferUnlimited(
+    std::vector<const serving::Endpoint *> &List) const {
+  const auto IsLimited = [this](const serving::Endpoint *Item) {
+    return m_RateLimits.isLimited(Item->id());
+  };
+  if (!std::ranges::all_of(List, IsLimited))
+    std::erase_if(List, IsLimited);
 }
 
 std::optional<http::Address> HostState::addressOf(const EndpointId &Id) const {
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -3,6 +3,7 @@
 #include "Common/Logging/Log.h"
 #include "Core/Serving/DemandRates.h"
 #include "Core/Serving/EndpointChooser.h"
+#include "Core/Serving/EndpointRateLimits.h"
 #include "Core/Serving/FleetSize.h"
 #include "Core/Serving/SharedRetryBudget.h"
 #include "Host/CrashTracker.h"
@@ -44,6 +45,11 @@
   /// The address of an endpoint; nothing when the endpoint is unknown or its
   /// address is not valid.
   std::optional<http::Address> addressOf(const EndpointId &Id) const;
+  /// Drops what this host has observed of an endpoint.
+  void forgetEndpoint(const EndpointId &Id);
+  /// Removes the endpoints that have named a request rate, unless all have:
+  /// models are placed where requests can be sent.
+  void preferUnlimited(std::vector<const serving::Endpoint *> &List) const;
   /// Starts a detached coroutine. An exception that escapes it is logged with
   /// \p TaskName.
   void spawn(std::string TaskName, Task<void> Operation);
@@ -65,6 +71,9 @@
   /// The registry has been listed at least once.
   bool m_EndpointsKnown = false;
   serving::EndpointChooser m_Chooser;
+  serving::EndpointRateLimits m_RateLimits;
+  /// Requests that wait until the rates of a service's endpoints allow them.
+  std::map<std::string, std::size_t> m_WaitingForRates;
   CrashTracker m_Crashes;
   /// Request rates of models at this host.
   serving::DemandRates m_OwnDemand;
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -57,6 +57,9 @@
   /// The response carries the endpoint's seal, without which it is not trusted.
   bool m_Sealed = false;
   std::optional<ReportedLoad> m_Load;
+  /// Requests per second that the endpoint takes from all hosts together, for
+  /// as long as its answers name it.
+  std::optional<double> m_RateLimit;
 };
 
 /// Translates HTTP headers of callers and endpoints.
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -41,6 +41,11 @@
 /// Requests with less remaining time than this are refused instead of waiting
 /// for a model.
 constexpr milliseconds MinUsefulTime{50};
+/// Added to the time after which the rates of endpoints allow a request, for
+/// other requests that come first.
+constexpr milliseconds RetryAfterMargin{200};
+/// Shortest wait for the rate of an endpoint.
+constexpr milliseconds MinRateWait{5};
 constexpr std::int64_t HighestRank = 9;
 
 std::uint64_t hashOf(std::string_view Text) {
@@ -148,6 +153,14 @@
 }
 
 std::vector<const serving::Endpoint *> RequestSession::candidates() const {
+  auto List = holders();
+  std::erase_if(List, [this](const serving::Endpoint *Item) {
+    return !m_State.m_RateLimits.allows(Item->id(), now());
+  });
+  return List;
+}
+
+std::vector<const serving::Endpoint *> RequestSession::holders() const {
   auto List = m_State.m_Endpoints.serving(m_Service->m_Name);
   const serving::ModelName &Name = m_Facts.m_Model;
   if (Name.m_Model.empty() || !m_Service->m_Engine)
@@ -170,10 +183,8 @@
       m_Service->m_Engine && !m_Facts.m_Model.m_Model.empty();
   if (List.empty() && NeedsModel)
     co_return co_await waitForModel();
-  if (List.empty()) {
-    co_await endWithFailure("no_endpoint");
-    co_return Step::Finished;
-  }
+  if (List.empty())
+    co_return co_await waitForRate();
   serving::ChoiceContext Context;
   Context.m_Tried = &m_History.excluded();
   Context.m_AffinityEndpoint = m_Sessions.find(m_Facts.m_Session);
@@ -240,6 +251,35 @@
   co_return Step::TryAgain;
 }
 
+Task<RequestSession::Step> RequestSession::waitForRate() {
+  std::vector<EndpointId> Endpoints;
+  for (const serving::Endpoint *Item : holders())
+    Endpoints.push_back(Item->id());
+  if (Endpoints.empty()) {
+    co_await endWithFailure("no_endpoint");
+    co_return Step::Finished;
+  }
+  std::size_t &Waiting = m_State.m_WaitingForRates[m_Service->m_Name];
+  const Duration Wait =
+      m_State.m_RateLimits.expectedWait(Endpoints, Waiting, now());
+  const Duration CallerPatience =
+      m_Route->callerTimeout() - (now() - m_ArrivedAt);
+  if (Wait >
+      std::min<Duration>(remainingTime() - MinUsefulTime, CallerPatience)) {
+    co_await endWithFailure("endpoint_limits",
+                            toMilliseconds(Wait) + RetryAfterMargin);
+    co_return Step::Finished;
+  }
+  if (!std::exchange(m_WaitLogged, true))
+    logEvent("request.limited", {{"wait_ms", toMilliseconds(Wait).count()},
+                                 {"waiting", Waiting},
+                                 {"endpoints", Endpoints.size()}});
+  ++Waiting;
+  co_await sleepFor(std::clamp<Duration>(Wait, MinRateWait, RecheckInterval));
+  --Waiting;
+  co_return Step::TryAgain;
+}
+
 milliseconds RequestSession::silenceTimeout() const {
   if (m_HeadSent)
     return StreamSilenceTimeout;
@@ -341,8 +381,9 @@
   const std::shared_ptr<void> Ended(nullptr, [this, &Id](void *) {
     m_State.m_Crashes.onRequestEnded(Id, m_Facts.m_Id);
   });
-  const Instant SentAt = now();
-  m_LastProgressAt = SentAt;
+  m_SentAt = now();
+  m_State.m_RateLimits.onSent(Id, m_SentAt);
+  m_LastProgressAt = m_SentAt;
   m_SilenceTimedOut = false;
   if (m_Route->isIdempotent())
     startSilenceTimer(Id);
@@ -355,7 +396,7 @@
   if (auto *Failure = std::get_if<http::TransportFailure>(&Result))
     co_return co_await onOpenFailed(Id, std::move(*Failure));
   m_History.onSent();
-  m_State.m_Chooser.health().onLatency(Id, now() - SentAt);
+  m_State.m_Chooser.health().onLatency(Id, now() - m_SentAt);
   co_return co_await onHead(Id, std::get<OpenStream>(std::move(Result)));
 }
 
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -53,8 +53,14 @@
   void startTimers();
   Task<void> serve();
   Task<Step> serveOnce();
+  /// Endpoints that serve the request's service and hold its model.
+  std::vector<const serving::Endpoint *> holders() const;
+  /// The holders whose request rate allows a request now.
   std::vector<const serving::Endpoint *> candidates() const;
   Task<Step> waitForModel();
+  /// Waits until the request rate of an endpoint allows the request, or refuses
+  /// it if the caller will not wait that long.
+  Task<Step> waitForRate();
   Task<Step> attempt(EndpointId Id);
   Task<Step> onOpenFailed(EndpointId Id, http::TransportFailure Failure);
   Task<Step> onNotRun(EndpointId Id, ResponseMetadata Facts, int Status);
@@ -67,6 +73,8 @@
   /// answer. May outlive the call of run().
   static Task<void> probe(std::shared_ptr<RequestSession> Self, EndpointId Id);
   serving::CallResult resultOf(const http::TransportFailure &Failure) const;
+  /// Records the request rate that an answer of the endpoint names.
+  void recordRateLimit(const EndpointId &Id, const ResponseMetadata &Facts);
   /// Handles an attempt that ended without a complete response, though the
   /// endpoint may have run the request.
   Task<Step> onIncompleteResponse(EndpointId Id, serving::CallResult Result,
@@ -114,6 +122,7 @@
   std::shared_ptr<http::CallCanceller> m_Canceller;
   boost::asio::steady_timer m_Timer;
   boost::asio::steady_timer m_SilenceTimer;
+  Instant m_SentAt;               ///< Time of the latest attempt.
   Instant m_LastProgressAt;       ///< Time of the endpoint's latest data.
   bool m_SilenceTimedOut = false; ///< The silence timeout ended this attempt.
   bool m_CallerGone = false;
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -20,6 +20,7 @@
     m_State.m_Chooser.loads().onReport(
         Id, Facts.m_Load->m_Running + Facts.m_Load->m_Waiting, Duration::zero(),
         now());
+  recordRateLimit(Id, Facts);
   if (Facts.m_NotRun) {
     Answer->close();
     co_return co_await onNotRun(Id, Facts, Head.m_Status);
@@ -38,6 +39,23 @@
   co_return co_await forwardBuffered(Id, std::move(Answer));
 }
 
+void RequestSession::recordRateLimit(const EndpointId &Id,
+                                     const ResponseMetadata &Facts) {
+  const bool IsTrusted = Facts.m_Sealed || Facts.m_NotRun;
+  if (!IsTrusted || Facts.m_AddressReused || !m_State.m_Endpoints.find(Id))
+    return;
+  if (!m_State.m_RateLimits.onAnswer(Id, Facts.m_RateLimit, m_SentAt, now()))
+    return;
+  logEvent(
+      "endpoint.rate_limit",
+      {{"endpoint", Id},
+       {"per_second", Facts.m_RateLimit ? nlohmann::json(*Facts.m_RateLimit)
+                                        : nlohmann::json()},
+       {"hosts", m_State.hosts()}});
+  m_State.m_Metrics.setLimitedEndpoints(
+      m_State.m_RateLimits.limitedEndpoints());
+}
+
 Task<RequestSession::Step> RequestSession::forwardBuffered(EndpointId Id,
                                                            OpenStream Answer) {
   const int Status = Answer->head().m_Status;
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -112,7 +112,7 @@
     return;
   if (Effect == serving::RegistrationEffect::Restarted) {
     m_State.m_Crashes.onEndpointDown(Item.m_Id);
-    m_State.m_Chooser.forget(Item.m_Id);
+    m_State.forgetEndpoint(Item.m_Id);
   }
   log::info(log::Category::Membership, "endpoint.registration",
             {{"endpoint", Item.m_Id},
@@ -139,7 +139,7 @@
             {{"endpoint", Last.m_Id},
              {"draining", Last.m_Draining},
              {"heartbeat", Last.m_Heartbeat}});
-  m_State.m_Chooser.forget(Last.m_Id);
+  m_State.forgetEndpoint(Last.m_Id);
   if (Last.m_Draining)
     return;
   m_State.m_Crashes.onEndpointDown(Last.m_Id);
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -86,6 +86,7 @@
   std::erase_if(List, [&Key](const serving::Endpoint *Item) {
     return Item->m_Registration.m_Zone != Key.m_Zone;
   });
+  m_State.preferUnlimited(List);
   return List;
 }
 
