Bound what the HTTP client and server read without an end

Cause: chunk headers, chunk extensions and trailers are buffered until their end, and neither buffer had a largest size; the body of a skipped response was read for as long as the call lasted; send() bounded the wait for each part of a body, not the whole.

Change: at most 128 KB are received and not yet parsed, 64 KB of a skipped body are read, and send() gives a body four times the read timeout.

Measured: of 20 cases of EndlessInputTest.cpp (a peer that sends until it is closed), 9 failed before: six buffered 64 MB, the most that a case sends, one read as much of a skipped body, two had not ended after 4 s. All pass after.

--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -36,8 +36,13 @@
   return {Stage, Error == beast::error::timeout, Error.message()};
 }
 
+/// Most bytes that are received and not yet parsed. Bounds what the parser
+/// waits for, such as the end of a chunk header or of a trailer.
+constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
+
 struct Connection {
-  explicit Connection(asio::any_io_executor Executor) : m_Stream(Executor) {}
+  explicit Connection(asio::any_io_executor Executor)
+      : m_Stream(Executor), m_Buffer(MaxUnparsedBytes) {}
   beast::tcp_stream m_Stream;
   beast::flat_buffer m_Buffer;
   Instant m_IdleSince;
@@ -67,6 +72,11 @@
 /// Maximum number of late responses to earlier requests that a call skips on
 /// its connection.
 constexpr int MaxSkippedResponses = 2;
+/// Most bytes of the body of a skipped response.
+constexpr std::size_t MaxSkippedBytes = 64 * 1024;
+/// Client::send() ends a body that takes longer than this multiple of the read
+/// timeout.
+constexpr int MaxBodyTimeFactor = 4;
 
 void configureSocket(tcp::socket &Socket) {
   using UserTimeout =
@@ -297,11 +307,12 @@
   }
 
   /// Reads and discards the body. Returns false when the body ends with the
-  /// connection or cannot be read.
+  /// connection, is too long or cannot be read.
   asio::awaitable<bool> discardBody() {
     if (m_Parser->need_eof())
       co_return false;
     std::string Data(ReadBufferBytes, '\0');
+    std::size_t Skipped = 0;
     while (!m_Parser->is_done()) {
       m_Parser->get().body().data = Data.data();
       m_Parser->get().body().size = Data.size();
@@ -311,6 +322,9 @@
                                       redirectTo(Error));
       if (Error && Error != bhttp::error::need_buffer)
         co_return false;
+      Skipped += Data.size() - m_Parser->get().body().size;
+      if (Skipped > MaxSkippedBytes)
+        co_return false;
     }
     co_return true;
   }
@@ -447,6 +461,8 @@
     co_return std::move(*Failure);
   auto Stream = std::get<std::shared_ptr<ResponseStream>>(Opened);
   Response CompleteResponse = Stream->head();
+  const Instant BodyDeadline = std::chrono::steady_clock::now() +
+                               MaxBodyTimeFactor * Options.m_ReadTimeout;
   while (true) {
     auto Next = co_await Stream->read();
     if (auto *Failure = std::get_if<TransportFailure>(&Next))
@@ -459,6 +475,11 @@
       co_return TransportFailure{FailureStage::Read, false,
                                  "the answer exceeds the body limit"};
     }
+    if (std::chrono::steady_clock::now() > BodyDeadline) {
+      Stream->close();
+      co_return TransportFailure{FailureStage::Read, true,
+                                 "the answer takes too long"};
+    }
     CompleteResponse.m_Body += Data;
   }
 }
--- a/Source/Core/Net/Http/Client.h
+++ b/Source/Core/Net/Http/Client.h
@@ -103,7 +103,9 @@
   explicit Client(boost::asio::any_io_executor Executor);
   ~Client();
 
-  /// Sends a request and reads the complete response. Never retries.
+  /// Sends a request and reads the complete response. Never retries. Fails if
+  /// the body exceeds m_MaxBodyBytes or takes longer than four times the read
+  /// timeout.
   boost::asio::awaitable<SendResult> send(Address Remote, Request Message,
                                           ClientOptions Options = {});
 
--- a/Source/Core/Net/Http/Server.cpp
+++ b/Source/Core/Net/Http/Server.cpp
@@ -34,6 +34,11 @@
 /// receives it.
 constexpr std::size_t InitialReadBytes = 2048;
 
+/// Most bytes that are received and not yet parsed, beside a header. Bounds
+/// what the parser waits for, such as the end of a chunk header or of a
+/// trailer.
+constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
+
 using RequestParser = bhttp::request_parser<bhttp::string_body>;
 
 struct ServerState {
@@ -274,6 +279,7 @@
     RequestParser Parser;
     Parser.header_limit(m_State->m_Limits.m_MaxHeaderBytes);
     Parser.body_limit(m_State->m_Limits.m_MaxBodyBytes);
+    m_Buffer.max_size(m_State->m_Limits.m_MaxHeaderBytes + MaxUnparsedBytes);
     const error_code Error = co_await readRequest(Parser);
     if (Error)
       co_return co_await rejectReadError(Error);
