Bound the answers that a host holds in memory

Cause: a body that is not a stream was collected until its end, and a stream until the end of an event, whatever their size, until the route's timeout.

--- a/Source/Core/Host/PeerCall.h
+++ b/Source/Core/Host/PeerCall.h
@@ -10,6 +10,7 @@
 namespace sff::host {
 
 constexpr milliseconds PeerConnectTimeout{400};
+constexpr std::uint64_t MaxPeerAnswerBytes = 1024 * 1024;
 
 /// Sends a message to another host and decodes the response. Returns nothing
 /// when the call fails or the response cannot be decoded.
@@ -28,6 +29,7 @@
   http::ClientOptions Options;
   Options.m_ConnectTimeout = PeerConnectTimeout;
   Options.m_ReadTimeout = Timeout;
+  Options.m_MaxBodyBytes = MaxPeerAnswerBytes;
   const http::SendResult Result =
       co_await Peers.send(*Address, std::move(Outgoing), Options);
   const auto *Received = std::get_if<http::Response>(&Result);
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -8,6 +8,12 @@
 
 constexpr auto LogCategory = log::Category::Routing;
 
+/// Largest body of an answer that is not a stream, which is held in memory
+/// until it is complete.
+constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
+/// Largest event of a stream, of which an incomplete one is held in memory.
+constexpr std::size_t MaxEventBytes = 256 * 1024;
+
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 } // namespace
@@ -68,6 +74,11 @@
     std::string &Chunk = std::get<std::string>(Next);
     if (Chunk.empty())
       break;
+    if (Body.size() + Chunk.size() > MaxBodyBytes) {
+      Answer->close();
+      co_return co_await onIncompleteResponse(Id, serving::CallResult::Broken,
+                                              "the body is too long");
+    }
     Body += Chunk;
   }
   const bool Failed = Status >= 500;
@@ -136,6 +147,8 @@
     m_LastProgressAt = now();
     const std::string &Chunk = std::get<std::string>(Next);
     std::string Complete = m_Events.append(Chunk);
+    if (m_Events.partialEvent().size() > MaxEventBytes)
+      co_return StreamResult::EndpointFailed;
     if (Chunk.empty())
       Complete = m_Events.partialEvent();
     if (!m_HeadSent) {
