--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -252,8 +252,10 @@
 }
 
 Task<RequestSession::Step> RequestSession::waitForRate() {
+  const auto Holders = holders();
   std::vector<EndpointId> Endpoints;
-  for (const serving::Endpoint *Item : holders())
+  Endpoints.reserve(Holders.size());
+  for (const serving::Endpoint *Item : Holders)
     Endpoints.push_back(Item->id());
   if (Endpoints.empty()) {
     co_await endWithFailure("no_endpoint");
