--- a/Source/Core/Core/Retry/CrashQuarantine.h
+++ b/Source/Core/Core/Retry/CrashQuarantine.h
@@ -16,7 +16,7 @@
   Normal,
   /// Crashed one endpoint: run it on one endpoint by itself, without retries.
   Isolate,
-  Reject, ///< Crashed two endpoints, or three of its runs crashed: reject it.
+  Reject, ///< Crashed two endpoints, or one that ran three copies: reject it.
 };
 
 /// The end of one incarnation of an endpoint. Hosts that observe the same crash
--- a/Source/Core/Host/CrashTracker.cpp
+++ b/Source/Core/Host/CrashTracker.cpp
@@ -1,6 +1,7 @@
 #include "Host/CrashTracker.h"
 
 #include "Common/Logging/Log.h"
+#include "Common/Time/Clock.h"
 
 #include <algorithm>
 
@@ -29,13 +30,6 @@
 
 constexpr auto LogCategory = log::Category::Execution;
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
-milliseconds unixTime() {
-  return std::chrono::duration_cast<milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-}
-
 CrashMessage toMessage(const retry::CrashReport &Report) {
   const auto Age = toMilliseconds(now() - Report.m_At);
   return {Report.m_Fingerprint, Report.m_Crash, (unixTime() - Age).count(),
@@ -144,16 +138,18 @@
                        m_Quarantine.crashCount(Fingerprint, now()));
 }
 
+nlohmann::json CrashTracker::describe(const retry::CrashReport &Report) const {
+  return {{"endpoint", Report.m_Crash.m_Endpoint},
+          {"incarnation", Report.m_Crash.m_Incarnation},
+          {"fingerprint", Report.m_Fingerprint},
+          {"run", Report.m_Run},
+          {"crashes", m_Quarantine.crashCount(Report.m_Fingerprint, now())}};
+}
+
 void CrashTracker::onNoticed(const retry::CrashReport &Report) {
   if (!m_Quarantine.add(Report, now()))
     return;
-  log::warning(
-      LogCategory, "request.crashed_endpoint",
-      {{"endpoint", Report.m_Crash.m_Endpoint},
-       {"incarnation", Report.m_Crash.m_Incarnation},
-       {"fingerprint", Report.m_Fingerprint},
-       {"run", Report.m_Run},
-       {"crashes", m_Quarantine.crashCount(Report.m_Fingerprint, now())}});
+  log::warning(LogCategory, "request.crashed_endpoint", describe(Report));
   m_Metrics.onCrash("observed");
   measure(Report.m_Fingerprint);
   share(Report);
@@ -177,16 +173,12 @@
     for (const retry::CrashReport &Report :
          m_Detector.popLostRequests(Message.m_Crash, now()))
       onNoticed(Report);
-    if (!m_Quarantine.add(toReport(Message), now()))
+    const retry::CrashReport Reported = toReport(Message);
+    if (!m_Quarantine.add(Reported, now()))
       continue;
-    log::info(
-        LogCategory, "crash.reported",
-        {{"endpoint", Message.m_Crash.m_Endpoint},
-         {"incarnation", Message.m_Crash.m_Incarnation},
-         {"fingerprint", Message.m_Fingerprint},
-         {"run", Message.m_Run},
-         {"noticed_unix_ms", Message.m_NoticedAtUnixMs},
-         {"crashes", m_Quarantine.crashCount(Message.m_Fingerprint, now())}});
+    nlohmann::json Fields = describe(Reported);
+    Fields["noticed_unix_ms"] = Message.m_NoticedAtUnixMs;
+    log::info(LogCategory, "crash.reported", std::move(Fields));
     m_Metrics.onCrash("reported");
     measure(Message.m_Fingerprint);
   }
--- a/Source/Core/Host/CrashTracker.h
+++ b/Source/Core/Host/CrashTracker.h
@@ -64,6 +64,8 @@
 
 private:
   void onNoticed(const retry::CrashReport &Report);
+  /// The fields of the log line of a noticed or reported crash.
+  nlohmann::json describe(const retry::CrashReport &Report) const;
   /// Updates the metrics of a request that has crashed endpoints.
   void measure(const std::string &Fingerprint);
   void share(const retry::CrashReport &Report);
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Logging/Log.h"
+#include "Common/Time/Clock.h"
 #include "Core/Serving/DemandRates.h"
 #include "Core/Serving/EndpointChooser.h"
 #include "Core/Serving/EndpointRateLimits.h"
@@ -23,9 +24,6 @@
 using timers::AsyncCondition;
 using timers::sleepFor;
 
-/// The current time of the monotonic clock that is passed to the core.
-inline Instant now() { return std::chrono::steady_clock::now(); }
-
 /// The current time of a monotonic clock that includes time while the machine
 /// is suspended.
 Instant bootTime();
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -27,9 +27,6 @@
 constexpr milliseconds MinSilenceTimeout{400};
 /// Longest pause in a stream that can be resumed at another endpoint.
 constexpr milliseconds StreamSilenceTimeout{1500};
-/// Upper bound for a wait for a change of the directory, which also sends
-/// notifications.
-constexpr milliseconds RecheckInterval{250};
 /// Delay before endpoints that refused the request are tried again, for each
 /// send so far.
 constexpr milliseconds RefusalBackoff{60};
@@ -38,14 +35,6 @@
 constexpr int MaxSends = 4;
 /// Retry-After for quarantined requests, which have crashed endpoints.
 constexpr milliseconds QuarantineRetryAfter{30000};
-/// Requests with less remaining time than this are refused instead of waiting
-/// for a model.
-constexpr milliseconds MinUsefulTime{50};
-/// Added to the time after which the rates of endpoints allow a request, for
-/// other requests that come first.
-constexpr milliseconds RetryAfterMargin{200};
-/// Shortest wait for the rate of an endpoint.
-constexpr milliseconds MinRateWait{5};
 constexpr std::int64_t HighestRank = 9;
 
 std::uint64_t hashOf(std::string_view Text) {
@@ -211,77 +200,6 @@
   co_return co_await attempt(*Chosen);
 }
 
-Task<RequestSession::Step> RequestSession::waitForModel() {
-  const bool AnyEndpoint =
-      !m_State.m_Endpoints.serving(m_Service->m_Name).empty();
-  const bool Known = m_Service->m_Engine->find(m_Facts.m_Model.m_Model);
-  if (!AnyEndpoint || !Known) {
-    co_await endWithFailure(Known ? "no_endpoint" : "unknown_model");
-    co_return Step::Finished;
-  }
-  // If the caller is about to disconnect, refuse with Retry-After instead of
-  // waiting.
-  const Duration CallerPatience =
-      m_Route->callerTimeout() - (now() - m_ArrivedAt);
-  const Duration WaitLimit =
-      std::min<Duration>(remainingTime(), CallerPatience);
-  if (WaitLimit < MinUsefulTime) {
-    co_await endWithFailure("model_not_loaded");
-    co_return Step::Finished;
-  }
-  if (m_State.m_Stopping) {
-    co_await endWithFailure("shutting_down");
-    co_return Step::Finished;
-  }
-  if (!std::exchange(m_WaitLogged, true))
-    logEvent("request.waiting",
-             {{"catalogue", m_Catalogue->m_Version},
-              {"useful_ms", toMilliseconds(WaitLimit).count()}});
-  const auto ReadyAt = m_Demands.expectedReadyAt(m_Facts.m_Model.m_Model);
-  if (ReadyAt && *ReadyAt - now() > WaitLimit) {
-    co_await endWithFailure("model_too_late", toMilliseconds(*ReadyAt - now()));
-    co_return Step::Finished;
-  }
-  m_Demands.adjustWaiting(m_Facts.m_Model, 1);
-  m_Demands.requestModel(m_Service->m_Name, m_Facts.m_Model,
-                         m_Route->m_Priority, now() + WaitLimit);
-  co_await m_State.m_Changed.wait(
-      std::min<Duration>(RecheckInterval, WaitLimit));
-  m_Demands.adjustWaiting(m_Facts.m_Model, -1);
-  co_return Step::TryAgain;
-}
-
-Task<RequestSession::Step> RequestSession::waitForRate() {
-  const auto Holders = holders();
-  std::vector<EndpointId> Endpoints;
-  Endpoints.reserve(Holders.size());
-  for (const serving::Endpoint *Item : Holders)
-    Endpoints.push_back(Item->id());
-  if (Endpoints.empty()) {
-    co_await endWithFailure("no_endpoint");
-    co_return Step::Finished;
-  }
-  std::size_t &Waiting = m_State.m_WaitingForRates[m_Service->m_Name];
-  const Duration Wait =
-      m_State.m_RateLimits.expectedWait(Endpoints, Waiting, now());
-  const Duration CallerPatience =
-      m_Route->callerTimeout() - (now() - m_ArrivedAt);
-  if (Wait >
-      std::min<Duration>(remainingTime() - MinUsefulTime, CallerPatience)) {
-    co_await endWithFailure("endpoint_limits",
-                            toMilliseconds(Wait) + RetryAfterMargin);
-    co_return Step::Finished;
-  }
-  if (!std::exchange(m_WaitLogged, true))
-    logEvent("request.limited", {{"wait_ms", toMilliseconds(Wait).count()},
-                                 {"waiting", Waiting},
-                                 {"endpoints", Endpoints.size()}});
-  ++Waiting;
-  co_await sleepFor(std::clamp<Duration>(Wait, MinRateWait, RecheckInterval));
-  --Waiting;
-  co_return Step::TryAgain;
-}
-
 milliseconds RequestSession::silenceTimeout() const {
   if (m_HeadSent)
     return StreamSilenceTimeout;
