--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -32,6 +32,9 @@
       m_LostRequests(
           m_Set.counter("sff_host_lost_requests_total",
                         "Requests whose connection to the endpoint was lost")),
+      m_Answers(m_Set.counterFamily(
+          "sff_host_answers_total",
+          "Answers of endpoints by the framing and the end of the body")),
       m_Crashes(m_Set.counterFamily(
           "sff_host_crashes_total",
           "Endpoint crashes attributed to a request, by source")),
@@ -66,6 +69,11 @@
   observe(m_Durations, Taken);
 }
 
+void HostMetrics::onAnswer(std::string_view Framing, std::string_view End) {
+  m_Answers.Add({{"framing", std::string(Framing)}, {"end", std::string(End)}})
+      .Increment();
+}
+
 void HostMetrics::onCrash(std::string_view Source) {
   m_Crashes.Add({{"source", std::string(Source)}}).Increment();
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -32,6 +32,9 @@
   /// crashed two endpoints or more, the first MaxSuspects get a time series.
   void setSuspect(const std::string &Fingerprint, std::size_t Crashes);
   void onResume() { m_Resumes.Increment(); }
+  /// Counts an answer of an endpoint. \p Framing tells how the end of its body
+  /// is marked, \p End how the body ended.
+  void onAnswer(std::string_view Framing, std::string_view End);
   void onOrder(std::string_view Result);
   void onSwap(Duration Taken) { observe(m_Swaps, Taken); }
   void onStoreCall(std::string_view Call, bool Answered);
@@ -61,6 +64,7 @@
   prometheus::Counter &m_Retries;
   prometheus::Counter &m_Resumes;
   prometheus::Counter &m_LostRequests;
+  prometheus::Family<prometheus::Counter> &m_Answers;
   prometheus::Family<prometheus::Counter> &m_Crashes;
   prometheus::Family<prometheus::Gauge> &m_SuspectCrashes;
   std::map<std::string, prometheus::Gauge *> m_Suspects; ///< By fingerprint.
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -68,6 +68,9 @@
   Task<Step> forwardBuffered(EndpointId Id, OpenStream Answer);
   Task<Step> forwardStream(EndpointId Id, OpenStream Answer);
   Task<StreamResult> copyStream(EndpointId Id, OpenStream Answer);
+  /// Records how the body of an endpoint's answer ended.
+  void recordAnswerEnd(const EndpointId &Id, const http::Response &Head,
+                       std::string_view End);
   void onUnreachable(const EndpointId &Id);
   /// Connects to an endpoint that lost the request, to tell a crash from a lost
   /// answer. May outlive the call of run().
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -16,6 +16,11 @@
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
+/// How the body of an answer ended, as metrics and log lines name it.
+constexpr std::string_view EndComplete = "complete";
+constexpr std::string_view EndBroken = "broken";
+constexpr std::string_view EndInsideEvent = "inside_event";
+
 } // namespace
 
 Task<RequestSession::Step> RequestSession::onHead(EndpointId Id,
@@ -68,9 +73,11 @@
   std::string Body;
   while (true) {
     auto Next = co_await Answer->read();
-    if (auto *Failure = std::get_if<http::TransportFailure>(&Next))
+    if (auto *Failure = std::get_if<http::TransportFailure>(&Next)) {
+      recordAnswerEnd(Id, Answer->head(), EndBroken);
       co_return co_await onIncompleteResponse(Id, resultOf(*Failure),
                                               Failure->m_Detail);
+    }
     std::string &Chunk = std::get<std::string>(Next);
     if (Chunk.empty())
       break;
@@ -81,6 +88,7 @@
     }
     Body += Chunk;
   }
+  recordAnswerEnd(Id, Answer->head(), EndComplete);
   const bool Failed = Status >= 500;
   m_State.m_Chooser.health().onResult(
       Id, Failed ? serving::CallResult::Failed : serving::CallResult::Success,
@@ -142,15 +150,20 @@
     auto Next = co_await Answer->read();
     if (m_CallerGone)
       co_return StreamResult::CallerGone;
-    if (std::holds_alternative<http::TransportFailure>(Next))
+    if (std::holds_alternative<http::TransportFailure>(Next)) {
+      recordAnswerEnd(Id, Answer->head(), EndBroken);
       co_return StreamResult::EndpointFailed;
+    }
     m_LastProgressAt = now();
     const std::string &Chunk = std::get<std::string>(Next);
     std::string Complete = m_Events.append(Chunk);
     if (m_Events.partialEvent().size() > MaxEventBytes)
       co_return StreamResult::EndpointFailed;
-    if (Chunk.empty())
+    if (Chunk.empty()) {
       Complete = m_Events.partialEvent();
+      recordAnswerEnd(Id, Answer->head(),
+                      Complete.empty() ? EndComplete : EndInsideEvent);
+    }
     if (!m_HeadSent) {
       http::Response Head =
           m_State.m_Platform.m_WireFormat->makeCallerResponse(Answer->head());
@@ -175,6 +188,18 @@
   }
 }
 
+void RequestSession::recordAnswerEnd(const EndpointId &Id,
+                                     const http::Response &Head,
+                                     std::string_view End) {
+  const std::string_view Framing =
+      Head.m_EndsWithConnection ? "connection" : "marked";
+  m_State.m_Metrics.onAnswer(Framing, End);
+  if (End == EndComplete && !Head.m_EndsWithConnection)
+    return;
+  logEvent("answer.ended",
+           {{"endpoint", Id}, {"framing", Framing}, {"end", End}});
+}
+
 Task<void> RequestSession::endWithFailure(std::string_view Reason,
                                           milliseconds RetryAfter) {
   if (m_CallerGone) {
--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -287,6 +287,7 @@
   void storeHeader() {
     m_Head = {};
     m_Head.m_Status = static_cast<int>(m_Parser->get().result_int());
+    m_Head.m_EndsWithConnection = m_Parser->need_eof();
     for (const auto &Item : m_Parser->get())
       m_Head.m_Headers.add(std::string_view(Item.name_string().data(),
                                             Item.name_string().size()),
--- a/Source/Core/Net/Http/Message.h
+++ b/Source/Core/Net/Http/Message.h
@@ -59,6 +59,9 @@
   int m_Status = 200;
   Headers m_Headers;
   std::string m_Body;
+  /// The body has neither a length nor chunks and ends with the connection, so
+  /// a recipient cannot tell a complete body from one that was cut off.
+  bool m_EndsWithConnection = false;
 };
 
 /// Creates a response with a JSON body.
