Pass on the end of an answer with no more certainty than the endpoint gave

Cause: an answer with neither a length nor chunks ends with its connection, which a crash closes as well. The host gave it chunks and a last chunk, or a length, of its own; and it wrote out what was left of an incomplete event.

Change: http::Response says whether its body ends with the connection. The host passes such a body on in the same framing, closes the connection as the endpoint did, and resets it in every other case, also when it is killed. A stream that ends inside an event, in any framing, has been broken off, and so has one without an event. A resumed stream whose caller was promised a last chunk is broken off. Such an end clears no crash of the request. The routers need the last event of a stream, and neither pass on nor keep an answer that is no stream.

--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -350,8 +350,7 @@
   m_History.onPossiblyExecuted(Id);
   m_History.exclude(Id);
   m_DispatchGuard.markSent();
-  if (const auto *Known = m_State.m_Endpoints.find(Id))
-    m_State.m_Crashes.onRequestLost(*Known, m_Fingerprint, m_Facts.m_Id);
+  recordPossibleLoss(Id);
   if (isOver())
     co_return Step::TryAgain;
   m_State.m_Chooser.health().onResult(Id, Result, now());
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -68,6 +68,11 @@
   Task<Step> forwardBuffered(EndpointId Id, OpenStream Answer);
   Task<Step> forwardStream(EndpointId Id, OpenStream Answer);
   Task<StreamResult> copyStream(EndpointId Id, OpenStream Answer);
+  /// Returns whether the end of a stream's body may be passed on to the caller.
+  /// Otherwise the endpoint has broken the stream off, as far as can be known.
+  bool checkStreamEnd(const EndpointId &Id, const http::Response &Head);
+  /// Counts the request for the endpoint's crash if that is noticed soon.
+  void recordPossibleLoss(const EndpointId &Id);
   /// Records how the body of an endpoint's answer ended.
   void recordAnswerEnd(const EndpointId &Id, const http::Response &Head,
                        std::string_view End);
@@ -138,6 +143,8 @@
   /// The next send has already been taken from the retry budget.
   bool m_RetryGranted = false;
   bool m_HeadSent = false;
+  /// The body of the response that has begun ends with the connection.
+  bool m_CallerReadsToEnd = false;
   bool m_WaitLogged = false; ///< The wait for the model is logged only once.
   streaming::CompleteEventBuffer m_Events;
   std::string m_Fingerprint;
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -20,6 +20,7 @@
 constexpr std::string_view EndComplete = "complete";
 constexpr std::string_view EndBroken = "broken";
 constexpr std::string_view EndInsideEvent = "inside_event";
+constexpr std::string_view EndUnproved = "unproved";
 
 } // namespace
 
@@ -112,6 +113,8 @@
       m_State.m_Platform.m_WireFormat->makeCallerResponse(Answer->head());
   Final.m_Body = std::move(Body);
   Final.m_Headers.erase("Content-Length");
+  if (Final.m_EndsWithConnection)
+    recordPossibleLoss(Id);
   m_State.m_Metrics.onFirstByte(now() - m_ArrivedAt);
   const bool Delivered = co_await m_Caller.respond(std::move(Final));
   recordOutcome(Delivered ? "answered" : "caller_gone", Status, "");
@@ -126,7 +129,10 @@
   if (End == StreamResult::Complete) {
     m_State.m_Chooser.health().onResult(Id, serving::CallResult::Success,
                                         now());
-    m_State.m_Crashes.onSuccess(m_Fingerprint);
+    if (Answer->head().m_EndsWithConnection)
+      recordPossibleLoss(Id);
+    else
+      m_State.m_Crashes.onSuccess(m_Fingerprint);
     co_await m_Caller.endStream();
     recordOutcome("answered", Answer->head().m_Status, "");
     co_return Step::Finished;
@@ -159,12 +165,10 @@
     std::string Complete = m_Events.append(Chunk);
     if (m_Events.partialEvent().size() > MaxEventBytes)
       co_return StreamResult::EndpointFailed;
-    if (Chunk.empty()) {
-      Complete = m_Events.partialEvent();
-      recordAnswerEnd(Id, Answer->head(),
-                      Complete.empty() ? EndComplete : EndInsideEvent);
-    }
+    if (Chunk.empty() && !checkStreamEnd(Id, Answer->head()))
+      co_return StreamResult::EndpointFailed;
     if (!m_HeadSent) {
+      m_CallerReadsToEnd = Answer->head().m_EndsWithConnection;
       http::Response Head =
           m_State.m_Platform.m_WireFormat->makeCallerResponse(Answer->head());
       Head.m_Headers.erase("Content-Length");
@@ -188,6 +192,25 @@
   }
 }
 
+bool RequestSession::checkStreamEnd(const EndpointId &Id,
+                                    const http::Response &Head) {
+  const bool InsideEvent = !m_Events.partialEvent().empty();
+  // The end of the connection shows neither that an answer without an event is
+  // complete, nor that one is whose caller expects a mark of the end.
+  const bool IsUnproved =
+      Head.m_EndsWithConnection && (!m_HeadSent || !m_CallerReadsToEnd);
+  recordAnswerEnd(Id, Head,
+                  InsideEvent  ? EndInsideEvent
+                  : IsUnproved ? EndUnproved
+                               : EndComplete);
+  return !InsideEvent && !IsUnproved;
+}
+
+void RequestSession::recordPossibleLoss(const EndpointId &Id) {
+  if (const auto *Known = m_State.m_Endpoints.find(Id))
+    m_State.m_Crashes.onRequestLost(*Known, m_Fingerprint, m_Facts.m_Id);
+}
+
 void RequestSession::recordAnswerEnd(const EndpointId &Id,
                                      const http::Response &Head,
                                      std::string_view End) {
--- a/Source/Core/Net/Http/Server.cpp
+++ b/Source/Core/Net/Http/Server.cpp
@@ -102,6 +102,8 @@
   }
 
   asio::awaitable<bool> respond(Response HttpResponse) override {
+    if (HttpResponse.m_EndsWithConnection)
+      co_return co_await respondUnframed(std::move(HttpResponse));
     bhttp::response<bhttp::string_body> Message;
     copyStatusAndHeaders(HttpResponse, Message);
     Message.body() = std::move(HttpResponse.m_Body);
@@ -116,10 +118,17 @@
   }
 
   asio::awaitable<bool> beginStream(Response ResponseHead) override {
+    m_EndsWithConnection = ResponseHead.m_EndsWithConnection;
+    if (m_EndsWithConnection) {
+      m_KeepAlive = false;
+      ResponseHead.m_Headers.erase("Content-Length");
+      resetOnClose(true);
+    }
     bhttp::response<bhttp::empty_body> Message;
     copyStatusAndHeaders(ResponseHead, Message);
     Message.keep_alive(shouldKeepAlive());
-    m_Chunked = Message.count(bhttp::field::content_length) == 0;
+    m_Chunked = !m_EndsWithConnection &&
+                Message.count(bhttp::field::content_length) == 0;
     // chunked(false) would also remove the Content-Length header.
     if (m_Chunked)
       Message.chunked(true);
@@ -153,6 +162,8 @@
       co_await asio::async_write(m_Stream, bhttp::make_chunk_last(),
                                  redirectTo(Error));
     }
+    if (m_EndsWithConnection)
+      resetOnClose(false);
     m_Finished = !Error;
     co_return !Error;
   }
@@ -197,6 +208,26 @@
     return m_KeepAlive && !m_State->m_Stopping && !m_State->m_Draining;
   }
 
+  asio::awaitable<bool> respondUnframed(Response HttpResponse) {
+    const std::string Body = std::exchange(HttpResponse.m_Body, {});
+    const bool Begun = co_await beginStream(std::move(HttpResponse));
+    if (!Begun)
+      co_return false;
+    const bool Written = co_await writeChunk(Body);
+    if (!Written)
+      co_return false;
+    co_return co_await endStream();
+  }
+
+  /// While a body that ends with the connection is being sent, every close is a
+  /// reset, also the one by the kernel when the process ends: an orderly close
+  /// would mark the body as complete.
+  void resetOnClose(bool Enabled) {
+    error_code Ignored;
+    m_Stream.socket().set_option(asio::socket_base::linger(Enabled, 0),
+                                 Ignored);
+  }
+
   asio::awaitable<bool> rejectRequest(int Status, std::string_view Title,
                                       std::string_view Detail) {
     m_KeepAlive = false;
@@ -332,6 +363,7 @@
   std::uint64_t m_RequestSequence = 0;
   bool m_KeepAlive = true;
   bool m_Chunked = true;
+  bool m_EndsWithConnection = false;
   bool m_Started = false;
   bool m_Finished = false;
   bool m_Idle = false;
--- a/Source/Core/Net/Http/Server.h
+++ b/Source/Core/Net/Http/Server.h
@@ -32,19 +32,23 @@
 public:
   virtual ~Exchange() = default;
 
-  /// Sends a complete response.
+  /// Sends a complete response. Its body ends with the connection if
+  /// m_EndsWithConnection is set.
   virtual boost::asio::awaitable<bool> respond(Response HttpResponse) = 0;
   /// Sends status and headers of a response whose body follows with
-  /// writeChunk(). The body of \p ResponseHead is ignored. Uses chunked
-  /// transfer encoding unless there is a Content-Length header.
+  /// writeChunk(). The body of \p ResponseHead is ignored. It ends with the
+  /// connection if m_EndsWithConnection is set. Otherwise uses chunked transfer
+  /// encoding unless there is a Content-Length header.
   virtual boost::asio::awaitable<bool> beginStream(Response ResponseHead) = 0;
   /// Sends a part of the body. Precondition: beginStream() returned true.
   virtual boost::asio::awaitable<bool> writeChunk(std::string_view Data) = 0;
   /// Ends the response. A chunked response gets its last chunk, by which the
-  /// caller recognizes that the response is complete.
+  /// caller recognizes that the response is complete; one that ends with the
+  /// connection gets an orderly close.
   virtual boost::asio::awaitable<bool> endStream() = 0;
   /// Closes the connection without ending the response, so that the caller can
-  /// distinguish a truncated response from a complete one.
+  /// distinguish a truncated response from a complete one. Resets it if the
+  /// body ends with the connection.
   virtual void abort() = 0;
   /// Returns true when the caller has closed the connection.
   virtual bool isCallerDisconnected() = 0;
--- a/Source/Core/Router/Attempt.cpp
+++ b/Source/Core/Router/Attempt.cpp
@@ -115,6 +115,7 @@
     return;
   }
   m_Status = Head.m_Status;
+  m_EndsWithConnection = Head.m_EndsWithConnection;
   m_Answer.m_Status = Head.m_Status;
   m_Answer.m_ContentType = Head.m_Headers.find("Content-Type").value_or("");
 }
@@ -159,6 +160,7 @@
   }
   m_ResumesWithoutProgress = 0;
   m_Finished = m_Finished || Event.m_Kind == streaming::EventKind::Finish;
+  m_Done = m_Done || Event.m_Kind == streaming::EventKind::Done;
   co_return co_await m_Caller.writeChunk(Event.m_Text);
 }
 
@@ -166,12 +168,15 @@
   if (m_Request.m_TargetsEngine &&
       streaming::isCancelledAnswer(m_Answer.m_Body))
     fail("the endpoint gave the request up");
+  else if (m_EndsWithConnection)
+    fail("the answer is not known to be complete");
   else
     m_Result = AttemptResult::Answered;
 }
 
 Attempt::Task<void> Attempt::endStream() {
-  if (m_Events.hasPartial() || !m_Caller.started()) {
+  const bool IsUnproved = m_EndsWithConnection && !m_Done;
+  if (m_Events.hasPartial() || !m_Caller.started() || IsUnproved) {
     co_await recoverFromConnectionLoss();
     co_return;
   }
@@ -298,6 +303,7 @@
   if (Head && Head->m_Status == 200 &&
       echoesAttemptIds(Head->m_Headers, m_Assigned, true)) {
     m_Status = Head->m_Status;
+    m_EndsWithConnection = Head->m_EndsWithConnection;
     co_return Opened;
   }
   Opened->closeConnection();
--- a/Source/Core/Router/Attempt.h
+++ b/Source/Core/Router/Attempt.h
@@ -83,6 +83,9 @@
   int m_Status = 0;
   int m_ResumesWithoutProgress = 0;
   bool m_Finished = false; ///< The finish event was sent to the caller.
+  bool m_Done = false;     ///< The final "[DONE]" event was sent to the caller.
+  /// The body of the endpoint's response ends with the connection.
+  bool m_EndsWithConnection = false;
   bool m_TimedOut = false;
   bool m_EndpointDown = false;
   bool m_EndpointCrashed = false;
--- a/Source/Core/Router/IntentSession.cpp
+++ b/Source/Core/Router/IntentSession.cpp
@@ -187,11 +187,15 @@
       co_await reportCrash(Assigned.m_Endpoint);
   }
   co_await finishPlacement(m_State, std::move(Assigned), Report);
-  if (!Matches) {
+  // An answer that may have been cut off is not kept for the key.
+  if (!Matches || Answer->m_EndsWithConnection) {
+    std::string Detail = "the answer is not known to be complete";
+    if (Failure)
+      Detail = Failure->m_Detail;
+    else if (!Matches)
+      Detail = "the answer belongs to another request";
     co_await reportExecuted(std::nullopt);
-    OutcomeUnknown Unknown{Reason::EndpointLost, RetryAfter,
-                           Failure ? Failure->m_Detail
-                                   : "the answer belongs to another request"};
+    OutcomeUnknown Unknown{Reason::EndpointLost, RetryAfter, std::move(Detail)};
     co_return Outcome(std::move(Unknown));
   }
   execution::Answered Whole{Answer->m_Status,
--- a/Source/UnitTests/Net/Http/ServerTest.cpp
+++ b/Source/UnitTests/Net/Http/ServerTest.cpp
@@ -21,6 +21,7 @@
 asio::awaitable<void> echo(Request Incoming, Exchange &Caller) {
   if (Incoming.path() == "/stream") {
     Response StreamHead{200, {{"Content-Type", "text/plain"}}, ""};
+    StreamHead.m_EndsWithConnection = Incoming.query("unframed").has_value();
     co_await Caller.beginStream(std::move(StreamHead));
     co_await Caller.writeChunk("one ");
     co_await Caller.writeChunk("two");
@@ -30,6 +31,7 @@
   }
   Response HttpResponse;
   HttpResponse.m_Body = Incoming.m_Body;
+  HttpResponse.m_EndsWithConnection = Incoming.query("unframed").has_value();
   co_await Caller.respond(std::move(HttpResponse));
 }
 
@@ -52,6 +54,24 @@
   Server m_Server;
 };
 
+// Guards against a body without a mark of its end that gets one on the way.
+TEST_F(HttpServerTest, BodyEndsWithTheConnection) {
+  for (const char *Target : {"/echo?unframed", "/stream?unframed"}) {
+    const auto Result = send({"POST", Target, {}, "one two"});
+    ASSERT_TRUE(std::holds_alternative<Response>(Result)) << Target;
+    const auto &Received = std::get<Response>(Result);
+    EXPECT_EQ(Received.m_Body, "one two");
+    EXPECT_TRUE(Received.m_EndsWithConnection);
+    EXPECT_EQ(Received.m_Headers.view("Connection"), "close");
+  }
+}
+
+// Guards against an orderly close that marks a body as complete which is not.
+TEST_F(HttpServerTest, BodyThatEndsWithTheConnectionIsResetWhenCut) {
+  const auto Result = send({"GET", "/stream?unframed&cut", {}, ""});
+  EXPECT_TRUE(std::holds_alternative<TransportFailure>(Result));
+}
+
 TEST_F(HttpServerTest, EchoesTheBody) {
   const auto Result = send({"POST", "/echo", {}, "hello"});
   ASSERT_TRUE(std::holds_alternative<Response>(Result));
--- a/Source/UnitTests/Router/Fakes.cpp
+++ b/Source/UnitTests/Router/Fakes.cpp
@@ -192,6 +192,7 @@
         Name, m_EchoWrongIds ? "another"
                              : Incoming.m_Headers.find(Name).value_or(""));
   Answer.m_Body = std::move(Body);
+  Answer.m_EndsWithConnection = m_EndsWithConnection;
   return Answer;
 }
 
@@ -271,7 +272,7 @@
       co_return;
     co_await sleep(m_TokenPauseMs);
   }
-  const std::string End = "data: [DONE]\n\n";
+  const std::string End = m_OmitDone ? "" : "data: [DONE]\n\n";
   co_await Caller.writeChunk(End);
   co_await Caller.endStream();
 }
--- a/Source/UnitTests/Router/Fakes.h
+++ b/Source/UnitTests/Router/Fakes.h
@@ -97,6 +97,10 @@
   std::atomic<int> m_StallAfter{0};
   std::atomic<bool> m_CanResume{true};
   std::atomic<bool> m_EchoWrongIds{false};
+  /// Responses have neither a length nor chunks.
+  std::atomic<bool> m_EndsWithConnection{false};
+  /// Ends a stream after its tokens, without the "[DONE]" event.
+  std::atomic<bool> m_OmitDone{false};
   /// Closes the port and the connection when a request body contains "crash".
   std::atomic<bool> m_CrashOnRequest{false};
   /// Delays responses that are not streamed until it is cleared.
--- a/Source/UnitTests/Router/IntentTest.cpp
+++ b/Source/UnitTests/Router/IntentTest.cpp
@@ -143,4 +143,16 @@
   EXPECT_TRUE(eventually([&] { return countOf(m_Relay, "intent_void") == 1; }));
 }
 
+// Guards against a body that may have been cut off and is kept as the answer to
+// a key.
+TEST_F(RouterTest, AnswerThatEndsWithItsConnectionIsNotKeptForTheKey) {
+  const auto Running = startRouter();
+  m_Service.m_EndsWithConnection = true;
+  const auto Answer = get(call("k9", "{}"));
+  EXPECT_EQ(problemOf(Answer).value("outcome", ""), "outcome_unknown");
+  EXPECT_EQ(problemOf(get(call("k9", "{}"))).value("outcome", ""),
+            "outcome_unknown");
+  EXPECT_EQ(m_Service.m_Executions, 1);
+}
+
 } // namespace sff::router::testing
--- a/Source/UnitTests/Router/StreamTest.cpp
+++ b/Source/UnitTests/Router/StreamTest.cpp
@@ -107,4 +107,26 @@
   EXPECT_EQ(m_EngineA.m_Executions + m_EngineB.m_Executions, 2);
 }
 
+// Guards against a stream that ends with its connection before the last event
+// and looks complete to its caller.
+TEST_F(RouterTest, StreamThatEndsWithItsConnectionNeedsItsLastEvent) {
+  const auto Running = startRouter();
+  m_EngineA.m_EndsWithConnection = m_EngineB.m_EndsWithConnection = true;
+  EXPECT_EQ(get(completion("x", true)).m_Body, WholeStream);
+  m_EngineA.m_OmitDone = m_EngineB.m_OmitDone = true;
+  m_EngineA.m_CanResume = m_EngineB.m_CanResume = false;
+  const auto Answer = send(completion("x", true));
+  EXPECT_FALSE(std::holds_alternative<http::Response>(Answer) &&
+               std::get<http::Response>(Answer).m_Body.find("event: error") ==
+                   std::string::npos);
+}
+
+// Guards against the end of a connection that is taken for the end of an answer
+// that is no stream.
+TEST_F(RouterTest, AnswerThatEndsWithItsConnectionIsNotPassedOn) {
+  const auto Running = startRouter();
+  m_EngineA.m_EndsWithConnection = m_EngineB.m_EndsWithConnection = true;
+  EXPECT_GE(get(completion("x")).m_Status, 500);
+}
+
 } // namespace sff::router::testing
