--- a/Source/Core/Common/Identity/Ids.h
+++ b/Source/Core/Common/Identity/Ids.h
@@ -49,6 +49,8 @@
 using AttemptId = Identifier<struct AttemptTag>;
 /// Unique id of a log record; repeated appends of the same record share it.
 using RecordId = Identifier<struct RecordTag>;
+/// A part of a prompt that requests may share.
+using PromptPartId = Identifier<struct PromptPartTag>;
 using LoanId = Identifier<struct LoanTag>;
 
 /// Position of a record in a log stream. Offsets start at 1; 0 means "none".
