Count crashes by prompt part in the hosts, without a decision

The log in the store holds one record for all that a host has learned within 100 ms, and is read every 500 ms (1,500 before) while crashes come in.

--- a/Source/Core/Core/Retry/CrashDetector.cpp
+++ b/Source/Core/Core/Retry/CrashDetector.cpp
@@ -1,7 +1,31 @@
 #include "Core/Retry/CrashDetector.h"
 
+#include "Core/Retry/PartQuarantine.h"
+
 namespace sff::retry {
 
+void CrashDetector::RunningRequest::onProgress(Instant Now) {
+  if (!m_AnswerBegunAt)
+    m_AnswerBegunAt = Now;
+  m_Report.m_WasWritten =
+      Now - *m_AnswerBegunAt >= PartQuarantine::WritingProofTime;
+}
+
+CrashDetector::RunningRequest *
+CrashDetector::findRunning(const EndpointId &Endpoint, const RequestId &Run) {
+  const auto Running = m_RunningRequests.find(Endpoint);
+  if (Running == m_RunningRequests.end())
+    return nullptr;
+  const auto Found = Running->second.find(Run);
+  return Found == Running->second.end() ? nullptr : &Found->second;
+}
+
+void CrashDetector::onAnswerProgress(const EndpointId &Endpoint,
+                                     const RequestId &Run, Instant Now) {
+  if (RunningRequest *Running = findRunning(Endpoint, Run))
+    Running->onProgress(Now);
+}
+
 void CrashDetector::onRequestLost(const EndpointCrash &Possible,
                                   std::string Fingerprint, RequestId Run,
                                   Instant Now) {
@@ -9,15 +33,23 @@
   while (!List.empty() && (Now - List.front().m_At > CorrelationWindow ||
                            List.size() >= MaxPerEndpoint))
     List.pop_front();
-  List.push_back({std::move(Fingerprint), Possible, Now, std::move(Run)});
+  CrashReport Report{std::move(Fingerprint), Possible, Now, std::move(Run)};
+  if (const RunningRequest *Running =
+          findRunning(Possible.m_Endpoint, Report.m_Run)) {
+    Report.m_Parts = Running->m_Report.m_Parts;
+    Report.m_WasWritten = Running->m_Report.m_WasWritten;
+  }
+  List.push_back(std::move(Report));
 }
 
 void CrashDetector::onRequestSent(const EndpointCrash &Possible,
                                   std::string Fingerprint, RequestId Run,
-                                  Instant Now) {
-  CrashReport Report{std::move(Fingerprint), Possible, Now, Run};
+                                  Instant Now,
+                                  std::vector<PromptPartId> Parts) {
+  RunningRequest Running{
+      {std::move(Fingerprint), Possible, Now, Run, std::move(Parts)}, {}};
   m_RunningRequests[Possible.m_Endpoint].insert_or_assign(std::move(Run),
-                                                          std::move(Report));
+                                                          std::move(Running));
 }
 
 void CrashDetector::onRequestEnded(const EndpointId &Endpoint,
@@ -32,13 +64,13 @@
 
 std::vector<CrashReport>
 CrashDetector::popRunningRequests(const EndpointId &Endpoint, Instant Now) {
-  auto Running = m_RunningRequests.extract(Endpoint);
-  if (Running.empty())
+  auto Extracted = m_RunningRequests.extract(Endpoint);
+  if (Extracted.empty())
     return {};
   std::vector<CrashReport> Result;
-  for (auto &[Run, Report] : Running.mapped()) {
-    Report.m_At = Now;
-    Result.push_back(std::move(Report));
+  for (auto &[Run, Running] : Extracted.mapped()) {
+    Running.m_Report.m_At = Now;
+    Result.push_back(std::move(Running.m_Report));
   }
   return Result;
 }
--- a/Source/Core/Core/Retry/PartQuarantine.h
+++ b/Source/Core/Core/Retry/PartQuarantine.h
@@ -17,6 +17,13 @@
   /// Position of the part in the prompt, from 0. Requests share parts from the
   /// front, so a part stands in fewer requests than those before it.
   std::int64_t m_Position = 0;
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("part", &PartCrash::m_Part),
+                           field("crash", &PartCrash::m_Crash),
+                           field("position", &PartCrash::m_Position));
+  }
 };
 
 /// The announcement of a trial: one request with a rejected part, by which the
@@ -26,6 +33,13 @@
   PromptPartId m_Part;
   std::int64_t m_Number = 0; ///< From 1, since the part was last proved sound.
   IncarnationId m_Host;      ///< The process that may send the request.
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("part", &PartTrial::m_Part),
+                           field("number", &PartTrial::m_Number),
+                           field("host", &PartTrial::m_Host));
+  }
 };
 
 /// Finds the parts of prompts that crash each endpoint that begins to write an
--- a/Source/Core/Host/CrashMessage.h
+++ b/Source/Core/Host/CrashMessage.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "Common/Codec/Fields.h"
-#include "Core/Retry/CrashQuarantine.h"
+#include "Core/Retry/PartQuarantine.h"
 
 #include <string>
+#include <vector>
 
 namespace sff::host {
 
@@ -25,4 +26,28 @@
   }
 };
 
+/// What a host tells the others about crashes at one time: a record of the log
+/// in the store.
+struct CrashNews {
+  std::vector<CrashMessage> m_Requests;
+  std::vector<retry::PartCrash> m_PartCrashes;
+  /// Crashes of which a part is proved not to be the cause.
+  std::vector<retry::PartCrash> m_PartProofs;
+  std::vector<retry::PartTrial> m_PartTrials;
+
+  std::size_t size() const {
+    return m_Requests.size() + m_PartCrashes.size() + m_PartProofs.size() +
+           m_PartTrials.size();
+  }
+  bool empty() const { return size() == 0; }
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("requests", &CrashNews::m_Requests),
+                           field("part_crashes", &CrashNews::m_PartCrashes),
+                           field("part_proofs", &CrashNews::m_PartProofs),
+                           field("part_trials", &CrashNews::m_PartTrials));
+  }
+};
+
 } // namespace sff::host
--- a/Source/Core/Host/CrashTracker.cpp
+++ b/Source/Core/Host/CrashTracker.cpp
@@ -19,12 +19,14 @@
 constexpr milliseconds MaxFollowWait{3000};
 /// Delay between reads while there are crashes, so that all hosts together stay
 /// within the read rate of the store when many endpoints crash at once.
-constexpr milliseconds FollowInterval{1500};
+constexpr milliseconds FollowInterval{500};
 /// Crashes that are noticed within this time are appended by one call.
 constexpr milliseconds PublishDelay{100};
 constexpr milliseconds StoreRetryDelay{1000};
-/// Crashes beyond this number are not shared while the store is unreachable.
+/// News beyond this number are not shared while the store is unreachable.
 constexpr std::size_t MaxUnpublished = 1000;
+/// Most news in one record, which the store limits to some hundred kilobytes.
+constexpr std::size_t MaxNewsPerRecord = 500;
 /// Wake-up interval of the publisher when there is nothing to publish.
 constexpr milliseconds IdleWait{60000};
 
@@ -51,11 +53,32 @@
           IncarnationId(std::to_string(Known.m_Incarnation.m_StartedAtMs))};
 }
 
+/// Moves items from the front of \p From to the end of \p To while \p Room is
+/// left.
+template <typename T>
+void moveItems(std::vector<T> &From, std::vector<T> &To, std::size_t &Room) {
+  const std::size_t Count = std::min(From.size(), Room);
+  const auto End = From.begin() + static_cast<std::ptrdiff_t>(Count);
+  To.insert(To.end(), std::make_move_iterator(From.begin()),
+            std::make_move_iterator(End));
+  From.erase(From.begin(), End);
+  Room -= Count;
+}
+
+/// Moves news from \p From to \p To while \p Room is left. What decides about
+/// parts, which concern many requests, comes first.
+void moveNews(CrashNews &From, CrashNews &To, std::size_t Room) {
+  moveItems(From.m_PartTrials, To.m_PartTrials, Room);
+  moveItems(From.m_PartProofs, To.m_PartProofs, Room);
+  moveItems(From.m_PartCrashes, To.m_PartCrashes, Room);
+  moveItems(From.m_Requests, To.m_Requests, Room);
+}
+
 } // namespace
 
 CrashTracker::CrashTracker(std::shared_ptr<Store> Log, HostMetrics &Metrics)
     : m_Log(std::move(Log)), m_Metrics(Metrics),
-      m_Quarantine(MaxFingerprints, RejectionPeriod) {}
+      m_Quarantine(MaxFingerprints, RejectionPeriod), m_Parts(Metrics) {}
 
 Task<void> CrashTracker::follow() {
   Cursor Position = 0;
@@ -76,10 +99,13 @@
       continue;
     }
     Position = Batch.m_Next;
-    onMessages(Batch.m_Crashes);
-    for (const CrashMessage &Message : Batch.m_Crashes)
-      m_Quarantine.onShared(Message.m_Fingerprint, now());
-    if (!Batch.m_Crashes.empty())
+    for (const CrashNews &News : Batch.m_News) {
+      onMessages(News.m_Requests);
+      for (const CrashMessage &Message : News.m_Requests)
+        m_Quarantine.onShared(Message.m_Fingerprint, now());
+      m_Parts.onNews(News);
+    }
+    if (!Batch.m_News.empty())
       co_await timers::sleepFor(FollowInterval);
   }
 }
@@ -91,24 +117,32 @@
     co_await timers::sleepFor(PublishDelay);
     if (m_Unpublished.empty())
       continue;
-    std::vector<CrashMessage> Batch = std::exchange(m_Unpublished, {});
+    CrashNews Batch = takeUnpublished();
     const bool Appended = co_await m_Log->appendCrashes(Batch);
     m_Metrics.onStoreCall("crash_append", Appended);
     if (Appended)
       continue;
-    // Appending a crash twice does no harm.
-    m_Unpublished.insert(m_Unpublished.begin(), Batch.begin(), Batch.end());
-    if (m_Unpublished.size() > MaxUnpublished) {
+    // Appending news twice does no harm.
+    moveNews(m_Unpublished, Batch, MaxUnpublished - Batch.size());
+    if (!m_Unpublished.empty())
       log::warning(LogCategory, "crash.not_shared",
-                   {{"count", m_Unpublished.size() - MaxUnpublished}});
-      m_Unpublished.resize(MaxUnpublished);
-    }
+                   {{"count", m_Unpublished.size()}});
+    m_Unpublished = std::move(Batch);
     co_await timers::sleepFor(StoreRetryDelay);
   }
 }
 
-void CrashTracker::share(const retry::CrashReport &Report) {
-  m_Unpublished.push_back(toMessage(Report));
+CrashNews CrashTracker::takeUnpublished() {
+  CrashNews Result;
+  moveNews(m_Unpublished, Result, MaxNewsPerRecord);
+  return Result;
+}
+
+void CrashTracker::share(CrashNews News) {
+  if (News.empty())
+    return;
+  const std::size_t All = m_Unpublished.size() + News.size();
+  moveNews(News, m_Unpublished, All);
   m_PublishRequested.notifyAll();
 }
 
@@ -120,8 +154,15 @@
 
 void CrashTracker::onRequestSent(const serving::Endpoint &Endpoint,
                                  const std::string &Fingerprint,
-                                 const RequestId &Run) {
-  m_Detector.onRequestSent(possibleCrash(Endpoint), Fingerprint, Run, now());
+                                 const RequestId &Run,
+                                 std::vector<PromptPartId> Parts) {
+  m_Detector.onRequestSent(possibleCrash(Endpoint), Fingerprint, Run, now(),
+                           std::move(Parts));
+}
+
+void CrashTracker::onAnswerProgress(const EndpointId &Endpoint,
+                                    const RequestId &Run) {
+  m_Detector.onAnswerProgress(Endpoint, Run, now());
 }
 
 void CrashTracker::onSuccess(const std::string &Fingerprint) {
@@ -146,48 +187,60 @@
           {"crashes", m_Quarantine.crashCount(Report.m_Fingerprint, now())}};
 }
 
-void CrashTracker::onNoticed(const retry::CrashReport &Report) {
-  if (!m_Quarantine.add(Report, now()))
-    return;
-  log::warning(LogCategory, "request.crashed_endpoint", describe(Report));
-  m_Metrics.onCrash("observed");
-  measure(Report.m_Fingerprint);
-  share(Report);
+void CrashTracker::onNoticed(std::span<const retry::CrashReport> Ended) {
+  CrashNews News = m_Parts.onCrash(Ended);
+  for (const retry::CrashReport &Report : Ended) {
+    if (!m_Quarantine.add(Report, now()))
+      continue;
+    log::warning(LogCategory, "request.crashed_endpoint", describe(Report));
+    m_Metrics.onCrash("observed");
+    measure(Report.m_Fingerprint);
+    News.m_Requests.push_back(toMessage(Report));
+  }
+  share(std::move(News));
 }
 
 void CrashTracker::onEndpointDown(const EndpointId &Id) {
-  for (const retry::CrashReport &Report : m_Detector.popLostRequests(Id, now()))
-    onNoticed(Report);
+  onNoticed(m_Detector.popLostRequests(Id, now()));
 }
 
 void CrashTracker::onEndpointCrashed(const EndpointId &Id) {
   onEndpointDown(Id);
-  for (const retry::CrashReport &Report :
-       m_Detector.popRunningRequests(Id, now()))
-    onNoticed(Report);
+  onNoticed(m_Detector.popRunningRequests(Id, now()));
 }
 
 void CrashTracker::onMessages(std::span<const CrashMessage> Messages) {
+  std::size_t Added = 0;
   for (const CrashMessage &Message : Messages) {
     // Requests that this host lost there were lost by the same crash.
-    for (const retry::CrashReport &Report :
-         m_Detector.popLostRequests(Message.m_Crash, now()))
-      onNoticed(Report);
+    onNoticed(m_Detector.popLostRequests(Message.m_Crash, now()));
     const retry::CrashReport Reported = toReport(Message);
     if (!m_Quarantine.add(Reported, now()))
       continue;
-    nlohmann::json Fields = describe(Reported);
-    Fields["noticed_unix_ms"] = Message.m_NoticedAtUnixMs;
-    log::info(LogCategory, "crash.reported", std::move(Fields));
+    ++Added;
     m_Metrics.onCrash("reported");
     measure(Message.m_Fingerprint);
+    // A request that has ended with one endpoint need not be the cause.
+    if (m_Quarantine.crashCount(Message.m_Fingerprint, now()) > 1)
+      logReported(Reported, Message.m_NoticedAtUnixMs);
   }
+  if (Added > 0)
+    log::info(LogCategory, "crash.reports", {{"runs", Added}});
+}
+
+void CrashTracker::logReported(const retry::CrashReport &Reported,
+                               std::int64_t NoticedAtUnixMs) const {
+  nlohmann::json Fields = describe(Reported);
+  Fields["noticed_unix_ms"] = NoticedAtUnixMs;
+  log::info(LogCategory, "crash.reported", std::move(Fields));
 }
 
 void CrashTracker::onRejected(const std::string &Fingerprint) {
+  CrashNews News;
   for (const retry::CrashReport &Report :
        m_Quarantine.reportsToShareAgain(Fingerprint, now()))
-    share(Report);
+    News.m_Requests.push_back(toMessage(Report));
+  share(std::move(News));
 }
 
 bool CrashTracker::isRejected(const std::string &Fingerprint) const {
--- a/Source/Core/Host/CrashTracker.h
+++ b/Source/Core/Host/CrashTracker.h
@@ -4,6 +4,7 @@
 #include "Core/Retry/CrashQuarantine.h"
 #include "Core/Serving/EndpointDirectory.h"
 #include "Host/HostMetrics.h"
+#include "Host/PartTracker.h"
 #include "Host/Ports.h"
 #include "Net/Timers/AsyncCondition.h"
 
@@ -31,7 +32,14 @@
   /// Called before the attempt \p Run of a request is sent to \p Endpoint, and
   /// when it has ended there in whatever way.
   void onRequestSent(const serving::Endpoint &Endpoint,
-                     const std::string &Fingerprint, const RequestId &Run);
+                     const std::string &Fingerprint, const RequestId &Run,
+                     std::vector<PromptPartId> Parts);
+  /// Called when a piece of an answer has arrived.
+  void onAnswerProgress(const EndpointId &Endpoint, const RequestId &Run);
+  /// Called when a request has completed whose answer began at \p BegunAt.
+  void onCompleted(std::span<const PromptPartId> Parts, Instant BegunAt) {
+    share(m_Parts.onCompleted(Parts, BegunAt));
+  }
   void onRequestEnded(const EndpointId &Endpoint, const RequestId &Run) {
     m_Detector.onRequestEnded(Endpoint, Run);
   }
@@ -63,18 +71,24 @@
   std::vector<CrashMessage> recentMessages() const;
 
 private:
-  void onNoticed(const retry::CrashReport &Report);
+  /// Counts the requests of this host that ended with one crash.
+  void onNoticed(std::span<const retry::CrashReport> Ended);
   /// The fields of the log line of a noticed or reported crash.
   nlohmann::json describe(const retry::CrashReport &Report) const;
+  void logReported(const retry::CrashReport &Reported,
+                   std::int64_t NoticedAtUnixMs) const;
   /// Updates the metrics of a request that has crashed endpoints.
   void measure(const std::string &Fingerprint);
-  void share(const retry::CrashReport &Report);
+  void share(CrashNews News);
+  /// Removes and returns what one record of the log can hold.
+  CrashNews takeUnpublished();
 
   std::shared_ptr<Store> m_Log;
   HostMetrics &m_Metrics;
   retry::CrashQuarantine m_Quarantine;
   retry::CrashDetector m_Detector;
-  std::vector<CrashMessage> m_Unpublished;
+  PartTracker m_Parts;
+  CrashNews m_Unpublished;
   timers::AsyncCondition m_PublishRequested;
 };
 
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -41,6 +41,12 @@
       m_SuspectCrashes(m_Set.gaugeFamily(
           "sff_host_suspect_crashes",
           "Crashes that count for a request, by its fingerprint")),
+      m_PartEvents(m_Set.counterFamily(
+          "sff_host_part_events_total",
+          "Changes of what is known of crashes by prompt part")),
+      m_SuspectPartCrashes(m_Set.gaugeFamily(
+          "sff_host_suspect_part_crashes",
+          "Crashes that count for a part of prompts, by its id")),
       m_MalformedRecords(
           m_Set.counter("sff_host_unreadable_records_total",
                         "Records of the store that were not understood")),
@@ -80,16 +86,30 @@
 
 void HostMetrics::setSuspect(const std::string &Fingerprint,
                              std::size_t Crashes) {
-  auto Found = m_Suspects.find(Fingerprint);
-  if (Found == m_Suspects.end()) {
-    if (Crashes < 2 || m_Suspects.size() >= MaxSuspects)
+  setBounded(m_Suspects, m_SuspectCrashes, "fingerprint", Fingerprint, Crashes);
+}
+
+void HostMetrics::setSuspectPart(const std::string &Part, std::size_t Crashes) {
+  setBounded(m_SuspectParts, m_SuspectPartCrashes, "part", Part, Crashes);
+}
+
+void HostMetrics::setBounded(std::map<std::string, prometheus::Gauge *> &Series,
+                             prometheus::Family<prometheus::Gauge> &Family,
+                             const std::string &Label, const std::string &Name,
+                             std::size_t Crashes) {
+  auto Found = Series.find(Name);
+  if (Found == Series.end()) {
+    if (Crashes < 2 || Series.size() >= MaxSuspects)
       return;
-    auto &Series = m_SuspectCrashes.Add({{"fingerprint", Fingerprint}});
-    Found = m_Suspects.emplace(Fingerprint, &Series).first;
+    Found = Series.emplace(Name, &Family.Add({{Label, Name}})).first;
   }
   Found->second->Set(static_cast<double>(Crashes));
 }
 
+void HostMetrics::onPartEvent(std::string_view Event) {
+  m_PartEvents.Add({{"event", std::string(Event)}}).Increment();
+}
+
 void HostMetrics::onOrder(std::string_view Result) {
   m_Orders.Add({{"result", std::string(Result)}}).Increment();
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -31,6 +31,11 @@
   /// Records how many crashes count for a request. Of the requests that have
   /// crashed two endpoints or more, the first MaxSuspects get a time series.
   void setSuspect(const std::string &Fingerprint, std::size_t Crashes);
+  /// Records how many crashes count for a part of prompts. The first
+  /// MaxSuspects parts with two or more get a time series.
+  void setSuspectPart(const std::string &Part, std::size_t Crashes);
+  /// Counts a change of what is known of crashes by prompt part.
+  void onPartEvent(std::string_view Event);
   void onResume() { m_Resumes.Increment(); }
   /// Counts an answer of an endpoint. \p Framing tells how the end of its body
   /// is marked, \p End how the body ended.
@@ -50,6 +55,12 @@
 private:
   static constexpr std::size_t MaxSuspects = 20;
 
+  /// Sets the time series of \p Name, which is created for two crashes or more
+  /// if there are fewer than MaxSuspects.
+  static void setBounded(std::map<std::string, prometheus::Gauge *> &Series,
+                         prometheus::Family<prometheus::Gauge> &Family,
+                         const std::string &Label, const std::string &Name,
+                         std::size_t Crashes);
   static void observe(prometheus::Histogram &Target, Duration Taken);
   prometheus::Histogram &histogram(const std::string &Name,
                                    const std::string &Help);
@@ -68,6 +79,9 @@
   prometheus::Family<prometheus::Counter> &m_Crashes;
   prometheus::Family<prometheus::Gauge> &m_SuspectCrashes;
   std::map<std::string, prometheus::Gauge *> m_Suspects; ///< By fingerprint.
+  prometheus::Family<prometheus::Counter> &m_PartEvents;
+  prometheus::Family<prometheus::Gauge> &m_SuspectPartCrashes;
+  std::map<std::string, prometheus::Gauge *> m_SuspectParts;
   prometheus::Counter &m_MalformedRecords;
   prometheus::Gauge &m_Endpoints;
   prometheus::Gauge &m_LimitedEndpoints;
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -30,6 +30,8 @@
   /// Identifies a prompt prefix that other requests share.
   std::string m_Session;
   std::int64_t m_SessionTokens = 0;
+  /// The parts of the prompt that other requests may share, in their order.
+  std::vector<PromptPartId> m_PromptParts;
 };
 
 /// Metadata that the host adds to a request to an endpoint.
@@ -112,7 +114,7 @@
 
 struct CrashBatch {
   FollowStatus m_Status = FollowStatus::Unreachable;
-  std::vector<CrashMessage> m_Crashes;
+  std::vector<CrashNews> m_News;
   /// Where to read on, also after HistoryCompacted.
   Cursor m_Next = 0;
   int m_MalformedRecords = 0;
@@ -140,9 +142,10 @@
   virtual Task<EndpointBatch> listEndpoints() = 0;
   virtual Task<EndpointBatch> followEndpoints(Cursor From,
                                               milliseconds Wait) = 0;
-  /// Appends crashes to the log that all hosts follow. Returns false when the
-  /// store has not confirmed them; it may have appended them nevertheless.
-  virtual Task<bool> appendCrashes(std::vector<CrashMessage> Crashes) = 0;
+  /// Appends a record to the log of crashes that all hosts follow. Returns
+  /// false when the store has not confirmed it; it may have appended it
+  /// nevertheless.
+  virtual Task<bool> appendCrashes(CrashNews News) = 0;
   /// Reads the crashes from \p From on and waits up to \p Wait for the first
   /// one.
   virtual Task<CrashBatch> followCrashes(Cursor From, milliseconds Wait) = 0;
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -297,7 +297,8 @@
   const std::shared_ptr<void> Done(
       nullptr, [&Loads, Id](void *) { Loads.onFinished(Id, now()); });
   if (const auto *Known = m_State.m_Endpoints.find(Id))
-    m_State.m_Crashes.onRequestSent(*Known, m_Fingerprint, m_Facts.m_Id);
+    m_State.m_Crashes.onRequestSent(*Known, m_Fingerprint, m_Facts.m_Id,
+                                    m_Facts.m_PromptParts);
   const std::shared_ptr<void> Ended(nullptr, [this, &Id](void *) {
     m_State.m_Crashes.onRequestEnded(Id, m_Facts.m_Id);
   });
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -71,6 +71,8 @@
   /// Returns whether the end of a stream's body may be passed on to the caller.
   /// Otherwise the endpoint has broken the stream off, as far as can be known.
   bool checkStreamEnd(const EndpointId &Id, const http::Response &Head);
+  /// Records that the request has certainly completed with success.
+  void recordCompletion();
   /// Counts the request for the endpoint's crash if that is noticed soon.
   void recordPossibleLoss(const EndpointId &Id);
   /// Records how the body of an endpoint's answer ended.
@@ -131,6 +133,7 @@
   boost::asio::steady_timer m_Timer;
   boost::asio::steady_timer m_SilenceTimer;
   Instant m_SentAt;               ///< Time of the latest attempt.
+  Instant m_AnswerBegunAt;        ///< Time of the latest answer's head.
   Instant m_LastProgressAt;       ///< Time of the endpoint's latest data.
   bool m_SilenceTimedOut = false; ///< The silence timeout ended this attempt.
   bool m_CallerGone = false;
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -44,6 +44,8 @@
     co_return co_await onIncompleteResponse(Id, serving::CallResult::Broken,
                                             "the answer has no seal");
   }
+  m_AnswerBegunAt = now();
+  m_State.m_Crashes.onAnswerProgress(Id, m_Facts.m_Id);
   m_Sessions.record(m_Facts.m_Session, Id);
   const bool Streams = m_Route->m_Kind == serving::RouteKind::Stream;
   if (Streams && isSuccess(Head.m_Status))
@@ -132,7 +134,7 @@
     if (Answer->head().m_EndsWithConnection)
       recordPossibleLoss(Id);
     else
-      m_State.m_Crashes.onSuccess(m_Fingerprint);
+      recordCompletion();
     co_await m_Caller.endStream();
     recordOutcome("answered", Answer->head().m_Status, "");
     co_return Step::Finished;
@@ -161,6 +163,7 @@
       co_return StreamResult::EndpointFailed;
     }
     m_LastProgressAt = now();
+    m_State.m_Crashes.onAnswerProgress(Id, m_Facts.m_Id);
     const std::string &Chunk = std::get<std::string>(Next);
     std::string Complete = m_Events.append(Chunk);
     if (m_Events.partialEvent().size() > MaxEventBytes)
@@ -206,6 +209,11 @@
   return !InsideEvent && !IsUnproved;
 }
 
+void RequestSession::recordCompletion() {
+  m_State.m_Crashes.onSuccess(m_Fingerprint);
+  m_State.m_Crashes.onCompleted(m_Facts.m_PromptParts, m_AnswerBegunAt);
+}
+
 void RequestSession::recordPossibleLoss(const EndpointId &Id) {
   if (const auto *Known = m_State.m_Endpoints.find(Id))
     m_State.m_Crashes.onRequestLost(*Known, m_Fingerprint, m_Facts.m_Id);
