Reject requests with a part of their prompt that crashes endpoints

Cause: crashes counted for whole requests, named by path, model and body. What these requests share is one part of their prompts, and no two are alike.

Change: a crash counts for each part of each request that ended with it, except the last part, which is a request's own. A completed request that was begun after a crash clears its parts of it; both are shared through the log of crashes. From three crashes on, requests with the part are rejected before each send, unless rejected parts behind it explain its crashes. One host sends a trial, announced in the log, at growing intervals; a trial that completes clears the part everywhere. Plain answers with a marked end count as completions, as streams did.

--- a/Source/Core/Core/Retry/CrashDetector.cpp
+++ b/Source/Core/Core/Retry/CrashDetector.cpp
@@ -1,29 +1,16 @@
 #include "Core/Retry/CrashDetector.h"
 
-#include "Core/Retry/PartQuarantine.h"
-
 namespace sff::retry {
 
-void CrashDetector::RunningRequest::onProgress(Instant Now) {
-  if (!m_AnswerBegunAt)
-    m_AnswerBegunAt = Now;
-  m_Report.m_WasWritten =
-      Now - *m_AnswerBegunAt >= PartQuarantine::WritingProofTime;
-}
-
-CrashDetector::RunningRequest *
-CrashDetector::findRunning(const EndpointId &Endpoint, const RequestId &Run) {
+std::vector<PromptPartId> CrashDetector::partsOf(const EndpointId &Endpoint,
+                                                 const RequestId &Run) const {
   const auto Running = m_RunningRequests.find(Endpoint);
   if (Running == m_RunningRequests.end())
-    return nullptr;
+    return {};
   const auto Found = Running->second.find(Run);
-  return Found == Running->second.end() ? nullptr : &Found->second;
-}
-
-void CrashDetector::onAnswerProgress(const EndpointId &Endpoint,
-                                     const RequestId &Run, Instant Now) {
-  if (RunningRequest *Running = findRunning(Endpoint, Run))
-    Running->onProgress(Now);
+  if (Found == Running->second.end())
+    return {};
+  return Found->second.m_Parts;
 }
 
 void CrashDetector::onRequestLost(const EndpointCrash &Possible,
@@ -34,11 +21,7 @@
                            List.size() >= MaxPerEndpoint))
     List.pop_front();
   CrashReport Report{std::move(Fingerprint), Possible, Now, std::move(Run)};
-  if (const RunningRequest *Running =
-          findRunning(Possible.m_Endpoint, Report.m_Run)) {
-    Report.m_Parts = Running->m_Report.m_Parts;
-    Report.m_WasWritten = Running->m_Report.m_WasWritten;
-  }
+  Report.m_Parts = partsOf(Possible.m_Endpoint, Report.m_Run);
   List.push_back(std::move(Report));
 }
 
@@ -46,10 +29,10 @@
                                   std::string Fingerprint, RequestId Run,
                                   Instant Now,
                                   std::vector<PromptPartId> Parts) {
-  RunningRequest Running{
-      {std::move(Fingerprint), Possible, Now, Run, std::move(Parts)}, {}};
+  CrashReport Report{std::move(Fingerprint), Possible, Now, Run,
+                     std::move(Parts)};
   m_RunningRequests[Possible.m_Endpoint].insert_or_assign(std::move(Run),
-                                                          std::move(Running));
+                                                          std::move(Report));
 }
 
 void CrashDetector::onRequestEnded(const EndpointId &Endpoint,
@@ -64,13 +47,13 @@
 
 std::vector<CrashReport>
 CrashDetector::popRunningRequests(const EndpointId &Endpoint, Instant Now) {
-  auto Extracted = m_RunningRequests.extract(Endpoint);
-  if (Extracted.empty())
+  auto Running = m_RunningRequests.extract(Endpoint);
+  if (Running.empty())
     return {};
   std::vector<CrashReport> Result;
-  for (auto &[Run, Running] : Extracted.mapped()) {
-    Running.m_Report.m_At = Now;
-    Result.push_back(std::move(Running.m_Report));
+  for (auto &[Run, Report] : Running.mapped()) {
+    Report.m_At = Now;
+    Result.push_back(std::move(Report));
   }
   return Result;
 }
--- a/Source/Core/Core/Retry/CrashDetector.h
+++ b/Source/Core/Core/Retry/CrashDetector.h
@@ -4,7 +4,6 @@
 
 #include <deque>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,14 +19,11 @@
   /// heartbeats.
   static constexpr milliseconds CorrelationWindow{8000};
 
-  /// Records that the attempt \p Run of a request was sent to an endpoint, that
-  /// a piece of its answer has arrived from there, and that it has ended there
-  /// in whatever way.
+  /// Records that the attempt \p Run of a request was sent to an endpoint, and
+  /// that it has ended there in whatever way.
   void onRequestSent(const EndpointCrash &Possible, std::string Fingerprint,
                      RequestId Run, Instant Now,
                      std::vector<PromptPartId> Parts = {});
-  void onAnswerProgress(const EndpointId &Endpoint, const RequestId &Run,
-                        Instant Now);
   void onRequestEnded(const EndpointId &Endpoint, const RequestId &Run);
   bool hasRunningRequests(const EndpointId &Endpoint) const {
     return m_RunningRequests.contains(Endpoint);
@@ -55,20 +51,14 @@
 private:
   static constexpr std::size_t MaxPerEndpoint = 100;
 
-  /// A request that was sent and has not ended.
-  struct RunningRequest {
-    CrashReport m_Report;
-    std::optional<Instant> m_AnswerBegunAt;
-
-    void onProgress(Instant Now);
-  };
-  /// The entry of a running request, or null.
-  RunningRequest *findRunning(const EndpointId &Endpoint, const RequestId &Run);
+  /// The parts of the prompt of a running request.
+  std::vector<PromptPartId> partsOf(const EndpointId &Endpoint,
+                                    const RequestId &Run) const;
 
   /// The reports to make if the endpoint is found to have crashed.
   std::map<EndpointId, std::deque<CrashReport>> m_LostRequests;
   /// The requests that run at each endpoint; no entry is empty.
-  std::map<EndpointId, std::map<RequestId, RunningRequest>> m_RunningRequests;
+  std::map<EndpointId, std::map<RequestId, CrashReport>> m_RunningRequests;
 };
 
 } // namespace sff::retry
--- a/Source/Core/Core/Retry/CrashQuarantine.h
+++ b/Source/Core/Core/Retry/CrashQuarantine.h
@@ -45,8 +45,6 @@
   RequestId m_Run{};
   /// The parts of its prompt that other requests may share.
   std::vector<PromptPartId> m_Parts{};
-  /// The endpoint has written the answer for PartQuarantine::WritingProofTime.
-  bool m_WasWritten = false;
 };
 
 /// Records requests that were running when their endpoint crashed, by a
--- a/Source/Core/Core/Retry/PartQuarantine.cpp
+++ b/Source/Core/Core/Retry/PartQuarantine.cpp
@@ -148,15 +148,20 @@
   return true;
 }
 
+bool PartQuarantine::hasOpenTrial(const PromptPartId &Part,
+                                  const IncarnationId &Host,
+                                  Instant Now) const {
+  const PartRecord *Record = find(Part);
+  return Record && Record->m_Trial && !Record->m_TrialTaken &&
+         Record->m_Trial->m_Host == Host &&
+         Now - Record->m_TrialAt < TrialPeriod;
+}
+
 bool PartQuarantine::takeTrial(const PromptPartId &Part,
                                const IncarnationId &Host, Instant Now) {
-  PartRecord *Record = find(Part);
-  const bool IsOpen = Record && Record->m_Trial && !Record->m_TrialTaken &&
-                      Record->m_Trial->m_Host == Host &&
-                      Now - Record->m_TrialAt < TrialPeriod;
-  if (!IsOpen)
+  if (!hasOpenTrial(Part, Host, Now))
     return false;
-  Record->m_TrialTaken = true;
+  find(Part)->m_TrialTaken = true;
   return true;
 }
 
--- a/Source/Core/Core/Retry/PartQuarantine.h
+++ b/Source/Core/Core/Retry/PartQuarantine.h
@@ -44,11 +44,10 @@
 
 /// Finds the parts of prompts that crash each endpoint that begins to write an
 /// answer on them. No two requests with such a part need be alike, so crashes
-/// count for each part of the requests that ended with them. A crash does not
-/// count for a part that is proved sound for it: a request with the part was
-/// being written at that endpoint, or was begun elsewhere after the crash and
-/// has completed. Crashes and proofs are sets, so reports of several hosts add
-/// up in any order and repeated reports have no effect.
+/// count for each part of the requests that ended with them, until the part is
+/// proved sound: a request with it was begun after the crash and has completed.
+/// Crashes and proofs are sets, so reports of several hosts add up in any order
+/// and repeated reports have no effect.
 ///
 /// A part is rejected from MinCrashes on, unless rejected parts behind it
 /// explain its crashes. It stays rejected until it is proved sound, which a
@@ -58,10 +57,6 @@
 public:
   /// Number of counting crashes from which a part is rejected.
   static constexpr std::size_t MinCrashes = 3;
-  /// Time after its first byte from which an answer proves the parts of its
-  /// request sound for a crash of its endpoint: a part crashes the endpoint
-  /// when the answer begins.
-  static constexpr milliseconds WritingProofTime{300};
   /// Time from the crash that makes a part rejectable to its rejection. Proofs
   /// of other hosts arrive within it.
   static constexpr milliseconds ProofTime{1000};
@@ -106,7 +101,10 @@
                                     Instant Now) const;
   /// Records an announced trial. Returns false if another one has the number.
   bool addTrial(const PartTrial &Announced, Instant Now);
-  /// Takes the trial of \p Host if it may send its request now.
+  /// Whether \p Host may send the request of the part's trial now.
+  bool hasOpenTrial(const PromptPartId &Part, const IncarnationId &Host,
+                    Instant Now) const;
+  /// Takes the trial of \p Host, if it is open.
   bool takeTrial(const PromptPartId &Part, const IncarnationId &Host,
                  Instant Now);
   /// The last valid trial of the part.
--- a/Source/Core/Host/CrashTracker.cpp
+++ b/Source/Core/Host/CrashTracker.cpp
@@ -82,14 +82,13 @@
 
 Task<void> CrashTracker::follow() {
   Cursor Position = 0;
-  bool Reachable = true;
   while (true) {
     // A call that is sent during an outage may hang even after its end, so it
     // must not wait for long.
     const CrashBatch Batch = co_await m_Log->followCrashes(
-        Position, Reachable ? MaxFollowWait : milliseconds(0));
+        Position, m_LogReachable ? MaxFollowWait : milliseconds(0));
     const bool Answered = Batch.m_Status != FollowStatus::Unreachable;
-    Reachable = Answered;
+    m_LogReachable = Answered;
     m_Metrics.onStoreCall("crashes", Answered);
     m_Metrics.onUnreadableRecords(Batch.m_MalformedRecords);
     const bool IsRepeated = Batch.m_Status == FollowStatus::HistoryCompacted &&
@@ -160,11 +159,6 @@
                            std::move(Parts));
 }
 
-void CrashTracker::onAnswerProgress(const EndpointId &Endpoint,
-                                    const RequestId &Run) {
-  m_Detector.onAnswerProgress(Endpoint, Run, now());
-}
-
 void CrashTracker::onSuccess(const std::string &Fingerprint) {
   if (m_Quarantine.crashCount(Fingerprint, now()) == 0)
     return;
--- a/Source/Core/Host/CrashTracker.h
+++ b/Source/Core/Host/CrashTracker.h
@@ -34,8 +34,6 @@
   void onRequestSent(const serving::Endpoint &Endpoint,
                      const std::string &Fingerprint, const RequestId &Run,
                      std::vector<PromptPartId> Parts);
-  /// Called when a piece of an answer has arrived.
-  void onAnswerProgress(const EndpointId &Endpoint, const RequestId &Run);
   /// Called when a request has completed whose answer began at \p BegunAt.
   void onCompleted(std::span<const PromptPartId> Parts, Instant BegunAt) {
     share(m_Parts.onCompleted(Parts, BegunAt));
@@ -64,6 +62,19 @@
 
   /// Returns true if the request has crashed too many endpoints to be sent.
   bool isRejected(const std::string &Fingerprint) const;
+  /// Returns the part of a prompt for which a request must not be sent now.
+  std::optional<PromptPartId>
+  findRejected(std::span<const PromptPartId> Parts) const {
+    return m_Parts.findRejected(Parts);
+  }
+  /// Called when a request is about to be sent, and when it is rejected for a
+  /// part of its prompt.
+  void onSending(std::span<const PromptPartId> Parts) {
+    m_Parts.onSending(Parts);
+  }
+  void onRejectedPart(const PromptPartId &Part) {
+    share(m_Parts.onRejected(Part, m_LogReachable));
+  }
   /// Called when a request is rejected. Shares its crashes again before the
   /// store discards them, for hosts that start later.
   void onRejected(const std::string &Fingerprint);
@@ -88,6 +99,7 @@
   retry::CrashQuarantine m_Quarantine;
   retry::CrashDetector m_Detector;
   PartTracker m_Parts;
+  bool m_LogReachable = true;
   CrashNews m_Unpublished;
   timers::AsyncCondition m_PublishRequested;
 };
--- a/Source/Core/Host/PartTracker.cpp
+++ b/Source/Core/Host/PartTracker.cpp
@@ -21,38 +21,19 @@
 
 CrashNews PartTracker::onCrash(std::span<const retry::CrashReport> Ended) {
   CrashNews News;
-  // Proofs come first, so that no crash is shared for a part that is proved
-  // sound by another request of this host.
-  for (const bool AreProofs : {true, false})
-    for (const retry::CrashReport &Report : Ended) {
-      if (Report.m_WasWritten != AreProofs)
+  for (const retry::CrashReport &Report : Ended) {
+    std::int64_t Position = 0;
+    for (const PromptPartId &Part : Report.m_Parts) {
+      const retry::PartCrash Crash{Part, Report.m_Crash, Position++};
+      if (!m_Quarantine.addCrash(Crash, now()))
         continue;
-      std::int64_t Position = 0;
-      for (const PromptPartId &Part : Report.m_Parts) {
-        const retry::PartCrash Crash{Part, Report.m_Crash, Position++};
-        if (AreProofs)
-          addProof(Crash, News);
-        else
-          addCrash(Crash, News);
-      }
+      News.m_PartCrashes.push_back(Crash);
+      onChanged(Part, "crash");
     }
+  }
   return News;
 }
 
-void PartTracker::addProof(const retry::PartCrash &Proved, CrashNews &News) {
-  if (!m_Quarantine.addProof(Proved, now()))
-    return;
-  News.m_PartProofs.push_back(Proved);
-  onChanged(Proved.m_Part, "proof");
-}
-
-void PartTracker::addCrash(const retry::PartCrash &Ended, CrashNews &News) {
-  if (!m_Quarantine.addCrash(Ended, now()))
-    return;
-  News.m_PartCrashes.push_back(Ended);
-  onChanged(Ended.m_Part, "crash");
-}
-
 CrashNews PartTracker::onCompleted(std::span<const PromptPartId> Parts,
                                    Instant BegunAt) {
   CrashNews News;
@@ -69,6 +50,59 @@
   for (const retry::PartCrash &Proved : News.m_PartProofs)
     if (m_Quarantine.addProof(Proved, now()))
       onChanged(Proved.m_Part, "reported_proof");
+  for (const retry::PartCrash &Ended : News.m_PartCrashes)
+    m_Quarantine.onShared(Ended.m_Part, now());
+  for (const retry::PartTrial &Announced : News.m_PartTrials)
+    addTrial(Announced);
+}
+
+std::optional<PromptPartId>
+PartTracker::findRejected(std::span<const PromptPartId> Parts) const {
+  for (const PromptPartId &Part : Parts)
+    if (m_Quarantine.isRejected(Part, now()) &&
+        !m_Quarantine.hasOpenTrial(Part, m_Self, now()))
+      return Part;
+  return std::nullopt;
+}
+
+void PartTracker::onSending(std::span<const PromptPartId> Parts) {
+  for (const PromptPartId &Part : Parts) {
+    if (!m_Quarantine.takeTrial(Part, m_Self, now()))
+      continue;
+    log::warning(LogCategory, "part.trial_sent", {{"part", Part}});
+    m_Metrics.onPartEvent("trial_sent");
+  }
+}
+
+CrashNews PartTracker::onRejected(const PromptPartId &Part, bool LogReachable) {
+  CrashNews News;
+  News.m_PartCrashes = m_Quarantine.crashesToShareAgain(Part, now());
+  const auto Last = m_Quarantine.lastTrial(Part);
+  if (Last && !News.m_PartCrashes.empty())
+    News.m_PartTrials.push_back(*Last);
+  const auto Due = m_Quarantine.dueTrial(Part, m_Self, now());
+  if (!Due)
+    return News;
+  if (!LogReachable) {
+    addTrial(*Due);
+    return News;
+  }
+  const auto [Announced, IsNew] = m_AnnouncedAt.try_emplace(Part, now());
+  if (!IsNew && now() - Announced->second < AnnouncementTimeout)
+    return News;
+  Announced->second = now();
+  News.m_PartTrials.push_back(*Due);
+  return News;
+}
+
+void PartTracker::addTrial(const retry::PartTrial &Announced) {
+  if (!m_Quarantine.addTrial(Announced, now()))
+    return;
+  m_Metrics.onPartEvent("trial");
+  log::info(LogCategory, "part.trial",
+            {{"part", Announced.m_Part},
+             {"number", Announced.m_Number},
+             {"own", Announced.m_Host == m_Self}});
 }
 
 void PartTracker::onChanged(const PromptPartId &Part, std::string_view Change) {
@@ -82,10 +116,12 @@
   log::warning(LogCategory, "part.crashes",
                {{"part", Part}, {"crashes", Crashes}, {"cause", Change}});
   m_Metrics.setSuspectPart(Part.str(), Crashes);
-  if (Crashes < MinSuspectCrashes)
+  if (Crashes < MinSuspectCrashes) {
     m_Suspects.erase(Part);
-  else
+    m_AnnouncedAt.erase(Part);
+  } else {
     m_Suspects[Part] = Crashes;
+  }
 }
 
 } // namespace sff::host
--- a/Source/Core/Host/PartTracker.h
+++ b/Source/Core/Host/PartTracker.h
@@ -26,14 +26,30 @@
   /// Adds what another host, or this one, has shared.
   void onNews(const CrashNews &News);
 
+  /// Returns the part for which a request must not be sent now: a rejected one,
+  /// unless this host may send the request of its trial.
+  std::optional<PromptPartId>
+  findRejected(std::span<const PromptPartId> Parts) const;
+  /// Called when a request is about to be sent. Takes the trial that allows it.
+  void onSending(std::span<const PromptPartId> Parts);
+  /// Called when a request is rejected for \p Part. Announces a trial that is
+  /// due, or begins it at once if the log of the hosts is not reachable.
+  CrashNews onRejected(const PromptPartId &Part, bool LogReachable);
+
 private:
-  void addProof(const retry::PartCrash &Proved, CrashNews &News);
-  void addCrash(const retry::PartCrash &Ended, CrashNews &News);
+  /// Delay before a trial is announced again that has not appeared in the log.
+  static constexpr milliseconds AnnouncementTimeout{3000};
+
+  void addTrial(const retry::PartTrial &Announced);
   /// Logs and measures how many crashes count for the part.
   void onChanged(const PromptPartId &Part, std::string_view Change);
 
   HostMetrics &m_Metrics;
+  /// Identifies this process in trials.
+  const IncarnationId m_Self = makeId<IncarnationId>();
   retry::PartQuarantine m_Quarantine;
+  /// When this host announced its last trial of each part.
+  std::map<PromptPartId, Instant> m_AnnouncedAt;
   /// The counts at the last log line of each part that has one.
   std::map<PromptPartId, std::size_t> m_Suspects;
 };
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -160,11 +160,23 @@
   return List;
 }
 
-Task<RequestSession::Step> RequestSession::serveOnce() {
+std::optional<std::string_view> RequestSession::checkQuarantine() {
   if (m_State.m_Crashes.isRejected(m_Fingerprint)) {
     logEvent("request.quarantined", {{"fingerprint", m_Fingerprint}});
     m_State.m_Crashes.onRejected(m_Fingerprint);
-    co_await endWithFailure("crashed_endpoints", QuarantineRetryAfter);
+    return "crashed_endpoints";
+  }
+  const auto Part = m_State.m_Crashes.findRejected(m_Facts.m_PromptParts);
+  if (!Part)
+    return std::nullopt;
+  logEvent("request.quarantined", {{"part", *Part}});
+  m_State.m_Crashes.onRejectedPart(*Part);
+  return "part_crashed_endpoints";
+}
+
+Task<RequestSession::Step> RequestSession::serveOnce() {
+  if (const auto Reason = checkQuarantine()) {
+    co_await endWithFailure(*Reason, QuarantineRetryAfter);
     co_return Step::Finished;
   }
   const auto List = candidates();
@@ -296,6 +308,7 @@
   Loads.onDispatched(Id, now());
   const std::shared_ptr<void> Done(
       nullptr, [&Loads, Id](void *) { Loads.onFinished(Id, now()); });
+  m_State.m_Crashes.onSending(m_Facts.m_PromptParts);
   if (const auto *Known = m_State.m_Endpoints.find(Id))
     m_State.m_Crashes.onRequestSent(*Known, m_Fingerprint, m_Facts.m_Id,
                                     m_Facts.m_PromptParts);
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -53,6 +53,8 @@
   void startTimers();
   Task<void> serve();
   Task<Step> serveOnce();
+  /// Returns the reason to reject the request because of crashes, if any.
+  std::optional<std::string_view> checkQuarantine();
   /// Endpoints that serve the request's service and hold its model.
   std::vector<const serving::Endpoint *> holders() const;
   /// The holders whose request rate allows a request now.
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -45,7 +45,6 @@
                                             "the answer has no seal");
   }
   m_AnswerBegunAt = now();
-  m_State.m_Crashes.onAnswerProgress(Id, m_Facts.m_Id);
   m_Sessions.record(m_Facts.m_Session, Id);
   const bool Streams = m_Route->m_Kind == serving::RouteKind::Stream;
   if (Streams && isSuccess(Head.m_Status))
@@ -117,6 +116,8 @@
   Final.m_Headers.erase("Content-Length");
   if (Final.m_EndsWithConnection)
     recordPossibleLoss(Id);
+  else if (isSuccess(Status))
+    recordCompletion();
   m_State.m_Metrics.onFirstByte(now() - m_ArrivedAt);
   const bool Delivered = co_await m_Caller.respond(std::move(Final));
   recordOutcome(Delivered ? "answered" : "caller_gone", Status, "");
@@ -163,7 +164,6 @@
       co_return StreamResult::EndpointFailed;
     }
     m_LastProgressAt = now();
-    m_State.m_Crashes.onAnswerProgress(Id, m_Facts.m_Id);
     const std::string &Chunk = std::get<std::string>(Next);
     std::string Complete = m_Events.append(Chunk);
     if (m_Events.partialEvent().size() > MaxEventBytes)
--- a/Source/UnitTests/Core/Retry/PartQuarantineSimulation.cpp
+++ b/Source/UnitTests/Core/Retry/PartQuarantineSimulation.cpp
@@ -38,12 +38,12 @@
   milliseconds m_RestartTime{3500};
   milliseconds m_ReadInterval{500}; ///< Between two reads of the log.
   milliseconds m_Length{40000};
-  /// All endpoints but one end once at this time, by no request.
+  /// All endpoints but m_Survivors end once at this time, by no request.
   std::optional<milliseconds> m_OutageAt = {};
+  std::size_t m_Survivors = 1;
   /// One host loses what it knows at this time and reads the retained log.
   std::optional<milliseconds> m_HostRestartAt = {};
-  bool m_UsesWritingProofs = true;    ///< Proofs by requests being written.
-  bool m_UsesCompletionProofs = true; ///< Proofs by completed requests.
+  bool m_UsesProofs = true;
 };
 
 struct Outcome {
@@ -257,7 +257,7 @@
   }
 
   void complete(const Run &Finished) {
-    if (!m_Spec.m_UsesCompletionProofs)
+    if (!m_Spec.m_UsesProofs)
       return;
     PartQuarantine &Host = m_Hosts[Finished.m_Host];
     for (const PartCrash &Proof :
@@ -291,18 +291,13 @@
   }
 
   void reportCrash(const Run &Lost, const PartCrash &Ended) {
-    PartQuarantine &Host = m_Hosts[Lost.m_Host];
-    const bool IsProof =
-        m_Spec.m_UsesWritingProofs &&
-        m_Now - Lost.m_BegunAt >= PartQuarantine::WritingProofTime;
-    if (IsProof && Host.addProof(Ended, m_Now))
-      append(Record::Kind::Proof, Ended);
-    if (!IsProof && Host.addCrash(Ended, m_Now))
+    if (m_Hosts[Lost.m_Host].addCrash(Ended, m_Now))
       append(Record::Kind::Crash, Ended);
   }
 
   void playOutage() {
-    for (std::size_t Index = 1; Index < m_Endpoints.size(); ++Index)
+    for (std::size_t Index = m_Spec.m_Survivors; Index < m_Endpoints.size();
+         ++Index)
       crash(m_Endpoints[Index]);
     m_Spec.m_OutageAt.reset();
     m_SoundFrom = m_Now + 2 * ContactTime;
@@ -361,6 +356,10 @@
   Result.push_back({.m_Name = "outage without a deadly part",
                     .m_DeadlyShare = 0,
                     .m_OutageAt = milliseconds(5000)});
+  Result.push_back({.m_Name = "whole outage without a deadly part",
+                    .m_DeadlyShare = 0,
+                    .m_OutageAt = milliseconds(5000),
+                    .m_Survivors = 0});
   Result.push_back({.m_Name = "long day", .m_Length = milliseconds(120000)});
   Result.push_back({.m_Name = "a host restarts",
                     .m_Length = milliseconds(80000),
@@ -414,18 +413,13 @@
     EXPECT_TRUE(play(Spec).keepsRules()) << Spec.m_Name;
 }
 
-// Guards against a proof that could be left out: without any, the shared parts
-// are rejected with the deadly one.
+// Guards against proofs that could be left out: without them, an outage rejects
+// the shared parts.
 TEST(PartQuarantineSimulation, BreaksTheRuleWithoutProofs) {
-  Scenario Spec{.m_Name = "record, without proofs by writing"};
-  Spec.m_UsesWritingProofs = false;
-  play(Spec);
-  Spec.m_Name = "outage, without proofs by writing";
+  Scenario Spec{.m_Name = "outage, without proofs"};
   Spec.m_DeadlyShare = 0;
   Spec.m_OutageAt = milliseconds(5000);
-  play(Spec);
-  Spec.m_Name = "outage, without any proof";
-  Spec.m_UsesCompletionProofs = false;
+  Spec.m_UsesProofs = false;
   EXPECT_FALSE(play(Spec).keepsRules());
 }
 
