Connect to an endpoint before passing on an end without a mark

What callers would see: an answer that ends with its connection, cut between two events or within a body by a crash that closes the connection in order.

Cause: such a crash looks like a regular end; only the end inside an event was told.

Change: before the host passes on an end that nobody has marked, it connects to the endpoint, as it does after a lost answer. If nobody is there, the answer has been broken off: the caller's connection is reset, or the request is answered 502 or sent elsewhere.

Evidence: HostTruncatedAnswerTest.EndOfACrashedEndpointIsNotPassedOn fails without the check (the caller sees an orderly end) and passes with it.

--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -376,30 +376,40 @@
                               {"detail", Detail},
                               {"fingerprint", m_Fingerprint}});
   m_State.m_Metrics.onLostRequest();
-  if (m_Route->isIdempotent() && m_History.canTryAnotherEndpoint()) {
-    if (!Silent)
-      co_await probe(shared_from_this(), Id);
+  const bool Repeats =
+      m_Route->isIdempotent() && m_History.canTryAnotherEndpoint();
+  if (Repeats && !Silent)
+    co_await probe(Id);
+  if (Repeats)
     co_return Step::TryAgain;
-  }
   // The caller gets the answer without waiting for the probe.
   if (!Silent)
-    m_State.spawn("probe_endpoint", probe(shared_from_this(), Id));
+    m_State.spawn("probe_endpoint", probeLater(shared_from_this(), Id));
   co_await endWithFailure("endpoint_lost");
   co_return Step::Finished;
 }
 
-Task<void> RequestSession::probe(std::shared_ptr<RequestSession> Self,
-                                 EndpointId Id) {
-  const auto Remote = Self->m_State.addressOf(Id);
+Task<bool> RequestSession::probe(EndpointId Id) {
+  const auto Remote = m_State.addressOf(Id);
   if (!Remote)
-    co_return;
-  const auto Failure =
-      co_await Self->m_State.m_Http.connect(*Remote, ProbeTimeout);
+    co_return false;
+  const auto Failure = co_await m_State.m_Http.connect(*Remote, ProbeTimeout);
   if (!Failure)
-    co_return;
-  Self->logEvent("endpoint.probe_failed",
-                 {{"endpoint", Id}, {"detail", Failure->m_Detail}});
-  Self->onUnreachable(Id);
+    co_return true;
+  logEvent("endpoint.probe_failed",
+           {{"endpoint", Id}, {"detail", Failure->m_Detail}});
+  onUnreachable(Id);
+  co_return false;
+}
+
+Task<void> RequestSession::probeLater(std::shared_ptr<RequestSession> Self,
+                                      EndpointId Id) {
+  co_await Self->probe(std::move(Id));
+}
+
+void RequestSession::returnTrials() {
+  for (const PromptPartId &Part : std::exchange(m_TrialParts, {}))
+    m_State.m_Crashes.onTrialNotRun(Part);
 }
 
 void RequestSession::onUnreachable(const EndpointId &Id) {
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -73,6 +73,10 @@
   /// Returns whether the end of a stream's body may be passed on to the caller.
   /// Otherwise the endpoint has broken the stream off, as far as can be known.
   bool checkStreamEnd(const EndpointId &Id, const http::Response &Head);
+  /// Returns whether an answer that ended may be passed on as its endpoint sent
+  /// it. One without a mark of its end may not if the endpoint is gone, because
+  /// a crash closes the connection like a regular end.
+  Task<bool> confirmEnd(EndpointId Id, bool EndsWithConnection);
   /// Records that the request has certainly completed with success.
   void recordCompletion();
   /// Counts the request for the endpoint's crash if that is noticed soon.
@@ -81,9 +85,12 @@
   void recordAnswerEnd(const EndpointId &Id, const http::Response &Head,
                        std::string_view End);
   void onUnreachable(const EndpointId &Id);
-  /// Connects to an endpoint that lost the request, to tell a crash from a lost
-  /// answer. May outlive the call of run().
-  static Task<void> probe(std::shared_ptr<RequestSession> Self, EndpointId Id);
+  /// Connects to an endpoint, to tell a crash from a lost answer or a regular
+  /// end. Returns false if the endpoint cannot be connected to.
+  Task<bool> probe(EndpointId Id);
+  /// The same after the end of run().
+  static Task<void> probeLater(std::shared_ptr<RequestSession> Self,
+                               EndpointId Id);
   serving::CallResult resultOf(const http::TransportFailure &Failure) const;
   /// Records the request rate that an answer of the endpoint names.
   void recordRateLimit(const EndpointId &Id, const ResponseMetadata &Facts);
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -22,6 +22,9 @@
 constexpr std::string_view EndInsideEvent = "inside_event";
 constexpr std::string_view EndUnproved = "unproved";
 
+/// Detail of an answer without a mark of its end whose endpoint is gone.
+constexpr const char *UnconfirmedEnd = "the endpoint is gone after the answer";
+
 } // namespace
 
 Task<RequestSession::Step> RequestSession::onHead(EndpointId Id,
@@ -91,6 +94,11 @@
     Body += Chunk;
   }
   recordAnswerEnd(Id, Answer->head(), EndComplete);
+  const bool Confirmed =
+      co_await confirmEnd(Id, Answer->head().m_EndsWithConnection);
+  if (!Confirmed)
+    co_return co_await onIncompleteResponse(Id, serving::CallResult::Broken,
+                                            UnconfirmedEnd);
   const bool Failed = Status >= 500;
   m_State.m_Chooser.health().onResult(
       Id, Failed ? serving::CallResult::Failed : serving::CallResult::Success,
@@ -114,9 +122,7 @@
       m_State.m_Platform.m_WireFormat->makeCallerResponse(Answer->head());
   Final.m_Body = std::move(Body);
   Final.m_Headers.erase("Content-Length");
-  if (Final.m_EndsWithConnection)
-    recordPossibleLoss(Id);
-  else if (isSuccess(Status))
+  if (isSuccess(Status) && !Final.m_EndsWithConnection)
     recordCompletion();
   m_State.m_Metrics.onFirstByte(now() - m_ArrivedAt);
   const bool Delivered = co_await m_Caller.respond(std::move(Final));
@@ -128,13 +134,17 @@
                                                          OpenStream Answer) {
   if (m_HeadSent)
     m_State.m_Metrics.onResume();
-  const StreamResult End = co_await copyStream(Id, Answer);
+  StreamResult End = co_await copyStream(Id, Answer);
+  if (End == StreamResult::Complete) {
+    const bool Confirmed =
+        co_await confirmEnd(Id, Answer->head().m_EndsWithConnection);
+    if (!Confirmed)
+      End = StreamResult::EndpointFailed;
+  }
   if (End == StreamResult::Complete) {
     m_State.m_Chooser.health().onResult(Id, serving::CallResult::Success,
                                         now());
-    if (Answer->head().m_EndsWithConnection)
-      recordPossibleLoss(Id);
-    else
+    if (!Answer->head().m_EndsWithConnection)
       recordCompletion();
     co_await m_Caller.endStream();
     recordOutcome("answered", Answer->head().m_Status, "");
@@ -209,6 +219,14 @@
   return !InsideEvent && !IsUnproved;
 }
 
+Task<bool> RequestSession::confirmEnd(EndpointId Id, bool EndsWithConnection) {
+  if (!EndsWithConnection)
+    co_return true;
+  // Before the probe, which counts a crash for the requests that were lost.
+  recordPossibleLoss(Id);
+  co_return co_await probe(std::move(Id));
+}
+
 void RequestSession::recordCompletion() {
   m_State.m_Crashes.onSuccess(m_Fingerprint);
   m_State.m_Crashes.onCompleted(m_Facts.m_PromptParts, m_AnswerBegunAt);
