Give the trial of a prompt part back when its request has not run

Cause: a trial was used up when its request was sent, also if the endpoint refused it or could not be reached; the next one is due four times later, so a part that is rejected by mistake stayed so for longer. Endpoints that have just restarted refuse most requests.

Change: the trial is open again, for 10 s after its announcement (5 s before). The time series of a part or a request goes when fewer than two crashes count, so that the twenty series are not used up by parts that were soon proved sound.

--- a/Source/Core/Core/Retry/PartQuarantine.cpp
+++ b/Source/Core/Core/Retry/PartQuarantine.cpp
@@ -165,6 +165,11 @@
   return true;
 }
 
+void PartQuarantine::returnTrial(const PromptPartId &Part) {
+  if (PartRecord *Record = find(Part))
+    Record->m_TrialTaken = false;
+}
+
 std::optional<PartTrial>
 PartQuarantine::lastTrial(const PromptPartId &Part) const {
   const PartRecord *Record = find(Part);
--- a/Source/Core/Core/Retry/PartQuarantine.h
+++ b/Source/Core/Core/Retry/PartQuarantine.h
@@ -66,7 +66,7 @@
   static constexpr int TrialDelayFactor = 4;
   static constexpr std::int64_t MaxDelayedTrials = 5;
   /// Time for which the host of a trial may send its request.
-  static constexpr milliseconds TrialPeriod{5000};
+  static constexpr milliseconds TrialPeriod{10000};
   /// Age from which a crash no longer counts, unless its part is rejected.
   static constexpr milliseconds MaxAge{600000};
   /// Time for which crashes of a rejected part are not shared again. Must be
@@ -107,6 +107,8 @@
   /// Takes the trial of \p Host, if it is open.
   bool takeTrial(const PromptPartId &Part, const IncarnationId &Host,
                  Instant Now);
+  /// Opens a trial again that was taken by a request which has not run.
+  void returnTrial(const PromptPartId &Part);
   /// The last valid trial of the part.
   std::optional<PartTrial> lastTrial(const PromptPartId &Part) const;
 
--- a/Source/Core/Host/CrashTracker.h
+++ b/Source/Core/Host/CrashTracker.h
@@ -67,11 +67,14 @@
   findRejected(std::span<const PromptPartId> Parts) const {
     return m_Parts.findRejected(Parts);
   }
-  /// Called when a request is about to be sent, and when it is rejected for a
-  /// part of its prompt.
-  void onSending(std::span<const PromptPartId> Parts) {
-    m_Parts.onSending(Parts);
+  /// Called when a request is about to be sent. Returns the parts of which it
+  /// is the trial.
+  std::vector<PromptPartId> onSending(std::span<const PromptPartId> Parts) {
+    return m_Parts.onSending(Parts);
   }
+  /// Called when the trial of \p Part has not run.
+  void onTrialNotRun(const PromptPartId &Part) { m_Parts.onTrialNotRun(Part); }
+  /// Called when a request is rejected for a part of its prompt.
   void onRejectedPart(const PromptPartId &Part) {
     share(m_Parts.onRejected(Part, m_LogReachable));
   }
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -103,6 +103,11 @@
       return;
     Found = Series.emplace(Name, &Family.Add({{Label, Name}})).first;
   }
+  if (Crashes < 2) {
+    Family.Remove(Found->second);
+    Series.erase(Found);
+    return;
+  }
   Found->second->Set(static_cast<double>(Crashes));
 }
 
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -55,8 +55,8 @@
 private:
   static constexpr std::size_t MaxSuspects = 20;
 
-  /// Sets the time series of \p Name, which is created for two crashes or more
-  /// if there are fewer than MaxSuspects.
+  /// Sets the time series of \p Name. It exists while there are two crashes or
+  /// more, if there are fewer than MaxSuspects others.
   static void setBounded(std::map<std::string, prometheus::Gauge *> &Series,
                          prometheus::Family<prometheus::Gauge> &Family,
                          const std::string &Label, const std::string &Name,
--- a/Source/Core/Host/PartTracker.cpp
+++ b/Source/Core/Host/PartTracker.cpp
@@ -65,13 +65,23 @@
   return std::nullopt;
 }
 
-void PartTracker::onSending(std::span<const PromptPartId> Parts) {
+std::vector<PromptPartId>
+PartTracker::onSending(std::span<const PromptPartId> Parts) {
+  std::vector<PromptPartId> Taken;
   for (const PromptPartId &Part : Parts) {
     if (!m_Quarantine.takeTrial(Part, m_Self, now()))
       continue;
     log::warning(LogCategory, "part.trial_sent", {{"part", Part}});
     m_Metrics.onPartEvent("trial_sent");
+    Taken.push_back(Part);
   }
+  return Taken;
+}
+
+void PartTracker::onTrialNotRun(const PromptPartId &Part) {
+  m_Quarantine.returnTrial(Part);
+  log::info(LogCategory, "part.trial_not_run", {{"part", Part}});
+  m_Metrics.onPartEvent("trial_not_run");
 }
 
 CrashNews PartTracker::onRejected(const PromptPartId &Part, bool LogReachable) {
@@ -87,6 +97,8 @@
     addTrial(*Due);
     return News;
   }
+  if (m_AnnouncedAt.size() >= MaxParts)
+    m_AnnouncedAt.clear();
   const auto [Announced, IsNew] = m_AnnouncedAt.try_emplace(Part, now());
   if (!IsNew && now() - Announced->second < AnnouncementTimeout)
     return News;
@@ -116,6 +128,9 @@
   log::warning(LogCategory, "part.crashes",
                {{"part", Part}, {"crashes", Crashes}, {"cause", Change}});
   m_Metrics.setSuspectPart(Part.str(), Crashes);
+  // Parts that the quarantine has evicted get no further change.
+  if (m_Suspects.size() >= MaxParts)
+    m_Suspects.clear();
   if (Crashes < MinSuspectCrashes) {
     m_Suspects.erase(Part);
     m_AnnouncedAt.erase(Part);
--- a/Source/Core/Host/PartTracker.h
+++ b/Source/Core/Host/PartTracker.h
@@ -30,8 +30,11 @@
   /// unless this host may send the request of its trial.
   std::optional<PromptPartId>
   findRejected(std::span<const PromptPartId> Parts) const;
-  /// Called when a request is about to be sent. Takes the trial that allows it.
-  void onSending(std::span<const PromptPartId> Parts);
+  /// Called when a request is about to be sent. Takes and returns the trials
+  /// that allow it.
+  std::vector<PromptPartId> onSending(std::span<const PromptPartId> Parts);
+  /// Called when the request that took the trial of \p Part has not run.
+  void onTrialNotRun(const PromptPartId &Part);
   /// Called when a request is rejected for \p Part. Announces a trial that is
   /// due, or begins it at once if the log of the hosts is not reachable.
   CrashNews onRejected(const PromptPartId &Part, bool LogReachable);
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -308,7 +308,7 @@
   Loads.onDispatched(Id, now());
   const std::shared_ptr<void> Done(
       nullptr, [&Loads, Id](void *) { Loads.onFinished(Id, now()); });
-  m_State.m_Crashes.onSending(m_Facts.m_PromptParts);
+  m_TrialParts = m_State.m_Crashes.onSending(m_Facts.m_PromptParts);
   if (const auto *Known = m_State.m_Endpoints.find(Id))
     m_State.m_Crashes.onRequestSent(*Known, m_Fingerprint, m_Facts.m_Id,
                                     m_Facts.m_PromptParts);
@@ -342,6 +342,7 @@
     co_return co_await onIncompleteResponse(Id, resultOf(Failure),
                                             Failure.m_Detail);
   }
+  returnTrials();
   // Nothing was sent, so what was taken from the budget covers the next send.
   m_RetryGranted = m_History.sends() > 0;
   if (isOver())
@@ -421,6 +422,7 @@
 Task<RequestSession::Step>
 RequestSession::onNotRun(EndpointId Id, ResponseMetadata Facts, int Status) {
   m_History.exclude(Id);
+  returnTrials();
   if (Facts.m_AddressReused)
     m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
                                         now());
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -85,6 +85,9 @@
   void recordAnswerEnd(const EndpointId &Id, const http::Response &Head,
                        std::string_view End);
   void onUnreachable(const EndpointId &Id);
+  /// Called when an attempt has not run, so that another one may be the trial
+  /// of the same parts.
+  void returnTrials();
   /// Connects to an endpoint, to tell a crash from a lost answer or a regular
   /// end. Returns false if the endpoint cannot be connected to.
   Task<bool> probe(EndpointId Id);
@@ -160,6 +163,8 @@
   bool m_WaitLogged = false; ///< The wait for the model is logged only once.
   streaming::CompleteEventBuffer m_Events;
   std::string m_Fingerprint;
+  /// The parts of the prompt of which the latest attempt is the trial.
+  std::vector<PromptPartId> m_TrialParts;
 };
 
 } // namespace sff::host
--- a/Source/UnitTests/Core/Retry/PartQuarantineTest.cpp
+++ b/Source/UnitTests/Core/Retry/PartQuarantineTest.cpp
@@ -97,6 +97,22 @@
                                        PartQuarantine::FirstTrialDelay));
 }
 
+// Guards against a trial that is lost because its request has not run.
+TEST(PartQuarantineTest, TrialThatHasNotRunIsTakenAgain) {
+  PartQuarantine Parts(10);
+  const PromptPartId Bad("bad");
+  const IncarnationId Host("one");
+  addCrashes(Parts, "bad", 3);
+  const Instant Due = Start + PartQuarantine::FirstTrialDelay;
+  const auto Trial = Parts.dueTrial(Bad, Host, Due);
+  ASSERT_TRUE(Trial);
+  Parts.addTrial(*Trial, Due);
+  EXPECT_TRUE(Parts.takeTrial(Bad, Host, Due));
+  EXPECT_FALSE(Parts.hasOpenTrial(Bad, Host, Due));
+  Parts.returnTrial(Bad);
+  EXPECT_TRUE(Parts.takeTrial(Bad, Host, Due));
+}
+
 // Guards against crashes of many different parts that push out the one that
 // matters.
 TEST(PartQuarantineTest, EvictionKeepsThePartWithMostCrashes) {
