--- a/Source/Core/Core/Serving/EndpointRateLimits.cpp
+++ b/Source/Core/Core/Serving/EndpointRateLimits.cpp
@@ -21,8 +21,9 @@
     Named.m_NamedAt = Now;
     Named.m_Phase = std::uniform_real_distribution<double>()(m_Random);
     // The present slot has passed in part, so it is not used.
-    Named.m_Slot = slotAt(Named, Now).m_Number;
-    Named.m_SentInSlot = slotAt(Named, Now).m_Capacity;
+    const Slot Present = slotAt(Named, Now);
+    Named.m_Slot = Present.m_Number;
+    Named.m_SentInSlot = Present.m_Capacity;
     m_Limits.emplace(Id, Named);
     return true;
   }
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -55,6 +55,7 @@
 void HostState::forgetEndpoint(const EndpointId &Id) {
   m_Chooser.forget(Id);
   m_RateLimits.forget(Id);
+  m_Metrics.setLimitedEndpoints(m_RateLimits.limitedEndpoints());
 }
 
 void HostState::preferUnlimited(
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -143,8 +143,8 @@
 
 std::vector<const serving::Endpoint *> RequestSession::candidates() const {
   auto List = holders();
-  std::erase_if(List, [this](const serving::Endpoint *Item) {
-    return !m_State.m_RateLimits.allows(Item->id(), now());
+  std::erase_if(List, [this, Now = now()](const serving::Endpoint *Item) {
+    return !m_State.m_RateLimits.allows(Item->id(), Now);
   });
   return List;
 }
--- a/Source/Core/Router/Router.cpp
+++ b/Source/Core/Router/Router.cpp
@@ -86,7 +86,8 @@
 }
 
 void Router::finishRequests() {
-  while (m_Server.activeRequests() > 0)
+  // A request may still arrive on a connection that is about to be closed.
+  while (m_Server.connections() > 0)
     std::this_thread::sleep_for(PollPeriod);
   const Instant Limit = now() + BackgroundTimeout;
   while (backgroundTasks() > 0 && now() < Limit)
