--- a/Source/Core/Core/Retry/PartQuarantine.h
+++ b/Source/Core/Core/Retry/PartQuarantine.h
@@ -27,8 +27,9 @@
 };
 
 /// The announcement of a trial: one request with a rejected part, by which the
-/// hosts learn whether the part still crashes endpoints. Of the announcements
-/// with the same number, the first in the log that the hosts share is valid.
+/// hosts learn whether the part still crashes endpoints, as in the half-open
+/// state of a circuit breaker. Of the announcements with the same number, the
+/// first in the log that the hosts share is valid.
 struct PartTrial {
   PromptPartId m_Part;
   std::int64_t m_Number = 0; ///< From 1, since the part was last proved sound.
--- a/Source/UnitTests/Core/Retry/PartQuarantineSimulation.cpp
+++ b/Source/UnitTests/Core/Retry/PartQuarantineSimulation.cpp
@@ -28,11 +28,11 @@
   int m_Hosts = 6;
   int m_Endpoints = 14;
   double m_RequestsPerSecond = 50;
-  double m_DeadlyShare = 0.03;
-  int m_DeadlyParts = 1; ///< Parts that crash endpoints, at the same time.
+  double m_CrashingShare = 0.03;
+  int m_CrashingParts = 1; ///< Parts that crash endpoints, at the same time.
   /// Number of different parts at each shared position of a prompt.
   std::vector<int> m_PartCounts = {1, 200};
-  std::size_t m_DeadlyPosition = 1;
+  std::size_t m_CrashingPosition = 1;
   milliseconds m_RunTime{700};
   milliseconds m_CrashDelay{100};
   milliseconds m_RestartTime{3500};
@@ -47,8 +47,8 @@
 };
 
 struct Outcome {
-  std::size_t m_Crashes = 0; ///< Of all deadly parts together.
-  int m_LateSends = 0;       ///< Of the deadly part that has most.
+  std::size_t m_Crashes = 0; ///< Of all crashing parts together.
+  int m_LateSends = 0;       ///< Of the crashing part that has most.
   int m_SoundRequests = 0;   ///< From twice the contact time on.
   int m_SoundSends = 0;
   int m_AllSoundRequests = 0; ///< Of the whole day.
@@ -101,7 +101,7 @@
   struct Run {
     std::size_t m_Host = 0;
     std::vector<PromptPartId> m_Parts;
-    std::optional<int> m_Deadly; ///< The deadly part that it holds.
+    std::optional<int> m_Crashing; ///< The crashing part that it holds.
     Instant m_BegunAt;
   };
   struct Endpoint {
@@ -110,7 +110,7 @@
     std::vector<Run> m_Runs;
   };
   /// What the users count for a part that crashes endpoints.
-  struct DeadlyPart {
+  struct CrashingPart {
     std::size_t m_Crashes = 0;
     std::optional<Instant> m_FifthCrashAt;
     int m_LateSends = 0;
@@ -137,14 +137,14 @@
   Run makeRun() {
     Run Result;
     Result.m_Host = static_cast<std::size_t>(pick(m_Spec.m_Hosts));
-    if (std::bernoulli_distribution(m_Spec.m_DeadlyShare)(m_Random))
-      Result.m_Deadly = pick(m_Spec.m_DeadlyParts);
+    if (std::bernoulli_distribution(m_Spec.m_CrashingShare)(m_Random))
+      Result.m_Crashing = pick(m_Spec.m_CrashingParts);
     for (std::size_t Position = 0; Position < m_Spec.m_PartCounts.size();
          ++Position) {
       const int Sound = pick(m_Spec.m_PartCounts[Position]);
       std::string Name = std::to_string(Position) + "-" + std::to_string(Sound);
-      if (Result.m_Deadly && Position == m_Spec.m_DeadlyPosition)
-        Name = "deadly" + std::to_string(*Result.m_Deadly);
+      if (Result.m_Crashing && Position == m_Spec.m_CrashingPosition)
+        Name = "crashing" + std::to_string(*Result.m_Crashing);
       Result.m_Parts.emplace_back(std::move(Name));
     }
     return Result;
@@ -152,9 +152,9 @@
 
   void arrive() {
     Run Incoming = makeRun();
-    const bool IsCounted = !Incoming.m_Deadly && isSoundTime();
+    const bool IsCounted = !Incoming.m_Crashing && isSoundTime();
     m_Outcome.m_SoundRequests += IsCounted ? 1 : 0;
-    m_Outcome.m_AllSoundRequests += Incoming.m_Deadly ? 0 : 1;
+    m_Outcome.m_AllSoundRequests += Incoming.m_Crashing ? 0 : 1;
     std::vector<Endpoint *> Up;
     for (Endpoint &Item : m_Endpoints)
       if (Item.m_UpAt <= m_Now)
@@ -162,8 +162,8 @@
     if (Up.empty() || !mayBeSent(Incoming))
       return;
     m_Outcome.m_SoundSends += IsCounted ? 1 : 0;
-    m_Outcome.m_AllSoundSends += Incoming.m_Deadly ? 0 : 1;
-    if (Incoming.m_Deadly)
+    m_Outcome.m_AllSoundSends += Incoming.m_Crashing ? 0 : 1;
+    if (Incoming.m_Crashing)
       countSend(Incoming);
     Incoming.m_BegunAt = m_Now;
     Up[static_cast<std::size_t>(pick(static_cast<int>(Up.size())))]
@@ -171,7 +171,7 @@
   }
 
   void countSend(const Run &Sent) {
-    DeadlyPart &Part = m_DeadlyParts[*Sent.m_Deadly];
+    CrashingPart &Part = m_CrashingParts[*Sent.m_Crashing];
     // The users' rule excuses a host that has started within the contact time.
     const bool IsExcused = Sent.m_Host == 0 && m_HostRestartedAt &&
                            m_Now - *m_HostRestartedAt < ContactTime;
@@ -182,7 +182,7 @@
   }
 
   /// Whether sound requests must be sent again: the time since the fifth crash
-  /// of each deadly part, or its last if there are fewer, or since an outage.
+  /// of each crashing part, or its last if there are fewer, or since an outage.
   bool isSoundTime() const { return m_SoundFrom && m_Now >= *m_SoundFrom; }
 
   bool mayBeSent(const Run &Incoming) {
@@ -251,10 +251,10 @@
   void advanceRuns() {
     for (Endpoint &Item : m_Endpoints) {
       const bool Crashes = std::ranges::any_of(Item.m_Runs, [&](const Run &R) {
-        return R.m_Deadly && m_Now - R.m_BegunAt >= m_Spec.m_CrashDelay;
+        return R.m_Crashing && m_Now - R.m_BegunAt >= m_Spec.m_CrashDelay;
       });
       if (Crashes)
-        onDeadlyCrash(Item);
+        onCrashByPart(Item);
       std::erase_if(Item.m_Runs, [&](const Run &Running) {
         if (m_Now - Running.m_BegunAt < m_Spec.m_RunTime)
           return false;
@@ -273,12 +273,12 @@
       append(Record::Kind::Proof, Proof);
   }
 
-  void onDeadlyCrash(Endpoint &Item) {
+  void onCrashByPart(Endpoint &Item) {
     ++m_Outcome.m_Crashes;
     const auto Cause = std::ranges::find_if(Item.m_Runs, [&](const Run &R) {
-      return R.m_Deadly && m_Now - R.m_BegunAt >= m_Spec.m_CrashDelay;
+      return R.m_Crashing && m_Now - R.m_BegunAt >= m_Spec.m_CrashDelay;
     });
-    DeadlyPart &Part = m_DeadlyParts[*Cause->m_Deadly];
+    CrashingPart &Part = m_CrashingParts[*Cause->m_Crashing];
     if (++Part.m_Crashes <= CrashesBeforeBound)
       m_SoundFrom = m_Now + 2 * ContactTime;
     if (Part.m_Crashes == CrashesBeforeBound)
@@ -329,7 +329,7 @@
   std::vector<PartQuarantine> m_Hosts;
   std::vector<Record> m_Log;
   std::vector<Cursor> m_Cursors;
-  std::map<int, DeadlyPart> m_DeadlyParts;
+  std::map<int, CrashingPart> m_CrashingParts;
   std::optional<Instant> m_SoundFrom;
   std::optional<Instant> m_HostRestartedAt; ///< Of the first host.
   Outcome m_Outcome;
@@ -341,37 +341,37 @@
   Result.push_back({.m_Name = "few at once", .m_RequestsPerSecond = 8});
   Result.push_back({.m_Name = "many at once",
                     .m_RequestsPerSecond = 200,
-                    .m_DeadlyShare = 0.01,
+                    .m_CrashingShare = 0.01,
                     .m_RunTime = milliseconds(2000)});
-  Result.push_back({.m_Name = "a tenth is deadly", .m_DeadlyShare = 0.1});
-  Result.push_back(
-      {.m_Name = "one shared part and the deadly one", .m_PartCounts = {1, 1}});
+  Result.push_back({.m_Name = "a tenth is crashing", .m_CrashingShare = 0.1});
+  Result.push_back({.m_Name = "one shared part and the crashing one",
+                    .m_PartCounts = {1, 1}});
   Result.push_back({.m_Name = "four shared parts",
                     .m_PartCounts = {1, 5, 50, 500},
-                    .m_DeadlyPosition = 2});
-  Result.push_back({.m_Name = "two deadly parts",
-                    .m_DeadlyShare = 0.06,
-                    .m_DeadlyParts = 2});
+                    .m_CrashingPosition = 2});
+  Result.push_back({.m_Name = "two crashing parts",
+                    .m_CrashingShare = 0.06,
+                    .m_CrashingParts = 2});
   Result.push_back({.m_Name = "first part of half the traffic",
-                    .m_DeadlyShare = 0.5,
-                    .m_DeadlyPosition = 0});
-  Result.push_back({.m_Name = "two deadly parts end all endpoints at once",
+                    .m_CrashingShare = 0.5,
+                    .m_CrashingPosition = 0});
+  Result.push_back({.m_Name = "two crashing parts end all endpoints at once",
                     .m_Hosts = 2,
                     .m_Endpoints = 4,
                     .m_RequestsPerSecond = 30,
-                    .m_DeadlyShare = 0.4,
-                    .m_DeadlyParts = 2});
+                    .m_CrashingShare = 0.4,
+                    .m_CrashingParts = 2});
   Result.push_back({.m_Name = "many hosts",
                     .m_Hosts = 60,
                     .m_Endpoints = 80,
                     .m_RequestsPerSecond = 400});
   Result.push_back(
       {.m_Name = "slow log", .m_ReadInterval = milliseconds(1500)});
-  Result.push_back({.m_Name = "outage without a deadly part",
-                    .m_DeadlyShare = 0,
+  Result.push_back({.m_Name = "outage without a crashing part",
+                    .m_CrashingShare = 0,
                     .m_OutageAt = milliseconds(5000)});
-  Result.push_back({.m_Name = "whole outage without a deadly part",
-                    .m_DeadlyShare = 0,
+  Result.push_back({.m_Name = "whole outage without a crashing part",
+                    .m_CrashingShare = 0,
                     .m_OutageAt = milliseconds(5000),
                     .m_Survivors = 0});
   Result.push_back({.m_Name = "long day", .m_Length = milliseconds(120000)});
@@ -435,7 +435,7 @@
 // the shared parts.
 TEST(PartQuarantineSimulation, BreaksTheRuleWithoutProofs) {
   Scenario Spec{.m_Name = "outage, without proofs"};
-  Spec.m_DeadlyShare = 0;
+  Spec.m_CrashingShare = 0;
   Spec.m_OutageAt = milliseconds(5000);
   Spec.m_UsesProofs = false;
   EXPECT_FALSE(play(Spec).keepsRules());
