Keep the crashes of a rejected part until it is proved sound

Cause: crashes older than ten minutes were dropped at the next crash of the part, also of a rejected one. After a late trial, 26 minutes after the fourth, one crash would have been left, and all hosts would have sent such requests again until there were three.

Change: they are dropped only while the part is not rejected, as the doc comment says.

--- a/Source/Core/Core/Retry/PartQuarantine.cpp
+++ b/Source/Core/Core/Retry/PartQuarantine.cpp
@@ -21,9 +21,13 @@
   if (!m_Records.contains(Part) && m_Records.size() >= m_MaxParts)
     evict();
   PartRecord &Record = m_Records[Part];
+  // A rejected part has no crashes but those of its trials, which are rare.
+  if (Record.m_Count >= MinCrashes)
+    return Record;
   std::erase_if(Record.m_Crashes, [&](const auto &Entry) {
     return Now - Entry.second.m_LearnedAt >= MaxAge;
   });
+  recount(Record, Now);
   return Record;
 }
 
--- a/Source/UnitTests/Core/Retry/PartQuarantineTest.cpp
+++ b/Source/UnitTests/Core/Retry/PartQuarantineTest.cpp
@@ -97,6 +97,20 @@
                                        PartQuarantine::FirstTrialDelay));
 }
 
+// Guards against a part that is sent again by all hosts after a late trial,
+// because its crashes are older than those that count.
+TEST(PartQuarantineTest, RejectedPartKeepsItsCrashes) {
+  PartQuarantine Parts(10);
+  addCrashes(Parts, "bad", 3);
+  addCrashes(Parts, "other", 2);
+  const Instant Later = Start + PartQuarantine::MaxAge;
+  Parts.addCrash(crashOf("bad", 4), Later);
+  Parts.addCrash(crashOf("other", 4), Later);
+  EXPECT_EQ(Parts.crashCount(PromptPartId("bad")), 4U);
+  EXPECT_TRUE(Parts.isRejected(PromptPartId("bad"), Later));
+  EXPECT_EQ(Parts.crashCount(PromptPartId("other")), 1U);
+}
+
 // Guards against a trial that is lost because its request has not run.
 TEST(PartQuarantineTest, TrialThatHasNotRunIsTakenAgain) {
   PartQuarantine Parts(10);
