Expect either of two concurrent requests to be refused in the test of queue limits

Its third request got no answer within the client's 10 s, while the service held its responses: it had been queued, so it had overtaken the second one, which was sent by another thread before. The test blocked on it, though its comment allowed either order. The code is not at fault.

The test sends both and waits until one is answered: that one must be refused with 429 and queue_full, and the other must still wait.

--- a/Source/UnitTests/Router/OutcomeTest.cpp
+++ b/Source/UnitTests/Router/OutcomeTest.cpp
@@ -2,6 +2,14 @@
 
 namespace sff::router::testing {
 
+namespace {
+
+bool isReady(const std::future<http::SendResult> &Pending) {
+  return Pending.wait_for(milliseconds(0)) == std::future_status::ready;
+}
+
+} // namespace
+
 TEST_F(RouterTest, AnswersACompletion) {
   const auto Running = startRouter();
   http::Request Message = completion("hello");
@@ -107,19 +115,26 @@
   const http::Request Message{"GET", "/services/narrow/x", {}, ""};
   auto First = sendLater(Message);
   ASSERT_TRUE(eventually([&] { return m_Service.m_Executions == 1; }));
-  auto Second = sendLater(Message);
-  // The second request waits in the queue and the third one finds it full,
-  // whichever of them arrives first.
-  const auto Third = get(Message);
-  EXPECT_EQ(Third.m_Status, 429);
-  EXPECT_EQ(problemOf(Third).value("reason", ""), "queue_full");
+  // One of them waits in the queue, and the one that arrives later finds it
+  // full. They are sent on two connections, so either may be that.
+  auto Waiting = sendLater(Message);
+  auto Refused = sendLater(Message);
+  ASSERT_TRUE(eventually([&] { return isReady(Waiting) || isReady(Refused); }));
+  if (isReady(Waiting))
+    std::swap(Waiting, Refused);
+  const auto Refusal = Refused.get();
+  ASSERT_TRUE(std::holds_alternative<http::Response>(Refusal));
+  EXPECT_EQ(std::get<http::Response>(Refusal).m_Status, 429);
+  EXPECT_EQ(problemOf(std::get<http::Response>(Refusal)).value("reason", ""),
+            "queue_full");
+  EXPECT_FALSE(isReady(Waiting));
   auto BoardCall = sendLater({"GET", "/services/board/x", {}, ""});
   ASSERT_TRUE(eventually([&] { return m_Service.m_Executions == 2; }));
   const auto Fourth = get({"GET", "/services/board/x", {}, ""});
   EXPECT_EQ(problemOf(Fourth).value("reason", ""), "team_limit");
   m_Service.m_HoldResponses = false;
   EXPECT_TRUE(std::holds_alternative<http::Response>(First.get()));
-  EXPECT_TRUE(std::holds_alternative<http::Response>(Second.get()));
+  EXPECT_TRUE(std::holds_alternative<http::Response>(Waiting.get()));
   EXPECT_TRUE(std::holds_alternative<http::Response>(BoardCall.get()));
 }
 
