Log what routing was based on, and the age of what the store has told

No record told which route and service an answer 404 was decided by, with which version, or how long ago the store had confirmed what the host decided by.

--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -142,6 +142,8 @@
 }
 
 Task<void> Host::handleMetrics(http::Request, http::Exchange &Caller) {
+  m_State.m_Metrics.setBeliefAges(m_State.catalogueAge(),
+                                  m_State.endpointsAge());
   co_await Caller.respond(m_State.m_Metrics.answer());
 }
 
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -50,13 +50,21 @@
       m_MalformedRecords(
           m_Set.counter("sff_host_unreadable_records_total",
                         "Records of the store that were not understood")),
+      m_Removals(m_Set.counterFamily(
+          "sff_host_removals_total",
+          "Removals of registrations by what the host did")),
       m_Endpoints(m_Set.gauge("sff_host_endpoints", "Known endpoints")),
       m_LimitedEndpoints(
           m_Set.gauge("sff_host_limited_endpoints",
                       "Endpoints that name a limit on their request rate")),
       m_CatalogueVersion(m_Set.gauge("sff_host_catalogue_version",
-                                     "Version of the configuration in force")) {
-}
+                                     "Version of the configuration in force")),
+      m_CatalogueAge(
+          m_Set.gauge("sff_host_catalogue_age_seconds",
+                      "Time since the store confirmed the configuration")),
+      m_EndpointsAge(
+          m_Set.gauge("sff_host_endpoints_age_seconds",
+                      "Time since the store confirmed the registrations")) {}
 
 prometheus::Histogram &HostMetrics::histogram(const std::string &Name,
                                               const std::string &Help) {
@@ -130,6 +138,10 @@
     m_MalformedRecords.Increment(Records);
 }
 
+void HostMetrics::onRemoval(std::string_view Result) {
+  m_Removals.Add({{"result", std::string(Result)}}).Increment();
+}
+
 void HostMetrics::setEndpoints(std::size_t Count) {
   m_Endpoints.Set(static_cast<double>(Count));
 }
@@ -142,4 +154,9 @@
   m_CatalogueVersion.Set(static_cast<double>(Version));
 }
 
+void HostMetrics::setBeliefAges(Duration Catalogue, Duration Endpoints) {
+  m_CatalogueAge.Set(toSeconds(Catalogue));
+  m_EndpointsAge.Set(toSeconds(Endpoints));
+}
+
 } // namespace sff::host
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -44,10 +44,15 @@
   void onSwap(Duration Taken) { observe(m_Swaps, Taken); }
   void onStoreCall(std::string_view Call, bool Answered);
   void onUnreadableRecords(int Records);
+  /// Counts the removal of an endpoint's registration, by what this host did.
+  void onRemoval(std::string_view Result);
   void setEndpoints(std::size_t Count);
   /// Sets the number of endpoints that name a request rate.
   void setLimitedEndpoints(std::size_t Count);
   void setCatalogueVersion(std::int64_t Version);
+  /// Sets the times since the store last confirmed the catalogue and the
+  /// registrations.
+  void setBeliefAges(Duration Catalogue, Duration Endpoints);
 
   /// All metrics in the Prometheus text format.
   http::Response answer() const { return m_Set.answer(); }
@@ -83,9 +88,12 @@
   prometheus::Family<prometheus::Gauge> &m_SuspectPartCrashes;
   std::map<std::string, prometheus::Gauge *> m_SuspectParts;
   prometheus::Counter &m_MalformedRecords;
+  prometheus::Family<prometheus::Counter> &m_Removals;
   prometheus::Gauge &m_Endpoints;
   prometheus::Gauge &m_LimitedEndpoints;
   prometheus::Gauge &m_CatalogueVersion;
+  prometheus::Gauge &m_CatalogueAge;
+  prometheus::Gauge &m_EndpointsAge;
 };
 
 } // namespace sff::host
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -73,6 +73,10 @@
                : std::nullopt;
 }
 
+milliseconds HostState::ageOf(const std::optional<Instant> &ConfirmedAt) {
+  return ConfirmedAt ? toMilliseconds(now() - *ConfirmedAt) : milliseconds(0);
+}
+
 void HostState::spawn(std::string TaskName, Task<void> Operation) {
   boost::asio::co_spawn(
       m_Context, std::move(Operation),
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace sff::host {
 
@@ -43,6 +44,12 @@
   /// The address of an endpoint; nothing when the endpoint is unknown or its
   /// address is not valid.
   std::optional<http::Address> addressOf(const EndpointId &Id) const;
+  /// Time since the store last confirmed the catalogue; zero before the first
+  /// confirmation.
+  milliseconds catalogueAge() const { return ageOf(m_CatalogueConfirmedAt); }
+  /// Time since the store last confirmed the registrations; zero before the
+  /// first confirmation.
+  milliseconds endpointsAge() const { return ageOf(m_EndpointsConfirmedAt); }
   /// Drops what this host has observed of an endpoint.
   void forgetEndpoint(const EndpointId &Id);
   /// Removes the endpoints that have named a request rate, unless all have:
@@ -63,6 +70,10 @@
   AsyncCondition m_Changed;
   std::shared_ptr<const serving::Catalogue> m_Catalogue;
   serving::EndpointDirectory m_Endpoints;
+  /// Times at which the store last answered a read of the catalogue and of the
+  /// registrations.
+  std::optional<Instant> m_CatalogueConfirmedAt;
+  std::optional<Instant> m_EndpointsConfirmedAt;
   /// Set while the process shuts down: requests that wait for a model are
   /// refused.
   bool m_Stopping = false;
@@ -77,6 +88,8 @@
   serving::DemandRates m_OwnDemand;
 
 private:
+  static milliseconds ageOf(const std::optional<Instant> &ConfirmedAt);
+
   std::map<std::string, serving::SharedRetryBudget> m_Budgets;
   /// Number of hosts that share the retry budgets.
   std::size_t m_Hosts = serving::FleetSize::AssumedHostCount;
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -36,6 +36,8 @@
 /// Retry-After for quarantined requests, which have crashed endpoints.
 constexpr milliseconds QuarantineRetryAfter{30000};
 constexpr std::int64_t HighestRank = 9;
+/// Longest part of a caller's text in a log line.
+constexpr std::size_t MaxLoggedBytes = 100;
 
 std::uint64_t hashOf(std::string_view Text) {
   return std::hash<std::string_view>()(Text);
@@ -75,6 +77,7 @@
     co_return;
   }
   if (!findRoute()) {
+    logNoRoute();
     co_await respondWithProblem(404, "no_route", std::nullopt);
     co_return;
   }
@@ -100,6 +103,24 @@
   return m_Service != nullptr;
 }
 
+void RequestSession::logNoRoute() const {
+  std::string Prefix;
+  std::string Service;
+  if (m_Route) {
+    Prefix = m_Route->m_PathPrefix;
+    Service = m_Route->serviceAt(hashOf(m_Facts.m_Id.str()));
+  }
+  logEvent(
+      "request.no_route",
+      {{"host", m_Incoming.m_Headers.view("Host").substr(0, MaxLoggedBytes)},
+       {"path", m_Incoming.path().substr(0, MaxLoggedBytes)},
+       {"prefix", Prefix},
+       {"service", Service},
+       {"catalogue", m_Catalogue->m_Version},
+       {"routes", m_Catalogue->m_Routes.size()},
+       {"catalogue_age_ms", m_State.catalogueAge().count()}});
+}
+
 void RequestSession::startTimers() {
   milliseconds Limit = DefaultTimeout;
   if (m_Route->m_Timeout > milliseconds(0))
@@ -303,7 +324,10 @@
             {"send", m_History.sends() + 1},
             {"load", m_State.m_Chooser.loads().estimate(Id, now())},
             {"left_ms", toMilliseconds(remainingTime()).count()},
-            {"catalogue", m_Catalogue->m_Version}});
+            {"catalogue", m_Catalogue->m_Version},
+            {"prefix", m_Route->m_PathPrefix},
+            {"catalogue_age_ms", m_State.catalogueAge().count()},
+            {"endpoints_age_ms", m_State.endpointsAge().count()}});
   auto &Loads = m_State.m_Chooser.loads();
   Loads.onDispatched(Id, now());
   const std::shared_ptr<void> Done(
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -50,6 +50,8 @@
   using OpenStream = std::shared_ptr<http::ResponseStream>;
 
   bool findRoute();
+  /// Logs what the decision that no service takes the request is based on.
+  void logNoRoute() const;
   void startTimers();
   Task<void> serve();
   Task<Step> serveOnce();
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -50,13 +50,16 @@
   if (Reachable == m_Reachable)
     return;
   m_Reachable = Reachable;
+  const nlohmann::json Ages = {
+      {"catalogue_age_ms", m_State.catalogueAge().count()},
+      {"endpoints_age_ms", m_State.endpointsAge().count()}};
   if (Reachable) {
     m_State.m_Endpoints.onRegistryRestored(now());
-    log::info(LogCategory, "store.regained");
+    log::info(LogCategory, "store.regained", Ages);
     return;
   }
   m_State.m_Endpoints.onRegistryUnavailable();
-  log::warning(LogCategory, "store.lost");
+  log::warning(LogCategory, "store.lost", Ages);
   // A call that was sent during the outage may hang even after its end.
   m_State.m_Platform.m_Store->cancelPendingCalls();
 }
@@ -98,6 +101,7 @@
       Position.reset();
       continue;
     }
+    m_State.m_CatalogueConfirmedAt = now();
     applyCatalogue(Batch.m_Newest);
     Position = Batch.m_Next;
     // No catalogue has been published yet: read again after a delay.
@@ -126,11 +130,14 @@
 void StoreFollower::applyRemoval(const EndpointId &Id) {
   if (!m_State.m_Endpoints.find(Id))
     return;
-  if (const auto Gone = m_State.m_Endpoints.remove(Id, now()))
+  if (const auto Gone = m_State.m_Endpoints.remove(Id, now())) {
+    m_State.m_Metrics.onRemoval("immediate");
     onGone(*Gone);
-  else
-    log::info(log::Category::Membership, "endpoint.removal_delayed",
-              {{"endpoint", Id}});
+    return;
+  }
+  m_State.m_Metrics.onRemoval("delayed");
+  log::info(log::Category::Membership, "endpoint.removal_delayed",
+            {{"endpoint", Id}});
 }
 
 void StoreFollower::onGone(const serving::Endpoint &Gone) {
@@ -211,6 +218,7 @@
       Position.reset();
       continue;
     }
+    m_State.m_EndpointsConfirmedAt = now();
     apply(Batch, WholeListing);
     Position = Batch.m_Next;
     co_await sleepFor(BatchInterval);
