Ask an endpoint whose entry is gone after an outage whether it still serves

Cause: a host that had lost the store took each removal that it read within 3 s of its return for an entry that had expired while the store was away, and kept the endpoint for 3 s, until the next answer of the store after that. In the record the store worked all along and refused three hosts of eight. A host can't tell the two apart from its own connection, and an endpoint's heartbeats aren't in the log while nothing else changes.

Change: after each read, the host asks each endpoint whose removal is delayed by a health check. It is kept only if it answers that it serves, and for as long as before, ended by a timer in place of the next read; all else removes it at once.

--- a/Source/Core/Core/Serving/Catalogue.h
+++ b/Source/Core/Core/Serving/Catalogue.h
@@ -71,6 +71,8 @@
 
 struct Service {
   std::string m_Name;
+  /// Path of the health check of its endpoints; empty if there is none.
+  std::string m_HealthPath;
   std::optional<EngineSpec> m_Engine;
 };
 
--- a/Source/Core/Core/Serving/EndpointDirectory.cpp
+++ b/Source/Core/Core/Serving/EndpointDirectory.cpp
@@ -111,12 +111,8 @@
   if (Found == m_Endpoints.end())
     return std::nullopt;
   Endpoint &Existing = Found->second;
-  if (Existing.m_Registration.m_Draining || !isRegistryStateUncertain(Now)) {
-    m_RolloutDetector.onLeaving(Existing.m_Registration.m_Service, Now);
-    auto Removed = m_Endpoints.extract(Found);
-    m_Overrides.erase(Id);
-    return std::move(Removed.mapped());
-  }
+  if (Existing.m_Registration.m_Draining || !isRegistryStateUncertain(Now))
+    return extract(Found, Now);
   if (!Existing.m_ExpiresAt)
     Existing.m_ExpiresAt = m_RegistryUnavailable
                                ? Instant::max()
@@ -124,6 +120,30 @@
   return std::nullopt;
 }
 
+Endpoint
+EndpointDirectory::extract(std::map<EndpointId, Endpoint>::iterator Position,
+                           Instant Now) {
+  m_RolloutDetector.onLeaving(Position->second.m_Registration.m_Service, Now);
+  m_Overrides.erase(Position->first);
+  return std::move(m_Endpoints.extract(Position).mapped());
+}
+
+std::vector<EndpointId> EndpointDirectory::unconfirmedRemovals() const {
+  std::vector<EndpointId> Result;
+  for (const auto &[Id, Existing] : m_Endpoints)
+    if (Existing.m_ExpiresAt)
+      Result.push_back(Id);
+  return Result;
+}
+
+std::optional<Endpoint> EndpointDirectory::confirmRemoval(const EndpointId &Id,
+                                                          Instant Now) {
+  const auto Found = m_Endpoints.find(Id);
+  if (Found == m_Endpoints.end() || !Found->second.m_ExpiresAt)
+    return std::nullopt;
+  return extract(Found, Now);
+}
+
 std::vector<Endpoint>
 EndpointDirectory::retain(const std::set<EndpointId> &Present, Instant Now) {
   std::vector<EndpointId> Missing;
--- a/Source/Core/Core/Serving/EndpointDirectory.h
+++ b/Source/Core/Core/Serving/EndpointDirectory.h
@@ -57,8 +57,9 @@
 /// This host's view of an endpoint.
 struct Endpoint {
   Registration m_Registration;
-  /// Set if the registry entry expired during a registry outage, so the
-  /// endpoint may still be alive. It is removed at this time.
+  /// Set if the registry entry is gone and may have expired in a registry
+  /// outage, so that the endpoint may still serve. It is removed at this time
+  /// unless confirmRemoval() comes first.
   std::optional<Instant> m_ExpiresAt;
   Instant m_AddedAt; ///< Time at which this host first saw the endpoint.
 
@@ -76,9 +77,12 @@
   Restarted, ///< A new incarnation under a known id.
 };
 
-/// Tracks the endpoints from their registrations. An entry that expires during
-/// a registry outage is kept until ExpiryGracePeriod after the registry has
-/// recovered. Thread safety: none.
+/// Tracks the endpoints from their registrations. An entry that is gone after a
+/// registry outage has either expired in it or been removed because its
+/// endpoint left. The endpoint is kept until ExpiryGracePeriod after the
+/// registry has recovered, or until confirmRemoval() says that it left. Whether
+/// the registry was away or only the path to it cannot be told from here.
+/// Thread safety: none.
 class EndpointDirectory {
 public:
   /// Endpoints re-register within two seconds of the registry's recovery; the
@@ -100,6 +104,11 @@
 
   void onRegistryUnavailable();
   void onRegistryRestored(Instant Now);
+  /// Endpoints whose removal is delayed.
+  std::vector<EndpointId> unconfirmedRemovals() const;
+  /// Removes an endpoint whose removal is delayed and returns it. Returns
+  /// nothing if it has registered again or is gone.
+  std::optional<Endpoint> confirmRemoval(const EndpointId &Id, Instant Now);
   /// Removes endpoints whose grace period has ended, and returns them.
   std::vector<Endpoint> expire(Instant Now);
 
@@ -131,6 +140,8 @@
                  Instant Now);
   void applyOverrides(Registration &Incoming, Instant Now);
   bool isRegistryStateUncertain(Instant Now) const;
+  Endpoint extract(std::map<EndpointId, Endpoint>::iterator Position,
+                   Instant Now);
 
   std::map<EndpointId, Endpoint> m_Endpoints;
   std::map<EndpointId, InventoryOverrides> m_Overrides;
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -202,11 +202,30 @@
                                                    EndpointId Id) = 0;
 };
 
+/// What an endpoint says of itself in a health check.
+enum class HealthStatus {
+  Serving,    ///< The endpoint is healthy and does not leave.
+  NotServing, ///< It leaves or fails, or its address has another owner.
+  NoAnswer,
+};
+
+/// Asks endpoints of any service for their health.
+/// Thread safety: use from the host's io_context only.
+class HealthChecker {
+public:
+  virtual ~HealthChecker() = default;
+  /// Sends a health check to \p Path at \p Remote and waits for less than a
+  /// second for the answer of \p Id.
+  virtual Task<HealthStatus> check(http::Address Remote, EndpointId Id,
+                                   std::string Path) = 0;
+};
+
 /// The platform adapter's implementations of the interfaces.
 struct Platform {
   std::shared_ptr<WireFormat> m_WireFormat;
   std::shared_ptr<Store> m_Store;
   std::shared_ptr<EngineControl> m_Engines;
+  std::shared_ptr<HealthChecker> m_Health;
 };
 
 } // namespace sff::host
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -23,6 +23,18 @@
 
 constexpr auto LogCategory = log::Category::Platform;
 
+std::string_view toString(HealthStatus Status) {
+  switch (Status) {
+  case HealthStatus::Serving:
+    return "serving";
+  case HealthStatus::NotServing:
+    return "not_serving";
+  case HealthStatus::NoAnswer:
+    return "no_answer";
+  }
+  return "";
+}
+
 std::string_view toString(serving::RegistrationEffect Effect) {
   switch (Effect) {
   case serving::RegistrationEffect::Stale:
@@ -56,6 +68,7 @@
   if (Reachable) {
     m_State.m_Endpoints.onRegistryRestored(now());
     log::info(LogCategory, "store.regained", Ages);
+    m_State.spawn("expire_endpoints", expireEndpoints());
     return;
   }
   m_State.m_Endpoints.onRegistryUnavailable();
@@ -140,6 +153,50 @@
             {{"endpoint", Id}});
 }
 
+void StoreFollower::verifyRemovals() {
+  for (const EndpointId &Id : m_State.m_Endpoints.unconfirmedRemovals())
+    m_State.spawn("verify_removal", verifyRemoval(Id));
+}
+
+Task<void> StoreFollower::verifyRemoval(EndpointId Id) {
+  const auto Remote = m_State.addressOf(Id);
+  const serving::Endpoint *Known = m_State.m_Endpoints.find(Id);
+  if (!Remote || !Known || !m_State.m_Catalogue)
+    co_return;
+  const serving::Service *Service =
+      m_State.m_Catalogue->findService(Known->m_Registration.m_Service);
+  auto Status = HealthStatus::NoAnswer;
+  if (Service && !Service->m_HealthPath.empty())
+    Status = co_await m_State.m_Platform.m_Health->check(*Remote, Id,
+                                                         Service->m_HealthPath);
+  log::info(log::Category::Membership, "endpoint.removal_checked",
+            {{"endpoint", Id}, {"health", toString(Status)}});
+  if (Status == HealthStatus::Serving)
+    co_return;
+  if (const auto Gone = m_State.m_Endpoints.confirmRemoval(Id, now())) {
+    m_State.m_Metrics.onRemoval("confirmed");
+    onGone(*Gone);
+    onDirectoryChanged();
+  }
+}
+
+Task<void> StoreFollower::expireEndpoints() {
+  co_await sleepFor(serving::EndpointDirectory::ExpiryGracePeriod);
+  // Endpoints cannot register while the store is away again.
+  if (!m_Reachable)
+    co_return;
+  for (const auto &Gone : m_State.m_Endpoints.expire(now())) {
+    m_State.m_Metrics.onRemoval("expired");
+    onGone(Gone);
+  }
+  onDirectoryChanged();
+}
+
+void StoreFollower::onDirectoryChanged() {
+  m_State.m_Metrics.setEndpoints(m_State.m_Endpoints.all().size());
+  m_State.m_Changed.notifyAll();
+}
+
 void StoreFollower::onGone(const serving::Endpoint &Gone) {
   const serving::Registration &Last = Gone.m_Registration;
   log::info(log::Category::Membership, "endpoint.removed",
@@ -190,10 +247,8 @@
       onGone(Gone);
     m_State.m_EndpointsKnown = true;
   }
-  for (const auto &Gone : m_State.m_Endpoints.expire(now()))
-    onGone(Gone);
-  m_State.m_Metrics.setEndpoints(m_State.m_Endpoints.all().size());
-  m_State.m_Changed.notifyAll();
+  verifyRemovals();
+  onDirectoryChanged();
 }
 
 Task<void> StoreFollower::followEndpoints() {
--- a/Source/Core/Host/StoreFollower.h
+++ b/Source/Core/Host/StoreFollower.h
@@ -21,6 +21,14 @@
   void apply(const EndpointBatch &Batch, bool WholeListing);
   void applyRegistration(const serving::Registration &Item);
   void applyRemoval(const EndpointId &Id);
+  /// Asks each endpoint whose removal is delayed whether it still serves.
+  void verifyRemovals();
+  /// Removes the endpoint unless it answers that it still serves.
+  Task<void> verifyRemoval(EndpointId Id);
+  /// Removes the endpoints whose removal was delayed, at the end of the delay.
+  Task<void> expireEndpoints();
+  /// Called after the directory has changed.
+  void onDirectoryChanged();
   /// Called when an endpoint is no longer in the directory.
   void onGone(const serving::Endpoint &Gone);
   /// Connects to an endpoint that vanished while requests were running there.
--- a/Source/UnitTests/Core/Serving/EndpointDirectoryTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointDirectoryTest.cpp
@@ -79,6 +79,34 @@
   EXPECT_EQ(Directory.find(First), nullptr);
 }
 
+// Guards against requests to an endpoint that left during an outage of this
+// host: its removal was delayed although the endpoint says that it leaves.
+TEST(EndpointDirectoryTest, ConfirmedRemovalIsImmediate) {
+  EndpointDirectory Directory;
+  Directory.apply(makeRegistration(1, {}), Start);
+  Directory.onRegistryUnavailable();
+  Directory.onRegistryRestored(Start);
+  ASSERT_FALSE(Directory.remove(First, Start));
+  EXPECT_EQ(Directory.unconfirmedRemovals(), std::vector{First});
+  EXPECT_TRUE(Directory.confirmRemoval(First, Start));
+  EXPECT_EQ(Directory.find(First), nullptr);
+  EXPECT_TRUE(Directory.unconfirmedRemovals().empty());
+}
+
+// Guards against removing an endpoint that has registered again while it was
+// asked whether it still serves.
+TEST(EndpointDirectoryTest, RegistrationRefutesARemoval) {
+  EndpointDirectory Directory;
+  Directory.apply(makeRegistration(1, {}), Start);
+  Directory.onRegistryUnavailable();
+  Directory.onRegistryRestored(Start);
+  ASSERT_FALSE(Directory.remove(First, Start));
+  Directory.apply(makeRegistration(2, {}), Start);
+  EXPECT_TRUE(Directory.unconfirmedRemovals().empty());
+  EXPECT_FALSE(Directory.confirmRemoval(First, Start));
+  EXPECT_NE(Directory.find(First), nullptr);
+}
+
 // Guards against an endpoint that is missing in a new listing and that nobody
 // hears of, so that the requests lost there are not attributed to a crash.
 TEST(EndpointDirectoryTest, EndpointsMissingInAListingAreReturned) {
