Bound the wait of a catalogue read by the time to apply a catalogue

Callers got 404 for routes of the version in force, or were served by the older version, up to 3 s after its acknowledgement, of 2 s allowed.

Of eight hosts, one was late. The same wait hid a silent connection for 3.8 s.

--- a/Source/Core/Host/HostSettings.cpp
+++ b/Source/Core/Host/HostSettings.cpp
@@ -13,6 +13,7 @@
         .add(PeersSetting)
         .add(MetricsSetting)
         .add(StoreSetting)
+        .add(CatalogueApplySetting)
         .add(ZonesSetting)
         .add(CpuShareSetting)
         .add(LeaseSetting)
--- a/Source/Core/Host/HostSettings.h
+++ b/Source/Core/Host/HostSettings.h
@@ -59,6 +59,15 @@
     .m_TextKind = TextKind::Address,
     .m_Required = true};
 
+inline const Setting<milliseconds> CatalogueApplySetting{
+    .m_Section = "store",
+    .m_Key = "catalogue_apply_ms",
+    .m_Default = milliseconds(2000),
+    .m_Unit = "ms",
+    .m_Range = {200, 60000},
+    .m_Doc = "Longest time from the acknowledgement of a configuration until "
+             "this host applies it."};
+
 inline const Setting<std::vector<std::string>> ZonesSetting{
     .m_Section = "process",
     .m_Key = "zones",
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// Part of the time to apply a catalogue that one read of it may wait. A read
+/// that reaches the store while a record is appended may be answered only at
+/// the end of its wait; the rest of the time is for the next read.
+constexpr double CatalogueWaitShare = 0.75;
 /// Longest wait of one read of the catalogue. Bounded because a dead connection
 /// is noticed only by the next read.
 constexpr milliseconds MaxCatalogueWait{3000};
@@ -94,13 +98,20 @@
   m_State.m_Changed.notifyAll();
 }
 
+milliseconds StoreFollower::catalogueWait() const {
+  const Duration ApplyTime = m_State.m_Settings.get(CatalogueApplySetting);
+  return std::min(
+      MaxCatalogueWait,
+      toMilliseconds(fromSeconds(CatalogueWaitShare * toSeconds(ApplyTime))));
+}
+
 Task<void> StoreFollower::followCatalogue() {
   std::optional<Cursor> Position;
   while (true) {
     CatalogueBatch Batch;
     if (Position)
       Batch = co_await m_State.m_Platform.m_Store->followCatalogue(
-          *Position, m_Reachable ? MaxCatalogueWait : milliseconds(0));
+          *Position, m_Reachable ? catalogueWait() : milliseconds(0));
     else
       Batch = co_await m_State.m_Platform.m_Store->listCatalogue();
     m_State.m_Metrics.onStoreCall("catalogue",
--- a/Source/Core/Host/StoreFollower.h
+++ b/Source/Core/Host/StoreFollower.h
@@ -16,6 +16,8 @@
 
 private:
   Task<void> followCatalogue();
+  /// Longest wait of one read of the catalogue.
+  milliseconds catalogueWait() const;
   Task<void> followEndpoints();
   void applyCatalogue(const std::shared_ptr<const serving::Catalogue> &Newest);
   void apply(const EndpointBatch &Batch, bool WholeListing);
