Reset the connection of a call that is given up

Cause: the host wrote the request while its zone was cut off, gave it up after 3 s of silence and closed the connection in order. The kernel kept the unacknowledged bytes and delivered them after the cut, 20.194 s for a send of 13.95 s.

Change: sockets to endpoints, peers and the store are closed by a reset, which drops such bytes; also when a timeout closes them or the process ends.

--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -78,10 +78,19 @@
 /// timeout.
 constexpr int MaxBodyTimeFactor = 4;
 
+/// Makes every close of the socket a reset. After an orderly close the kernel
+/// goes on delivering a request that a partition holds up, so it would reach its
+/// endpoint after the call was given up.
+void resetOnClose(tcp::socket &Socket) {
+  error_code Ignored;
+  Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+}
+
 void configureSocket(tcp::socket &Socket) {
   using UserTimeout =
       asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
   error_code Ignored;
+  resetOnClose(Socket);
   Socket.set_option(tcp::no_delay(true), Ignored);
   Socket.set_option(UserTimeout(TcpUserTimeoutMs), Ignored);
 }
