--- a/Source/Core/Core/Serving/EndpointDirectory.h
+++ b/Source/Core/Core/Serving/EndpointDirectory.h
@@ -49,6 +49,9 @@
   std::string m_Service;
   std::string m_Address; ///< "ip:port".
   ZoneId m_Zone;
+  /// Version of the endpoint's software, not of its weights; empty if it is not
+  /// known, which counts as a version of its own.
+  std::string m_SoftwareVersion;
   int m_Slots = 0;
   bool m_Draining = false;
   Inventory m_Inventory;
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -32,6 +32,11 @@
   std::int64_t m_SessionTokens = 0;
   /// The parts of the prompt that other requests may share, in their order.
   std::vector<PromptPartId> m_PromptParts;
+  /// The last event that the caller has, if it takes a stream up.
+  std::string m_LastEventId;
+  /// The request that brought the stream's first event; empty if the caller
+  /// does not name it.
+  RequestId m_ResumedStream;
 };
 
 /// Metadata that the host adds to a request to an endpoint.
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -82,6 +82,9 @@
     co_return;
   }
   m_History = serving::AttemptHistory(m_Route->m_MaxEndpointsPerRequest);
+  if (isTakenUp())
+    logEvent("stream.taken_up", {{"stream", m_Facts.m_ResumedStream},
+                                 {"last_event", m_Facts.m_LastEventId}});
   startTimers();
   m_Fingerprint = std::to_string(
       hashOf(m_Incoming.m_Target + m_Facts.m_Model.str() + m_Incoming.m_Body));
@@ -299,6 +302,16 @@
   return Facts;
 }
 
+std::string RequestSession::softwareOf(const EndpointId &Id) const {
+  const serving::Endpoint *Known = m_State.m_Endpoints.find(Id);
+  return Known ? Known->m_Registration.m_SoftwareVersion : std::string();
+}
+
+bool RequestSession::isTakenUp() const {
+  return m_Route->m_Kind == serving::RouteKind::Stream &&
+         m_Route->m_Resumable && !m_Facts.m_LastEventId.empty();
+}
+
 bool RequestSession::tryAcquireRetry() {
   if (m_History.sends() == 0)
     return true;
@@ -321,6 +334,7 @@
   m_Canceller = std::make_shared<http::CallCanceller>();
   logEvent("request.dispatched",
            {{"endpoint", Id},
+            {"software", softwareOf(Id)},
             {"send", m_History.sends() + 1},
             {"load", m_State.m_Chooser.loads().estimate(Id, now())},
             {"left_ms", toMilliseconds(remainingTime()).count()},
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -114,6 +114,10 @@
   /// Ends the attempt when the endpoint exceeds silenceTimeout() and the
   /// request can fail over; otherwise waits for another timeout.
   void startSilenceTimer(EndpointId Id);
+  /// The software version of an endpoint; empty if it is not known.
+  std::string softwareOf(const EndpointId &Id) const;
+  /// Whether the caller goes on with a stream that an earlier request began.
+  bool isTakenUp() const;
   Duration remainingTime() const { return m_RespondBy - now(); }
   /// Whether the request may be sent again. Takes each send after the first
   /// from the retry budget.
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -146,6 +146,7 @@
             {{"endpoint", Item.m_Id},
              {"effect", toString(Effect)},
              {"service", Item.m_Service},
+             {"software", Item.m_SoftwareVersion},
              {"draining", Item.m_Draining},
              {"heartbeat", Item.m_Heartbeat},
              {"models", Item.m_Inventory.m_Models.size()}});
