Let a stream go on only at the software version that began it

Change: the first event pins a stream to its endpoint's version. A stream that a caller takes up goes on at its version or is refused as not run, with a time to come back. The version is known from this host's own memory, from the fact that the service had one version for the life of a stream, or from the holders of two availability zones, to which hosts send the versions of their streams while there are several. Which versions a service has had is kept in the store for hosts that start.

--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -66,7 +66,8 @@
       m_OrderLeases(m_State, Values.get(PeersSetting)),
       m_Notifier(m_State, Values.get(PeersSetting)),
       m_Swaps(m_State, m_OrderLeases, m_Notifier),
-      m_Demands(m_State, m_OrderLeases, m_Swaps), m_Follower(m_State),
+      m_Demands(m_State, m_OrderLeases, m_Swaps),
+      m_Streams(m_State, m_OrderLeases), m_Follower(m_State, m_Streams),
       m_Callers(m_Context, {},
                 [this](http::Request Incoming, http::Exchange &Caller) {
                   return handleCaller(std::move(Incoming), Caller);
@@ -93,6 +94,7 @@
   m_OrderLeases.start();
   m_Swaps.start();
   m_Demands.start();
+  m_Streams.start();
   m_State.spawn("follow_limits", followLimits());
   m_State.spawn("follow_crashes", m_State.m_Crashes.follow());
   m_State.spawn("publish_crashes", m_State.m_Crashes.publish());
@@ -106,7 +108,7 @@
 
 Task<void> Host::handleCaller(http::Request Incoming, http::Exchange &Caller) {
   const auto Session = std::make_shared<RequestSession>(
-      m_State, m_Demands, m_Sessions, std::move(Incoming), Caller);
+      m_State, m_Demands, m_Streams, m_Sessions, std::move(Incoming), Caller);
   co_await Session->run();
 }
 
@@ -133,6 +135,14 @@
       m_Notifier.onNotice(*Notice);
       Answer = Acknowledgement{};
     }
+  } else if (Incoming.path() == StreamNoticePath) {
+    if (const auto Notice = parseMessage<StreamNotice>(Incoming)) {
+      m_Streams.onNotice(*Notice);
+      Answer = Acknowledgement{};
+    }
+  } else if (Incoming.path() == StreamQueryPath) {
+    if (const auto Query = parseMessage<StreamQuery>(Incoming))
+      Answer = m_Streams.onQuery(*Query);
   }
   if (Answer.is_null())
     co_await Caller.respond(
--- a/Source/Core/Host/Host.h
+++ b/Source/Core/Host/Host.h
@@ -3,6 +3,7 @@
 #include "Host/DemandRouter.h"
 #include "Host/RequestSession.h"
 #include "Host/StoreFollower.h"
+#include "Host/StreamTracker.h"
 #include "Net/Http/Server.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -47,6 +48,7 @@
   InventoryNotifier m_Notifier;
   SwapService m_Swaps;
   DemandRouter m_Demands;
+  StreamTracker m_Streams;
   StoreFollower m_Follower;
   SessionAffinity m_Sessions;
   http::Server m_Callers;
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -50,6 +50,12 @@
       m_MalformedRecords(
           m_Set.counter("sff_host_unreadable_records_total",
                         "Records of the store that were not understood")),
+      m_StreamsTakenUp(m_Set.counterFamily(
+          "sff_host_streams_taken_up_total",
+          "Streams that callers took up, by what became of them")),
+      m_StreamNotices(m_Set.counterFamily(
+          "sff_host_stream_notices_total",
+          "Messages to other hosts about the versions of streams")),
       m_Removals(m_Set.counterFamily(
           "sff_host_removals_total",
           "Removals of registrations by what the host did")),
@@ -138,6 +144,14 @@
     m_MalformedRecords.Increment(Records);
 }
 
+void HostMetrics::onStreamTakenUp(std::string_view Result) {
+  m_StreamsTakenUp.Add({{"result", std::string(Result)}}).Increment();
+}
+
+void HostMetrics::onStreamNotice(bool Answered) {
+  m_StreamNotices.Add({{"answered", Answered ? "yes" : "no"}}).Increment();
+}
+
 void HostMetrics::onRemoval(std::string_view Result) {
   m_Removals.Add({{"result", std::string(Result)}}).Increment();
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -44,6 +44,10 @@
   void onSwap(Duration Taken) { observe(m_Swaps, Taken); }
   void onStoreCall(std::string_view Call, bool Answered);
   void onUnreadableRecords(int Records);
+  /// Counts a stream that a caller takes up, by what becomes of it.
+  void onStreamTakenUp(std::string_view Result);
+  /// Counts a message that tells another host the versions of streams.
+  void onStreamNotice(bool Answered);
   /// Counts the removal of an endpoint's registration, by what this host did.
   void onRemoval(std::string_view Result);
   void setEndpoints(std::size_t Count);
@@ -88,6 +92,8 @@
   prometheus::Family<prometheus::Gauge> &m_SuspectPartCrashes;
   std::map<std::string, prometheus::Gauge *> m_SuspectParts;
   prometheus::Counter &m_MalformedRecords;
+  prometheus::Family<prometheus::Counter> &m_StreamsTakenUp;
+  prometheus::Family<prometheus::Counter> &m_StreamNotices;
   prometheus::Family<prometheus::Counter> &m_Removals;
   prometheus::Gauge &m_Endpoints;
   prometheus::Gauge &m_LimitedEndpoints;
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -74,7 +74,8 @@
 }
 
 milliseconds HostState::ageOf(const std::optional<Instant> &ConfirmedAt) {
-  return ConfirmedAt ? toMilliseconds(now() - *ConfirmedAt) : milliseconds(0);
+  return ConfirmedAt ? toMilliseconds(bootTime() - *ConfirmedAt)
+                     : milliseconds(0);
 }
 
 void HostState::spawn(std::string TaskName, Task<void> Operation) {
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -70,8 +70,8 @@
   AsyncCondition m_Changed;
   std::shared_ptr<const serving::Catalogue> m_Catalogue;
   serving::EndpointDirectory m_Endpoints;
-  /// Times at which the store last answered a read of the catalogue and of the
-  /// registrations.
+  /// Values of bootTime() at which the store last answered a read of the
+  /// catalogue and of the registrations.
   std::optional<Instant> m_CatalogueConfirmedAt;
   std::optional<Instant> m_EndpointsConfirmedAt;
   /// Set while the process shuts down: requests that wait for a model are
--- a/Source/Core/Host/OrderLeases.cpp
+++ b/Source/Core/Host/OrderLeases.cpp
@@ -94,14 +94,20 @@
                {{"zone", Zone}, {"token", Token}});
 }
 
-Task<std::optional<std::string>> OrderLeases::findHolder(ZoneId Zone) {
+std::optional<std::string> OrderLeases::knownHolder(const ZoneId &Zone) const {
   if (const auto Found = m_Leases.find(Zone);
       Found != m_Leases.end() && Found->second.holds())
-    co_return m_Member;
-  ZoneHolder Known = m_Holders[Zone];
-  if (!Known.m_Member.empty())
-    co_return Known.m_Member;
-  if (now() - Known.m_QueriedAt < MinHolderQueryInterval)
+    return m_Member;
+  const auto Found = m_Holders.find(Zone);
+  if (Found == m_Holders.end() || Found->second.m_Member.empty())
+    return std::nullopt;
+  return Found->second.m_Member;
+}
+
+Task<std::optional<std::string>> OrderLeases::findHolder(ZoneId Zone) {
+  if (auto Known = knownHolder(Zone))
+    co_return Known;
+  if (now() - m_Holders[Zone].m_QueriedAt < MinHolderQueryInterval)
     co_return std::nullopt;
   m_Holders[Zone].m_QueriedAt = now();
   const auto Answer = co_await m_State.m_Platform.m_Store->findHolder(Zone);
--- a/Source/Core/Host/OrderLeases.h
+++ b/Source/Core/Host/OrderLeases.h
@@ -30,6 +30,8 @@
   /// The peer address of the holder, or nothing when it is not known. Queries
   /// the store at most once a second for each zone.
   Task<std::optional<std::string>> findHolder(ZoneId Zone);
+  /// The same without a query to the store.
+  std::optional<std::string> knownHolder(const ZoneId &Zone) const;
   /// Removes the cached holder, which did not respond or is no longer the
   /// holder.
   void invalidateHolder(const ZoneId &Zone);
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -4,6 +4,7 @@
 #include "Core/Serving/EndpointDirectory.h"
 #include "Core/Serving/OrderLease.h"
 #include "Host/CrashMessage.h"
+#include "Host/StreamMessages.h"
 #include "Net/Http/Client.h"
 #include "Net/Http/Message.h"
 
@@ -154,6 +155,13 @@
   /// Reads the crashes from \p From on and waits up to \p Wait for the first
   /// one.
   virtual Task<CrashBatch> followCrashes(Cursor From, milliseconds Wait) = 0;
+  /// Writes which software versions a service has had lately, in place of what
+  /// was written of it before. Returns false when the store has not confirmed
+  /// it.
+  virtual Task<bool> writeVersions(ServiceVersions Versions) = 0;
+  /// Reads what was written by writeVersions(). Returns nothing when the store
+  /// does not respond.
+  virtual Task<std::optional<std::vector<ServiceVersions>>> listVersions() = 0;
   /// Joins the group of \p Zone or renews the membership. Returns nothing when
   /// the store does not respond.
   virtual Task<std::optional<GroupMembership>>
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -63,11 +63,13 @@
 }
 
 RequestSession::RequestSession(HostState &State, DemandRouter &Demands,
+                               StreamTracker &Streams,
                                SessionAffinity &Sessions,
                                http::Request Incoming, http::Exchange &Caller)
-    : m_State(State), m_Demands(Demands), m_Sessions(Sessions),
-      m_Incoming(std::move(Incoming)), m_Caller(Caller), m_ArrivedAt(now()),
-      m_Timer(State.m_Context), m_SilenceTimer(State.m_Context) {}
+    : m_State(State), m_Demands(Demands), m_Streams(Streams),
+      m_Sessions(Sessions), m_Incoming(std::move(Incoming)), m_Caller(Caller),
+      m_ArrivedAt(now()), m_Timer(State.m_Context),
+      m_SilenceTimer(State.m_Context) {}
 
 Task<void> RequestSession::run() {
   m_Facts = m_State.m_Platform.m_WireFormat->decode(m_Incoming);
@@ -82,9 +84,6 @@
     co_return;
   }
   m_History = serving::AttemptHistory(m_Route->m_MaxEndpointsPerRequest);
-  if (isTakenUp())
-    logEvent("stream.taken_up", {{"stream", m_Facts.m_ResumedStream},
-                                 {"last_event", m_Facts.m_LastEventId}});
   startTimers();
   m_Fingerprint = std::to_string(
       hashOf(m_Incoming.m_Target + m_Facts.m_Model.str() + m_Incoming.m_Body));
@@ -154,6 +153,13 @@
   m_State.budget(m_Service->m_Name).onRequest(now());
   if (!m_Facts.m_Model.m_Model.empty())
     m_Demands.onRequest(m_Facts.m_Model);
+  if (isTakenUp()) {
+    const bool IsKnown = co_await pinVersion();
+    if (!IsKnown && !isOver()) {
+      co_await endWithFailure("stream_version_unknown");
+      co_return;
+    }
+  }
   while (!isOver()) {
     const Step Next = co_await serveOnce();
     if (Next == Step::Finished)
@@ -176,11 +182,11 @@
 std::vector<const serving::Endpoint *> RequestSession::holders() const {
   auto List = m_State.m_Endpoints.serving(m_Service->m_Name);
   const serving::ModelName &Name = m_Facts.m_Model;
-  if (Name.m_Model.empty() || !m_Service->m_Engine)
-    return List;
-  std::erase_if(List, [&Name](const serving::Endpoint *Item) {
-    return !Item->inventory().holds(Name);
-  });
+  if (!Name.m_Model.empty() && m_Service->m_Engine)
+    std::erase_if(List, [&Name](const serving::Endpoint *Item) {
+      return !Item->inventory().holds(Name);
+    });
+  filterByVersion(List);
   return List;
 }
 
@@ -206,6 +212,11 @@
   const auto List = candidates();
   const bool NeedsModel =
       m_Service->m_Engine && !m_Facts.m_Model.m_Model.empty();
+  if (List.empty() && m_StreamVersion && holders().empty()) {
+    // A load would not be bound to endpoints of the stream's version.
+    co_await endWithFailure("no_endpoint_of_version");
+    co_return Step::Finished;
+  }
   if (List.empty() && NeedsModel)
     co_return co_await waitForModel();
   if (List.empty())
@@ -302,16 +313,6 @@
   return Facts;
 }
 
-std::string RequestSession::softwareOf(const EndpointId &Id) const {
-  const serving::Endpoint *Known = m_State.m_Endpoints.find(Id);
-  return Known ? Known->m_Registration.m_SoftwareVersion : std::string();
-}
-
-bool RequestSession::isTakenUp() const {
-  return m_Route->m_Kind == serving::RouteKind::Stream &&
-         m_Route->m_Resumable && !m_Facts.m_LastEventId.empty();
-}
-
 bool RequestSession::tryAcquireRetry() {
   if (m_History.sends() == 0)
     return true;
@@ -332,9 +333,10 @@
   if (m_History.sends() > 0)
     m_State.m_Metrics.onRetry();
   m_Canceller = std::make_shared<http::CallCanceller>();
+  m_AttemptVersion = softwareOf(Id);
   logEvent("request.dispatched",
            {{"endpoint", Id},
-            {"software", softwareOf(Id)},
+            {"software", m_AttemptVersion},
             {"send", m_History.sends() + 1},
             {"load", m_State.m_Chooser.loads().estimate(Id, now())},
             {"left_ms", toMilliseconds(remainingTime()).count()},
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -4,6 +4,7 @@
 #include "Core/Serving/AttemptHistory.h"
 #include "Core/Streaming/CompleteEventBuffer.h"
 #include "Host/DemandRouter.h"
+#include "Host/StreamTracker.h"
 #include "Net/Http/Server.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -33,8 +34,8 @@
 public:
   /// Precondition: \p Caller outlives the call of run().
   RequestSession(HostState &State, DemandRouter &Demands,
-                 SessionAffinity &Sessions, http::Request Incoming,
-                 http::Exchange &Caller);
+                 StreamTracker &Streams, SessionAffinity &Sessions,
+                 http::Request Incoming, http::Exchange &Caller);
 
   Task<void> run();
 
@@ -57,7 +58,17 @@
   Task<Step> serveOnce();
   /// Returns the reason to reject the request because of crashes, if any.
   std::optional<std::string_view> checkQuarantine();
-  /// Endpoints that serve the request's service and hold its model.
+  /// Learns the software version at which the stream that the caller takes up
+  /// may go on. Returns false if it cannot be known.
+  Task<bool> pinVersion();
+  /// Records the version of a stream that is about to bring its first event.
+  void onFirstEvent();
+  StreamQuery streamQuery(const RequestId &Stream) const;
+  /// Removes the endpoints of software versions at which the request may not be
+  /// run.
+  void filterByVersion(std::vector<const serving::Endpoint *> &List) const;
+  /// Endpoints that serve the request's service, hold its model and have a
+  /// software version that may run it.
   std::vector<const serving::Endpoint *> holders() const;
   /// The holders whose request rate allows a request now.
   std::vector<const serving::Endpoint *> candidates() const;
@@ -118,6 +129,7 @@
   std::string softwareOf(const EndpointId &Id) const;
   /// Whether the caller goes on with a stream that an earlier request began.
   bool isTakenUp() const;
+  bool isResumableStream() const;
   Duration remainingTime() const { return m_RespondBy - now(); }
   /// Whether the request may be sent again. Takes each send after the first
   /// from the retry budget.
@@ -138,6 +150,7 @@
 
   HostState &m_State;
   DemandRouter &m_Demands;
+  StreamTracker &m_Streams;
   SessionAffinity &m_Sessions;
   http::Request m_Incoming;
   http::Exchange &m_Caller;
@@ -168,6 +181,10 @@
   bool m_CallerReadsToEnd = false;
   bool m_WaitLogged = false; ///< The wait for the model is logged only once.
   streaming::CompleteEventBuffer m_Events;
+  /// The software version at which the stream began. Set once its first event
+  /// is known to have come; the stream goes on at no other.
+  std::optional<std::string> m_StreamVersion;
+  std::string m_AttemptVersion; ///< Version of the latest attempt's endpoint.
   std::string m_Fingerprint;
   /// The parts of the prompt of which the latest attempt is the trial.
   std::vector<PromptPartId> m_TrialParts;
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -125,7 +125,7 @@
       Position.reset();
       continue;
     }
-    m_State.m_CatalogueConfirmedAt = now();
+    m_State.m_CatalogueConfirmedAt = bootTime();
     applyCatalogue(Batch.m_Newest);
     Position = Batch.m_Next;
     // No catalogue has been published yet: read again after a delay.
@@ -205,6 +205,7 @@
 }
 
 void StoreFollower::onDirectoryChanged() {
+  m_Streams.onDirectoryChanged();
   m_State.m_Metrics.setEndpoints(m_State.m_Endpoints.all().size());
   m_State.m_Changed.notifyAll();
 }
@@ -285,7 +286,7 @@
       Position.reset();
       continue;
     }
-    m_State.m_EndpointsConfirmedAt = now();
+    m_State.m_EndpointsConfirmedAt = bootTime();
     apply(Batch, WholeListing);
     Position = Batch.m_Next;
     co_await sleepFor(BatchInterval);
--- a/Source/Core/Host/StoreFollower.h
+++ b/Source/Core/Host/StoreFollower.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Host/HostState.h"
+#include "Host/StreamTracker.h"
 
 namespace sff::host {
 
@@ -9,8 +9,9 @@
 /// Thread safety: use from the host's io_context only.
 class StoreFollower {
 public:
-  /// Precondition: \p State outlives the run of the io_context.
-  explicit StoreFollower(HostState &State) : m_State(State) {}
+  /// Precondition: \p State and \p Streams outlive the run of the io_context.
+  StoreFollower(HostState &State, StreamTracker &Streams)
+      : m_State(State), m_Streams(Streams) {}
 
   void start();
 
@@ -40,6 +41,7 @@
   void setReachable(bool Reachable);
 
   HostState &m_State;
+  StreamTracker &m_Streams;
   bool m_Reachable = true;
 };
 
--- /dev/null
+++ b/Source/Core/Host/StreamMessages.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "Common/Codec/Fields.h"
+#include "Common/Identity/Ids.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sff::host {
+
+/// HTTP paths of the calls between hosts about streams.
+constexpr std::string_view StreamQueryPath = "/v1/streams/query";
+constexpr std::string_view StreamNoticePath = "/v1/streams/notice";
+
+/// Asks which software version began a stream.
+struct StreamQuery {
+  RequestId m_Stream; ///< The request that brought its first event, or empty.
+  std::string m_Service;
+  /// How long before now the stream can have begun.
+  std::int64_t m_LifetimeMs = 0;
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("stream", &StreamQuery::m_Stream),
+                           field("service", &StreamQuery::m_Service),
+                           field("lifetime_ms", &StreamQuery::m_LifetimeMs));
+  }
+};
+
+/// Where the answer to a query comes from.
+enum class StreamKnowledge {
+  None,
+  Recorded,  ///< The version of this stream is known.
+  Ambiguous, ///< Streams of several versions have this id.
+  Sole,      ///< The service had no other version in the stream's lifetime.
+  Mixed,     ///< The service had several versions, and no record is known.
+};
+
+NLOHMANN_JSON_SERIALIZE_ENUM(StreamKnowledge,
+                             {{StreamKnowledge::None, "none"},
+                              {StreamKnowledge::Recorded, "recorded"},
+                              {StreamKnowledge::Ambiguous, "ambiguous"},
+                              {StreamKnowledge::Sole, "sole"},
+                              {StreamKnowledge::Mixed, "mixed"}})
+
+struct StreamAnswer {
+  StreamKnowledge m_Knowledge = StreamKnowledge::None;
+  std::string m_Version; ///< Set for Recorded and Sole.
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("knowledge", &StreamAnswer::m_Knowledge),
+                           field("version", &StreamAnswer::m_Version));
+  }
+};
+
+struct StreamRecord {
+  RequestId m_Stream;
+  std::string m_Version;
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("stream", &StreamRecord::m_Stream),
+                           field("version", &StreamRecord::m_Version));
+  }
+};
+
+/// Tells the version of streams that have begun.
+struct StreamNotice {
+  std::vector<StreamRecord> m_Streams;
+
+  static constexpr auto describe() {
+    return std::make_tuple(codec::field("streams", &StreamNotice::m_Streams));
+  }
+};
+
+/// A software version that a service has had.
+struct VersionRecord {
+  std::string m_Version;
+  /// An endpoint of it was registered when this was written.
+  bool m_IsPresent = false;
+  /// Unix time in milliseconds until which its endpoints may have begun
+  /// streams, if it has left.
+  std::int64_t m_LastSeenUnixMs = 0;
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(
+        field("version", &VersionRecord::m_Version),
+        field("present", &VersionRecord::m_IsPresent),
+        field("last_seen_unix_ms", &VersionRecord::m_LastSeenUnixMs));
+  }
+};
+
+/// The software versions that a service has had lately: a record in the store
+/// for hosts that start.
+struct ServiceVersions {
+  std::string m_Service;
+  std::vector<VersionRecord> m_Versions;
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("service", &ServiceVersions::m_Service),
+                           field("versions", &ServiceVersions::m_Versions));
+  }
+};
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/StreamTracker.cpp
@@ -0,0 +1,253 @@
+#include "Host/StreamTracker.h"
+
+#include "Host/PeerCall.h"
+
+#include <algorithm>
+
+namespace sff::host {
+
+namespace {
+
+constexpr auto LogCategory = log::Category::Routing;
+
+/// Delay in which versions of streams are collected into one message. Streams
+/// whose host ends before are not known elsewhere.
+constexpr milliseconds NoticeDelay{20};
+constexpr milliseconds NoticeTimeout{1000};
+constexpr milliseconds QueryTimeout{250};
+/// Delay before the holders are asked again, for messages on their way.
+constexpr milliseconds RepeatDelay{60};
+constexpr int MaxQueries = 2;
+constexpr milliseconds HistoryRetryDelay{500};
+/// Most by which the clocks of two hosts differ.
+constexpr std::chrono::seconds MaxClockDifference{10};
+/// Number of availability zones whose holders keep the version of a stream.
+constexpr std::size_t KeeperZones = 2;
+/// Longest id and version that are remembered. Callers choose the ids.
+constexpr std::size_t MaxTextBytes = 128;
+/// Most streams that are announced when a service gets a second version.
+constexpr std::size_t MaxAnnounced = 500;
+/// Age of the oldest streams that are announced then.
+constexpr std::chrono::seconds AnnouncedAge{10};
+
+milliseconds unixTime() {
+  return std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+/// Until when endpoints of a version may have begun streams. One that was
+/// present when all hosts ended may have left unnoticed until now.
+Instant lastSeen(const VersionRecord &Record) {
+  if (Record.m_IsPresent)
+    return bootTime();
+  const milliseconds Age =
+      unixTime() - milliseconds(Record.m_LastSeenUnixMs) - MaxClockDifference;
+  return bootTime() - std::max(Age, milliseconds(0));
+}
+
+} // namespace
+
+void StreamTracker::start() { m_State.spawn("read_versions", readHistory()); }
+
+Task<void> StreamTracker::readHistory() {
+  std::optional<std::vector<ServiceVersions>> Earlier;
+  while (!Earlier) {
+    Earlier = co_await m_State.m_Platform.m_Store->listVersions();
+    m_State.m_Metrics.onStoreCall("versions", Earlier.has_value());
+    if (!Earlier)
+      co_await sleepFor(HistoryRetryDelay);
+  }
+  for (const ServiceVersions &Service : *Earlier)
+    for (const VersionRecord &Record : Service.m_Versions)
+      m_Versions.addHistory(Service.m_Service,
+                            {Record.m_Version, lastSeen(Record)});
+  m_Versions.onHistoryComplete();
+  log::info(LogCategory, "streams.history", {{"services", Earlier->size()}});
+}
+
+Task<void> StreamTracker::writeVersions(std::string Service) {
+  ServiceVersions Versions{Service, {}};
+  for (const auto &Known : m_Versions.known(Service)) {
+    const milliseconds LastSeen =
+        unixTime() - toMilliseconds(bootTime() - Known.m_LastSeen);
+    Versions.m_Versions.push_back(
+        {Known.m_Version, Known.m_IsPresent, LastSeen.count()});
+  }
+  const bool Written =
+      co_await m_State.m_Platform.m_Store->writeVersions(std::move(Versions));
+  m_State.m_Metrics.onStoreCall("versions", Written);
+  log::info(LogCategory, "streams.versions_changed",
+            {{"service", Service}, {"written", Written}});
+}
+
+void StreamTracker::updateVersions() {
+  const auto Changed = m_Versions.update(m_State.m_Endpoints, bootTime());
+  if (Changed.empty())
+    return;
+  for (const std::string &Service : Changed)
+    m_State.spawn("write_versions", writeVersions(Service));
+  // Other hosts took these streams for streams of the sole version until now.
+  for (const serving::StreamVersion &Begun :
+       m_Streams.recordedSince(bootTime() - AnnouncedAge, MaxAnnounced))
+    announce(Begun);
+}
+
+void StreamTracker::onDirectoryChanged() { updateVersions(); }
+
+bool StreamTracker::mayBegin(const std::string &Service,
+                             const std::string &Version) const {
+  return m_Versions.isSettled(Service, Version, bootTime());
+}
+
+void StreamTracker::onBegun(const StreamQuery &Stream,
+                            const std::string &Version) {
+  if (Stream.m_Stream.str().size() > MaxTextBytes ||
+      Version.size() > MaxTextBytes)
+    return;
+  const serving::StreamVersion Begun{Stream.m_Stream, Version};
+  m_Streams.record(Begun, bootTime());
+  if (m_Versions.isMixed(Stream.m_Service, milliseconds(Stream.m_LifetimeMs),
+                         bootTime()))
+    announce(Begun);
+}
+
+void StreamTracker::announce(const serving::StreamVersion &Begun) {
+  const bool IsFirst = m_Pending.m_Streams.empty();
+  m_Pending.m_Streams.push_back({Begun.m_Stream, Begun.m_Version});
+  if (IsFirst)
+    m_State.spawn("send_streams", sendBatch());
+}
+
+std::vector<std::string> StreamTracker::recordKeepers() const {
+  const auto Zones = m_State.m_Settings.get(ZonesSetting);
+  const auto Own = std::ranges::find(Zones, m_State.m_Zone.str());
+  const auto First =
+      Own == Zones.end() ? 0U : static_cast<std::size_t>(Own - Zones.begin());
+  std::vector<std::string> Result;
+  for (std::size_t Step = 0; Step < Zones.size() && Result.size() < KeeperZones;
+       ++Step) {
+    const ZoneId Zone(Zones[(First + Step) % Zones.size()]);
+    const auto Holder = m_OrderLeases.knownHolder(Zone);
+    if (Holder && *Holder != m_OrderLeases.member())
+      Result.push_back(*Holder);
+  }
+  return Result;
+}
+
+Task<void> StreamTracker::sendBatch() {
+  co_await sleepFor(NoticeDelay);
+  const StreamNotice Notice = std::exchange(m_Pending, {});
+  for (const std::string &Holder : recordKeepers())
+    m_State.spawn("send_streams", sendNotice(Holder, Notice));
+}
+
+Task<void> StreamTracker::sendNotice(std::string Holder, StreamNotice Notice) {
+  const auto Answer = co_await callPeer<Acknowledgement>(
+      m_Peers, Holder, StreamNoticePath, std::move(Notice), NoticeTimeout);
+  m_State.m_Metrics.onStreamNotice(Answer.has_value());
+}
+
+void StreamTracker::onNotice(const StreamNotice &Notice) {
+  for (const StreamRecord &Record : Notice.m_Streams)
+    m_Streams.record({Record.m_Stream, Record.m_Version}, bootTime());
+}
+
+StreamAnswer StreamTracker::onQuery(const StreamQuery &Query) {
+  const auto Finding = m_Streams.find(Query.m_Stream);
+  if (Finding.m_IsAmbiguous)
+    return {StreamKnowledge::Ambiguous, {}};
+  if (Finding.m_Version)
+    return {StreamKnowledge::Recorded, *Finding.m_Version};
+  updateVersions();
+  const milliseconds Lifetime(Query.m_LifetimeMs);
+  if (m_Versions.isMixed(Query.m_Service, Lifetime, bootTime()))
+    return {StreamKnowledge::Mixed, {}};
+  const auto Sole =
+      m_Versions.soleVersion(Query.m_Service, Lifetime, bootTime());
+  return Sole ? StreamAnswer{StreamKnowledge::Sole, *Sole} : StreamAnswer{};
+}
+
+std::optional<std::string>
+StreamTracker::findLocally(const StreamQuery &Stream) {
+  const StreamAnswer Own = onQuery(Stream);
+  if (Own.m_Knowledge == StreamKnowledge::Recorded)
+    return Own.m_Version;
+  const bool IsFresh =
+      m_State.m_EndpointsConfirmedAt &&
+      m_State.endpointsAge() <= serving::SoftwareVersions::MaxBeliefAge;
+  if (Own.m_Knowledge == StreamKnowledge::Sole && IsFresh)
+    return Own.m_Version;
+  return std::nullopt;
+}
+
+std::optional<std::string>
+StreamTracker::decide(const StreamQuery &Stream,
+                      std::span<const StreamAnswer> Answers) const {
+  const auto Has = [Answers](StreamKnowledge Knowledge) {
+    return std::ranges::find(Answers, Knowledge, &StreamAnswer::m_Knowledge);
+  };
+  if (Has(StreamKnowledge::Ambiguous) != Answers.end())
+    return std::nullopt;
+  if (const auto Recorded = Has(StreamKnowledge::Recorded);
+      Recorded != Answers.end()) {
+    const bool Agree =
+        std::ranges::all_of(Answers, [&Recorded](const StreamAnswer &Answer) {
+          return Answer.m_Knowledge != StreamKnowledge::Recorded ||
+                 Answer.m_Version == Recorded->m_Version;
+        });
+    return Agree ? std::optional(Recorded->m_Version) : std::nullopt;
+  }
+  const auto Sole = Has(StreamKnowledge::Sole);
+  if (Has(StreamKnowledge::Mixed) != Answers.end() || Sole == Answers.end())
+    return std::nullopt;
+  // Another host has followed the registrations for long enough, and this host
+  // knows of no other version.
+  return m_Versions.onlyKnownVersion(Stream.m_Service) == Sole->m_Version
+             ? std::optional(Sole->m_Version)
+             : std::nullopt;
+}
+
+Task<void> StreamTracker::askHolder(std::string Holder, StreamQuery Stream,
+                                    std::shared_ptr<PeerAnswers> Answers) {
+  const auto Answer = co_await callPeer<StreamAnswer>(
+      m_Peers, std::move(Holder), StreamQueryPath, std::move(Stream),
+      QueryTimeout);
+  if (Answer)
+    Answers->m_Answers.push_back(*Answer);
+  --Answers->m_Pending;
+  Answers->m_Changed.notifyAll();
+}
+
+Task<std::vector<StreamAnswer>> StreamTracker::askHolders(StreamQuery Stream) {
+  std::set<std::string> Holders;
+  for (const std::string &Zone : m_State.m_Settings.get(ZonesSetting))
+    if (const auto Holder = m_OrderLeases.knownHolder(ZoneId(Zone)))
+      Holders.insert(*Holder);
+  Holders.erase(m_OrderLeases.member());
+  const auto Answers = std::make_shared<PeerAnswers>();
+  Answers->m_Pending = Holders.size();
+  for (const std::string &Holder : Holders)
+    m_State.spawn("ask_stream", askHolder(Holder, Stream, Answers));
+  const Instant Deadline = now() + QueryTimeout;
+  while (Answers->m_Pending > 0 && now() < Deadline)
+    co_await Answers->m_Changed.wait(Deadline - now());
+  co_return Answers->m_Answers;
+}
+
+Task<std::optional<std::string>>
+StreamTracker::findVersion(StreamQuery Stream) {
+  for (int Queries = 0; Queries < MaxQueries; ++Queries) {
+    if (Queries > 0)
+      co_await sleepFor(RepeatDelay);
+    if (m_Streams.find(Stream.m_Stream).m_IsAmbiguous)
+      co_return std::nullopt;
+    if (auto Own = findLocally(Stream))
+      co_return Own;
+    const auto Answers = co_await askHolders(Stream);
+    if (auto Found = decide(Stream, Answers))
+      co_return Found;
+  }
+  co_return std::nullopt;
+}
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/UnitTests/Core/Serving/SoftwareVersionsTest.cpp
@@ -0,0 +1,120 @@
+#include "Core/Serving/SoftwareVersions.h"
+
+#include <gtest/gtest.h>
+
+namespace sff::serving {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Instant Start{};
+constexpr seconds Lifetime{10};
+
+class SoftwareVersionsTest : public testing::Test {
+protected:
+  void add(const std::string &Id, const std::string &Version, Instant Now) {
+    Registration Entry;
+    Entry.m_Id = EndpointId(Id);
+    Entry.m_Service = "engine";
+    Entry.m_SoftwareVersion = Version;
+    m_Directory.apply(Entry, Now);
+    m_Versions.update(m_Directory, Now);
+  }
+  void remove(const std::string &Id, Instant Now) {
+    m_Directory.remove(EndpointId(Id), Now);
+    m_Versions.update(m_Directory, Now);
+  }
+
+  EndpointDirectory m_Directory;
+  SoftwareVersions m_Versions;
+};
+
+// Guards against a guess by a host that has just started: a version that began
+// streams may have left before.
+TEST_F(SoftwareVersionsTest, SoleVersionIsKnownOnlyAfterTheLifeOfAStream) {
+  add("e1", "v1", Start);
+  EXPECT_FALSE(m_Versions.soleVersion("engine", Lifetime, Start));
+  EXPECT_EQ(m_Versions.onlyKnownVersion("engine"), "v1");
+  m_Versions.update(m_Directory, Start + Lifetime);
+  EXPECT_EQ(m_Versions.soleVersion("engine", Lifetime, Start + Lifetime), "v1");
+}
+
+// Guards against forgetting a version whose last endpoint has left while its
+// streams may still be taken up.
+TEST_F(SoftwareVersionsTest, VersionThatLeftCountsForTheLifeOfAStream) {
+  add("e1", "v1", Start);
+  add("e2", "v2", Start + seconds(20));
+  remove("e1", Start + seconds(30));
+  const Instant Soon = Start + seconds(39);
+  m_Versions.update(m_Directory, Soon);
+  EXPECT_TRUE(m_Versions.isMixed("engine", Lifetime, Soon));
+  EXPECT_FALSE(m_Versions.soleVersion("engine", Lifetime, Soon));
+  const Instant Later = Start + seconds(41);
+  m_Versions.update(m_Directory, Later);
+  EXPECT_EQ(m_Versions.soleVersion("engine", Lifetime, Later), "v2");
+}
+
+// Guards against an endpoint without a version that counts as any other.
+TEST_F(SoftwareVersionsTest, MissingVersionIsAVersionOfItsOwn) {
+  add("e1", "", Start);
+  EXPECT_EQ(m_Versions.onlyKnownVersion("engine"), "");
+  add("e2", "v1", Start);
+  EXPECT_TRUE(m_Versions.isMixed("engine", Lifetime, Start));
+}
+
+// Guards against streams at a new version that another host, which has not yet
+// read of it, takes for streams of the sole version.
+TEST_F(SoftwareVersionsTest, NewVersionBeginsStreamsOnlyOnceAllHostsKnowIt) {
+  static_assert(SoftwareVersions::MaxBeliefAge < SoftwareVersions::SettleTime);
+  add("e1", "v1", Start);
+  EXPECT_TRUE(m_Versions.isSettled("engine", "v1", Start));
+  const Instant Added = Start + seconds(20);
+  add("e2", "v2", Added);
+  EXPECT_TRUE(m_Versions.isSettled("engine", "v1", Added));
+  EXPECT_FALSE(m_Versions.isSettled("engine", "v2", Added));
+  EXPECT_TRUE(m_Versions.isSettled("engine", "v2",
+                                   Added + SoftwareVersions::SettleTime));
+}
+
+// Guards against missing the moment from which the versions of streams have to
+// be told to other hosts.
+TEST_F(SoftwareVersionsTest, SecondVersionIsReportedOnce) {
+  add("e1", "v1", Start);
+  EXPECT_TRUE(m_Versions.update(m_Directory, Start).empty());
+  Registration Second;
+  Second.m_Id = EndpointId("e2");
+  Second.m_Service = "engine";
+  Second.m_SoftwareVersion = "v2";
+  m_Directory.apply(Second, Start);
+  EXPECT_EQ(m_Versions.update(m_Directory, Start),
+            std::vector<std::string>{"engine"});
+  EXPECT_TRUE(m_Versions.update(m_Directory, Start).empty());
+}
+
+// Guards against a host that refuses all streams after a restart of all hosts,
+// and against one that does not know of a version that left before.
+TEST_F(SoftwareVersionsTest, HistoryOfOtherHostsStandsForTheOwn) {
+  const Instant Restarted = Start + seconds(100);
+  add("e1", "v2", Restarted);
+  m_Versions.onHistoryComplete();
+  EXPECT_EQ(m_Versions.soleVersion("engine", Lifetime, Restarted), "v2");
+  m_Versions.addHistory("engine", {"v1", Restarted - seconds(4)});
+  EXPECT_TRUE(m_Versions.isMixed("engine", Lifetime, Restarted));
+  EXPECT_FALSE(m_Versions.soleVersion("engine", Lifetime, Restarted));
+}
+
+// Guards against a version that comes back and begins streams at once, though
+// other hosts have forgotten it.
+TEST_F(SoftwareVersionsTest, VersionThatComesBackSettlesAgain) {
+  add("e1", "v1", Start);
+  add("e2", "v2", Start + seconds(10));
+  remove("e1", Start + seconds(20));
+  const Instant Back = Start + seconds(60);
+  add("e3", "v1", Back);
+  EXPECT_FALSE(m_Versions.isSettled("engine", "v1", Back));
+  EXPECT_TRUE(m_Versions.isSettled("engine", "v1",
+                                   Back + SoftwareVersions::SettleTime));
+}
+
+} // namespace
+} // namespace sff::serving
