--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -79,8 +79,8 @@
 constexpr int MaxBodyTimeFactor = 4;
 
 /// Makes every close of the socket a reset. After an orderly close the kernel
-/// goes on delivering a request that a partition holds up, so it would reach its
-/// endpoint after the call was given up.
+/// goes on delivering a request that a partition holds up, so it would reach
+/// its endpoint after the call was given up.
 void resetOnClose(tcp::socket &Socket) {
   error_code Ignored;
   Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
