--- a/Source/Core/Host/StreamTracker.cpp
+++ b/Source/Core/Host/StreamTracker.cpp
@@ -10,9 +10,12 @@
 
 constexpr auto LogCategory = log::Category::Routing;
 
-/// Delay in which versions of streams are collected into one message. Streams
-/// whose host ends before are not known elsewhere.
-constexpr milliseconds NoticeDelay{20};
+/// Shortest delay in which versions of streams are collected into one message.
+/// Streams whose host ends before are not known elsewhere.
+constexpr milliseconds MinNoticeDelay{20};
+/// Limits the messages that all hosts send per second to each of their keepers.
+/// With more hosts, streams are collected for longer.
+constexpr std::int64_t MaxNoticesPerSecond = 1500;
 constexpr milliseconds NoticeTimeout{1000};
 constexpr milliseconds QueryTimeout{250};
 /// Delay before the holders are asked again, for messages on their way.
@@ -135,7 +138,9 @@
 }
 
 Task<void> StreamTracker::sendBatch() {
-  co_await sleepFor(NoticeDelay);
+  const auto Hosts = static_cast<std::int64_t>(m_State.hosts());
+  co_await sleepFor(std::max(MinNoticeDelay,
+                             milliseconds(1000 * Hosts / MaxNoticesPerSecond)));
   const StreamNotice Notice = std::exchange(m_Pending, {});
   for (const std::string &Holder : recordKeepers())
     m_State.spawn("send_streams", sendNotice(Holder, Notice));
