--- a/Source/Core/Controller/Controller.cpp
+++ b/Source/Core/Controller/Controller.cpp
@@ -1,5 +1,6 @@
 #include "Controller/Controller.h"
 
+#include "Common/Time/Clock.h"
 #include "Core/Messages/CommonMessages.h"
 #include "Core/Ownership/TerminatedControllers.h"
 #include "Core/Placement/SlotPlanner.h"
@@ -26,8 +27,6 @@
 /// longer timeout would delay cold starts when it does not respond.
 constexpr milliseconds PermitTimeout{150};
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 Controller::Controller(ControllerSettings Settings)
--- a/Source/Core/Controller/EndpointSupervisor.cpp
+++ b/Source/Core/Controller/EndpointSupervisor.cpp
@@ -1,5 +1,7 @@
 #include "Controller/EndpointSupervisor.h"
 
+#include "Common/Time/Clock.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -12,8 +14,6 @@
 /// response may be lost.
 constexpr int FailuresUntilSilent = 3;
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 EndpointSupervisor::EndpointSupervisor(const ControllerSettings &Settings,
--- a/Source/Core/Ctl/Publish.cpp
+++ b/Source/Core/Ctl/Publish.cpp
@@ -1,5 +1,7 @@
 #include "Ctl/Commands.h"
 
+#include "Common/Time/Clock.h"
+
 #include <thread>
 
 namespace sff::ctl {
@@ -8,8 +10,6 @@
 
 constexpr milliseconds PollInterval{50};
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 /// A change that is being published.
 struct Change {
   fold::CatalogueChange m_Record;
--- a/Source/Core/Ctl/WaitInForce.cpp
+++ b/Source/Core/Ctl/WaitInForce.cpp
@@ -1,5 +1,7 @@
 #include "Ctl/Commands.h"
 
+#include "Common/Time/Clock.h"
+
 #include <algorithm>
 #include <cctype>
 #include <thread>
@@ -15,8 +17,6 @@
 constexpr milliseconds MaxHeartbeatAge{30000};
 constexpr std::size_t MaxOffsetDigits = 19;
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 bool isOffset(const std::string &Text) {
   return !Text.empty() && Text.size() <= MaxOffsetDigits &&
          std::ranges::all_of(
--- a/Source/Core/Host/StreamTracker.cpp
+++ b/Source/Core/Host/StreamTracker.cpp
@@ -33,11 +33,6 @@
 /// Age of the oldest streams that are announced then.
 constexpr std::chrono::seconds AnnouncedAge{10};
 
-milliseconds unixTime() {
-  return std::chrono::duration_cast<milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-}
-
 /// Until when endpoints of a version may have begun streams. One that was
 /// present when all hosts ended may have left unnoticed until now.
 Instant lastSeen(const VersionRecord &Record) {
--- a/Source/Core/Relay/Gossip.cpp
+++ b/Source/Core/Relay/Gossip.cpp
@@ -1,5 +1,7 @@
 #include "Relay/Gossip.h"
 
+#include "Common/Time/Clock.h"
+
 namespace sff::relay {
 
 namespace {
@@ -9,8 +11,6 @@
 /// Otherwise a copy that other relays still send would add the host again.
 constexpr int RetentionFactor = 2;
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 Gossip::Gossip(timers::EventLoop &Loop, PeerPool &Peers,
--- a/Source/Core/Relay/PeerDirectory.cpp
+++ b/Source/Core/Relay/PeerDirectory.cpp
@@ -1,5 +1,7 @@
 #include "Relay/PeerDirectory.h"
 
+#include "Common/Time/Clock.h"
+
 #include <algorithm>
 
 namespace sff::relay {
@@ -11,8 +13,6 @@
 /// other again.
 constexpr int SeedExchangeInterval = 8;
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 PeerDirectory::PeerDirectory(messages::HostHeartbeat Self,
--- a/Source/Core/Relay/RelayNode.cpp
+++ b/Source/Core/Relay/RelayNode.cpp
@@ -1,5 +1,6 @@
 #include "Relay/RelayNode.h"
 
+#include "Common/Time/Clock.h"
 #include "Core/Messages/CommonMessages.h"
 #include "Net/Follower/StateFollower.h"
 #include "Relay/RelaySettings.h"
@@ -22,20 +23,12 @@
 /// Time to deliver the messages that announce that this host is leaving.
 constexpr milliseconds LeaveDeliveryTime{200};
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
-std::int64_t wallClockMilliseconds() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 messages::HostHeartbeat makeOwnHeartbeat(const process::Context &Started) {
   messages::HostHeartbeat Self;
   Self.m_Host = HostId(Started.m_Identity.m_Host);
   Self.m_Zone = ZoneId(Started.m_Identity.m_Zone);
   Self.m_Incarnation = IncarnationId(Started.m_Identity.m_Incarnation);
-  Self.m_Sequence = wallClockMilliseconds();
+  Self.m_Sequence = unixTime().count();
   Self.m_RelayAddress = Started.m_Settings.get(ListenSetting);
   return Self;
 }
--- a/Source/Core/Relay/StreamFeed.cpp
+++ b/Source/Core/Relay/StreamFeed.cpp
@@ -1,5 +1,6 @@
 #include "Relay/StreamFeed.h"
 
+#include "Common/Time/Clock.h"
 #include "Core/Relay/BatchRecord.h"
 
 namespace sff::relay {
@@ -18,8 +19,6 @@
 /// ring was full.
 constexpr milliseconds LostFetchMargin{2000};
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 std::vector<messages::StreamRecord>
 toRecords(std::vector<platform::StoredRecord> Stored) {
   std::vector<messages::StreamRecord> Result;
--- a/Source/Core/Router/CreditBorrower.cpp
+++ b/Source/Core/Router/CreditBorrower.cpp
@@ -1,5 +1,7 @@
 #include "Router/CreditBorrower.h"
 
+#include "Common/Time/Clock.h"
+
 namespace sff::router {
 
 namespace {
@@ -14,8 +16,6 @@
 constexpr int MaxEstimateFactor = 3;
 constexpr std::chrono::seconds MinLoadWait{5};
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 CreditBorrower::CreditBorrower(timers::EventLoop &Loop, ClusterView &View,
--- a/Source/Core/Router/FrontEndState.h
+++ b/Source/Core/Router/FrontEndState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/Time/Clock.h"
 #include "Core/Retry/RetryBudget.h"
 #include "Net/Http/Client.h"
 #include "Router/AsyncQueue.h"
@@ -52,8 +53,6 @@
 http::Response recordOutcome(FrontEndState &State, const PlacementRequest &Req,
                              const execution::Outcome &Value);
 
-inline Instant now() { return std::chrono::steady_clock::now(); }
-
 /// Runs \p Work on the routing core's event loop. Waits while the loop's task
 /// queue is full: a lost end of a request would leak its credit.
 boost::asio::awaitable<void> postToRoutingCore(FrontEndState &State,
--- a/Source/Core/Router/IntentService.cpp
+++ b/Source/Core/Router/IntentService.cpp
@@ -1,5 +1,6 @@
 #include "Router/IntentService.h"
 
+#include "Common/Time/Clock.h"
 #include "Net/Follower/StateFollower.h"
 
 #include <boost/leaf/handle_errors.hpp>
@@ -18,8 +19,6 @@
 constexpr milliseconds VoidPeriod{1000};
 constexpr milliseconds FetchTimeout{1000};
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 } // namespace
 
 IntentService::IntentService(timers::EventLoop &Loop,
--- a/Source/Core/Router/LoadPoller.cpp
+++ b/Source/Core/Router/LoadPoller.cpp
@@ -1,5 +1,7 @@
 #include "Router/LoadPoller.h"
 
+#include "Common/Time/Clock.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -10,8 +12,6 @@
 constexpr std::chrono::seconds InUsePeriod{10};
 constexpr milliseconds ReadTimeout{1000};
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 nlohmann::json bodyOf(const http::SendResult &Result) {
   const auto *Answer = std::get_if<http::Response>(&Result);
   if (!Answer || Answer->m_Status != 200)
--- a/Source/Core/Router/RequestScheduler.cpp
+++ b/Source/Core/Router/RequestScheduler.cpp
@@ -1,5 +1,7 @@
 #include "Router/RequestScheduler.h"
 
+#include "Common/Time/Clock.h"
+
 #include <algorithm>
 
 namespace sff::router {
@@ -11,8 +13,6 @@
 
 constexpr milliseconds TickPeriod{20};
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 milliseconds timeUntil(Instant Point, Instant Now) {
   return std::chrono::ceil<milliseconds>(
       std::max(Point - Now, Duration::zero()));
--- a/Source/StandIns/LoadTool/LoadRun.cpp
+++ b/Source/StandIns/LoadTool/LoadRun.cpp
@@ -1,6 +1,7 @@
 #include "StandIns/LoadTool/LoadRun.h"
 
 #include "Common/Identity/Ids.h"
+#include "Common/Time/Clock.h"
 #include "StandIns/LoadTool/ResponseCheck.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,8 +15,6 @@
 
 constexpr milliseconds EndPollPeriod{100};
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 RequestResult makeFailure(const http::TransportFailure &Failure) {
   RequestResult Result;
   Result.m_Outcome = Failure.m_TimedOut ? "timeout" : "connection_lost";
