--- a/Source/Core/Core/Serving/StreamVersions.cpp
+++ b/Source/Core/Core/Serving/StreamVersions.cpp
@@ -1,7 +1,5 @@
 #include "Core/Serving/StreamVersions.h"
 
-#include <ranges>
-
 namespace sff::serving {
 
 void StreamVersionTable::dropOldest() {
@@ -36,12 +34,12 @@
 std::vector<StreamVersion>
 StreamVersionTable::recordedSince(Instant Since, std::size_t Limit) const {
   std::vector<StreamVersion> Result;
-  for (const Arrival &Item : std::views::reverse(m_Arrivals)) {
-    if (Item.m_At < Since || Result.size() >= Limit)
+  for (auto Item = m_Arrivals.rbegin(); Item != m_Arrivals.rend(); ++Item) {
+    if (Item->m_At < Since || Result.size() >= Limit)
       break;
-    const StreamVersionFinding Finding = find(Item.m_Stream);
+    const StreamVersionFinding Finding = find(Item->m_Stream);
     if (Finding.m_Version)
-      Result.push_back({Item.m_Stream, *Finding.m_Version});
+      Result.push_back({Item->m_Stream, *Finding.m_Version});
   }
   return Result;
 }
