--- a/Source/Core/Host/RequestSessionStreams.cpp
+++ b/Source/Core/Host/RequestSessionStreams.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr auto LogCategory = log::Category::Routing;
-
 /// Shortest assumption of how long before now a stream can have begun.
 constexpr milliseconds MinStreamLifetime{10000};
 /// A stream that is taken up may have begun this many route timeouts before.
