--- a/Source/Core/Core/Serving/StreamVersions.h
+++ b/Source/Core/Core/Serving/StreamVersions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/Codec/Fields.h"
 #include "Common/Identity/Ids.h"
 #include "Common/Time/Instant.h"
 
@@ -16,6 +17,12 @@
 struct StreamVersion {
   RequestId m_Stream;
   std::string m_Version;
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("stream", &StreamVersion::m_Stream),
+                           field("version", &StreamVersion::m_Version));
+  }
 };
 
 /// What is known of the version of a stream.
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -195,9 +195,8 @@
       if (!Begun)
         co_return StreamResult::CallerGone;
     }
-    if (!Complete.empty())
-      onFirstEvent();
     if (!Complete.empty()) {
+      onFirstEvent();
       const bool Written = co_await m_Caller.writeChunk(Complete);
       if (!Written)
         co_return StreamResult::CallerGone;
--- a/Source/Core/Host/StreamMessages.h
+++ b/Source/Core/Host/StreamMessages.h
@@ -2,6 +2,7 @@
 
 #include "Common/Codec/Fields.h"
 #include "Common/Identity/Ids.h"
+#include "Core/Serving/StreamVersions.h"
 
 #include <cstdint>
 #include <string>
@@ -55,20 +56,9 @@
   }
 };
 
-struct StreamRecord {
-  RequestId m_Stream;
-  std::string m_Version;
-
-  static constexpr auto describe() {
-    using codec::field;
-    return std::make_tuple(field("stream", &StreamRecord::m_Stream),
-                           field("version", &StreamRecord::m_Version));
-  }
-};
-
 /// Tells the version of streams that have begun.
 struct StreamNotice {
-  std::vector<StreamRecord> m_Streams;
+  std::vector<serving::StreamVersion> m_Streams;
 
   static constexpr auto describe() {
     return std::make_tuple(codec::field("streams", &StreamNotice::m_Streams));
--- a/Source/Core/Host/StreamTracker.cpp
+++ b/Source/Core/Host/StreamTracker.cpp
@@ -78,7 +78,7 @@
             {{"service", Service}, {"written", Written}});
 }
 
-void StreamTracker::updateVersions() {
+void StreamTracker::onDirectoryChanged() {
   const auto Changed = m_Versions.update(m_State.m_Endpoints, bootTime());
   if (Changed.empty())
     return;
@@ -90,8 +90,6 @@
     announce(Begun);
 }
 
-void StreamTracker::onDirectoryChanged() { updateVersions(); }
-
 bool StreamTracker::mayBegin(const std::string &Service,
                              const std::string &Version) const {
   return m_Versions.isSettled(Service, Version, bootTime());
@@ -111,7 +109,7 @@
 
 void StreamTracker::announce(const serving::StreamVersion &Begun) {
   const bool IsFirst = m_Pending.m_Streams.empty();
-  m_Pending.m_Streams.push_back({Begun.m_Stream, Begun.m_Version});
+  m_Pending.m_Streams.push_back(Begun);
   if (IsFirst)
     m_State.spawn("send_streams", sendBatch());
 }
@@ -148,8 +146,8 @@
 }
 
 void StreamTracker::onNotice(const StreamNotice &Notice) {
-  for (const StreamRecord &Record : Notice.m_Streams)
-    m_Streams.record({Record.m_Stream, Record.m_Version}, bootTime());
+  for (const serving::StreamVersion &Begun : Notice.m_Streams)
+    m_Streams.record(Begun, bootTime());
 }
 
 StreamAnswer StreamTracker::onQuery(const StreamQuery &Query) {
@@ -158,7 +156,7 @@
     return {StreamKnowledge::Ambiguous, {}};
   if (Finding.m_Version)
     return {StreamKnowledge::Recorded, *Finding.m_Version};
-  updateVersions();
+  onDirectoryChanged();
   const milliseconds Lifetime(Query.m_LifetimeMs);
   if (m_Versions.isMixed(Query.m_Service, Lifetime, bootTime()))
     return {StreamKnowledge::Mixed, {}};
--- a/Source/Core/Host/StreamTracker.h
+++ b/Source/Core/Host/StreamTracker.h
@@ -28,7 +28,8 @@
 
   /// Starts to read which versions services had before this host started.
   void start();
-  /// Called after the endpoint directory has changed.
+  /// Called after the endpoint directory has changed. Tells other hosts and the
+  /// store if a service has got or lost one of several versions.
   void onDirectoryChanged();
   /// Called when the caller of a stream is about to get its first event.
   void onBegun(const StreamQuery &Stream, const std::string &Version);
@@ -64,7 +65,6 @@
   Task<void> sendNotice(std::string Holder, StreamNotice Notice);
   /// The holders that keep the versions of this host's streams.
   std::vector<std::string> recordKeepers() const;
-  void updateVersions();
   Task<void> readHistory();
   /// Writes the versions that a service has had, for hosts that start.
   Task<void> writeVersions(std::string Service);
