Log silent endpoints, and when requests arrive at a host that stops

LOST was reported without a record. The logs can't tell whether a request was given up because its endpoint was silent, or was taken too late in a stop: nothing is logged when the silence timer fires, when the drain begins, or how long after SIGTERM a request came.

request.silent names the endpoint, the silence and what the host does; sff_host_silences_total counts it. process.draining gives the time since SIGTERM, and request.finished that of a request's arrival at a host that stops.

--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -208,6 +208,7 @@
       Start + fromSeconds(m_State.m_Settings.get(StopGraceSetting)) -
       ExitMargin;
   m_Draining = true;
+  m_State.m_StopBegunAt = Start;
   log::info(LogCategory, "process.stopping",
             {{"requests", m_Callers.activeRequests()},
              {"connections", m_Callers.connections()}});
@@ -220,6 +221,10 @@
   // kept-alive connections from now on could not be finished, so idle
   // connections are closed.
   m_State.m_Stopping = true;
+  log::info(LogCategory, "process.draining",
+            {{"requests", m_Callers.activeRequests()},
+             {"connections", m_Callers.connections()},
+             {"after_ms", toMilliseconds(now() - Start).count()}});
   co_await m_Callers.drain(Deadline);
   log::info(LogCategory, "process.drained",
             {{"requests", m_Callers.activeRequests()},
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -32,6 +32,9 @@
       m_LostRequests(
           m_Set.counter("sff_host_lost_requests_total",
                         "Requests whose connection to the endpoint was lost")),
+      m_Silences(m_Set.counterFamily(
+          "sff_host_silences_total",
+          "Endpoints that sent nothing for too long, by the host's reaction")),
       m_Answers(m_Set.counterFamily(
           "sff_host_answers_total",
           "Answers of endpoints by the framing and the end of the body")),
@@ -89,6 +92,10 @@
   observe(m_Durations, Taken);
 }
 
+void HostMetrics::onSilence(std::string_view Reaction) {
+  m_Silences.Add({{"reaction", std::string(Reaction)}}).Increment();
+}
+
 void HostMetrics::onAnswer(std::string_view Framing, std::string_view End) {
   m_Answers.Add({{"framing", std::string(Framing)}, {"end", std::string(End)}})
       .Increment();
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -37,6 +37,9 @@
   /// Counts a change of what is known of crashes by prompt part.
   void onPartEvent(std::string_view Event);
   void onResume() { m_Resumes.Increment(); }
+  /// Counts an endpoint that sends nothing for too long, by what this host does
+  /// with the request.
+  void onSilence(std::string_view Reaction);
   /// Counts an answer of an endpoint. \p Framing tells how the end of its body
   /// is marked, \p End how the body ended.
   void onAnswer(std::string_view Framing, std::string_view End);
@@ -84,6 +87,7 @@
   prometheus::Counter &m_Retries;
   prometheus::Counter &m_Resumes;
   prometheus::Counter &m_LostRequests;
+  prometheus::Family<prometheus::Counter> &m_Silences;
   prometheus::Family<prometheus::Counter> &m_Answers;
   prometheus::Family<prometheus::Counter> &m_Crashes;
   prometheus::Family<prometheus::Gauge> &m_SuspectCrashes;
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -74,6 +74,8 @@
   /// catalogue and of the registrations.
   std::optional<Instant> m_CatalogueConfirmedAt;
   std::optional<Instant> m_EndpointsConfirmedAt;
+  /// When the process was asked to stop.
+  std::optional<Instant> m_StopBegunAt;
   /// Set while the process shuts down: requests that wait for a model are
   /// refused.
   bool m_Stopping = false;
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -276,7 +276,9 @@
           return;
         const Duration Silent = now() - Self->m_LastProgressAt;
         if (Silent >= Self->silenceTimeout()) {
-          if (Self->canFailOver(Id)) {
+          const bool FailsOver = Self->canFailOver(Id);
+          Self->recordSilence(Id, Silent, FailsOver);
+          if (FailsOver) {
             Self->m_SilenceTimedOut = true;
             Self->m_Canceller->cancel();
             return;
@@ -287,6 +289,16 @@
       });
 }
 
+void RequestSession::recordSilence(const EndpointId &Id, Duration Silent,
+                                   bool FailsOver) {
+  m_State.m_Metrics.onSilence(FailsOver ? "fails_over" : "waits");
+  logEvent("request.silent", {{"endpoint", Id},
+                              {"silent_ms", toMilliseconds(Silent).count()},
+                              {"begun", m_HeadSent},
+                              {"fails_over", FailsOver},
+                              {"sends", m_History.sends()}});
+}
+
 http::ClientOptions RequestSession::callOptions() const {
   http::ClientOptions Options;
   Options.m_ConnectTimeout =
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -125,6 +125,8 @@
   /// Ends the attempt when the endpoint exceeds silenceTimeout() and the
   /// request can fail over; otherwise waits for another timeout.
   void startSilenceTimer(EndpointId Id);
+  /// Counts and logs that an endpoint has exceeded silenceTimeout().
+  void recordSilence(const EndpointId &Id, Duration Silent, bool FailsOver);
   /// The software version of an endpoint; empty if it is not known.
   std::string softwareOf(const EndpointId &Id) const;
   /// Whether the caller goes on with a stream that an earlier request began.
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -296,11 +296,15 @@
                                    std::string_view Reason) {
   const Duration Taken = now() - m_ArrivedAt;
   m_State.m_Metrics.onOutcome(Outcome, Reason, Taken);
-  logEvent("request.finished", {{"outcome", Outcome},
-                                {"status", Status},
-                                {"reason", Reason},
-                                {"sends", m_History.sends()},
-                                {"took_ms", toMilliseconds(Taken).count()}});
+  nlohmann::json Fields = {{"outcome", Outcome},
+                           {"status", Status},
+                           {"reason", Reason},
+                           {"sends", m_History.sends()},
+                           {"took_ms", toMilliseconds(Taken).count()}};
+  if (m_State.m_StopBegunAt)
+    Fields["arrived_after_stop_ms"] =
+        toMilliseconds(m_ArrivedAt - *m_State.m_StopBegunAt).count();
+  logEvent("request.finished", std::move(Fields));
 }
 
 void RequestSession::logEvent(std::string_view Event,
