Give each send of a request an object of its own

Timers, trials, load and the attribution of crashes of a send were members of the request, which every further send reset, and guards of a coroutine. An Attempt holds them, so that two sends of one request can exist side by side and each can be asked whether it still stands. No change of behaviour.

--- /dev/null
+++ b/Source/Core/Host/Attempt.cpp
@@ -0,0 +1,36 @@
+#include "Host/Attempt.h"
+
+namespace sff::host {
+
+Attempt::Attempt(HostState &State, EndpointId Endpoint, const Identity &Request)
+    : m_State(State), m_Endpoint(std::move(Endpoint)),
+      m_Request(Request.m_Request),
+      m_Canceller(std::make_shared<http::CallCanceller>()), m_SentAt(now()),
+      m_LastProgressAt(m_SentAt) {
+  m_State.m_Chooser.loads().onDispatched(m_Endpoint, m_SentAt);
+  m_State.m_RateLimits.onSent(m_Endpoint, m_SentAt);
+  m_TrialParts = m_State.m_Crashes.onSending(Request.m_Parts);
+  const serving::Endpoint *Known = m_State.m_Endpoints.find(m_Endpoint);
+  if (!Known)
+    return;
+  m_SoftwareVersion = Known->m_Registration.m_SoftwareVersion;
+  m_State.m_Crashes.onRequestSent(*Known, Request.m_Fingerprint,
+                                  Request.m_Request, Request.m_Parts);
+}
+
+Attempt::~Attempt() {
+  m_State.m_Chooser.loads().onFinished(m_Endpoint, now());
+  m_State.m_Crashes.onRequestEnded(m_Endpoint, m_Request);
+}
+
+void Attempt::onNotRun() {
+  for (const PromptPartId &Part : std::exchange(m_TrialParts, {}))
+    m_State.m_Crashes.onTrialNotRun(Part);
+}
+
+void Attempt::supersede() {
+  m_Superseded = true;
+  cancel();
+}
+
+} // namespace sff::host
--- /dev/null
+++ b/Source/Core/Host/Attempt.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Host/HostState.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sff::host {
+
+/// One send of a request to an endpoint. For its lifetime the request counts as
+/// running there, for the load of the endpoint and for the attribution of
+/// crashes.
+/// Thread safety: use from the host's io_context only.
+class Attempt {
+public:
+  /// The request of which this is a send.
+  struct Identity {
+    RequestId m_Request;
+    std::string m_Fingerprint;
+    std::vector<PromptPartId> m_Parts; ///< Of the prompt.
+  };
+
+  /// Precondition: \p State outlives the object.
+  Attempt(HostState &State, EndpointId Endpoint, const Identity &Request);
+  ~Attempt();
+  Attempt(const Attempt &) = delete;
+  Attempt &operator=(const Attempt &) = delete;
+
+  const EndpointId &endpoint() const { return m_Endpoint; }
+  /// The software version of the endpoint; empty if it is not known.
+  const std::string &softwareVersion() const { return m_SoftwareVersion; }
+  Instant sentAt() const { return m_SentAt; }
+  Instant answerBegunAt() const { return m_AnswerBegunAt; }
+  /// Time of the latest data from the endpoint; of the send before any.
+  Instant lastProgressAt() const { return m_LastProgressAt; }
+  const std::shared_ptr<http::CallCanceller> &canceller() const {
+    return m_Canceller;
+  }
+
+  void onProgress() { m_LastProgressAt = now(); }
+  void onAnswerBegun() { m_AnswerBegunAt = now(); }
+  /// Called when the endpoint has not run the request, so that another request
+  /// may be the trial of the same prompt parts.
+  void onNotRun();
+  /// Closes the connection, so that the endpoint stops its work.
+  void cancel() { m_Canceller->cancel(); }
+  /// Ends the attempt in favour of another one, because the endpoint is silent.
+  void supersede();
+  /// The attempt has ended in favour of another one. Data that still arrive
+  /// must not be used.
+  bool isSuperseded() const { return m_Superseded; }
+
+private:
+  HostState &m_State;
+  EndpointId m_Endpoint;
+  RequestId m_Request;
+  std::string m_SoftwareVersion;
+  std::shared_ptr<http::CallCanceller> m_Canceller;
+  /// The parts of the prompt of which this attempt is the trial.
+  std::vector<PromptPartId> m_TrialParts;
+  Instant m_SentAt;
+  Instant m_AnswerBegunAt;
+  Instant m_LastProgressAt;
+  bool m_Superseded = false;
+};
+
+} // namespace sff::host
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -21,12 +21,6 @@
 constexpr milliseconds ReadSlack{1000};
 /// Pooled connections that have been idle for longer are not reused.
 constexpr milliseconds MaxIdleTime{4000};
-/// A repeatable request fails over to another endpoint after this multiple of
-/// its target latency without a response, but not before the minimum.
-constexpr int SilenceTimeoutFactor = 3;
-constexpr milliseconds MinSilenceTimeout{400};
-/// Longest pause in a stream that can be resumed at another endpoint.
-constexpr milliseconds StreamSilenceTimeout{1500};
 /// Delay before endpoints that refused the request are tried again, for each
 /// send so far.
 constexpr milliseconds RefusalBackoff{60};
@@ -136,19 +130,22 @@
         if (Error || Self->m_Ended)
           return;
         Self->m_Expired = true;
-        if (Self->m_Canceller)
-          Self->m_Canceller->cancel();
+        Self->cancelAttempts();
       });
   m_Caller.onCallerDisconnect([Weak = weak_from_this()] {
     const auto Self = Weak.lock();
     if (!Self || Self->m_Ended)
       return;
     Self->m_CallerGone = true;
-    if (Self->m_Canceller)
-      Self->m_Canceller->cancel();
+    Self->cancelAttempts();
   });
 }
 
+void RequestSession::cancelAttempts() {
+  if (m_Current)
+    m_Current->cancel();
+}
+
 Task<void> RequestSession::serve() {
   m_State.budget(m_Service->m_Name).onRequest(now());
   if (!m_Facts.m_Model.m_Model.empty())
@@ -247,58 +244,6 @@
   co_return co_await attempt(*Chosen);
 }
 
-milliseconds RequestSession::silenceTimeout() const {
-  if (m_HeadSent)
-    return StreamSilenceTimeout;
-  return std::max(m_Route->m_Kind == serving::RouteKind::Stream
-                      ? StreamSilenceTimeout
-                      : MinSilenceTimeout,
-                  SilenceTimeoutFactor * m_Route->m_TargetLatency);
-}
-
-bool RequestSession::canFailOver(const EndpointId &Current) const {
-  if (!m_Route->isIdempotent() ||
-      !m_History.canTryAnotherEndpointAfter(Current))
-    return false;
-  const auto List = candidates();
-  const bool Other = std::ranges::any_of(List, [&, this](const auto *Item) {
-    return Item->id() != Current && !m_History.isExcluded(Item->id()) &&
-           !m_State.m_Chooser.health().isSuspended(Item->id(), now());
-  });
-  return Other && m_State.budget(m_Service->m_Name).allows(now());
-}
-
-void RequestSession::startSilenceTimer(EndpointId Id) {
-  m_SilenceTimer.expires_at(m_LastProgressAt + silenceTimeout());
-  m_SilenceTimer.async_wait(
-      [Self = shared_from_this(), Id](const boost::system::error_code &Error) {
-        if (Error || Self->m_Ended)
-          return;
-        const Duration Silent = now() - Self->m_LastProgressAt;
-        if (Silent >= Self->silenceTimeout()) {
-          const bool FailsOver = Self->canFailOver(Id);
-          Self->recordSilence(Id, Silent, FailsOver);
-          if (FailsOver) {
-            Self->m_SilenceTimedOut = true;
-            Self->m_Canceller->cancel();
-            return;
-          }
-          Self->m_LastProgressAt = now();
-        }
-        Self->startSilenceTimer(Id);
-      });
-}
-
-void RequestSession::recordSilence(const EndpointId &Id, Duration Silent,
-                                   bool FailsOver) {
-  m_State.m_Metrics.onSilence(FailsOver ? "fails_over" : "waits");
-  logEvent("request.silent", {{"endpoint", Id},
-                              {"silent_ms", toMilliseconds(Silent).count()},
-                              {"begun", m_HeadSent},
-                              {"fails_over", FailsOver},
-                              {"sends", m_History.sends()}});
-}
-
 http::ClientOptions RequestSession::callOptions() const {
   http::ClientOptions Options;
   Options.m_ConnectTimeout =
@@ -309,7 +254,6 @@
   Options.m_MaxIdleTime = MaxIdleTime;
   Options.m_ExpectedEcho =
       m_State.m_Platform.m_WireFormat->makeEchoCheck(m_Facts.m_Id);
-  Options.m_Canceller = m_Canceller;
   return Options;
 }
 
@@ -344,45 +288,36 @@
   }
   if (m_History.sends() > 0)
     m_State.m_Metrics.onRetry();
-  m_Canceller = std::make_shared<http::CallCanceller>();
-  m_AttemptVersion = softwareOf(Id);
+  const double Load = m_State.m_Chooser.loads().estimate(Id, now());
+  m_Current = std::make_shared<Attempt>(
+      m_State, Id,
+      Attempt::Identity{m_Facts.m_Id, m_Fingerprint, m_Facts.m_PromptParts});
+  const std::shared_ptr<void> Reset(nullptr,
+                                    [this](void *) { m_Current.reset(); });
   logEvent("request.dispatched",
            {{"endpoint", Id},
-            {"software", m_AttemptVersion},
+            {"software", m_Current->softwareVersion()},
             {"send", m_History.sends() + 1},
-            {"load", m_State.m_Chooser.loads().estimate(Id, now())},
+            {"load", Load},
             {"left_ms", toMilliseconds(remainingTime()).count()},
             {"catalogue", m_Catalogue->m_Version},
             {"prefix", m_Route->m_PathPrefix},
             {"catalogue_age_ms", m_State.catalogueAge().count()},
             {"endpoints_age_ms", m_State.endpointsAge().count()}});
-  auto &Loads = m_State.m_Chooser.loads();
-  Loads.onDispatched(Id, now());
-  const std::shared_ptr<void> Done(
-      nullptr, [&Loads, Id](void *) { Loads.onFinished(Id, now()); });
-  m_TrialParts = m_State.m_Crashes.onSending(m_Facts.m_PromptParts);
-  if (const auto *Known = m_State.m_Endpoints.find(Id))
-    m_State.m_Crashes.onRequestSent(*Known, m_Fingerprint, m_Facts.m_Id,
-                                    m_Facts.m_PromptParts);
-  const std::shared_ptr<void> Ended(nullptr, [this, &Id](void *) {
-    m_State.m_Crashes.onRequestEnded(Id, m_Facts.m_Id);
-  });
-  m_SentAt = now();
-  m_State.m_RateLimits.onSent(Id, m_SentAt);
-  m_LastProgressAt = m_SentAt;
-  m_SilenceTimedOut = false;
   if (m_Route->isIdempotent())
-    startSilenceTimer(Id);
+    startSilenceTimer();
   const std::shared_ptr<void> StopWatch(
       nullptr, [this](void *) { m_SilenceTimer.cancel(); });
   http::Request Outgoing =
       m_State.m_Platform.m_WireFormat->encode(m_Incoming, dispatchFacts(Id));
-  http::OpenResult Result =
-      co_await m_State.m_Http.open(*Remote, std::move(Outgoing), callOptions());
+  http::ClientOptions Options = callOptions();
+  Options.m_Canceller = m_Current->canceller();
+  http::OpenResult Result = co_await m_State.m_Http.open(
+      *Remote, std::move(Outgoing), std::move(Options));
   if (auto *Failure = std::get_if<http::TransportFailure>(&Result))
     co_return co_await onOpenFailed(Id, std::move(*Failure));
   m_History.onSent();
-  m_State.m_Chooser.health().onLatency(Id, now() - m_SentAt);
+  m_State.m_Chooser.health().onLatency(Id, now() - m_Current->sentAt());
   co_return co_await onHead(Id, std::get<OpenStream>(std::move(Result)));
 }
 
@@ -394,7 +329,7 @@
     co_return co_await onIncompleteResponse(Id, resultOf(Failure),
                                             Failure.m_Detail);
   }
-  returnTrials();
+  m_Current->onNotRun();
   // Nothing was sent, so what was taken from the budget covers the next send.
   m_RetryGranted = m_History.sends() > 0;
   if (isOver())
@@ -407,8 +342,9 @@
 
 serving::CallResult
 RequestSession::resultOf(const http::TransportFailure &Failure) const {
-  return Failure.m_TimedOut || m_SilenceTimedOut ? serving::CallResult::Silent
-                                                 : serving::CallResult::Broken;
+  return Failure.m_TimedOut || m_Current->isSuperseded()
+             ? serving::CallResult::Silent
+             : serving::CallResult::Broken;
 }
 
 Task<RequestSession::Step>
@@ -460,11 +396,6 @@
   co_await Self->probe(std::move(Id));
 }
 
-void RequestSession::returnTrials() {
-  for (const PromptPartId &Part : std::exchange(m_TrialParts, {}))
-    m_State.m_Crashes.onTrialNotRun(Part);
-}
-
 void RequestSession::onUnreachable(const EndpointId &Id) {
   m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
                                       now());
@@ -474,7 +405,7 @@
 Task<RequestSession::Step>
 RequestSession::onNotRun(EndpointId Id, ResponseMetadata Facts, int Status) {
   m_History.exclude(Id);
-  returnTrials();
+  m_Current->onNotRun();
   if (Facts.m_AddressReused)
     m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
                                         now());
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -3,6 +3,7 @@
 #include "Core/Execution/Outcome.h"
 #include "Core/Serving/AttemptHistory.h"
 #include "Core/Streaming/CompleteEventBuffer.h"
+#include "Host/Attempt.h"
 #include "Host/DemandRouter.h"
 #include "Host/StreamTracker.h"
 #include "Net/Http/Server.h"
@@ -98,9 +99,6 @@
   void recordAnswerEnd(const EndpointId &Id, const http::Response &Head,
                        std::string_view End);
   void onUnreachable(const EndpointId &Id);
-  /// Called when an attempt has not run, so that another one may be the trial
-  /// of the same parts.
-  void returnTrials();
   /// Connects to an endpoint, to tell a crash from a lost answer or a regular
   /// end. Returns false if the endpoint cannot be connected to.
   Task<bool> probe(EndpointId Id);
@@ -122,13 +120,11 @@
   /// Whether the request may be sent to an endpoint other than \p Current, such
   /// an endpoint is available and the retry budget allows it.
   bool canFailOver(const EndpointId &Current) const;
-  /// Ends the attempt when the endpoint exceeds silenceTimeout() and the
-  /// request can fail over; otherwise waits for another timeout.
-  void startSilenceTimer(EndpointId Id);
+  /// Ends the current attempt when the endpoint exceeds silenceTimeout() and
+  /// the request can fail over; otherwise waits for another timeout.
+  void startSilenceTimer();
   /// Counts and logs that an endpoint has exceeded silenceTimeout().
   void recordSilence(const EndpointId &Id, Duration Silent, bool FailsOver);
-  /// The software version of an endpoint; empty if it is not known.
-  std::string softwareOf(const EndpointId &Id) const;
   /// Whether the caller goes on with a stream that an earlier request began.
   bool isTakenUp() const;
   bool isResumableStream() const;
@@ -148,6 +144,8 @@
   /// Counts and logs the end of the request.
   void recordOutcome(std::string_view Outcome, int Status,
                      std::string_view Reason);
+  /// Ends the work for a caller that has disconnected or whose time is over.
+  void cancelAttempts();
   void logEvent(std::string_view Event, nlohmann::json Fields) const;
 
   HostState &m_State;
@@ -162,13 +160,10 @@
   const serving::Service *m_Service = nullptr; ///< In m_Catalogue.
   Instant m_ArrivedAt;
   Instant m_RespondBy;
-  std::shared_ptr<http::CallCanceller> m_Canceller;
+  /// The attempt whose answer is waited for; null between attempts.
+  std::shared_ptr<Attempt> m_Current;
   boost::asio::steady_timer m_Timer;
   boost::asio::steady_timer m_SilenceTimer;
-  Instant m_SentAt;               ///< Time of the latest attempt.
-  Instant m_AnswerBegunAt;        ///< Time of the latest answer's head.
-  Instant m_LastProgressAt;       ///< Time of the endpoint's latest data.
-  bool m_SilenceTimedOut = false; ///< The silence timeout ended this attempt.
   bool m_CallerGone = false;
   bool m_Expired = false;
   bool m_Ended = false;
@@ -186,10 +181,7 @@
   /// The software version at which the stream began. Set once its first event
   /// is known to have come; the stream goes on at no other.
   std::optional<std::string> m_StreamVersion;
-  std::string m_AttemptVersion; ///< Version of the latest attempt's endpoint.
   std::string m_Fingerprint;
-  /// The parts of the prompt of which the latest attempt is the trial.
-  std::vector<PromptPartId> m_TrialParts;
 };
 
 } // namespace sff::host
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -47,7 +47,7 @@
     co_return co_await onIncompleteResponse(Id, serving::CallResult::Broken,
                                             "the answer has no seal");
   }
-  m_AnswerBegunAt = now();
+  m_Current->onAnswerBegun();
   m_Sessions.record(m_Facts.m_Session, Id);
   const bool Streams = m_Route->m_Kind == serving::RouteKind::Stream;
   if (Streams && isSuccess(Head.m_Status))
@@ -60,7 +60,8 @@
   const bool IsTrusted = Facts.m_Sealed || Facts.m_NotRun;
   if (!IsTrusted || Facts.m_AddressReused || !m_State.m_Endpoints.find(Id))
     return;
-  if (!m_State.m_RateLimits.onAnswer(Id, Facts.m_RateLimit, m_SentAt, now()))
+  if (!m_State.m_RateLimits.onAnswer(Id, Facts.m_RateLimit, m_Current->sentAt(),
+                                     now()))
     return;
   logEvent(
       "endpoint.rate_limit",
@@ -157,7 +158,7 @@
   }
   m_Events.discardPartial();
   co_return co_await onIncompleteResponse(Id,
-                                          m_SilenceTimedOut
+                                          m_Current->isSuperseded()
                                               ? serving::CallResult::Silent
                                               : serving::CallResult::Broken,
                                           "the stream broke");
@@ -173,7 +174,7 @@
       recordAnswerEnd(Id, Answer->head(), EndBroken);
       co_return StreamResult::EndpointFailed;
     }
-    m_LastProgressAt = now();
+    m_Current->onProgress();
     const std::string &Chunk = std::get<std::string>(Next);
     std::string Complete = m_Events.append(Chunk);
     if (m_Events.partialEvent().size() > MaxEventBytes)
@@ -230,7 +231,8 @@
 
 void RequestSession::recordCompletion() {
   m_State.m_Crashes.onSuccess(m_Fingerprint);
-  m_State.m_Crashes.onCompleted(m_Facts.m_PromptParts, m_AnswerBegunAt);
+  m_State.m_Crashes.onCompleted(m_Facts.m_PromptParts,
+                                m_Current->answerBegunAt());
 }
 
 void RequestSession::recordPossibleLoss(const EndpointId &Id) {
--- a/Source/Core/Host/RequestSessionStreams.cpp
+++ b/Source/Core/Host/RequestSessionStreams.cpp
@@ -21,11 +21,6 @@
   return m_Route->m_Kind == serving::RouteKind::Stream && m_Route->m_Resumable;
 }
 
-std::string RequestSession::softwareOf(const EndpointId &Id) const {
-  const serving::Endpoint *Known = m_State.m_Endpoints.find(Id);
-  return Known ? Known->m_Registration.m_SoftwareVersion : std::string();
-}
-
 StreamQuery RequestSession::streamQuery(const RequestId &Stream) const {
   const milliseconds Lifetime =
       std::max(MinStreamLifetime, TimeoutsPerStream * m_Route->m_Timeout);
@@ -47,8 +42,8 @@
 void RequestSession::onFirstEvent() {
   if (m_StreamVersion || !isResumableStream())
     return;
-  m_StreamVersion = m_AttemptVersion;
-  m_Streams.onBegun(streamQuery(m_Facts.m_Id), m_AttemptVersion);
+  m_StreamVersion = m_Current->softwareVersion();
+  m_Streams.onBegun(streamQuery(m_Facts.m_Id), *m_StreamVersion);
 }
 
 void RequestSession::filterByVersion(
