Keep a silent endpoint's request until another endpoint has taken it

What callers saw: answers that were broken off, or 502, for requests whose endpoint was at work on them (LOST).

Cause: after 1.5 s of silence (a read: 0.4 s) the host closed the connection to the endpoint and then looked for another one. If the others refused, nothing was left: the silent endpoint had lost the request by then. Bytes that had come just before could still begin a response that was then cut. The class: a host ends what stands before what replaces it stands.

Change: the silent attempt stays open while the request is offered to other endpoints, one at a time, within the same limits and retry budget. It ends when one of them begins to answer. If it goes on by itself first, the backup is cancelled. What arrives from an attempt that has been replaced is dropped.

--- a/Source/Core/Host/Attempt.h
+++ b/Source/Core/Host/Attempt.h
@@ -32,6 +32,7 @@
   const std::string &softwareVersion() const { return m_SoftwareVersion; }
   Instant sentAt() const { return m_SentAt; }
   Instant answerBegunAt() const { return m_AnswerBegunAt; }
+  bool hasAnswered() const { return m_AnswerBegunAt != Instant(); }
   /// Time of the latest data from the endpoint; of the send before any.
   Instant lastProgressAt() const { return m_LastProgressAt; }
   const std::shared_ptr<http::CallCanceller> &canceller() const {
@@ -45,7 +46,7 @@
   void onNotRun();
   /// Closes the connection, so that the endpoint stops its work.
   void cancel() { m_Canceller->cancel(); }
-  /// Ends the attempt in favour of another one, because the endpoint is silent.
+  /// Ends the attempt in favour of another one.
   void supersede();
   /// The attempt has ended in favour of another one. Data that still arrive
   /// must not be used.
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -24,9 +24,6 @@
 /// Delay before endpoints that refused the request are tried again, for each
 /// send so far.
 constexpr milliseconds RefusalBackoff{60};
-/// Maximum number of sends of one request, including those that endpoints
-/// refuse. Each send after the first is taken from the retry budget.
-constexpr int MaxSends = 4;
 /// Retry-After for quarantined requests, which have crashed endpoints.
 constexpr milliseconds QuarantineRetryAfter{30000};
 constexpr std::int64_t HighestRank = 9;
@@ -85,6 +82,8 @@
   m_Ended = true;
   m_Timer.cancel();
   m_SilenceTimer.cancel();
+  m_Taken.reset();
+  cancelAttempts();
 }
 
 bool RequestSession::findRoute() {
@@ -142,8 +141,9 @@
 }
 
 void RequestSession::cancelAttempts() {
-  if (m_Current)
-    m_Current->cancel();
+  for (const auto &Active : {m_Current, m_Backup})
+    if (Active)
+      Active->cancel();
 }
 
 Task<void> RequestSession::serve() {
@@ -162,6 +162,9 @@
     if (Next == Step::Finished)
       co_return;
   }
+  // The answer of a backup that is still open will not be seen.
+  if (m_Backup)
+    m_DispatchGuard.markSent();
   if (m_CallerGone)
     recordOutcome("caller_gone", 0, "");
   else
@@ -202,6 +205,12 @@
 }
 
 Task<RequestSession::Step> RequestSession::serveOnce() {
+  if (m_Taken)
+    co_return co_await goOnWithBackup();
+  if (m_Backup) {
+    co_await m_BackupSettled.wait(remainingTime());
+    co_return Step::TryAgain;
+  }
   if (const auto Reason = checkQuarantine()) {
     co_await endWithFailure(*Reason, QuarantineRetryAfter);
     co_return Step::Finished;
@@ -288,37 +297,61 @@
   }
   if (m_History.sends() > 0)
     m_State.m_Metrics.onRetry();
+  m_Current = startAttempt(Id);
+  const auto Watch = watchCurrent();
+  http::OpenResult Result = co_await open(*m_Current, *Remote);
+  if (auto *Failure = std::get_if<http::TransportFailure>(&Result))
+    co_return co_await onOpenFailed(Id, std::move(*Failure));
+  co_return co_await onOpened(std::get<OpenStream>(std::move(Result)));
+}
+
+std::shared_ptr<Attempt> RequestSession::startAttempt(const EndpointId &Id) {
   const double Load = m_State.m_Chooser.loads().estimate(Id, now());
-  m_Current = std::make_shared<Attempt>(
+  auto Started = std::make_shared<Attempt>(
       m_State, Id,
       Attempt::Identity{m_Facts.m_Id, m_Fingerprint, m_Facts.m_PromptParts});
-  const std::shared_ptr<void> Reset(nullptr,
-                                    [this](void *) { m_Current.reset(); });
   logEvent("request.dispatched",
            {{"endpoint", Id},
-            {"software", m_Current->softwareVersion()},
+            {"software", Started->softwareVersion()},
             {"send", m_History.sends() + 1},
+            {"backup", m_Current != nullptr},
             {"load", Load},
             {"left_ms", toMilliseconds(remainingTime()).count()},
             {"catalogue", m_Catalogue->m_Version},
             {"prefix", m_Route->m_PathPrefix},
             {"catalogue_age_ms", m_State.catalogueAge().count()},
             {"endpoints_age_ms", m_State.endpointsAge().count()}});
+  return Started;
+}
+
+std::shared_ptr<void> RequestSession::watchCurrent() {
   if (m_Route->isIdempotent())
-    startSilenceTimer();
-  const std::shared_ptr<void> StopWatch(
-      nullptr, [this](void *) { m_SilenceTimer.cancel(); });
-  http::Request Outgoing =
-      m_State.m_Platform.m_WireFormat->encode(m_Incoming, dispatchFacts(Id));
+    startSilenceTimer(m_Current->lastProgressAt());
+  return {nullptr, [this](void *) {
+            m_SilenceTimer.cancel();
+            m_Current.reset();
+          }};
+}
+
+Task<http::OpenResult> RequestSession::open(const Attempt &Sent,
+                                            http::Address Remote) {
+  http::Request Outgoing = m_State.m_Platform.m_WireFormat->encode(
+      m_Incoming, dispatchFacts(Sent.endpoint()));
   http::ClientOptions Options = callOptions();
-  Options.m_Canceller = m_Current->canceller();
-  http::OpenResult Result = co_await m_State.m_Http.open(
-      *Remote, std::move(Outgoing), std::move(Options));
-  if (auto *Failure = std::get_if<http::TransportFailure>(&Result))
-    co_return co_await onOpenFailed(Id, std::move(*Failure));
+  Options.m_Canceller = Sent.canceller();
+  return m_State.m_Http.open(std::move(Remote), std::move(Outgoing),
+                             std::move(Options));
+}
+
+Task<RequestSession::Step> RequestSession::onOpened(OpenStream Answer) {
+  const EndpointId Id = m_Current->endpoint();
   m_History.onSent();
+  if (m_Current->isSuperseded())
+    co_return co_await onIncompleteResponse(Id, serving::CallResult::Silent,
+                                            "another endpoint answers");
+  onProgress();
   m_State.m_Chooser.health().onLatency(Id, now() - m_Current->sentAt());
-  co_return co_await onHead(Id, std::get<OpenStream>(std::move(Result)));
+  co_return co_await onHead(Id, std::move(Answer));
 }
 
 Task<RequestSession::Step>
@@ -366,7 +399,7 @@
                               {"fingerprint", m_Fingerprint}});
   m_State.m_Metrics.onLostRequest();
   const bool Repeats =
-      m_Route->isIdempotent() && m_History.canTryAnotherEndpoint();
+      m_Taken || (m_Route->isIdempotent() && m_History.canTryAnotherEndpoint());
   if (Repeats && !Silent)
     co_await probe(Id);
   if (Repeats)
@@ -402,10 +435,17 @@
   m_State.m_Crashes.onEndpointDown(Id);
 }
 
-Task<RequestSession::Step>
-RequestSession::onNotRun(EndpointId Id, ResponseMetadata Facts, int Status) {
+Task<RequestSession::Step> RequestSession::onNotRun(ResponseMetadata Facts,
+                                                    int Status) {
+  recordRefusal(*m_Current, Facts, Status);
+  co_return Step::TryAgain;
+}
+
+void RequestSession::recordRefusal(Attempt &Refused,
+                                   const ResponseMetadata &Facts, int Status) {
+  const EndpointId &Id = Refused.endpoint();
   m_History.exclude(Id);
-  m_Current->onNotRun();
+  Refused.onNotRun();
   if (Facts.m_AddressReused)
     m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
                                         now());
@@ -415,7 +455,6 @@
                                {"status", Status},
                                {"other_endpoint", Facts.m_AddressReused},
                                {"lacks_model", Facts.m_ModelNotLoaded}});
-  co_return Step::TryAgain;
 }
 
 } // namespace sff::host
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -46,11 +46,20 @@
   /// How the forwarding of a stream ended.
   enum class StreamResult { Complete, EndpointFailed, CallerGone };
 
+  /// Maximum number of sends of one request, including those that endpoints
+  /// refuse. Each send after the first is taken from the retry budget.
+  static constexpr int MaxSends = 4;
   /// Retry-After for failures whose duration is not known.
   static constexpr milliseconds DefaultRetryAfter{1000};
 
   using OpenStream = std::shared_ptr<http::ResponseStream>;
 
+  /// An attempt whose endpoint has begun to answer.
+  struct OpenedAttempt {
+    std::shared_ptr<Attempt> m_Attempt;
+    OpenStream m_Answer;
+  };
+
   bool findRoute();
   /// Logs what the decision that no service takes the request is based on.
   void logNoRoute() const;
@@ -79,7 +88,16 @@
   Task<Step> waitForRate();
   Task<Step> attempt(EndpointId Id);
   Task<Step> onOpenFailed(EndpointId Id, http::TransportFailure Failure);
-  Task<Step> onNotRun(EndpointId Id, ResponseMetadata Facts, int Status);
+  /// Begins to count the request as running at the endpoint.
+  std::shared_ptr<Attempt> startAttempt(const EndpointId &Id);
+  /// Watches the current attempt for silence. The attempt ends with the
+  /// returned guard.
+  std::shared_ptr<void> watchCurrent();
+  Task<http::OpenResult> open(const Attempt &Sent, http::Address Remote);
+  Task<Step> onOpened(OpenStream Answer);
+  Task<Step> onNotRun(ResponseMetadata Facts, int Status);
+  void recordRefusal(Attempt &Refused, const ResponseMetadata &Facts,
+                     int Status);
   Task<Step> onHead(EndpointId Id, OpenStream Answer);
   Task<Step> forwardBuffered(EndpointId Id, OpenStream Answer);
   Task<Step> forwardStream(EndpointId Id, OpenStream Answer);
@@ -106,8 +124,8 @@
   static Task<void> probeLater(std::shared_ptr<RequestSession> Self,
                                EndpointId Id);
   serving::CallResult resultOf(const http::TransportFailure &Failure) const;
-  /// Records the request rate that an answer of the endpoint names.
-  void recordRateLimit(const EndpointId &Id, const ResponseMetadata &Facts);
+  /// Records the load and the request rate that an answer of an endpoint names.
+  void recordReports(const Attempt &Answered, const ResponseMetadata &Facts);
   /// Handles an attempt that ended without a complete response, though the
   /// endpoint may have run the request.
   Task<Step> onIncompleteResponse(EndpointId Id, serving::CallResult Result,
@@ -115,16 +133,30 @@
 
   http::ClientOptions callOptions() const;
   DispatchMetadata dispatchFacts(const EndpointId &Id) const;
-  /// How long an endpoint may send nothing before another one is tried.
+  /// How long an endpoint may send nothing before the request is offered to
+  /// another one.
   milliseconds silenceTimeout() const;
-  /// Whether the request may be sent to an endpoint other than \p Current, such
-  /// an endpoint is available and the retry budget allows it.
-  bool canFailOver(const EndpointId &Current) const;
-  /// Ends the current attempt when the endpoint exceeds silenceTimeout() and
-  /// the request can fail over; otherwise waits for another timeout.
-  void startSilenceTimer();
-  /// Counts and logs that an endpoint has exceeded silenceTimeout().
-  void recordSilence(const EndpointId &Id, Duration Silent, bool FailsOver);
+  /// Calls onSilence() each time the current attempt has had no progress for
+  /// silenceTimeout(), counted from \p From at first.
+  void startSilenceTimer(Instant From);
+  /// Offers the request to another endpoint, if there is one.
+  void onSilence();
+  /// The endpoint to offer the request to while the current one is silent, if
+  /// the request may be sent to another one and the retry budget allows it.
+  std::optional<EndpointId> chooseBackup();
+  /// Offers the request to one endpoint after another until one answers, which
+  /// ends the current attempt, or the current attempt goes on.
+  static Task<void> runBackups(std::shared_ptr<RequestSession> Self);
+  /// Returns whether the endpoint has begun to answer.
+  Task<bool> tryBackup(EndpointId Id);
+  bool onBackupFailed(Attempt &Failed, const http::TransportFailure &Failure);
+  bool onBackupOpened(const std::shared_ptr<Attempt> &Opened,
+                      OpenStream Answer);
+  /// Called when a backup may have run the request and its answer is not used.
+  void onBackupLost(const Attempt &Lost, serving::CallResult Result);
+  Task<Step> goOnWithBackup();
+  /// Called when the endpoint of the current attempt has sent something.
+  void onProgress();
   /// Whether the caller goes on with a stream that an earlier request began.
   bool isTakenUp() const;
   bool isResumableStream() const;
@@ -162,6 +194,12 @@
   Instant m_RespondBy;
   /// The attempt whose answer is waited for; null between attempts.
   std::shared_ptr<Attempt> m_Current;
+  /// The attempt that was made because the current one is silent, until its
+  /// endpoint answers.
+  std::shared_ptr<Attempt> m_Backup;
+  /// The backup that goes on in place of the silent attempt.
+  std::optional<OpenedAttempt> m_Taken;
+  AsyncCondition m_BackupSettled;
   boost::asio::steady_timer m_Timer;
   boost::asio::steady_timer m_SilenceTimer;
   bool m_CallerGone = false;
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -31,14 +31,10 @@
                                                   OpenStream Answer) {
   const http::Response &Head = Answer->head();
   const ResponseMetadata Facts = m_State.m_Platform.m_WireFormat->decode(Head);
-  if (Facts.m_Load)
-    m_State.m_Chooser.loads().onReport(
-        Id, Facts.m_Load->m_Running + Facts.m_Load->m_Waiting, Duration::zero(),
-        now());
-  recordRateLimit(Id, Facts);
+  recordReports(*m_Current, Facts);
   if (Facts.m_NotRun) {
     Answer->close();
-    co_return co_await onNotRun(Id, Facts, Head.m_Status);
+    co_return co_await onNotRun(Facts, Head.m_Status);
   }
   m_History.onPossiblyExecuted(Id);
   m_DispatchGuard.markSent();
@@ -55,12 +51,17 @@
   co_return co_await forwardBuffered(Id, std::move(Answer));
 }
 
-void RequestSession::recordRateLimit(const EndpointId &Id,
-                                     const ResponseMetadata &Facts) {
+void RequestSession::recordReports(const Attempt &Answered,
+                                   const ResponseMetadata &Facts) {
+  const EndpointId &Id = Answered.endpoint();
+  if (Facts.m_Load)
+    m_State.m_Chooser.loads().onReport(
+        Id, Facts.m_Load->m_Running + Facts.m_Load->m_Waiting, Duration::zero(),
+        now());
   const bool IsTrusted = Facts.m_Sealed || Facts.m_NotRun;
   if (!IsTrusted || Facts.m_AddressReused || !m_State.m_Endpoints.find(Id))
     return;
-  if (!m_State.m_RateLimits.onAnswer(Id, Facts.m_RateLimit, m_Current->sentAt(),
+  if (!m_State.m_RateLimits.onAnswer(Id, Facts.m_RateLimit, Answered.sentAt(),
                                      now()))
     return;
   logEvent(
@@ -84,6 +85,7 @@
       co_return co_await onIncompleteResponse(Id, resultOf(*Failure),
                                               Failure->m_Detail);
     }
+    onProgress();
     std::string &Chunk = std::get<std::string>(Next);
     if (Chunk.empty())
       break;
@@ -170,11 +172,14 @@
     auto Next = co_await Answer->read();
     if (m_CallerGone)
       co_return StreamResult::CallerGone;
+    // Bytes that were received before the connection was closed may still come.
+    if (m_Current->isSuperseded())
+      co_return StreamResult::EndpointFailed;
     if (std::holds_alternative<http::TransportFailure>(Next)) {
       recordAnswerEnd(Id, Answer->head(), EndBroken);
       co_return StreamResult::EndpointFailed;
     }
-    m_Current->onProgress();
+    onProgress();
     const std::string &Chunk = std::get<std::string>(Next);
     std::string Complete = m_Events.append(Chunk);
     if (m_Events.partialEvent().size() > MaxEventBytes)
--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-/// A repeatable request fails over to another endpoint after this multiple of
+/// A repeatable request is offered to another endpoint after this multiple of
 /// its target latency without a response, but not before the minimum.
 constexpr int SilenceTimeoutFactor = 3;
 constexpr milliseconds MinSilenceTimeout{400};
-/// Longest pause in a stream that can be resumed at another endpoint.
+/// The same for a pause in a stream that can be resumed at another endpoint.
 constexpr milliseconds StreamSilenceTimeout{1500};
 
 } // namespace
@@ -24,48 +24,165 @@
                   SilenceTimeoutFactor * m_Route->m_TargetLatency);
 }
 
-bool RequestSession::canFailOver(const EndpointId &Current) const {
-  if (!m_Route->isIdempotent() ||
-      !m_History.canTryAnotherEndpointAfter(Current))
-    return false;
-  const auto List = candidates();
-  const bool Other = std::ranges::any_of(List, [&, this](const auto *Item) {
-    return Item->id() != Current && !m_History.isExcluded(Item->id()) &&
-           !m_State.m_Chooser.health().isSuspended(Item->id(), now());
+std::optional<EndpointId> RequestSession::chooseBackup() {
+  const bool MayRunElsewhere =
+      m_Route->isIdempotent() &&
+      m_History.canTryAnotherEndpointAfter(m_Current->endpoint());
+  // The present send is counted once its answer has begun.
+  const int Uncounted = m_Current->hasAnswered() ? 0 : 1;
+  if (!MayRunElsewhere || m_History.sends() + Uncounted >= MaxSends ||
+      !m_State.budget(m_Service->m_Name).allows(now()))
+    return std::nullopt;
+  auto List = candidates();
+  std::erase_if(List, [this, Now = now()](const serving::Endpoint *Item) {
+    return Item->id() == m_Current->endpoint() ||
+           m_History.isExcluded(Item->id()) ||
+           m_State.m_Chooser.health().isSuspended(Item->id(), Now);
   });
-  return Other && m_State.budget(m_Service->m_Name).allows(now());
+  serving::ChoiceContext Context;
+  Context.m_Tried = &m_History.excluded();
+  return m_State.m_Chooser.choose(List, Context, now());
 }
 
-void RequestSession::startSilenceTimer() {
-  m_SilenceTimer.expires_at(m_Current->lastProgressAt() + silenceTimeout());
+void RequestSession::startSilenceTimer(Instant From) {
+  m_SilenceTimer.expires_at(From + silenceTimeout());
   m_SilenceTimer.async_wait(
       [Self = shared_from_this(), Weak = std::weak_ptr<Attempt>(m_Current)](
           const boost::system::error_code &Error) {
         const auto Watched = Weak.lock();
-        if (Error || Self->m_Ended || !Watched)
+        if (Error || Self->m_Ended || !Watched || Watched != Self->m_Current)
+          return;
+        if (now() - Watched->lastProgressAt() < Self->silenceTimeout()) {
+          Self->startSilenceTimer(Watched->lastProgressAt());
           return;
-        const Duration Silent = now() - Watched->lastProgressAt();
-        if (Silent >= Self->silenceTimeout()) {
-          const bool FailsOver = Self->canFailOver(Watched->endpoint());
-          Self->recordSilence(Watched->endpoint(), Silent, FailsOver);
-          if (FailsOver) {
-            Watched->supersede();
-            return;
-          }
-          Watched->onProgress();
         }
-        Self->startSilenceTimer();
+        Self->onSilence();
+        Self->startSilenceTimer(now());
       });
 }
 
-void RequestSession::recordSilence(const EndpointId &Id, Duration Silent,
-                                   bool FailsOver) {
-  m_State.m_Metrics.onSilence(FailsOver ? "fails_over" : "waits");
-  logEvent("request.silent", {{"endpoint", Id},
-                              {"silent_ms", toMilliseconds(Silent).count()},
-                              {"begun", m_HeadSent},
-                              {"fails_over", FailsOver},
-                              {"sends", m_History.sends()}});
+void RequestSession::onSilence() {
+  const bool HasChoice = chooseBackup().has_value();
+  m_State.m_Metrics.onSilence(HasChoice ? "tries_another" : "waits");
+  const Duration Silent = now() - m_Current->lastProgressAt();
+  logEvent("request.silent",
+           {{"endpoint", m_Current->endpoint()},
+            {"silent_ms", toMilliseconds(Silent).count()},
+            {"begun", m_HeadSent},
+            {"tries_another", HasChoice},
+            {"backup", m_Backup ? m_Backup->endpoint().str() : std::string()},
+            {"sends", m_History.sends()}});
+  if (!HasChoice)
+    return;
+  // Its coroutine goes on to the next endpoint.
+  if (m_Backup)
+    m_Backup->cancel();
+  else
+    m_State.spawn("backup_attempts", runBackups(shared_from_this()));
+}
+
+Task<void> RequestSession::runBackups(std::shared_ptr<RequestSession> Self) {
+  const std::weak_ptr<Attempt> Silent = Self->m_Current;
+  const Instant SilentSince = Self->m_Current->lastProgressAt();
+  const auto IsSilent = [&] {
+    const auto Watched = Silent.lock();
+    return !Self->isOver() && !Self->m_Ended && Watched &&
+           Watched == Self->m_Current &&
+           Watched->lastProgressAt() == SilentSince;
+  };
+  bool IsTaken = false;
+  while (!IsTaken && IsSilent()) {
+    const auto Chosen = Self->chooseBackup();
+    if (!Chosen)
+      break;
+    IsTaken = co_await Self->tryBackup(*Chosen);
+  }
+  if (IsTaken && IsSilent())
+    Self->m_Current->supersede();
+  Self->m_BackupSettled.notifyAll();
+}
+
+Task<bool> RequestSession::tryBackup(EndpointId Id) {
+  const auto Remote = m_State.addressOf(Id);
+  const bool IsPaid =
+      Remote && (std::exchange(m_RetryGranted, false) ||
+                 m_State.budget(m_Service->m_Name).tryRetry(now()));
+  if (!IsPaid) {
+    m_History.exclude(Id);
+    co_return false;
+  }
+  const auto Backup = startAttempt(Id);
+  m_Backup = Backup;
+  m_State.m_Metrics.onRetry();
+  http::OpenResult Result = co_await open(*Backup, *Remote);
+  if (m_Backup == Backup)
+    m_Backup.reset();
+  if (const auto *Failure = std::get_if<http::TransportFailure>(&Result))
+    co_return onBackupFailed(*Backup, *Failure);
+  co_return onBackupOpened(Backup, std::get<OpenStream>(std::move(Result)));
+}
+
+bool RequestSession::onBackupFailed(Attempt &Failed,
+                                    const http::TransportFailure &Failure) {
+  const bool WasCancelled = Failed.canceller()->cancelled();
+  if (!Failure.isKnownNotSent()) {
+    onBackupLost(Failed, WasCancelled ? serving::CallResult::Silent
+                                      : serving::CallResult::Broken);
+    return false;
+  }
+  Failed.onNotRun();
+  m_History.exclude(Failed.endpoint());
+  m_RetryGranted = true;
+  if (!WasCancelled)
+    onUnreachable(Failed.endpoint());
+  return false;
+}
+
+bool RequestSession::onBackupOpened(const std::shared_ptr<Attempt> &Opened,
+                                    OpenStream Answer) {
+  const ResponseMetadata Facts =
+      m_State.m_Platform.m_WireFormat->decode(Answer->head());
+  if (Facts.m_NotRun) {
+    m_History.onSent();
+    recordReports(*Opened, Facts);
+    recordRefusal(*Opened, Facts, Answer->head().m_Status);
+    return false;
+  }
+  if (!Facts.m_Sealed || Opened->canceller()->cancelled()) {
+    onBackupLost(*Opened, serving::CallResult::Broken);
+    return false;
+  }
+  m_DispatchGuard.markSent();
+  m_Taken = OpenedAttempt{Opened, std::move(Answer)};
+  return true;
+}
+
+void RequestSession::onBackupLost(const Attempt &Lost,
+                                  serving::CallResult Result) {
+  const EndpointId &Id = Lost.endpoint();
+  m_History.onSent();
+  m_History.exclude(Id);
+  m_History.onPossiblyExecuted(Id);
+  m_DispatchGuard.markSent();
+  recordPossibleLoss(Id);
+  // A backup that is no longer needed says nothing of its endpoint.
+  if (!Lost.isSuperseded() && !isOver() && !m_Ended)
+    m_State.m_Chooser.health().onResult(Id, Result, now());
+}
+
+void RequestSession::onProgress() {
+  m_Current->onProgress();
+  if (const auto Unneeded = std::exchange(m_Backup, nullptr))
+    Unneeded->supersede();
+}
+
+Task<RequestSession::Step> RequestSession::goOnWithBackup() {
+  const OpenedAttempt Taken = std::move(*std::exchange(m_Taken, std::nullopt));
+  logEvent("request.taken_over",
+           {{"endpoint", Taken.m_Attempt->endpoint()}, {"begun", m_HeadSent}});
+  m_Current = Taken.m_Attempt;
+  const auto Watch = watchCurrent();
+  co_return co_await onOpened(Taken.m_Answer);
 }
 
 } // namespace sff::host
