Begin the drain of a stop in time, whatever the store does

Cause: the host waited for the store to confirm that it had left its groups, one after the other, and only then for the 3 s until it takes no more requests. Each request in between has less than the grace time left.

Change: the groups are left meanwhile, the time counts from the signal, and it is 2.5 s. The balancer stops sending connections after two checks, 2 s; the rest leaves room for a signal that a small host handles late.

--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -14,9 +14,10 @@
 
 constexpr auto LogCategory = log::Category::Process;
 
-/// The load balancer removes a host after two failed readiness checks, which
-/// are one second apart.
-constexpr milliseconds BalancerDrainTime{3000};
+/// Time from the stop signal until the host takes no further requests. The load
+/// balancer removes a host after two failed readiness checks, which are one
+/// second apart.
+constexpr milliseconds BalancerDrainTime{2500};
 /// Part of the grace time that is reserved for the exit of the process.
 constexpr milliseconds ExitMargin{600};
 /// Lets the kernel send the last responses before the process exits.
@@ -215,8 +216,9 @@
   // Responses now ask callers to use another connection. Requests on open
   // connections are still served until the load balancer has removed this host.
   m_Callers.beginDrain();
-  co_await m_OrderLeases.release();
-  co_await sleepFor(std::min<Duration>(BalancerDrainTime, Deadline - now()));
+  // The store may be slow to confirm, and the drain must not begin late.
+  m_State.spawn("release_orders", m_OrderLeases.release());
+  co_await sleepFor(std::min(Start + BalancerDrainTime, Deadline) - now());
   // The load balancer opens no new connections. Requests that arrive on
   // kept-alive connections from now on could not be finished, so idle
   // connections are closed.
