Offer a silent endpoint's request also to endpoints that refused it before

A request that an endpoint had refused before another one took it and fell silent was not offered to the first again, though it may have room by then: in 1 of 4 runs of HostSilentEndpointTest.StreamGoesOnWhereItIsTaken, where the host happened to choose the full endpoint first, the stream ended with 504. Endpoints that cannot have run the request become eligible again each time the silence lasts on.

--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -62,7 +62,12 @@
 }
 
 void RequestSession::onSilence() {
-  const bool HasChoice = chooseBackup().has_value();
+  bool HasChoice = chooseBackup().has_value();
+  if (!HasChoice && !m_Backup) {
+    // Endpoints that refused the request may have room by now.
+    m_History.clearExclusions(false);
+    HasChoice = chooseBackup().has_value();
+  }
   m_State.m_Metrics.onSilence(HasChoice ? "tries_another" : "waits");
   const Duration Silent = now() - m_Current->lastProgressAt();
   logEvent("request.silent",
