--- a/Source/ProcessTests/Support/FaultProxy.cpp
+++ b/Source/ProcessTests/Support/FaultProxy.cpp
@@ -20,6 +20,8 @@
 
 constexpr milliseconds SilencePollPeriod{10};
 constexpr std::size_t ForwardBufferBytes = 16 * 1024;
+/// More than a listening socket with a backlog of 0 queues, which is one.
+constexpr int BacklogFillerCount = 4;
 
 asio::ip::tcp::endpoint toEndpoint(const http::Address &Where) {
   return {asio::ip::make_address(Where.m_Host), Where.m_Port};
@@ -63,16 +65,32 @@
 }
 
 void FaultProxy::listen() {
-  m_Acceptor = Tcp::acceptor(m_Loop.context(), m_Local);
-  asio::co_spawn(m_Loop.context(), acceptLoop(), asio::detached);
+  if (!m_Acceptor.is_open())
+    m_Acceptor = Tcp::acceptor(m_Loop.context(), m_Local);
+  m_Acceptor.listen();
+  if (!m_IsAccepting)
+    asio::co_spawn(m_Loop.context(), acceptLoop(), asio::detached);
+  m_IsAccepting = true;
+}
+
+void FaultProxy::fillBacklog() {
+  listen();
+  m_Acceptor.cancel();
+  m_Acceptor.listen(0);
+  for (int Count = 0; Count < BacklogFillerCount; ++Count)
+    m_BacklogFillers.emplace_back(m_Loop.context())
+        .async_connect(m_Local, asio::detached);
 }
 
 void FaultProxy::setNewConnections(Mode Next) {
   runOnProxyThread([this, Next] {
     m_NewConnections = Next;
+    m_BacklogFillers.clear();
     if (Next == Mode::Refuse)
       m_Acceptor.close();
-    else if (!m_Acceptor.is_open())
+    else if (Next == Mode::Hang)
+      fillBacklog();
+    else
       listen();
   });
 }
@@ -95,18 +113,22 @@
 }
 
 asio::awaitable<void> FaultProxy::acceptLoop() {
-  while (true) {
+  while (m_Acceptor.is_open() && m_NewConnections != Mode::Hang) {
     error_code Error;
     Tcp::socket Caller = co_await m_Acceptor.async_accept(redirectTo(Error));
+    if (Error == asio::error::operation_aborted)
+      continue;
     if (Error)
-      co_return;
+      break;
     auto Opened = std::make_shared<ProxiedConnection>(std::move(Caller),
                                                       m_Loop.context());
-    Opened->m_Silent = m_NewConnections == Mode::Silent;
+    Opened->m_Silent =
+        m_NewConnections == Mode::Silent || m_NewConnections == Mode::Hang;
     m_MaxConnections.remove_if([](const auto &Weak) { return Weak.expired(); });
     m_MaxConnections.push_back(Opened);
     asio::co_spawn(m_Loop.context(), openConnection(Opened), asio::detached);
   }
+  m_IsAccepting = false;
 }
 
 asio::awaitable<void>
@@ -117,17 +139,19 @@
     Opened->close();
     co_return;
   }
-  asio::co_spawn(m_Loop.context(),
-                 forward(Opened, Opened->m_Caller, Opened->m_Server),
-                 asio::detached);
-  asio::co_spawn(m_Loop.context(),
-                 forward(Opened, Opened->m_Server, Opened->m_Caller),
-                 asio::detached);
+  asio::co_spawn(
+      m_Loop.context(),
+      forward(Opened, Opened->m_Caller, Opened->m_Server, m_BytesToServer),
+      asio::detached);
+  asio::co_spawn(
+      m_Loop.context(),
+      forward(Opened, Opened->m_Server, Opened->m_Caller, m_BytesToCallers),
+      asio::detached);
 }
 
 asio::awaitable<void>
 FaultProxy::forward(std::shared_ptr<ProxiedConnection> Owner, Tcp::socket &From,
-                    Tcp::socket &To) {
+                    Tcp::socket &To, std::atomic<std::uint64_t> &ByteCount) {
   std::array<char, ForwardBufferBytes> Buffer{};
   error_code Error;
   while (!Error) {
@@ -136,8 +160,8 @@
     while (Owner->m_Silent && From.is_open())
       co_await standin::sleepFor(SilencePollPeriod);
     if (!Error)
-      co_await asio::async_write(To, asio::buffer(Buffer.data(), Read),
-                                 redirectTo(Error));
+      ByteCount += co_await asio::async_write(
+          To, asio::buffer(Buffer.data(), Read), redirectTo(Error));
   }
   Owner->close();
 }
