Pass requests on to other hosts while a host reaches no endpoint

Cause: a host had a belief about each endpoint and none about its own links. A request went from one endpoint to the next, 600 ms each, until its time was over, though other hosts reached the endpoints and this host. The class: a host takes its own loss for that of the other side.

If none can be reached it is isolated, until a later round reaches one. A host that stops, is cut off itself or serves 200 such requests declines. Hosts learn of each other from the answers to their usage reports. - Lost connections count as a crash of their endpoint only if another endpoint can be reached; what a cut has taught about endpoints is dropped when it ends. - A holder of orders leaves the group of its zone while it is isolated.

--- a/Source/Core/Core/Retry/CrashDetector.h
+++ b/Source/Core/Core/Retry/CrashDetector.h
@@ -34,6 +34,9 @@
   /// onRequestEnded().
   void onRequestLost(const EndpointCrash &Possible, std::string Fingerprint,
                      RequestId Run, Instant Now);
+  /// Call when the requests that were lost so far have another cause than
+  /// crashes.
+  void forgetLostRequests() { m_LostRequests.clear(); }
   /// Call when the endpoint refuses connections, has restarted or has vanished
   /// from the registry. Returns a report for each request that was lost with
   /// it, each only once.
--- a/Source/Core/Core/Serving/EndpointHealth.h
+++ b/Source/Core/Core/Serving/EndpointHealth.h
@@ -25,6 +25,8 @@
   /// Records the time from sending a request to the first byte of the answer.
   void onLatency(const EndpointId &Endpoint, Duration Latency);
   void forget(const EndpointId &Endpoint) { m_Entries.erase(Endpoint); }
+  /// Drops what has been learned of all endpoints.
+  void clear() { m_Entries.clear(); }
 
   /// Returns true while no requests should be sent to the endpoint.
   bool isSuspended(const EndpointId &Endpoint, Instant Now) const;
--- a/Source/Core/Core/Serving/FleetSize.cpp
+++ b/Source/Core/Core/Serving/FleetSize.cpp
@@ -1,6 +1,7 @@
 #include "Core/Serving/FleetSize.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sff::serving {
 
@@ -20,6 +21,15 @@
                             : std::max(m_LastReports.size(), AssumedHostCount);
 }
 
+std::vector<HostId> FleetSize::sample(std::size_t Count,
+                                      std::mt19937_64 &Random) const {
+  const std::set<HostId> All = hosts();
+  std::vector<HostId> Result;
+  std::ranges::sample(All, std::back_inserter(Result),
+                      static_cast<std::ptrdiff_t>(Count), Random);
+  return Result;
+}
+
 std::set<HostId> FleetSize::hosts() const {
   std::set<HostId> Result;
   for (const auto &[Host, ReportedAt] : m_LastReports)
--- a/Source/Core/Core/Serving/FleetSize.h
+++ b/Source/Core/Core/Serving/FleetSize.h
@@ -5,7 +5,9 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
+#include <vector>
 
 namespace sff::serving {
 
@@ -22,6 +24,8 @@
   void onReport(const HostId &Host, Instant Now);
   std::size_t count(Instant Now) const;
   std::set<HostId> hosts() const;
+  /// Returns up to \p Count random hosts.
+  std::vector<HostId> sample(std::size_t Count, std::mt19937_64 &Random) const;
 
 private:
   std::map<HostId, Instant> m_LastReports;
--- a/Source/Core/Host/CrashTracker.h
+++ b/Source/Core/Host/CrashTracker.h
@@ -49,6 +49,9 @@
   /// \p Endpoint may have run it.
   void onRequestLost(const serving::Endpoint &Endpoint,
                      const std::string &Fingerprint, const RequestId &Run);
+  /// Called when this host has lost its links, which explains the requests that
+  /// it has lost.
+  void onLinksLost() { m_Detector.forgetLostRequests(); }
   /// Called when the endpoint refuses connections, has restarted or has
   /// vanished from the registry. Counts a crash for the requests that were lost
   /// at it shortly before.
--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -282,6 +282,7 @@
     co_return;
   }
   m_State.m_Crashes.onMessages(Answer->m_Crashes);
+  m_Relay.onNamed(Answer->m_Peers);
   // A new holder has seen reports of few hosts, so the largest count is used.
   m_HostsByZone[Zone] = Answer->m_Hosts;
   std::int64_t Hosts = 1;
--- a/Source/Core/Host/DemandRouter.h
+++ b/Source/Core/Host/DemandRouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Host/PeerRelay.h"
 #include "Host/SwapService.h"
 
 #include <map>
@@ -13,8 +14,9 @@
 /// Thread safety: use from the host's io_context only.
 class DemandRouter {
 public:
-  DemandRouter(HostState &State, OrderLeases &Leases, SwapService &Swaps)
-      : m_State(State), m_OrderLeases(Leases), m_Swaps(Swaps),
+  DemandRouter(HostState &State, OrderLeases &Leases, SwapService &Swaps,
+               PeerRelay &Relay)
+      : m_State(State), m_OrderLeases(Leases), m_Swaps(Swaps), m_Relay(Relay),
         m_Peers(State.m_Context.get_executor()) {}
 
   void start();
@@ -69,6 +71,7 @@
   HostState &m_State;
   OrderLeases &m_OrderLeases;
   SwapService &m_Swaps;
+  PeerRelay &m_Relay; ///< Learns which hosts there are.
   http::Client m_Peers;
   std::set<serving::ModelName> m_Requested;
   std::map<serving::ModelName, std::int64_t> m_Waiting;
--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -31,6 +31,10 @@
 /// Idle pooled connections are closed after this time.
 constexpr milliseconds PoolIdleTimeout{8000};
 
+/// Requests of other hosts that are served at the same time. Bounds what hosts
+/// that are cut off add to the load of this one.
+constexpr std::size_t MaxRelayedRequests = 200;
+
 template <typename Message>
 std::optional<Message> parseMessage(const http::Request &Incoming) {
   return http::parseBody<Message>(Incoming.m_Body, log::Category::Peer,
@@ -67,7 +71,8 @@
       m_OrderLeases(m_State, Values.get(PeersSetting)),
       m_Notifier(m_State, Values.get(PeersSetting)),
       m_Swaps(m_State, m_OrderLeases, m_Notifier),
-      m_Demands(m_State, m_OrderLeases, m_Swaps),
+      m_Relay(m_State, Values.get(PeersSetting)),
+      m_Demands(m_State, m_OrderLeases, m_Swaps, m_Relay),
       m_Streams(m_State, m_OrderLeases), m_Follower(m_State, m_Streams),
       m_Callers(m_Context, {},
                 [this](http::Request Incoming, http::Exchange &Caller) {
@@ -96,6 +101,7 @@
   m_Swaps.start();
   m_Demands.start();
   m_Streams.start();
+  m_State.m_Links.start();
   m_State.spawn("follow_limits", followLimits());
   m_State.spawn("follow_crashes", m_State.m_Crashes.follow());
   m_State.spawn("publish_crashes", m_State.m_Crashes.publish());
@@ -108,11 +114,35 @@
 }
 
 Task<void> Host::handleCaller(http::Request Incoming, http::Exchange &Caller) {
+  co_await serve(std::move(Incoming), Caller, RequestOrigin::Caller);
+}
+
+Task<void> Host::serve(http::Request Incoming, http::Exchange &Caller,
+                       RequestOrigin Origin) {
   const auto Session = std::make_shared<RequestSession>(
-      m_State, m_Demands, m_Streams, m_Sessions, std::move(Incoming), Caller);
+      m_State, m_Demands, m_Streams, m_Sessions, m_Relay, Origin,
+      std::move(Incoming), Caller);
   co_await Session->run();
 }
 
+Task<void> Host::handleRelayed(http::Request Incoming, http::Exchange &Caller) {
+  const bool Declines = m_Draining || m_State.m_Links.isIsolated() ||
+                        m_RelayedRequests >= MaxRelayedRequests;
+  m_State.m_Metrics.onRelayRequest(Declines ? "declined" : "taken");
+  if (Declines) {
+    http::Response Answer =
+        http::makeProblem(503, "Service Unavailable", "not taken");
+    Answer.m_Headers.set(RelayDeclinedHeader, "1");
+    co_await Caller.respond(std::move(Answer));
+    co_return;
+  }
+  ++m_RelayedRequests;
+  const std::shared_ptr<void> Counted(nullptr,
+                                      [this](void *) { --m_RelayedRequests; });
+  Incoming.m_Target.erase(0, RelayPrefix.size());
+  co_await serve(std::move(Incoming), Caller, RequestOrigin::Host);
+}
+
 bool Host::isReady() const {
   return !m_Draining && m_State.m_Catalogue && m_State.m_EndpointsKnown;
 }
@@ -124,6 +154,10 @@
 }
 
 Task<void> Host::handlePeer(http::Request Incoming, http::Exchange &Caller) {
+  if (Incoming.m_Target.starts_with(RelayPrefix)) {
+    co_await handleRelayed(std::move(Incoming), Caller);
+    co_return;
+  }
   nlohmann::json Answer;
   if (Incoming.path() == DemandPath) {
     if (auto Demand = parseMessage<ModelDemand>(Incoming))
@@ -228,6 +262,8 @@
              {"connections", m_Callers.connections()},
              {"after_ms", toMilliseconds(now() - Start).count()}});
   co_await m_Callers.drain(Deadline);
+  while (m_RelayedRequests > 0 && now() < Deadline)
+    co_await sleepFor(ExitDelay);
   log::info(LogCategory, "process.drained",
             {{"requests", m_Callers.activeRequests()},
              {"connections", m_Callers.connections()},
--- a/Source/Core/Host/Host.h
+++ b/Source/Core/Host/Host.h
@@ -32,6 +32,11 @@
 
 private:
   Task<void> handleCaller(http::Request Incoming, http::Exchange &Caller);
+  Task<void> serve(http::Request Incoming, http::Exchange &Caller,
+                   RequestOrigin Origin);
+  /// Serves a request that a host which is cut off from the endpoints has
+  /// passed on, or declines it.
+  Task<void> handleRelayed(http::Request Incoming, http::Exchange &Caller);
   Task<void> handleReadiness(http::Request Incoming, http::Exchange &Caller);
   Task<void> handlePeer(http::Request Incoming, http::Exchange &Caller);
   Task<void> handleMetrics(http::Request Incoming, http::Exchange &Caller);
@@ -47,6 +52,7 @@
   OrderLeases m_OrderLeases;
   InventoryNotifier m_Notifier;
   SwapService m_Swaps;
+  PeerRelay m_Relay;
   DemandRouter m_Demands;
   StreamTracker m_Streams;
   StoreFollower m_Follower;
@@ -57,6 +63,7 @@
   http::Server m_Metrics;
   boost::asio::signal_set m_Signals;
   bool m_Draining = false;
+  std::size_t m_RelayedRequests = 0; ///< In progress.
 };
 
 } // namespace sff::host
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -32,6 +32,16 @@
       m_LostRequests(
           m_Set.counter("sff_host_lost_requests_total",
                         "Requests whose connection to the endpoint was lost")),
+      m_Relays(m_Set.counterFamily("sff_host_relays_total",
+                                   "Requests passed on to another host")),
+      m_RelayRequests(m_Set.counterFamily(
+          "sff_host_relay_requests_total",
+          "Requests that other hosts have passed on to this host")),
+      m_LinkProbes(m_Set.counterFamily(
+          "sff_host_link_probes_total",
+          "Rounds of connections that test the links to endpoints")),
+      m_Isolated(m_Set.gauge("sff_host_isolated",
+                             "1 while this host reaches no endpoint")),
       m_Silences(m_Set.counterFamily(
           "sff_host_silences_total",
           "Endpoints that sent nothing for too long, by the host's reaction")),
@@ -92,6 +102,22 @@
   observe(m_Durations, Taken);
 }
 
+void HostMetrics::onRelay(std::string_view Result) {
+  m_Relays.Add({{"result", std::string(Result)}}).Increment();
+}
+
+void HostMetrics::onRelayRequest(std::string_view Result) {
+  m_RelayRequests.Add({{"result", std::string(Result)}}).Increment();
+}
+
+void HostMetrics::onLinkProbes(std::string_view Result) {
+  m_LinkProbes.Add({{"result", std::string(Result)}}).Increment();
+}
+
+void HostMetrics::setIsolated(bool IsIsolated) {
+  m_Isolated.Set(IsIsolated ? 1 : 0);
+}
+
 void HostMetrics::onSilence(std::string_view Reaction) {
   m_Silences.Add({{"reaction", std::string(Reaction)}}).Increment();
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -37,6 +37,14 @@
   /// Counts a change of what is known of crashes by prompt part.
   void onPartEvent(std::string_view Event);
   void onResume() { m_Resumes.Increment(); }
+  /// Counts a request that was passed on to another host, by its result.
+  void onRelay(std::string_view Result);
+  /// Counts a request that another host has passed on, by what became of it.
+  void onRelayRequest(std::string_view Result);
+  /// Counts a round of connections that test this host's links to endpoints.
+  void onLinkProbes(std::string_view Result);
+  /// Sets whether this host is cut off from all endpoints.
+  void setIsolated(bool IsIsolated);
   /// Counts an endpoint that sends nothing for too long, by what this host does
   /// with the request.
   void onSilence(std::string_view Reaction);
@@ -87,6 +95,10 @@
   prometheus::Counter &m_Retries;
   prometheus::Counter &m_Resumes;
   prometheus::Counter &m_LostRequests;
+  prometheus::Family<prometheus::Counter> &m_Relays;
+  prometheus::Family<prometheus::Counter> &m_RelayRequests;
+  prometheus::Family<prometheus::Counter> &m_LinkProbes;
+  prometheus::Gauge &m_Isolated;
   prometheus::Family<prometheus::Counter> &m_Silences;
   prometheus::Family<prometheus::Counter> &m_Answers;
   prometheus::Family<prometheus::Counter> &m_Crashes;
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -29,11 +29,23 @@
                      log::ProcessIdentity Identity, Platform Adapter)
     : m_Context(Context), m_Settings(Values), m_Identity(std::move(Identity)),
       m_Zone(m_Identity.m_Zone), m_Platform(std::move(Adapter)),
-      m_Http(Context.get_executor()), m_Chooser(m_Zone, std::random_device{}()),
+      m_Http(Context.get_executor()),
+      m_Links(Context, m_Http, m_Endpoints, m_Metrics),
+      m_Chooser(m_Zone, std::random_device{}()),
       m_RateLimits(std::random_device{}()),
       m_Crashes(m_Platform.m_Store, m_Metrics),
       m_OwnDemand(serving::DemandRates::DefaultTimeConstant) {
   m_RateLimits.setHosts(m_Hosts);
+  m_Links.onChange([this] { onLinksChanged(); });
+}
+
+void HostState::onLinksChanged() {
+  if (m_Links.isIsolated())
+    m_Crashes.onLinksLost();
+  else
+    // What was learned of endpoints meanwhile was true of this host only.
+    m_Chooser.health().clear();
+  m_Changed.notifyAll();
 }
 
 serving::SharedRetryBudget &HostState::budget(const std::string &Service) {
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -10,6 +10,7 @@
 #include "Host/CrashTracker.h"
 #include "Host/HostMetrics.h"
 #include "Host/HostSettings.h"
+#include "Host/LinkMonitor.h"
 #include "Host/Ports.h"
 #include "Net/Http/Client.h"
 #include "Net/Timers/AsyncCondition.h"
@@ -70,6 +71,7 @@
   AsyncCondition m_Changed;
   std::shared_ptr<const serving::Catalogue> m_Catalogue;
   serving::EndpointDirectory m_Endpoints;
+  LinkMonitor m_Links; ///< Whether this host reaches endpoints.
   /// Values of bootTime() at which the store last answered a read of the
   /// catalogue and of the registrations.
   std::optional<Instant> m_CatalogueConfirmedAt;
@@ -90,6 +92,7 @@
   serving::DemandRates m_OwnDemand;
 
 private:
+  void onLinksChanged();
   static milliseconds ageOf(const std::optional<Instant> &ConfirmedAt);
 
   std::map<std::string, serving::SharedRetryBudget> m_Budgets;
--- /dev/null
+++ b/Source/Core/Host/LinkMonitor.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Core/Serving/EndpointReachability.h"
+#include "Host/HostMetrics.h"
+#include "Host/Ports.h"
+#include "Net/Http/Client.h"
+#include "Net/Timers/AsyncCondition.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace sff::host {
+
+/// Finds out whether this host is cut off from all endpoints, from what its
+/// requests see and from connections that it opens when they fail.
+/// Thread safety: use from the host's io_context only.
+class LinkMonitor {
+public:
+  /// Precondition: the arguments outlive the object.
+  LinkMonitor(boost::asio::io_context &Context, http::Client &Http,
+              const serving::EndpointDirectory &Endpoints,
+              HostMetrics &Metrics);
+
+  /// Starts to watch. Precondition: called at most once.
+  void start();
+  /// Calls \p Listener whenever isIsolated() has changed.
+  void onChange(std::function<void()> Listener) {
+    m_Listeners.push_back(std::move(Listener));
+  }
+
+  void onRequestSent();
+  void onData();
+  /// Called when a connection to an endpoint was lost or not established.
+  void onConnectionFailed();
+  /// No endpoint can be reached, as far as this host knows.
+  bool isIsolated() const { return m_Reachability.isIsolated(); }
+  /// Time since an endpoint was last heard from; zero before the first time.
+  milliseconds silence() const;
+  /// Connects to several endpoints, and returns false if none of them can be
+  /// reached, so that this host must take its own links for lost. A host that
+  /// knows too few endpoints cannot tell. Calls at the same time share the
+  /// connections.
+  Task<bool> hasLinks();
+
+private:
+  struct Round;
+
+  Task<void> watch();
+  Task<void> probe(std::shared_ptr<Round> Current, EndpointId Id);
+  void endRound(Round &Current);
+
+  boost::asio::io_context &m_Context;
+  http::Client &m_Http;
+  const serving::EndpointDirectory &m_Endpoints;
+  HostMetrics &m_Metrics;
+  std::mt19937_64 m_Random;
+  serving::EndpointReachability m_Reachability;
+  std::shared_ptr<Round> m_Round; ///< The round in progress, if any.
+  timers::AsyncCondition m_Suspected;
+  std::vector<std::function<void()>> m_Listeners;
+};
+
+} // namespace sff::host
--- a/Source/Core/Host/OrderLeases.cpp
+++ b/Source/Core/Host/OrderLeases.cpp
@@ -22,6 +22,12 @@
 }
 
 void OrderLeases::start() {
+  m_State.m_Links.onChange([this] {
+    if (!m_State.m_Links.isIsolated() || m_Released)
+      return;
+    for (const auto &[Zone, Lease] : m_Leases)
+      m_State.spawn("withdraw_orders", withdraw(Zone));
+  });
   // A host with a small CPU share leaves the lease to other hosts of the zone.
   // If there are none, findHolder() finds no holder and joins the group then.
   if (m_State.m_Settings.get(CpuShareSetting) >= MinHolderCpuShare)
@@ -38,7 +44,11 @@
 
 Task<void> OrderLeases::renewPeriodically(ZoneId Zone) {
   while (!m_Released) {
-    co_await renew(Zone);
+    // A holder that reaches no endpoint can carry out no order.
+    if (m_State.m_Links.isIsolated())
+      co_await withdraw(Zone);
+    else
+      co_await renew(Zone);
     co_await sleepFor(leaseTerm() / RenewalsPerTerm);
   }
 }
@@ -49,7 +59,7 @@
       Zone, m_Member, toMilliseconds(leaseTerm()), m_Generations[Zone]);
   m_State.m_Metrics.onStoreCall("join", Answer.has_value());
   serving::OrderLease &Lease = m_Leases.at(Zone);
-  if (m_Released)
+  if (m_Released || m_State.m_Links.isIsolated())
     co_return;
   if (!Answer) {
     Lease.onStoreUnreachable(SentAt);
@@ -68,6 +78,15 @@
   m_Generations[Zone] = Answer->m_Generation;
 }
 
+Task<void> OrderLeases::withdraw(ZoneId Zone) {
+  serving::OrderLease &Lease = m_Leases.at(Zone);
+  if (Lease.holds())
+    log::info(LogCategory, "orders.withdrawn", {{"zone", Zone}});
+  Lease.onReleased();
+  invalidateHolder(Zone);
+  co_await m_State.m_Platform.m_Store->leave(Zone, m_Member);
+}
+
 Task<void> OrderLeases::release() {
   m_Released = true;
   for (auto &[Zone, Lease] : m_Leases) {
--- a/Source/Core/Host/OrderLeases.h
+++ b/Source/Core/Host/OrderLeases.h
@@ -46,6 +46,8 @@
 
   Task<void> renewPeriodically(ZoneId Zone);
   Task<void> renew(ZoneId Zone);
+  /// Leaves the group of the zone while this host reaches no endpoint.
+  Task<void> withdraw(ZoneId Zone);
   void joinZone(const ZoneId &Zone);
   Duration leaseTerm() const;
 
--- a/Source/Core/Host/PeerMessages.h
+++ b/Source/Core/Host/PeerMessages.h
@@ -109,11 +109,14 @@
   std::int64_t m_Hosts = 0;
   /// Recent crashes that the holder has noticed or learned of.
   std::vector<CrashMessage> m_Crashes;
+  /// Peer addresses of some of the hosts that report usage.
+  std::vector<HostId> m_Peers;
 
   static constexpr auto describe() {
     using codec::field;
     return std::make_tuple(field("hosts", &UsageResponse::m_Hosts),
-                           field("crashes", &UsageResponse::m_Crashes));
+                           field("crashes", &UsageResponse::m_Crashes),
+                           field("peers", &UsageResponse::m_Peers));
   }
 };
 
--- /dev/null
+++ b/Source/Core/Host/PeerRelay.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Core/Serving/RelayTargets.h"
+#include "Host/HostState.h"
+
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+
+namespace sff::host {
+
+/// Prefix of the paths at which a host takes requests from hosts that are cut
+/// off from the endpoints. The rest is the target of the caller's request.
+constexpr std::string_view RelayPrefix = "/v1/relay";
+/// Header of an answer by which a host declines to take a request. The request
+/// has not run.
+constexpr std::string_view RelayDeclinedHeader = "Relay-Declined";
+
+/// A request on its way to another host, which counts as running there until
+/// the object is destroyed.
+struct RelayedCall {
+  HostId m_Host;
+  std::shared_ptr<void> m_Running;
+  /// A failed connection unless the host's address is valid.
+  http::OpenResult m_Result = http::TransportFailure();
+};
+
+/// Passes requests on to other hosts while this host is cut off from all
+/// endpoints. A host never passes on what another host has passed on to it.
+/// Thread safety: use from the host's io_context only.
+class PeerRelay {
+public:
+  /// \p Member is this host's own peer address.
+  PeerRelay(HostState &State, std::string Member);
+
+  /// Records the peer addresses of hosts that are known to run.
+  void onNamed(std::span<const HostId> Hosts);
+  /// Returns a host that takes requests, as far as is known, and is not in
+  /// \p Tried.
+  std::optional<HostId> choose(const std::set<HostId> &Tried) {
+    return m_Targets.choose(Tried, now());
+  }
+  /// Sends \p Message, which is addressed to an endpoint's service, to another
+  /// host and waits for the head of the answer.
+  Task<RelayedCall> open(HostId Host, http::Request Message,
+                         http::ClientOptions Options);
+  /// Called when the host has declined a request or did not answer.
+  void onFailed(const HostId &Host) { m_Targets.onFailed(Host, now()); }
+
+private:
+  std::string m_Member;
+  http::Client m_Peers;
+  serving::RelayTargets m_Targets;
+};
+
+} // namespace sff::host
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -50,6 +50,16 @@
   std::optional<std::string> m_LastEventId;
 };
 
+/// Metadata that the host adds to a request that it passes on to another host.
+struct RelayMetadata {
+  /// Remaining time of the caller's deadline.
+  milliseconds m_Deadline{0};
+  /// Set to resume a stream after this event.
+  std::optional<std::string> m_LastEventId;
+  /// The request that brought the first event of that stream.
+  RequestId m_ResumedStream;
+};
+
 /// Load that an endpoint reports in a response.
 struct ReportedLoad {
   std::int64_t m_Running = 0;
@@ -78,6 +88,10 @@
   virtual RequestMetadata decode(const http::Request &Incoming) const = 0;
   virtual http::Request encode(const http::Request &Incoming,
                                const DispatchMetadata &Facts) const = 0;
+  /// Returns the request in the form in which another host takes it like a
+  /// caller's.
+  virtual http::Request encodeForHost(const http::Request &Incoming,
+                                      const RelayMetadata &Facts) const = 0;
   virtual ResponseMetadata decode(const http::Response &Head) const = 0;
   /// Returns the check that a response belongs to the request \p Id.
   virtual http::ExpectedEcho makeEchoCheck(const RequestId &Id) const = 0;
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -55,12 +55,13 @@
 
 RequestSession::RequestSession(HostState &State, DemandRouter &Demands,
                                StreamTracker &Streams,
-                               SessionAffinity &Sessions,
-                               http::Request Incoming, http::Exchange &Caller)
+                               SessionAffinity &Sessions, PeerRelay &Relay,
+                               RequestOrigin Origin, http::Request Incoming,
+                               http::Exchange &Caller)
     : m_State(State), m_Demands(Demands), m_Streams(Streams),
-      m_Sessions(Sessions), m_Incoming(std::move(Incoming)), m_Caller(Caller),
-      m_ArrivedAt(now()), m_Timer(State.m_Context),
-      m_SilenceTimer(State.m_Context) {}
+      m_Sessions(Sessions), m_Relay(Relay), m_Origin(Origin),
+      m_Incoming(std::move(Incoming)), m_Caller(Caller), m_ArrivedAt(now()),
+      m_Timer(State.m_Context), m_SilenceTimer(State.m_Context) {}
 
 Task<void> RequestSession::run() {
   m_Facts = m_State.m_Platform.m_WireFormat->decode(m_Incoming);
@@ -144,12 +145,17 @@
   for (const auto &Active : {m_Current, m_Backup})
     if (Active)
       Active->cancel();
+  if (m_RelayCanceller)
+    m_RelayCanceller->cancel();
 }
 
 Task<void> RequestSession::serve() {
-  m_State.budget(m_Service->m_Name).onRequest(now());
-  if (!m_Facts.m_Model.m_Model.empty())
-    m_Demands.onRequest(m_Facts.m_Model);
+  // The host that sends the request to an endpoint counts it.
+  if (!mustPassOn()) {
+    m_State.budget(m_Service->m_Name).onRequest(now());
+    if (!m_Facts.m_Model.m_Model.empty())
+      m_Demands.onRequest(m_Facts.m_Model);
+  }
   if (isTakenUp()) {
     const bool IsKnown = co_await pinVersion();
     if (!IsKnown && !isOver()) {
@@ -215,6 +221,8 @@
     co_await endWithFailure(*Reason, QuarantineRetryAfter);
     co_return Step::Finished;
   }
+  if (mustPassOn())
+    co_return co_await passOn();
   const auto List = candidates();
   const bool NeedsModel =
       m_Service->m_Engine && !m_Facts.m_Model.m_Model.empty();
@@ -367,7 +375,7 @@
   m_RetryGranted = m_History.sends() > 0;
   if (isOver())
     co_return Step::TryAgain;
-  onUnreachable(Id);
+  co_await onUnreachable(Id);
   logEvent("request.not_sent",
            {{"endpoint", Id}, {"detail", Failure.m_Detail}});
   co_return Step::TryAgain;
@@ -389,6 +397,7 @@
   recordPossibleLoss(Id);
   if (isOver())
     co_return Step::TryAgain;
+  m_State.m_Links.onConnectionFailed();
   m_State.m_Chooser.health().onResult(Id, Result, now());
   const bool Silent = Result == serving::CallResult::Silent;
   if (const auto Remote = m_State.addressOf(Id); Silent && Remote)
@@ -420,7 +429,7 @@
     co_return true;
   logEvent("endpoint.probe_failed",
            {{"endpoint", Id}, {"detail", Failure->m_Detail}});
-  onUnreachable(Id);
+  co_await onUnreachable(Id);
   co_return false;
 }
 
@@ -429,10 +438,19 @@
   co_await Self->probe(std::move(Id));
 }
 
-void RequestSession::onUnreachable(const EndpointId &Id) {
+Task<void> RequestSession::onUnreachable(EndpointId Id) {
   m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
                                       now());
-  m_State.m_Crashes.onEndpointDown(Id);
+  // A host that reaches no endpoint at all has lost its own links.
+  const bool HasLinks = co_await m_State.m_Links.hasLinks();
+  if (HasLinks)
+    m_State.m_Crashes.onEndpointDown(Id);
+}
+
+Task<void>
+RequestSession::reportUnreachable(std::shared_ptr<RequestSession> Self,
+                                  EndpointId Id) {
+  co_await Self->onUnreachable(std::move(Id));
 }
 
 Task<RequestSession::Step> RequestSession::onNotRun(ResponseMetadata Facts,
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -5,6 +5,7 @@
 #include "Core/Streaming/CompleteEventBuffer.h"
 #include "Host/Attempt.h"
 #include "Host/DemandRouter.h"
+#include "Host/PeerRelay.h"
 #include "Host/StreamTracker.h"
 #include "Net/Http/Server.h"
 
@@ -28,6 +29,12 @@
   std::map<std::string, EndpointId, std::less<>> m_Endpoints;
 };
 
+/// Who has sent a request to this host.
+enum class RequestOrigin {
+  Caller,
+  Host, ///< A host that is cut off from the endpoints has passed it on.
+};
+
 /// Handles one caller request from its arrival to the end of the response.
 /// Timer callbacks that are outstanding keep the object alive.
 /// Thread safety: use from the host's io_context only.
@@ -36,7 +43,8 @@
   /// Precondition: \p Caller outlives the call of run().
   RequestSession(HostState &State, DemandRouter &Demands,
                  StreamTracker &Streams, SessionAffinity &Sessions,
-                 http::Request Incoming, http::Exchange &Caller);
+                 PeerRelay &Relay, RequestOrigin Origin, http::Request Incoming,
+                 http::Exchange &Caller);
 
   Task<void> run();
 
@@ -116,7 +124,22 @@
   /// Records how the body of an endpoint's answer ended.
   void recordAnswerEnd(const EndpointId &Id, const http::Response &Head,
                        std::string_view End);
-  void onUnreachable(const EndpointId &Id);
+  Task<void> onUnreachable(EndpointId Id);
+  static Task<void> reportUnreachable(std::shared_ptr<RequestSession> Self,
+                                      EndpointId Id);
+  /// Whether the request goes to another host: this one reaches no endpoint, or
+  /// another host has begun the stream.
+  bool mustPassOn() const {
+    return m_State.m_Links.isIsolated() || m_RelayHasBegun;
+  }
+  /// Passes the request on to another host, or refuses it if there is none.
+  Task<Step> passOn();
+  RelayMetadata relayFacts() const;
+  Task<Step> onRelayFailed(HostId Host, http::TransportFailure Failure);
+  Task<Step> forwardRelayed(HostId Host, OpenStream Answer);
+  Task<Step> forwardRelayedStream(HostId Host, OpenStream Answer);
+  /// Sends the head of a stream to the caller.
+  Task<bool> beginStream(http::Response Head);
   /// Connects to an endpoint, to tell a crash from a lost answer or a regular
   /// end. Returns false if the endpoint cannot be connected to.
   Task<bool> probe(EndpointId Id);
@@ -184,6 +207,8 @@
   DemandRouter &m_Demands;
   StreamTracker &m_Streams;
   SessionAffinity &m_Sessions;
+  PeerRelay &m_Relay;
+  RequestOrigin m_Origin;
   http::Request m_Incoming;
   http::Exchange &m_Caller;
   RequestMetadata m_Facts;
@@ -200,6 +225,11 @@
   /// The backup that goes on in place of the silent attempt.
   std::optional<OpenedAttempt> m_Taken;
   AsyncCondition m_BackupSettled;
+  std::shared_ptr<http::CallCanceller> m_RelayCanceller;
+  std::set<HostId> m_RelaysTried;
+  /// Another host has begun the stream. Only hosts that are told its first
+  /// request know at which software version it goes on.
+  bool m_RelayHasBegun = false;
   boost::asio::steady_timer m_Timer;
   boost::asio::steady_timer m_SilenceTimer;
   bool m_CallerGone = false;
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -187,17 +187,11 @@
     if (Chunk.empty() && !checkStreamEnd(Id, Answer->head()))
       co_return StreamResult::EndpointFailed;
     if (!m_HeadSent) {
-      m_CallerReadsToEnd = Answer->head().m_EndsWithConnection;
-      http::Response Head =
-          m_State.m_Platform.m_WireFormat->makeCallerResponse(Answer->head());
-      Head.m_Headers.erase("Content-Length");
-      m_State.m_Metrics.onFirstByte(now() - m_ArrivedAt);
       logEvent(
           "request.streaming",
           {{"endpoint", Id},
            {"first_byte_ms", toMilliseconds(now() - m_ArrivedAt).count()}});
-      m_HeadSent = true;
-      const bool Begun = co_await m_Caller.beginStream(std::move(Head));
+      const bool Begun = co_await beginStream(Answer->head());
       if (!Begun)
         co_return StreamResult::CallerGone;
     }
@@ -212,6 +206,16 @@
   }
 }
 
+Task<bool> RequestSession::beginStream(http::Response Head) {
+  m_CallerReadsToEnd = Head.m_EndsWithConnection;
+  http::Response Begun =
+      m_State.m_Platform.m_WireFormat->makeCallerResponse(Head);
+  Begun.m_Headers.erase("Content-Length");
+  m_State.m_Metrics.onFirstByte(now() - m_ArrivedAt);
+  m_HeadSent = true;
+  co_return co_await m_Caller.beginStream(std::move(Begun));
+}
+
 bool RequestSession::checkStreamEnd(const EndpointId &Id,
                                     const http::Response &Head) {
   const bool InsideEvent = !m_Events.partialEvent().empty();
@@ -241,6 +245,8 @@
 }
 
 void RequestSession::recordPossibleLoss(const EndpointId &Id) {
+  if (m_State.m_Links.isIsolated())
+    return;
   if (const auto *Known = m_State.m_Endpoints.find(Id))
     m_State.m_Crashes.onRequestLost(*Known, m_Fingerprint, m_Facts.m_Id);
 }
--- /dev/null
+++ b/Source/Core/Host/RequestSessionRelay.cpp
@@ -0,0 +1,172 @@
+#include "Host/RequestSession.h"
+
+#include <algorithm>
+
+namespace sff::host {
+
+namespace {
+
+/// Hosts that a request is passed on to before it is refused.
+constexpr std::size_t MaxRelays = 3;
+/// Retry-After of requests that no host can take. The caller's next try may
+/// reach another host.
+constexpr milliseconds NoHostRetryAfter{500};
+/// Status of answers by which a host refuses a request that has not run.
+constexpr int RefusalStatus = 503;
+/// Largest body of an answer that is not a stream.
+constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
+
+} // namespace
+
+RelayMetadata RequestSession::relayFacts() const {
+  RelayMetadata Facts;
+  Facts.m_Deadline = toMilliseconds(remainingTime());
+  if (m_HeadSent && !m_Events.lastId().empty()) {
+    Facts.m_LastEventId = m_Events.lastId();
+    Facts.m_ResumedStream =
+        isTakenUp() ? m_Facts.m_ResumedStream : m_Facts.m_Id;
+  }
+  return Facts;
+}
+
+Task<RequestSession::Step> RequestSession::passOn() {
+  const bool MayPassOn =
+      m_Origin == RequestOrigin::Caller && m_RelaysTried.size() < MaxRelays;
+  const auto Chosen = MayPassOn ? m_Relay.choose(m_RelaysTried) : std::nullopt;
+  if (!Chosen) {
+    co_await endWithFailure("cut_off_from_endpoints", NoHostRetryAfter);
+    co_return Step::Finished;
+  }
+  m_RelaysTried.insert(*Chosen);
+  m_RelayCanceller = std::make_shared<http::CallCanceller>();
+  http::ClientOptions Options = callOptions();
+  // Answers that a host makes itself do not name the request.
+  Options.m_ExpectedEcho.reset();
+  Options.m_Canceller = m_RelayCanceller;
+  logEvent("request.passed_on",
+           {{"peer", *Chosen},
+            {"begun", m_HeadSent},
+            {"left_ms", toMilliseconds(remainingTime()).count()},
+            {"silent_ms", m_State.m_Links.silence().count()}});
+  http::Request Outgoing =
+      m_State.m_Platform.m_WireFormat->encodeForHost(m_Incoming, relayFacts());
+  RelayedCall Call =
+      co_await m_Relay.open(*Chosen, std::move(Outgoing), std::move(Options));
+  if (const auto *Failure = std::get_if<http::TransportFailure>(&Call.m_Result))
+    co_return co_await onRelayFailed(Call.m_Host, *Failure);
+  const auto Answer = std::get<OpenStream>(Call.m_Result);
+  if (!Answer->head().m_Headers.view(RelayDeclinedHeader).empty()) {
+    m_Relay.onFailed(Call.m_Host);
+    m_State.m_Metrics.onRelay("declined");
+    logEvent("request.relay_declined", {{"peer", Call.m_Host}});
+    co_return Step::TryAgain;
+  }
+  co_return co_await forwardRelayed(Call.m_Host, Answer);
+}
+
+Task<RequestSession::Step>
+RequestSession::onRelayFailed(HostId Host, http::TransportFailure Failure) {
+  m_Relay.onFailed(Host);
+  m_State.m_Metrics.onRelay("failed");
+  logEvent("request.relay_failed",
+           {{"peer", Host}, {"detail", Failure.m_Detail}});
+  if (Failure.isKnownNotSent())
+    co_return Step::TryAgain;
+  m_DispatchGuard.markSent();
+  m_Events.discardPartial();
+  if (m_Route->isIdempotent())
+    co_return Step::TryAgain;
+  co_await endWithFailure("peer_lost");
+  co_return Step::Finished;
+}
+
+Task<RequestSession::Step> RequestSession::forwardRelayed(HostId Host,
+                                                          OpenStream Answer) {
+  const int Status = Answer->head().m_Status;
+  const bool IsStream = m_Route->m_Kind == serving::RouteKind::Stream &&
+                        Status >= 200 && Status < 300;
+  // Only a refusal by the other host itself proves that the request has not
+  // run.
+  const bool IsSealed =
+      m_State.m_Platform.m_WireFormat->decode(Answer->head()).m_Sealed;
+  const bool IsRefusal = !IsSealed && Status == RefusalStatus;
+  if (!IsRefusal)
+    m_DispatchGuard.markSent();
+  if (IsRefusal && m_DispatchGuard.mayHaveBeenSent()) {
+    co_await endWithFailure("refused_by_host");
+    co_return Step::Finished;
+  }
+  if (IsStream)
+    co_return co_await forwardRelayedStream(Host, std::move(Answer));
+  std::string Body;
+  while (true) {
+    auto Next = co_await Answer->read();
+    if (const auto *Failure = std::get_if<http::TransportFailure>(&Next))
+      co_return co_await onRelayFailed(Host, *Failure);
+    const std::string &Chunk = std::get<std::string>(Next);
+    if (Chunk.empty())
+      break;
+    Body += Chunk;
+    if (Body.size() > MaxBodyBytes) {
+      Answer->close();
+      co_await endWithFailure("peer_lost");
+      co_return Step::Finished;
+    }
+  }
+  if (m_HeadSent) {
+    m_Caller.abort();
+    recordOutcome("broken_off", 0, "resume_failed");
+    co_return Step::Finished;
+  }
+  http::Response Final =
+      m_State.m_Platform.m_WireFormat->makeCallerResponse(Answer->head());
+  Final.m_Headers.erase("Content-Length");
+  Final.m_Body = std::move(Body);
+  m_State.m_Metrics.onRelay(IsRefusal ? "refused" : "answered");
+  m_State.m_Metrics.onFirstByte(now() - m_ArrivedAt);
+  const bool Delivered = co_await m_Caller.respond(std::move(Final));
+  recordOutcome(!Delivered  ? "caller_gone"
+                : IsRefusal ? "refused"
+                            : "answered",
+                Status, "passed_on");
+  co_return Step::Finished;
+}
+
+Task<RequestSession::Step>
+RequestSession::forwardRelayedStream(HostId Host, OpenStream Answer) {
+  while (true) {
+    auto Next = co_await Answer->read();
+    if (m_CallerGone) {
+      recordOutcome("caller_gone", 0, "passed_on");
+      co_return Step::Finished;
+    }
+    if (const auto *Failure = std::get_if<http::TransportFailure>(&Next))
+      co_return co_await onRelayFailed(Host, *Failure);
+    const std::string &Chunk = std::get<std::string>(Next);
+    const std::string Complete = m_Events.append(Chunk);
+    const bool IsTorn = Chunk.empty() && !m_Events.partialEvent().empty();
+    if (IsTorn) {
+      http::TransportFailure Torn;
+      Torn.m_Stage = http::FailureStage::Read;
+      Torn.m_Detail = "ended inside an event";
+      co_return co_await onRelayFailed(Host, std::move(Torn));
+    }
+    if (!m_HeadSent) {
+      m_RelayHasBegun = true;
+      co_await beginStream(Answer->head());
+    }
+    const bool Written = co_await m_Caller.writeChunk(Complete);
+    if (!Written) {
+      recordOutcome("caller_gone", 0, "passed_on");
+      co_return Step::Finished;
+    }
+    if (Chunk.empty())
+      break;
+  }
+  m_State.m_Metrics.onRelay("answered");
+  co_await m_Caller.endStream();
+  recordOutcome("answered", Answer->head().m_Status, "passed_on");
+  co_return Step::Finished;
+}
+
+} // namespace sff::host
--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -52,6 +52,10 @@
         const auto Watched = Weak.lock();
         if (Error || Self->m_Ended || !Watched || Watched != Self->m_Current)
           return;
+        if (Self->m_State.m_Links.isIsolated()) {
+          Watched->supersede();
+          return;
+        }
         if (now() - Watched->lastProgressAt() < Self->silenceTimeout()) {
           Self->startSilenceTimer(Watched->lastProgressAt());
           return;
@@ -139,7 +143,8 @@
   m_History.exclude(Failed.endpoint());
   m_RetryGranted = true;
   if (!WasCancelled)
-    onUnreachable(Failed.endpoint());
+    m_State.spawn("attribute_crash",
+                  reportUnreachable(shared_from_this(), Failed.endpoint()));
   return false;
 }
 
@@ -177,6 +182,7 @@
 
 void RequestSession::onProgress() {
   m_Current->onProgress();
+  m_State.m_Links.onData();
   if (const auto Unneeded = std::exchange(m_Backup, nullptr))
     Unneeded->supersede();
 }
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -242,7 +242,9 @@
     co_return;
   log::info(log::Category::Membership, "endpoint.probe_failed",
             {{"endpoint", Id}, {"detail", Failure->m_Detail}});
-  m_State.m_Crashes.onEndpointCrashed(Id);
+  const bool HasLinks = co_await m_State.m_Links.hasLinks();
+  if (HasLinks)
+    m_State.m_Crashes.onEndpointCrashed(Id);
 }
 
 void StoreFollower::apply(const EndpointBatch &Batch, bool WholeListing) {
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -8,6 +8,9 @@
 
 constexpr auto LogCategory = log::Category::Loading;
 
+/// Most hosts that one answer names.
+constexpr std::size_t MaxNamedPeers = 16;
+
 /// Short enough to detect a sudden increase in demand.
 constexpr milliseconds RecentDemandWindow{4000};
 /// A model with a request or load within this time is assumed to have running
@@ -77,7 +80,8 @@
   }
   m_State.m_Crashes.onMessages(Report.m_Crashes);
   return {static_cast<std::int64_t>(m_Fleet.count(now())),
-          m_State.m_Crashes.recentMessages()};
+          m_State.m_Crashes.recentMessages(),
+          m_Fleet.sample(MaxNamedPeers, m_Random)};
 }
 
 std::vector<const serving::Endpoint *>
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -182,7 +182,9 @@
   serving::DemandRates m_Demand; ///< Request rates over all hosts that report.
   /// Like m_Demand over a short window, to detect sudden increases.
   serving::DemandRates m_RecentDemand;
-  serving::FleetSize m_Fleet; ///< The hosts that report usage to this holder.
+  serving::FleetSize m_Fleet;
+  std::mt19937_64 m_Random{
+      std::random_device{}()}; ///< The hosts that report usage to this holder.
   Instant m_OverloadsCheckedAt;
   bool m_DemandSeeded = false;
   bool m_RemoteLoadRunning = false;
