--- a/Source/Core/Core/Serving/EndpointReachability.cpp
+++ b/Source/Core/Core/Serving/EndpointReachability.cpp
@@ -42,6 +42,21 @@
   return Result;
 }
 
+std::vector<EndpointId>
+EndpointReachability::chooseFurtherProbes(const EndpointDirectory &Endpoints,
+                                          std::span<const EndpointId> Tried,
+                                          std::mt19937_64 &Random) const {
+  std::vector<EndpointId> Result;
+  if (isIsolated())
+    return Result;
+  for (const auto &[Id, Candidate] : Endpoints.all())
+    if (std::ranges::find(Tried, Id) == Tried.end())
+      Result.push_back(Id);
+  std::ranges::shuffle(Result, Random);
+  Result.resize(std::min(Result.size(), MaxFurtherProbes));
+  return Result;
+}
+
 bool EndpointReachability::onRoundEnded(std::size_t Probes, bool AnyConnected,
                                         Instant Now) {
   const bool WasIsolated = isIsolated();
--- a/Source/Core/Core/Serving/EndpointReachability.h
+++ b/Source/Core/Core/Serving/EndpointReachability.h
@@ -4,13 +4,15 @@
 
 #include <optional>
 #include <random>
+#include <span>
 #include <vector>
 
 namespace sff::serving {
 
 /// Tells the loss of this host's own links from the loss of endpoints. A host
 /// is isolated when new connections to endpoints of different availability
-/// zones all fail; single endpoints that fail say nothing of the host. Decides
+/// zones all fail; a host that has lost the path to some endpoints only is not.
+/// Decides
 /// when to probe and what a round of probes means; the caller connects.
 /// Thread safety: none.
 class EndpointReachability {
@@ -22,6 +24,9 @@
   static constexpr milliseconds ProbeInterval{300};
   /// Endpoints that one round connects to, if there are as many.
   static constexpr std::size_t ProbesPerRound = 4;
+  /// Further endpoints that a round connects to if the first ones all fail, so
+  /// that a host that still reaches some of them finds one.
+  static constexpr std::size_t MaxFurtherProbes = 12;
   /// A host that knows fewer endpoints cannot tell its own loss from theirs.
   static constexpr std::size_t MinProbes = 2;
 
@@ -36,6 +41,12 @@
   /// The endpoints to connect to, from as many availability zones as possible.
   std::vector<EndpointId> chooseProbes(const EndpointDirectory &Endpoints,
                                        std::mt19937_64 &Random) const;
+  /// The endpoints to connect to if none of \p Tried could be reached. Empty
+  /// while the host is isolated, which is known then.
+  std::vector<EndpointId>
+  chooseFurtherProbes(const EndpointDirectory &Endpoints,
+                      std::span<const EndpointId> Tried,
+                      std::mt19937_64 &Random) const;
   /// Records the end of a round. Returns whether isIsolated() has changed.
   bool onRoundEnded(std::size_t Probes, bool AnyConnected, Instant Now);
 
--- a/Source/Core/Host/LinkMonitor.cpp
+++ b/Source/Core/Host/LinkMonitor.cpp
@@ -20,8 +20,9 @@
 
 /// Connections that are opened at the same time.
 struct LinkMonitor::Round {
-  std::size_t m_Probes = 0;
+  std::vector<EndpointId> m_Tried;
   std::size_t m_Open = 0;
+  bool m_IsExtended = false; ///< Further endpoints have been chosen.
   bool m_AnyConnected = false;
   bool m_Ended = false;
   timers::AsyncCondition m_Settled;
@@ -62,20 +63,33 @@
 Task<bool> LinkMonitor::hasLinks() {
   auto Current = m_Round;
   if (!Current) {
-    const auto Chosen = m_Reachability.chooseProbes(m_Endpoints, m_Random);
     Current = std::make_shared<Round>();
-    Current->m_Probes = Current->m_Open = Chosen.size();
     m_Round = Current;
-    for (const EndpointId &Id : Chosen)
-      boost::asio::co_spawn(m_Context, probe(Current, Id),
-                            boost::asio::detached);
-    if (Chosen.empty())
-      endRound(*Current);
+    startProbes(Current, m_Reachability.chooseProbes(m_Endpoints, m_Random));
   }
   while (!Current->m_Ended)
-    co_await Current->m_Settled.wait(2 * LinkProbeTimeout);
+    co_await Current->m_Settled.wait(LinkProbeTimeout);
   co_return Current->m_AnyConnected ||
-      Current->m_Probes < serving::EndpointReachability::MinProbes;
+      Current->m_Tried.size() < serving::EndpointReachability::MinProbes;
+}
+
+void LinkMonitor::startProbes(const std::shared_ptr<Round> &Current,
+                              std::vector<EndpointId> Chosen) {
+  Current->m_Open += Chosen.size();
+  Current->m_Tried.insert(Current->m_Tried.end(), Chosen.begin(), Chosen.end());
+  for (const EndpointId &Id : Chosen)
+    boost::asio::co_spawn(m_Context, probe(Current, Id), boost::asio::detached);
+  if (Chosen.empty())
+    endRound(*Current);
+}
+
+void LinkMonitor::onProbesFailed(const std::shared_ptr<Round> &Current) {
+  if (std::exchange(Current->m_IsExtended, true)) {
+    endRound(*Current);
+    return;
+  }
+  startProbes(Current, m_Reachability.chooseFurtherProbes(
+                           m_Endpoints, Current->m_Tried, m_Random));
 }
 
 Task<void> LinkMonitor::probe(std::shared_ptr<Round> Current, EndpointId Id) {
@@ -92,8 +106,10 @@
   --Current->m_Open;
   Current->m_AnyConnected |= Connected;
   // One connection is enough: the rest of the round need not be waited for.
-  if (Current->m_AnyConnected || Current->m_Open == 0)
+  if (Current->m_AnyConnected)
     endRound(*Current);
+  else if (Current->m_Open == 0)
+    onProbesFailed(Current);
 }
 
 void LinkMonitor::endRound(Round &Current) {
@@ -101,14 +117,14 @@
     return;
   m_Round.reset();
   const bool Changed = m_Reachability.onRoundEnded(
-      Current.m_Probes, Current.m_AnyConnected, now());
+      Current.m_Tried.size(), Current.m_AnyConnected, now());
   m_Metrics.onLinkProbes(Current.m_AnyConnected ? "reached" : "failed");
   Current.m_Settled.notifyAll();
   if (!Changed)
     return;
   m_Metrics.setIsolated(isIsolated());
   log::warning(LogCategory, isIsolated() ? "links.lost" : "links.regained",
-               {{"probes", Current.m_Probes},
+               {{"probes", Current.m_Tried.size()},
                 {"endpoints", m_Endpoints.all().size()},
                 {"silent_ms", silence().count()}});
   for (const auto &Listener : m_Listeners)
--- a/Source/Core/Host/LinkMonitor.h
+++ b/Source/Core/Host/LinkMonitor.h
@@ -50,7 +50,11 @@
   struct Round;
 
   Task<void> watch();
+  void startProbes(const std::shared_ptr<Round> &Current,
+                   std::vector<EndpointId> Chosen);
   Task<void> probe(std::shared_ptr<Round> Current, EndpointId Id);
+  /// Ends the round, or goes on with further endpoints.
+  void onProbesFailed(const std::shared_ptr<Round> &Current);
   void endRound(Round &Current);
 
   boost::asio::io_context &m_Context;
