Write the record of the versions again until the store confirms it

The record tells hosts that start which software versions began streams. It was written once, when a version came or left; if the store refused that call, it was missing until the next change. When all hosts were killed and the endpoints of one version had left, those that came back took the other version for the only one, and streams that callers took up were joined from both.

Each change is now written until the store has confirmed it, with the versions known at the time of the call.

--- a/Source/Core/Host/StreamTracker.cpp
+++ b/Source/Core/Host/StreamTracker.cpp
@@ -21,7 +21,8 @@
 /// Delay before the holders are asked again, for messages on their way.
 constexpr milliseconds RepeatDelay{60};
 constexpr int MaxQueries = 2;
-constexpr milliseconds HistoryRetryDelay{500};
+/// Delay before a call about the record of the versions is repeated.
+constexpr milliseconds RecordRetryDelay{500};
 /// Most by which the clocks of two hosts differ.
 constexpr std::chrono::seconds MaxClockDifference{10};
 /// Number of availability zones whose holders keep the version of a stream.
@@ -53,7 +54,7 @@
     Earlier = co_await m_State.m_Platform.m_Store->listVersions();
     m_State.m_Metrics.onStoreCall("versions", Earlier.has_value());
     if (!Earlier)
-      co_await sleepFor(HistoryRetryDelay);
+      co_await sleepFor(RecordRetryDelay);
   }
   for (const ServiceVersions &Service : *Earlier)
     for (const VersionRecord &Record : Service.m_Versions)
@@ -63,7 +64,21 @@
   log::info(LogCategory, "streams.history", {{"services", Earlier->size()}});
 }
 
-Task<void> StreamTracker::writeVersions(std::string Service) {
+Task<void> StreamTracker::writeRecords() {
+  m_IsWriting = true;
+  while (!m_Unwritten.empty()) {
+    // A change during the call adds the service again.
+    std::string Service = *m_Unwritten.begin();
+    m_Unwritten.erase(Service);
+    if (co_await writeVersions(Service))
+      continue;
+    m_Unwritten.insert(std::move(Service));
+    co_await sleepFor(RecordRetryDelay);
+  }
+  m_IsWriting = false;
+}
+
+Task<bool> StreamTracker::writeVersions(std::string Service) {
   ServiceVersions Versions{Service, {}};
   for (const auto &Known : m_Versions.known(Service)) {
     const milliseconds LastSeen =
@@ -76,14 +91,16 @@
   m_State.m_Metrics.onStoreCall("versions", Written);
   log::info(LogCategory, "streams.versions_changed",
             {{"service", Service}, {"written", Written}});
+  co_return Written;
 }
 
 void StreamTracker::onDirectoryChanged() {
   const auto Changed = m_Versions.update(m_State.m_Endpoints, bootTime());
   if (Changed.empty())
     return;
-  for (const std::string &Service : Changed)
-    m_State.spawn("write_versions", writeVersions(Service));
+  m_Unwritten.insert(Changed.begin(), Changed.end());
+  if (!m_IsWriting)
+    m_State.spawn("write_versions", writeRecords());
   // Other hosts took these streams for streams of the sole version until now.
   for (const serving::StreamVersion &Begun :
        m_Streams.recordedSince(bootTime() - AnnouncedAge, MaxAnnounced))
--- a/Source/Core/Host/StreamTracker.h
+++ b/Source/Core/Host/StreamTracker.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,8 +67,12 @@
   /// The holders that keep the versions of this host's streams.
   std::vector<std::string> recordKeepers() const;
   Task<void> readHistory();
-  /// Writes the versions that a service has had, for hosts that start.
-  Task<void> writeVersions(std::string Service);
+  /// Writes the versions of all services in m_Unwritten, for hosts that start,
+  /// until the store has confirmed them.
+  Task<void> writeRecords();
+  /// Writes the versions that a service has had by now. Returns whether the
+  /// store has confirmed it.
+  Task<bool> writeVersions(std::string Service);
 
   HostState &m_State;
   OrderLeases &m_OrderLeases;
@@ -75,6 +80,9 @@
   serving::SoftwareVersions m_Versions;
   serving::StreamVersionTable m_Streams;
   StreamNotice m_Pending; ///< Not yet sent.
+  /// Services whose versions have changed since they were last written.
+  std::set<std::string> m_Unwritten;
+  bool m_IsWriting = false; ///< writeRecords() runs.
 };
 
 } // namespace sff::host
