Record every version of a service, under its own key and without a time

A host that found no record of a service took what was registered for all versions there had been. The record was first written when a second version appeared, so it was missing if all endpoints were replaced while all hosts were down: streams of the old version that callers took up then went on at the new one. All hosts wrote the whole set of a service under one key, so one that was behind could replace a newer set by an older. When a version had left was recorded by the time of day; after a jump of a clock, hosts that started took a version that had just left for one that had left long ago.

Each version now has a record of its own, also the only one of a service. It says that streams of the version may still be taken up, and is removed five minutes after the version was last seen, by the steady clock. A recorded version counts from the reading of its record; a service without a record has an unknown history until the host has followed it for the life of a stream. The records are read after the registrations. Holders say whether the store has just confirmed what they answer, so that a host that has just started can go on with streams although it reads the record of a version that left before.

VersionReplacedWhileAllHostsAreDown failed before and passes: streams of v1 went on at v2. HistoryOfOtherHostsStandsForTheOwn demanded that a missing record count as complete history. Three tests replace it: RecordStandsForTheOwnSight, which demands the opposite, RecordedVersionCountsFromTheReadingOfItsRecord and VersionIsRecordedUntilItsStreamsHaveEnded. That hosts replaced each other's set follows from the code; no test showed it.

--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -3,6 +3,7 @@
 #include "Core/Serving/Catalogue.h"
 #include "Core/Serving/EndpointDirectory.h"
 #include "Core/Serving/OrderLease.h"
+#include "Core/Serving/SoftwareVersions.h"
 #include "Host/CrashMessage.h"
 #include "Host/StreamMessages.h"
 #include "Net/Http/Client.h"
@@ -169,13 +170,15 @@
   /// Reads the crashes from \p From on and waits up to \p Wait for the first
   /// one.
   virtual Task<CrashBatch> followCrashes(Cursor From, milliseconds Wait) = 0;
-  /// Writes which software versions a service has had lately, in place of what
-  /// was written of it before. Returns false when the store has not confirmed
-  /// it.
-  virtual Task<bool> writeVersions(ServiceVersions Versions) = 0;
-  /// Reads what was written by writeVersions(). Returns nothing when the store
+  /// Adds records of software versions, which all hosts share, and removes
+  /// others, in one call. Returns false when the store has not confirmed it.
+  virtual Task<bool>
+  recordVersions(std::vector<serving::ServiceVersion> Added,
+                 std::vector<serving::ServiceVersion> Removed) = 0;
+  /// Reads the records of software versions. Returns nothing when the store
   /// does not respond.
-  virtual Task<std::optional<std::vector<ServiceVersions>>> listVersions() = 0;
+  virtual Task<std::optional<std::vector<serving::ServiceVersion>>>
+  listVersions() = 0;
   /// Joins the group of \p Zone or renews the membership. Returns nothing when
   /// the store does not respond.
   virtual Task<std::optional<GroupMembership>>
--- a/Source/Core/Host/StreamMessages.h
+++ b/Source/Core/Host/StreamMessages.h
@@ -48,11 +48,14 @@
 struct StreamAnswer {
   StreamKnowledge m_Knowledge = StreamKnowledge::None;
   std::string m_Version; ///< Set for Recorded and Sole.
+  /// The store has just confirmed the registrations from which this follows.
+  bool m_IsFresh = false;
 
   static constexpr auto describe() {
     using codec::field;
     return std::make_tuple(field("knowledge", &StreamAnswer::m_Knowledge),
-                           field("version", &StreamAnswer::m_Version));
+                           field("version", &StreamAnswer::m_Version),
+                           field("fresh", &StreamAnswer::m_IsFresh));
   }
 };
 
@@ -65,35 +68,4 @@
   }
 };
 
-/// A software version that a service has had.
-struct VersionRecord {
-  std::string m_Version;
-  /// An endpoint of it was registered when this was written.
-  bool m_IsPresent = false;
-  /// Unix time in milliseconds until which its endpoints may have begun
-  /// streams, if it has left.
-  std::int64_t m_LastSeenUnixMs = 0;
-
-  static constexpr auto describe() {
-    using codec::field;
-    return std::make_tuple(
-        field("version", &VersionRecord::m_Version),
-        field("present", &VersionRecord::m_IsPresent),
-        field("last_seen_unix_ms", &VersionRecord::m_LastSeenUnixMs));
-  }
-};
-
-/// The software versions that a service has had lately: a record in the store
-/// for hosts that start.
-struct ServiceVersions {
-  std::string m_Service;
-  std::vector<VersionRecord> m_Versions;
-
-  static constexpr auto describe() {
-    using codec::field;
-    return std::make_tuple(field("service", &ServiceVersions::m_Service),
-                           field("versions", &ServiceVersions::m_Versions));
-  }
-};
-
 } // namespace sff::host
--- a/Source/Core/Host/StreamTracker.cpp
+++ b/Source/Core/Host/StreamTracker.cpp
@@ -23,8 +23,8 @@
 constexpr int MaxQueries = 2;
 /// Delay before a call about the record of the versions is repeated.
 constexpr milliseconds RecordRetryDelay{500};
-/// Most by which the clocks of two hosts differ.
-constexpr std::chrono::seconds MaxClockDifference{10};
+/// Limits how long a missed notification can delay the writing of a record.
+constexpr milliseconds MaxRecordWait{5000};
 /// Number of availability zones whose holders keep the version of a stream.
 constexpr std::size_t KeeperZones = 2;
 /// Longest id and version that are remembered. Callers choose the ids.
@@ -34,73 +34,66 @@
 /// Age of the oldest streams that are announced then.
 constexpr std::chrono::seconds AnnouncedAge{10};
 
-/// Until when endpoints of a version may have begun streams. One that was
-/// present when all hosts ended may have left unnoticed until now.
-Instant lastSeen(const VersionRecord &Record) {
-  if (Record.m_IsPresent)
-    return bootTime();
-  const milliseconds Age =
-      unixTime() - milliseconds(Record.m_LastSeenUnixMs) - MaxClockDifference;
-  return bootTime() - std::max(Age, milliseconds(0));
-}
-
 } // namespace
 
-void StreamTracker::start() { m_State.spawn("read_versions", readHistory()); }
+void StreamTracker::start() { m_State.spawn("keep_records", keepRecords()); }
 
-Task<void> StreamTracker::readHistory() {
-  std::optional<std::vector<ServiceVersions>> Earlier;
-  while (!Earlier) {
-    Earlier = co_await m_State.m_Platform.m_Store->listVersions();
-    m_State.m_Metrics.onStoreCall("versions", Earlier.has_value());
-    if (!Earlier)
+Task<void> StreamTracker::keepRecords() {
+  while (true) {
+    if (!m_NeedsHistory && !hasUnwrittenRecords()) {
+      co_await m_RecordsChanged.wait(MaxRecordWait);
+      continue;
+    }
+    const bool Answered =
+        m_NeedsHistory ? co_await readHistory() : co_await writeRecords();
+    if (!Answered)
       co_await sleepFor(RecordRetryDelay);
   }
-  for (const ServiceVersions &Service : *Earlier)
-    for (const VersionRecord &Record : Service.m_Versions)
-      m_Versions.addHistory(Service.m_Service,
-                            {Record.m_Version, lastSeen(Record)});
-  m_Versions.onHistoryComplete();
-  log::info(LogCategory, "streams.history", {{"services", Earlier->size()}});
 }
 
-Task<void> StreamTracker::writeRecords() {
-  m_IsWriting = true;
-  while (!m_Unwritten.empty()) {
-    // A change during the call adds the service again.
-    std::string Service = *m_Unwritten.begin();
-    m_Unwritten.erase(Service);
-    if (co_await writeVersions(Service))
-      continue;
-    m_Unwritten.insert(std::move(Service));
-    co_await sleepFor(RecordRetryDelay);
-  }
-  m_IsWriting = false;
+Task<bool> StreamTracker::readHistory() {
+  const auto Records = co_await m_State.m_Platform.m_Store->listVersions();
+  m_State.m_Metrics.onStoreCall("versions", Records.has_value());
+  if (!Records)
+    co_return false;
+  m_NeedsHistory = false;
+  m_Versions.applyRecords(*Records, bootTime());
+  log::info(LogCategory, "streams.history", {{"versions", Records->size()}});
+  co_return true;
 }
 
-Task<bool> StreamTracker::writeVersions(std::string Service) {
-  ServiceVersions Versions{Service, {}};
-  for (const auto &Known : m_Versions.known(Service)) {
-    const milliseconds LastSeen =
-        unixTime() - toMilliseconds(bootTime() - Known.m_LastSeen);
-    Versions.m_Versions.push_back(
-        {Known.m_Version, Known.m_IsPresent, LastSeen.count()});
-  }
+bool StreamTracker::hasUnwrittenRecords() const {
+  return !m_Versions.unrecorded().empty() ||
+         !m_Versions.obsoleteRecords().empty();
+}
+
+Task<bool> StreamTracker::writeRecords() {
+  const auto Added = m_Versions.unrecorded();
+  const auto Removed = m_Versions.obsoleteRecords();
   const bool Written =
-      co_await m_State.m_Platform.m_Store->writeVersions(std::move(Versions));
+      co_await m_State.m_Platform.m_Store->recordVersions(Added, Removed);
   m_State.m_Metrics.onStoreCall("versions", Written);
   log::info(LogCategory, "streams.versions_changed",
-            {{"service", Service}, {"written", Written}});
-  co_return Written;
+            {{"added", Added}, {"removed", Removed}, {"written", Written}});
+  if (!Written)
+    co_return false;
+  for (const serving::ServiceVersion &Version : Added)
+    m_Versions.onRecorded(Version);
+  for (const serving::ServiceVersion &Version : Removed)
+    m_Versions.onRecordRemoved(Version);
+  co_return true;
 }
 
 void StreamTracker::onDirectoryChanged() {
+  if (!m_State.m_EndpointsKnown)
+    return;
+  if (!std::exchange(m_HasFollowed, true))
+    m_NeedsHistory = true;
   const auto Changed = m_Versions.update(m_State.m_Endpoints, bootTime());
+  if (m_NeedsHistory || hasUnwrittenRecords())
+    m_RecordsChanged.notifyAll();
   if (Changed.empty())
     return;
-  m_Unwritten.insert(Changed.begin(), Changed.end());
-  if (!m_IsWriting)
-    m_State.spawn("write_versions", writeRecords());
   // Other hosts took these streams for streams of the sole version until now.
   for (const serving::StreamVersion &Begun :
        m_Streams.recordedSince(bootTime() - AnnouncedAge, MaxAnnounced))
@@ -179,7 +172,14 @@
     return {StreamKnowledge::Mixed, {}};
   const auto Sole =
       m_Versions.soleVersion(Query.m_Service, Lifetime, bootTime());
-  return Sole ? StreamAnswer{StreamKnowledge::Sole, *Sole} : StreamAnswer{};
+  return Sole ? StreamAnswer{StreamKnowledge::Sole, *Sole,
+                             hasFreshRegistrations()}
+              : StreamAnswer{};
+}
+
+bool StreamTracker::hasFreshRegistrations() const {
+  return m_State.m_EndpointsConfirmedAt &&
+         m_State.endpointsAge() <= serving::SoftwareVersions::MaxBeliefAge;
 }
 
 std::optional<std::string>
@@ -187,10 +187,7 @@
   const StreamAnswer Own = onQuery(Stream);
   if (Own.m_Knowledge == StreamKnowledge::Recorded)
     return Own.m_Version;
-  const bool IsFresh =
-      m_State.m_EndpointsConfirmedAt &&
-      m_State.endpointsAge() <= serving::SoftwareVersions::MaxBeliefAge;
-  if (Own.m_Knowledge == StreamKnowledge::Sole && IsFresh)
+  if (Own.m_Knowledge == StreamKnowledge::Sole && Own.m_IsFresh)
     return Own.m_Version;
   return std::nullopt;
 }
@@ -216,10 +213,12 @@
   if (Has(StreamKnowledge::Mixed) != Answers.end() || Sole == Answers.end())
     return std::nullopt;
   // Another host has followed the registrations for long enough, and this host
-  // knows of no other version.
-  return m_Versions.onlyKnownVersion(Stream.m_Service) == Sole->m_Version
-             ? std::optional(Sole->m_Version)
-             : std::nullopt;
+  // knows of no other version. Records don't tell when a version left; a host
+  // in touch with the store knows that it was before the stream began.
+  const auto Only = Sole->m_IsFresh
+                        ? m_Versions.onlySeenVersion(Stream.m_Service)
+                        : m_Versions.onlyKnownVersion(Stream.m_Service);
+  return Only == Sole->m_Version ? Only : std::nullopt;
 }
 
 Task<void> StreamTracker::askHolder(std::string Holder, StreamQuery Stream,
--- a/Source/Core/Host/StreamTracker.h
+++ b/Source/Core/Host/StreamTracker.h
@@ -7,7 +7,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -27,10 +26,11 @@
       : m_State(State), m_OrderLeases(Leases),
         m_Peers(State.m_Context.get_executor()) {}
 
-  /// Starts to read which versions services had before this host started.
+  /// Starts to read and write the records of versions. They are read after the
+  /// registrations, so that no version can come and leave between the two.
   void start();
-  /// Called after the endpoint directory has changed. Tells other hosts and the
-  /// store if a service has got or lost one of several versions.
+  /// Called after the endpoint directory has changed. Tells the store of new
+  /// versions, and other hosts if a service has got or lost one of several.
   void onDirectoryChanged();
   /// Called when the caller of a stream is about to get its first event.
   void onBegun(const StreamQuery &Stream, const std::string &Version);
@@ -66,13 +66,16 @@
   Task<void> sendNotice(std::string Holder, StreamNotice Notice);
   /// The holders that keep the versions of this host's streams.
   std::vector<std::string> recordKeepers() const;
-  Task<void> readHistory();
-  /// Writes the versions of all services in m_Unwritten, for hosts that start,
-  /// until the store has confirmed them.
-  Task<void> writeRecords();
-  /// Writes the versions that a service has had by now. Returns whether the
-  /// store has confirmed it.
-  Task<bool> writeVersions(std::string Service);
+  /// Whether the store has just confirmed the registrations.
+  bool hasFreshRegistrations() const;
+  /// Reads the records of versions and writes what they lack, until the store
+  /// has confirmed it.
+  Task<void> keepRecords();
+  /// Returns whether the store has answered.
+  Task<bool> readHistory();
+  /// Returns whether the store has confirmed the records.
+  Task<bool> writeRecords();
+  bool hasUnwrittenRecords() const;
 
   HostState &m_State;
   OrderLeases &m_OrderLeases;
@@ -80,9 +83,11 @@
   serving::SoftwareVersions m_Versions;
   serving::StreamVersionTable m_Streams;
   StreamNotice m_Pending; ///< Not yet sent.
-  /// Services whose versions have changed since they were last written.
-  std::set<std::string> m_Unwritten;
-  bool m_IsWriting = false; ///< writeRecords() runs.
+  /// The records of versions must be read before this host may conclude from
+  /// them which versions a service had.
+  bool m_NeedsHistory = false;
+  bool m_HasFollowed = false;      ///< The registrations have been listed.
+  AsyncCondition m_RecordsChanged; ///< There are records to read or write.
 };
 
 } // namespace sff::host
--- a/Source/UnitTests/Core/Serving/SoftwareVersionsTest.cpp
+++ b/Source/UnitTests/Core/Serving/SoftwareVersionsTest.cpp
@@ -92,15 +92,50 @@
 }
 
 // Guards against a host that refuses all streams after a restart of all hosts,
-// and against one that does not know of a version that left before.
-TEST_F(SoftwareVersionsTest, HistoryOfOtherHostsStandsForTheOwn) {
+// and against one that takes what it finds registered for the only version
+// though the store has no record of the service.
+TEST_F(SoftwareVersionsTest, RecordStandsForTheOwnSight) {
   const Instant Restarted = Start + seconds(100);
   add("e1", "v2", Restarted);
-  m_Versions.onHistoryComplete();
-  EXPECT_EQ(m_Versions.soleVersion("engine", Lifetime, Restarted), "v2");
-  m_Versions.addHistory("engine", {"v1", Restarted - seconds(4)});
-  EXPECT_TRUE(m_Versions.isMixed("engine", Lifetime, Restarted));
+  m_Versions.applyRecords({{"other", "v2"}}, Restarted);
   EXPECT_FALSE(m_Versions.soleVersion("engine", Lifetime, Restarted));
+  m_Versions.applyRecords({{"engine", "v2"}}, Restarted);
+  EXPECT_EQ(m_Versions.soleVersion("engine", Lifetime, Restarted), "v2");
+}
+
+// Guards against a version that left before this host started, at a time that
+// no clock tells reliably, and whose streams are taken for those of another.
+TEST_F(SoftwareVersionsTest, RecordedVersionCountsFromTheReadingOfItsRecord) {
+  const Instant Restarted = Start + seconds(100);
+  add("e1", "v2", Restarted);
+  m_Versions.applyRecords({{"engine", "v1"}, {"engine", "v2"}}, Restarted);
+  const Instant Soon = Restarted + seconds(9);
+  m_Versions.update(m_Directory, Soon);
+  EXPECT_TRUE(m_Versions.isMixed("engine", Lifetime, Soon));
+  EXPECT_FALSE(m_Versions.soleVersion("engine", Lifetime, Soon));
+  EXPECT_FALSE(m_Versions.onlyKnownVersion("engine"));
+  EXPECT_EQ(m_Versions.onlySeenVersion("engine"), "v2");
+  const Instant Later = Restarted + seconds(11);
+  m_Versions.update(m_Directory, Later);
+  EXPECT_EQ(m_Versions.soleVersion("engine", Lifetime, Later), "v2");
+}
+
+// Guards against a version without a record in the store, from which hosts that
+// start learn of it, also after its record was removed and it comes back.
+TEST_F(SoftwareVersionsTest, VersionIsRecordedUntilItsStreamsHaveEnded) {
+  using Records = std::vector<ServiceVersion>;
+  const ServiceVersion First{"engine", "v1"};
+  add("e1", "v1", Start);
+  EXPECT_EQ(m_Versions.unrecorded(), Records{First});
+  m_Versions.onRecorded(First);
+  EXPECT_TRUE(m_Versions.unrecorded().empty());
+  remove("e1", Start + seconds(10));
+  EXPECT_TRUE(m_Versions.obsoleteRecords().empty());
+  m_Versions.update(m_Directory, Start + seconds(400));
+  EXPECT_EQ(m_Versions.obsoleteRecords(), Records{First});
+  add("e2", "v1", Start + seconds(401));
+  EXPECT_TRUE(m_Versions.obsoleteRecords().empty());
+  EXPECT_EQ(m_Versions.unrecorded(), Records{First});
 }
 
 // Guards against a version that comes back and begins streams at once, though
