--- a/Source/Core/Core/Serving/SoftwareVersions.cpp
+++ b/Source/Core/Core/Serving/SoftwareVersions.cpp
@@ -156,7 +156,9 @@
   if (Found == List.end())
     return false;
   const Instant FirstSeen = Found->second.m_FirstSeen;
-  return FirstSeen + SettleTime <= Now ||
+  const bool IsKnownToAll =
+      Found->second.m_IsRecorded && FirstSeen + SettleTime <= Now;
+  return IsKnownToAll ||
          std::ranges::all_of(List, [FirstSeen](const auto &Entry) {
            return Entry.second.m_FirstSeen >= FirstSeen;
          });
--- a/Source/Core/Core/Serving/SoftwareVersions.h
+++ b/Source/Core/Core/Serving/SoftwareVersions.h
@@ -79,8 +79,9 @@
   std::optional<std::string> onlySeenVersion(std::string_view Service) const;
   /// Whether a service has had several versions within \p Lifetime.
   bool isMixed(std::string_view Service, Duration Lifetime, Instant Now) const;
-  /// Whether the version may begin streams: it is not newer than SettleTime, or
-  /// the service has had no other.
+  /// Whether the version may begin streams: it is not newer than SettleTime and
+  /// the store has confirmed its record, or the service has had no other
+  /// before.
   bool isSettled(std::string_view Service, std::string_view Version,
                  Instant Now) const;
 
--- a/Source/UnitTests/Core/Serving/SoftwareVersionsTest.cpp
+++ b/Source/UnitTests/Core/Serving/SoftwareVersionsTest.cpp
@@ -63,7 +63,7 @@
 }
 
 // Guards against streams at a new version that another host, which has not yet
-// read of it, takes for streams of the sole version.
+// read of it or starts later, takes for streams of the sole version.
 TEST_F(SoftwareVersionsTest, NewVersionBeginsStreamsOnlyOnceAllHostsKnowIt) {
   static_assert(SoftwareVersions::MaxBeliefAge < SoftwareVersions::SettleTime);
   add("e1", "v1", Start);
@@ -72,8 +72,11 @@
   add("e2", "v2", Added);
   EXPECT_TRUE(m_Versions.isSettled("engine", "v1", Added));
   EXPECT_FALSE(m_Versions.isSettled("engine", "v2", Added));
-  EXPECT_TRUE(m_Versions.isSettled("engine", "v2",
-                                   Added + SoftwareVersions::SettleTime));
+  const Instant Settled = Added + SoftwareVersions::SettleTime;
+  EXPECT_FALSE(m_Versions.isSettled("engine", "v2", Settled));
+  m_Versions.onRecorded({"engine", "v2"});
+  EXPECT_FALSE(m_Versions.isSettled("engine", "v2", Added));
+  EXPECT_TRUE(m_Versions.isSettled("engine", "v2", Settled));
 }
 
 // Guards against missing the moment from which the versions of streams have to
@@ -146,6 +149,7 @@
   remove("e1", Start + seconds(20));
   const Instant Back = Start + seconds(60);
   add("e3", "v1", Back);
+  m_Versions.onRecorded({"engine", "v1"});
   EXPECT_FALSE(m_Versions.isSettled("engine", "v1", Back));
   EXPECT_TRUE(m_Versions.isSettled("engine", "v1",
                                    Back + SoftwareVersions::SettleTime));
