Read the records of versions again after the store was lost

A host concluded from what it had seen since its start which versions a service had had, also over a time in which it had lost the store. A version that came, began streams at other hosts and left meanwhile was unknown to it if the store had compacted the changes, and the host went on with such a stream at another version.

A host whose registrations have not been listed yet no longer counts as following them.

--- a/Source/Core/Core/Serving/SoftwareVersions.cpp
+++ b/Source/Core/Core/Serving/SoftwareVersions.cpp
@@ -60,6 +60,11 @@
   });
 }
 
+void SoftwareVersions::onInterruption(Instant Now) {
+  m_FollowedSince = Now;
+  m_WithHistory.clear();
+}
+
 void SoftwareVersions::applyRecords(const std::vector<ServiceVersion> &Records,
                                     Instant Now) {
   for (auto &[Service, List] : m_Services)
--- a/Source/Core/Core/Serving/SoftwareVersions.h
+++ b/Source/Core/Core/Serving/SoftwareVersions.h
@@ -51,6 +51,10 @@
   /// back or left.
   std::vector<std::string> update(const EndpointDirectory &Directory,
                                   Instant Now);
+  /// Called when the registrations are read after a time in which versions may
+  /// have come and left unseen. Until the records have been read again, or for
+  /// the life of a stream, no version counts as the only one.
+  void onInterruption(Instant Now);
   /// Called with all records of the store, which were read until \p Now. A
   /// recorded version may have begun streams until then: when its last endpoint
   /// left is not recorded, because the clocks of hosts may jump.
--- a/Source/Core/Host/StreamTracker.cpp
+++ b/Source/Core/Host/StreamTracker.cpp
@@ -52,11 +52,14 @@
 }
 
 Task<bool> StreamTracker::readHistory() {
+  m_NeedsHistory = false;
   const auto Records = co_await m_State.m_Platform.m_Store->listVersions();
   m_State.m_Metrics.onStoreCall("versions", Records.has_value());
-  if (!Records)
-    co_return false;
-  m_NeedsHistory = false;
+  // After an interruption during the call the records may be too old.
+  if (!Records || m_NeedsHistory) {
+    m_NeedsHistory = true;
+    co_return Records.has_value();
+  }
   m_Versions.applyRecords(*Records, bootTime());
   log::info(LogCategory, "streams.history", {{"versions", Records->size()}});
   co_return true;
@@ -84,11 +87,22 @@
   co_return true;
 }
 
+void StreamTracker::noticeInterruption() {
+  const auto Before =
+      std::exchange(m_LastConfirmedAt, m_State.m_EndpointsConfirmedAt);
+  if (Before && m_LastConfirmedAt &&
+      *m_LastConfirmedAt - *Before <= serving::SoftwareVersions::MaxBeliefAge)
+    return;
+  m_Versions.onInterruption(bootTime());
+  m_NeedsHistory = true;
+  log::info(LogCategory, "streams.history_outdated",
+            {{"is_first", !Before.has_value()}});
+}
+
 void StreamTracker::onDirectoryChanged() {
   if (!m_State.m_EndpointsKnown)
     return;
-  if (!std::exchange(m_HasFollowed, true))
-    m_NeedsHistory = true;
+  noticeInterruption();
   const auto Changed = m_Versions.update(m_State.m_Endpoints, bootTime());
   if (m_NeedsHistory || hasUnwrittenRecords())
     m_RecordsChanged.notifyAll();
--- a/Source/Core/Host/StreamTracker.h
+++ b/Source/Core/Host/StreamTracker.h
@@ -66,6 +66,9 @@
   Task<void> sendNotice(std::string Holder, StreamNotice Notice);
   /// The holders that keep the versions of this host's streams.
   std::vector<std::string> recordKeepers() const;
+  /// Notices when this host has not followed the registrations for so long that
+  /// versions may have come and left unseen.
+  void noticeInterruption();
   /// Whether the store has just confirmed the registrations.
   bool hasFreshRegistrations() const;
   /// Reads the records of versions and writes what they lack, until the store
@@ -86,7 +89,9 @@
   /// The records of versions must be read before this host may conclude from
   /// them which versions a service had.
   bool m_NeedsHistory = false;
-  bool m_HasFollowed = false;      ///< The registrations have been listed.
+  /// Value of bootTime() at which the store had confirmed the registrations
+  /// when the directory last changed.
+  std::optional<Instant> m_LastConfirmedAt;
   AsyncCondition m_RecordsChanged; ///< There are records to read or write.
 };
 
--- a/Source/UnitTests/Core/Serving/SoftwareVersionsTest.cpp
+++ b/Source/UnitTests/Core/Serving/SoftwareVersionsTest.cpp
@@ -123,6 +123,19 @@
   EXPECT_EQ(m_Versions.soleVersion("engine", Lifetime, Later), "v2");
 }
 
+// Guards against a host that relies on what it saw before it lost the store: a
+// version may have come and left meanwhile.
+TEST_F(SoftwareVersionsTest, InterruptionMakesTheHistoryUnknown) {
+  add("e1", "v1", Start);
+  m_Versions.applyRecords({{"engine", "v1"}}, Start);
+  const Instant Back = Start + seconds(60);
+  m_Versions.onInterruption(Back);
+  m_Versions.update(m_Directory, Back);
+  EXPECT_FALSE(m_Versions.soleVersion("engine", Lifetime, Back));
+  m_Versions.applyRecords({{"engine", "v1"}}, Back);
+  EXPECT_EQ(m_Versions.soleVersion("engine", Lifetime, Back), "v1");
+}
+
 // Guards against a version without a record in the store, from which hosts that
 // start learn of it, also after its record was removed and it comes back.
 TEST_F(SoftwareVersionsTest, VersionIsRecordedUntilItsStreamsHaveEnded) {
