Let a second attempt stand until it is certain that it isn't needed

Attempts in flight now count as sent and as possibly executed. Only an answer that isn't a server error replaces an attempt. The second attempt is dropped when the first one's answer is known to be taken, and what it had brought is dropped with it.

--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -114,7 +114,16 @@
 }
 
 Task<void> Host::handleCaller(http::Request Incoming, http::Exchange &Caller) {
-  co_await serve(std::move(Incoming), Caller, RequestOrigin::Caller);
+  if (!m_State.m_Stopping) {
+    co_await serve(std::move(Incoming), Caller, RequestOrigin::Caller);
+    co_return;
+  }
+  // The rest of the grace time may not be enough to finish the request.
+  nlohmann::json Extra = {{"outcome", "not_run"}, {"reason", "shutting_down"}};
+  http::Response Answer = http::makeProblem(503, "Service Unavailable",
+                                            "the host stops", std::move(Extra));
+  Answer.m_Headers.set("Retry-After", "0");
+  co_await Caller.respond(std::move(Answer));
 }
 
 Task<void> Host::serve(http::Request Incoming, http::Exchange &Caller,
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -214,7 +214,7 @@
   if (m_Taken)
     co_return co_await goOnWithBackup();
   if (m_Backup) {
-    co_await m_BackupSettled.wait(remainingTime());
+    co_await waitForBackup();
     co_return Step::TryAgain;
   }
   if (const auto Reason = checkQuarantine()) {
@@ -357,7 +357,10 @@
   if (m_Current->isSuperseded())
     co_return co_await onIncompleteResponse(Id, serving::CallResult::Silent,
                                             "another endpoint answers");
-  onProgress();
+  // Whether the endpoint has taken the request is known once its answer is
+  // decoded; a backup goes on until then.
+  m_Current->onProgress();
+  m_State.m_Links.onData();
   m_State.m_Chooser.health().onLatency(Id, now() - m_Current->sentAt());
   co_return co_await onHead(Id, std::move(Answer));
 }
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -132,6 +132,11 @@
   bool mustPassOn() const {
     return m_State.m_Links.isIsolated() || m_RelayHasBegun;
   }
+  /// Whether there is a host that may take the request.
+  bool canPassOn() {
+    return m_Origin == RequestOrigin::Caller &&
+           m_Relay.choose(m_RelaysTried).has_value();
+  }
   /// Passes the request on to another host, or refuses it if there is none.
   Task<Step> passOn();
   RelayMetadata relayFacts() const;
@@ -178,6 +183,9 @@
   /// Called when a backup may have run the request and its answer is not used.
   void onBackupLost(const Attempt &Lost, serving::CallResult Result);
   Task<Step> goOnWithBackup();
+  /// Waits for the backup when the attempt that it was made for has ended.
+  /// Cancels it if it is silent, too, and the request can go elsewhere.
+  Task<void> waitForBackup();
   /// Called when the endpoint of the current attempt has sent something.
   void onProgress();
   /// Whether the caller goes on with a stream that an earlier request began.
@@ -242,6 +250,8 @@
   /// The next send has already been taken from the retry budget.
   bool m_RetryGranted = false;
   bool m_HeadSent = false;
+  /// The host waits for the caller to take data, not for the endpoint.
+  bool m_IsDelivering = false;
   /// The body of the response that has begun ends with the connection.
   bool m_CallerReadsToEnd = false;
   bool m_WaitLogged = false; ///< The wait for the model is logged only once.
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -43,6 +43,7 @@
     co_return co_await onIncompleteResponse(Id, serving::CallResult::Broken,
                                             "the answer has no seal");
   }
+  onProgress();
   m_Current->onAnswerBegun();
   m_Sessions.record(m_Facts.m_Session, Id);
   const bool Streams = m_Route->m_Kind == serving::RouteKind::Stream;
@@ -85,7 +86,8 @@
       co_return co_await onIncompleteResponse(Id, resultOf(*Failure),
                                               Failure->m_Detail);
     }
-    onProgress();
+    if (!m_Current->isSuperseded())
+      onProgress();
     std::string &Chunk = std::get<std::string>(Next);
     if (Chunk.empty())
       break;
@@ -97,6 +99,7 @@
     Body += Chunk;
   }
   recordAnswerEnd(Id, Answer->head(), EndComplete);
+  m_SilenceTimer.cancel();
   const bool Confirmed =
       co_await confirmEnd(Id, Answer->head().m_EndsWithConnection);
   if (!Confirmed)
@@ -138,6 +141,7 @@
   if (m_HeadSent)
     m_State.m_Metrics.onResume();
   StreamResult End = co_await copyStream(Id, Answer);
+  m_SilenceTimer.cancel();
   if (End == StreamResult::Complete) {
     const bool Confirmed =
         co_await confirmEnd(Id, Answer->head().m_EndsWithConnection);
@@ -197,7 +201,9 @@
     }
     if (!Complete.empty()) {
       onFirstEvent();
+      m_IsDelivering = true;
       const bool Written = co_await m_Caller.writeChunk(Complete);
+      m_IsDelivering = false;
       if (!Written)
         co_return StreamResult::CallerGone;
     }
@@ -213,7 +219,10 @@
   Begun.m_Headers.erase("Content-Length");
   m_State.m_Metrics.onFirstByte(now() - m_ArrivedAt);
   m_HeadSent = true;
-  co_return co_await m_Caller.beginStream(std::move(Begun));
+  m_IsDelivering = true;
+  const bool IsBegun = co_await m_Caller.beginStream(std::move(Begun));
+  m_IsDelivering = false;
+  co_return IsBegun;
 }
 
 bool RequestSession::checkStreamEnd(const EndpointId &Id,
--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds MinSilenceTimeout{400};
 /// The same for a pause in a stream that can be resumed at another endpoint.
 constexpr milliseconds StreamSilenceTimeout{1500};
+constexpr int FirstServerErrorStatus = 500;
 
 } // namespace
 
@@ -25,22 +26,27 @@
 }
 
 std::optional<EndpointId> RequestSession::chooseBackup() {
-  const bool MayRunElsewhere =
-      m_Route->isIdempotent() &&
-      m_History.canTryAnotherEndpointAfter(m_Current->endpoint());
-  // The present send is counted once its answer has begun.
-  const int Uncounted = m_Current->hasAnswered() ? 0 : 1;
-  if (!MayRunElsewhere || m_History.sends() + Uncounted >= MaxSends ||
+  // Attempts in flight count as if their endpoints ran the request.
+  serving::AttemptHistory Assumed = m_History;
+  for (const auto &Active : {m_Current, m_Backup}) {
+    if (!Active)
+      continue;
+    Assumed.onPossiblyExecuted(Active->endpoint());
+    Assumed.exclude(Active->endpoint());
+    if (!Active->hasAnswered())
+      Assumed.onSent();
+  }
+  if (!m_Route->isIdempotent() || !Assumed.canTryAnotherEndpoint() ||
+      Assumed.sends() >= MaxSends ||
       !m_State.budget(m_Service->m_Name).allows(now()))
     return std::nullopt;
   auto List = candidates();
-  std::erase_if(List, [this, Now = now()](const serving::Endpoint *Item) {
-    return Item->id() == m_Current->endpoint() ||
-           m_History.isExcluded(Item->id()) ||
+  std::erase_if(List, [&, Now = now()](const serving::Endpoint *Item) {
+    return Assumed.isExcluded(Item->id()) ||
            m_State.m_Chooser.health().isSuspended(Item->id(), Now);
   });
   serving::ChoiceContext Context;
-  Context.m_Tried = &m_History.excluded();
+  Context.m_Tried = &Assumed.excluded();
   return m_State.m_Chooser.choose(List, Context, now());
 }
 
@@ -52,14 +58,16 @@
         const auto Watched = Weak.lock();
         if (Error || Self->m_Ended || !Watched || Watched != Self->m_Current)
           return;
-        if (Self->m_State.m_Links.isIsolated()) {
-          Watched->supersede();
-          return;
-        }
+        if (Self->m_IsDelivering)
+          Watched->onProgress();
         if (now() - Watched->lastProgressAt() < Self->silenceTimeout()) {
           Self->startSilenceTimer(Watched->lastProgressAt());
           return;
         }
+        if (Self->mustPassOn() && Self->canPassOn()) {
+          Watched->supersede();
+          return;
+        }
         Self->onSilence();
         Self->startSilenceTimer(now());
       });
@@ -158,7 +166,10 @@
     recordRefusal(*Opened, Facts, Answer->head().m_Status);
     return false;
   }
-  if (!Facts.m_Sealed || Opened->canceller()->cancelled()) {
+  // A failure is no reason to end an attempt that may still succeed.
+  const bool IsUseful =
+      !m_Current || Answer->head().m_Status < FirstServerErrorStatus;
+  if (!Facts.m_Sealed || !IsUseful || Opened->canceller()->cancelled()) {
     onBackupLost(*Opened, serving::CallResult::Broken);
     return false;
   }
@@ -180,11 +191,22 @@
     m_State.m_Chooser.health().onResult(Id, Result, now());
 }
 
+Task<void> RequestSession::waitForBackup() {
+  const auto Waited = m_Backup;
+  co_await m_BackupSettled.wait(
+      std::min<Duration>(remainingTime(), silenceTimeout()));
+  const bool IsOpen = m_Backup && m_Backup == Waited;
+  if (IsOpen && (m_State.m_Links.isIsolated() || chooseBackup()))
+    Waited->cancel();
+}
+
 void RequestSession::onProgress() {
   m_Current->onProgress();
   m_State.m_Links.onData();
   if (const auto Unneeded = std::exchange(m_Backup, nullptr))
     Unneeded->supersede();
+  // It goes on from an event that may be in the past now.
+  m_Taken.reset();
 }
 
 Task<RequestSession::Step> RequestSession::goOnWithBackup() {
