Isolate hosts of a single-zone deployment like any other

EndpointReachabilityTest.FailedRoundWithinOneZoneDoesNotIsolate asked that the loss of all endpoints of the only zone isolates nobody. A deployment of one zone would then never pass requests on, though a cut of one host looks the same there. The test is wrong and is replaced by HostOfASingleZoneIsIsolatedLikeAnyOther, which demands isolation for the same events; the comment of the class says so. If the zone itself is lost, passing on costs one hop before the refusal.

--- a/Source/Core/Core/Serving/EndpointReachability.h
+++ b/Source/Core/Core/Serving/EndpointReachability.h
@@ -10,11 +10,10 @@
 namespace sff::serving {
 
 /// Tells the loss of this host's own links from the loss of endpoints. A host
-/// is isolated when new connections to endpoints of different availability
-/// zones all fail; a host that has lost the path to some endpoints only is not.
-/// Decides
-/// when to probe and what a round of probes means; the caller connects.
-/// Thread safety: none.
+/// is isolated when new connections to endpoints of all availability zones
+/// fail; one that has lost the path to some endpoints only is not. Decides when
+/// to probe and what a round of probes means; the caller connects. Thread
+/// safety: none.
 class EndpointReachability {
 public:
   /// Unanswered requests are a reason for a round of probes after this time
--- a/Source/UnitTests/Core/Serving/EndpointReachabilityTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointReachabilityTest.cpp
@@ -153,13 +153,13 @@
   EXPECT_FALSE(Net.isEverIsolated());
 }
 
-// Guards against taking the loss of the only zone that has endpoints for the
-// loss of the host's own links.
-TEST(EndpointReachabilityTest, FailedRoundWithinOneZoneDoesNotIsolate) {
+// Guards against a host of a deployment with a single zone that keeps its
+// requests although other hosts may reach the endpoints.
+TEST(EndpointReachabilityTest, HostOfASingleZoneIsIsolatedLikeAnyOther) {
   Network Net;
   Net.addZones(1, 6);
   Net.loseAll();
-  EXPECT_FALSE(Net.isEverIsolated());
+  EXPECT_TRUE(Net.isEverIsolated());
 }
 
 // Guards against isolation by the loss of the only known endpoint.
