Send to endpoints that fail by rejections only where room is expected

What callers saw: six hosts whose callers send more than two endpoints serve exceeded what these endure 94 times in some 6 s, which would make them fail each time. Nothing read the limit that the endpoints name.

A request without room waits in the host if its turn comes in time, else it is refused at once with the time to come back.

--- a/Source/Core/Host/Attempt.cpp
+++ b/Source/Core/Host/Attempt.cpp
@@ -15,12 +15,14 @@
   if (!Known)
     return;
   m_SoftwareVersion = Known->m_Registration.m_SoftwareVersion;
+  m_State.m_RejectionLimits.onSent(*Known, m_SentAt);
   m_State.m_Crashes.onRequestSent(*Known, Request.m_Fingerprint,
                                   Request.m_Request, Request.m_Parts);
 }
 
 Attempt::~Attempt() {
   m_State.m_Chooser.loads().onFinished(m_Endpoint, now());
+  m_State.m_RejectionLimits.onFinished(m_Endpoint);
   m_State.m_Crashes.onRequestEnded(m_Endpoint, m_Request);
 }
 
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -76,6 +76,9 @@
       m_LimitedEndpoints(
           m_Set.gauge("sff_host_limited_endpoints",
                       "Endpoints that name a limit on their request rate")),
+      m_RejectionLimitedEndpoints(m_Set.gauge(
+          "sff_host_rejection_limited_endpoints",
+          "Endpoints that name a limit on the requests that they reject")),
       m_CatalogueVersion(m_Set.gauge("sff_host_catalogue_version",
                                      "Version of the configuration in force")),
       m_CatalogueAge(
@@ -197,6 +200,10 @@
   m_LimitedEndpoints.Set(static_cast<double>(Count));
 }
 
+void HostMetrics::setRejectionLimitedEndpoints(std::size_t Count) {
+  m_RejectionLimitedEndpoints.Set(static_cast<double>(Count));
+}
+
 void HostMetrics::setCatalogueVersion(std::int64_t Version) {
   m_CatalogueVersion.Set(static_cast<double>(Version));
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -64,6 +64,8 @@
   void setEndpoints(std::size_t Count);
   /// Sets the number of endpoints that name a request rate.
   void setLimitedEndpoints(std::size_t Count);
+  /// Sets the number of endpoints that name a limit on rejections.
+  void setRejectionLimitedEndpoints(std::size_t Count);
   void setCatalogueVersion(std::int64_t Version);
   /// Sets the times since the store last confirmed the catalogue and the
   /// registrations.
@@ -113,6 +115,7 @@
   prometheus::Family<prometheus::Counter> &m_Removals;
   prometheus::Gauge &m_Endpoints;
   prometheus::Gauge &m_LimitedEndpoints;
+  prometheus::Gauge &m_RejectionLimitedEndpoints;
   prometheus::Gauge &m_CatalogueVersion;
   prometheus::Gauge &m_CatalogueAge;
   prometheus::Gauge &m_EndpointsAge;
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr milliseconds SendRateTimeConstant{1000};
+
 serving::RetryLimits retryBounds(const settings::Settings &Values) {
   return {Values.get(RetryRatioSetting), Values.get(RetryExtraSetting),
           fromSeconds(Values.get(RetryWindowSetting))};
@@ -33,9 +35,12 @@
       m_Links(Context, m_Http, m_Endpoints, m_Metrics),
       m_Chooser(m_Zone, std::random_device{}()),
       m_RateLimits(std::random_device{}()),
+      m_RejectionLimits(std::random_device{}()),
+      m_SendRates(SendRateTimeConstant),
       m_Crashes(m_Platform.m_Store, m_Metrics),
       m_OwnDemand(serving::DemandRates::DefaultTimeConstant) {
   m_RateLimits.setHosts(m_Hosts);
+  m_RejectionLimits.setHosts(m_Hosts);
   m_Links.onChange([this] { onLinksChanged(); });
 }
 
@@ -62,12 +67,15 @@
   for (auto &[Service, Budget] : m_Budgets)
     Budget.setHosts(Hosts);
   m_RateLimits.setHosts(Hosts);
+  m_RejectionLimits.setHosts(Hosts);
 }
 
 void HostState::forgetEndpoint(const EndpointId &Id) {
   m_Chooser.forget(Id);
   m_RateLimits.forget(Id);
+  m_RejectionLimits.forget(Id);
   m_Metrics.setLimitedEndpoints(m_RateLimits.limitedEndpoints());
+  m_Metrics.setRejectionLimitedEndpoints(m_RejectionLimits.limitedEndpoints());
 }
 
 void HostState::preferUnlimited(
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -6,6 +6,7 @@
 #include "Core/Serving/EndpointChooser.h"
 #include "Core/Serving/EndpointRateLimits.h"
 #include "Core/Serving/FleetSize.h"
+#include "Core/Serving/RejectionLimits.h"
 #include "Core/Serving/SharedRetryBudget.h"
 #include "Host/CrashTracker.h"
 #include "Host/HostMetrics.h"
@@ -85,8 +86,13 @@
   bool m_EndpointsKnown = false;
   serving::EndpointChooser m_Chooser;
   serving::EndpointRateLimits m_RateLimits;
+  serving::RejectionLimits m_RejectionLimits;
   /// Requests that wait until the rates of a service's endpoints allow them.
   std::map<std::string, std::size_t> m_WaitingForRates;
+  /// Requests that wait for room at endpoints that must not reject many.
+  std::map<std::string, std::size_t> m_WaitingForRoom;
+  /// Sends to each service, of the last second or so.
+  serving::DemandRates m_SendRates;
   CrashTracker m_Crashes;
   /// Request rates of models at this host.
   serving::DemandRates m_OwnDemand;
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -79,6 +79,12 @@
   /// Requests per second that the endpoint takes from all hosts together, for
   /// as long as its answers name it.
   std::optional<double> m_RateLimit;
+  /// Rejections per second for want of room beyond which the endpoint fails,
+  /// for as long as its answers name it.
+  std::optional<double> m_MaxRejections;
+  /// The response names such a limit, but not one that can be read.
+  bool m_IsMaxRejectionsUnreadable = false;
+  bool m_WasFull = false; ///< The endpoint had no room for the request.
 };
 
 /// Translates HTTP headers of callers and endpoints.
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -179,8 +179,9 @@
 
 std::vector<const serving::Endpoint *> RequestSession::candidates() const {
   auto List = holders();
-  std::erase_if(List, [this, Now = now()](const serving::Endpoint *Item) {
-    return !m_State.m_RateLimits.allows(Item->id(), Now);
+  std::erase_if(List, [this, Now = now()](const serving::Endpoint *Holder) {
+    return !m_State.m_RateLimits.allows(Holder->id(), Now) ||
+           !m_State.m_RejectionLimits.allows(*Holder, Now);
   });
   return List;
 }
@@ -231,6 +232,8 @@
     co_await endWithFailure("no_endpoint_of_version");
     co_return Step::Finished;
   }
+  if (List.empty() && mustAwaitRoom())
+    co_return co_await waitForRoom();
   if (List.empty() && NeedsModel)
     co_return co_await waitForModel();
   if (List.empty())
@@ -306,6 +309,7 @@
   if (m_History.sends() > 0)
     m_State.m_Metrics.onRetry();
   m_Current = startAttempt(Id);
+  m_State.m_SendRates.add(m_Service->m_Name, 1, now());
   const auto Watch = watchCurrent();
   http::OpenResult Result = co_await open(*m_Current, *Remote);
   if (auto *Failure = std::get_if<http::TransportFailure>(&Result))
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -88,12 +88,18 @@
   /// Endpoints that serve the request's service, hold its model and have a
   /// software version that may run it.
   std::vector<const serving::Endpoint *> holders() const;
-  /// The holders whose request rate allows a request now.
+  /// The holders whose limits allow a request now.
   std::vector<const serving::Endpoint *> candidates() const;
   Task<Step> waitForModel();
   /// Waits until the request rate of an endpoint allows the request, or refuses
   /// it if the caller will not wait that long.
   Task<Step> waitForRate();
+  /// Whether a holder is left out only because it might reject the request and
+  /// must not reject many.
+  bool mustAwaitRoom() const;
+  /// Waits for room at the holders, or refuses the request if others that came
+  /// before will take what becomes free while its caller waits.
+  Task<Step> waitForRoom();
   Task<Step> attempt(EndpointId Id);
   Task<Step> onOpenFailed(EndpointId Id, http::TransportFailure Failure);
   /// Begins to count the request as running at the endpoint.
@@ -154,6 +160,9 @@
   serving::CallResult resultOf(const http::TransportFailure &Failure) const;
   /// Records the load and the request rate that an answer of an endpoint names.
   void recordReports(const Attempt &Answered, const ResponseMetadata &Facts);
+  void recordRateLimit(const Attempt &Answered, const ResponseMetadata &Facts);
+  /// Records what an answer says of the room at its endpoint.
+  void recordCapacity(const Attempt &Answered, const ResponseMetadata &Facts);
   /// Handles an attempt that ended without a complete response, though the
   /// endpoint may have run the request.
   Task<Step> onIncompleteResponse(EndpointId Id, serving::CallResult Result,
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -62,6 +62,13 @@
   const bool IsTrusted = Facts.m_Sealed || Facts.m_NotRun;
   if (!IsTrusted || Facts.m_AddressReused || !m_State.m_Endpoints.find(Id))
     return;
+  recordRateLimit(Answered, Facts);
+  recordCapacity(Answered, Facts);
+}
+
+void RequestSession::recordRateLimit(const Attempt &Answered,
+                                     const ResponseMetadata &Facts) {
+  const EndpointId &Id = Answered.endpoint();
   if (!m_State.m_RateLimits.onAnswer(Id, Facts.m_RateLimit, Answered.sentAt(),
                                      now()))
     return;
@@ -75,6 +82,37 @@
       m_State.m_RateLimits.limitedEndpoints());
 }
 
+void RequestSession::recordCapacity(const Attempt &Answered,
+                                    const ResponseMetadata &Facts) {
+  const EndpointId &Id = Answered.endpoint();
+  const serving::Endpoint *Endpoint = m_State.m_Endpoints.find(Id);
+  if (!Endpoint)
+    return;
+  serving::RejectionLimits &Limits = m_State.m_RejectionLimits;
+  serving::CapacityReport Report;
+  Report.m_MaxRejections = Facts.m_MaxRejections;
+  Report.m_WasRejected = Facts.m_WasFull;
+  if (Facts.m_Load)
+    Report.m_Load = Facts.m_Load->m_Running + Facts.m_Load->m_Waiting;
+  if (Facts.m_IsMaxRejectionsUnreadable) {
+    logEvent("endpoint.rejection_limit_unreadable", {{"endpoint", Id}});
+    // What cannot be read changes nothing.
+    if (!Report.m_MaxRejections)
+      Report.m_MaxRejections = Limits.limitOf(*Endpoint, now());
+  }
+  if (!Limits.onAnswer(*Endpoint, Report, Answered.sentAt(), now()))
+    return;
+  logEvent("endpoint.rejection_limit",
+           {{"endpoint", Id},
+            {"per_second", Report.m_MaxRejections
+                               ? nlohmann::json(*Report.m_MaxRejections)
+                               : nlohmann::json()},
+            {"load",
+             Report.m_Load ? nlohmann::json(*Report.m_Load) : nlohmann::json()},
+            {"hosts", m_State.hosts()}});
+  m_State.m_Metrics.setRejectionLimitedEndpoints(Limits.limitedEndpoints());
+}
+
 Task<RequestSession::Step> RequestSession::forwardBuffered(EndpointId Id,
                                                            OpenStream Answer) {
   const int Status = Answer->head().m_Status;
--- a/Source/Core/Host/RequestSessionWaits.cpp
+++ b/Source/Core/Host/RequestSessionWaits.cpp
@@ -14,6 +14,10 @@
 /// Added to the time after which the rates of endpoints allow a request, for
 /// other requests that come first.
 constexpr milliseconds RetryAfterMargin{200};
+/// Time between two looks for room at the endpoints.
+constexpr milliseconds RoomCheckInterval{50};
+/// Assumed while nothing has been sent lately.
+constexpr double MinSendsPerSecond = 1;
 /// Shortest wait for the rate of an endpoint.
 constexpr milliseconds MinRateWait{5};
 
@@ -90,4 +94,41 @@
   co_return Step::TryAgain;
 }
 
+bool RequestSession::mustAwaitRoom() const {
+  const auto Holders = holders();
+  return std::ranges::any_of(
+      Holders, [this, Now = now()](const serving::Endpoint *Holder) {
+        return m_State.m_RateLimits.allows(Holder->id(), Now) &&
+               m_State.m_RejectionLimits.limitOf(*Holder, Now).has_value();
+      });
+}
+
+Task<RequestSession::Step> RequestSession::waitForRoom() {
+  const double SendsPerSecond = std::max(
+      m_State.m_SendRates.rate(m_Service->m_Name, now()), MinSendsPerSecond);
+  std::size_t &Waiting = m_State.m_WaitingForRoom[m_Service->m_Name];
+  const Duration Wait =
+      fromSeconds(static_cast<double>(Waiting) / SendsPerSecond);
+  const Duration CallerPatience =
+      m_Route->callerTimeout() - (now() - m_ArrivedAt);
+  const Duration WaitLimit =
+      std::min<Duration>(remainingTime() - MinUsefulTime, CallerPatience);
+  // A request that waits already is not refused for those that came later.
+  const bool IsHopeless = !m_WaitLogged && Wait > WaitLimit;
+  if (IsHopeless || WaitLimit < RoomCheckInterval || m_State.m_Stopping) {
+    co_await endWithFailure("endpoints_full",
+                            toMilliseconds(Wait) + RetryAfterMargin);
+    co_return Step::Finished;
+  }
+  if (!std::exchange(m_WaitLogged, true))
+    logEvent("request.awaits_room",
+             {{"waiting", Waiting},
+              {"sends_per_second", SendsPerSecond},
+              {"useful_ms", toMilliseconds(WaitLimit).count()}});
+  ++Waiting;
+  co_await sleepFor(RoomCheckInterval);
+  --Waiting;
+  co_return Step::TryAgain;
+}
+
 } // namespace sff::host
