Send no second attempt of a request that is quarantined meanwhile

What endpoints saw: a request whose endpoint fell silent was offered to another one although the hosts had learned since that a part of its prompt crashes endpoints. The trial of a part could reach two endpoints in the same way.

Cause: since silent attempts stand until another one is taken, the second attempt is not made by serveOnce(), which asks the quarantine.

--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -197,6 +197,11 @@
   return List;
 }
 
+bool RequestSession::isQuarantined() const {
+  return m_State.m_Crashes.isRejected(m_Fingerprint) ||
+         m_State.m_Crashes.findRejected(m_Facts.m_PromptParts).has_value();
+}
+
 std::optional<std::string_view> RequestSession::checkQuarantine() {
   if (m_State.m_Crashes.isRejected(m_Fingerprint)) {
     logEvent("request.quarantined", {{"fingerprint", m_Fingerprint}});
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -74,6 +74,9 @@
   void startTimers();
   Task<void> serve();
   Task<Step> serveOnce();
+  /// Whether the request or a part of its prompt has crashed too many endpoints
+  /// to be sent.
+  bool isQuarantined() const;
   /// Returns the reason to reject the request because of crashes, if any.
   std::optional<std::string_view> checkQuarantine();
   /// Learns the software version at which the stream that the caller takes up
--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -38,7 +38,7 @@
   }
   if (!m_Route->isIdempotent() || !Assumed.canTryAnotherEndpoint() ||
       Assumed.sends() >= MaxSends ||
-      !m_State.budget(m_Service->m_Name).allows(now()))
+      !m_State.budget(m_Service->m_Name).allows(now()) || isQuarantined())
     return std::nullopt;
   auto List = candidates();
   std::erase_if(List, [&, Now = now()](const serving::Endpoint *Item) {
