Let a second attempt stand when the silent endpoint fails after all

What callers saw: a read whose endpoint was silent and then answered 500 got that 500, although a second endpoint was at work on it and would have answered.

Cause: the head of any answer ended the second attempt, before its status was looked at; what stood was ended before something better stood.

HostSilentReadTest.LateFailureLeavesTheSecondAttempt: got 500 before, 200 now; the nine tests of HostSilent* pass.

--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -113,6 +113,8 @@
   Task<http::OpenResult> open(const Attempt &Sent, http::Address Remote);
   Task<Step> onOpened(OpenStream Answer);
   Task<Step> onNotRun(ResponseMetadata Facts, int Status);
+  /// Handles a failure of the endpoint while a second attempt is under way.
+  Step onFailedBeforeBackup(const EndpointId &Id, int Status);
   void recordRefusal(Attempt &Refused, const ResponseMetadata &Facts,
                      int Status);
   Task<Step> onHead(EndpointId Id, OpenStream Answer);
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -14,6 +14,8 @@
 /// Largest event of a stream, of which an incomplete one is held in memory.
 constexpr std::size_t MaxEventBytes = 256 * 1024;
 
+constexpr int FirstServerErrorStatus = 500;
+
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 /// How the body of an answer ended, as metrics and log lines name it.
@@ -43,6 +45,12 @@
     co_return co_await onIncompleteResponse(Id, serving::CallResult::Broken,
                                             "the answer has no seal");
   }
+  const bool HasFailed = Head.m_Status >= FirstServerErrorStatus;
+  if (HasFailed && (m_Backup || m_Taken)) {
+    // The second attempt may still succeed.
+    Answer->close();
+    co_return onFailedBeforeBackup(Id, Head.m_Status);
+  }
   onProgress();
   m_Current->onAnswerBegun();
   m_Sessions.record(m_Facts.m_Session, Id);
@@ -52,6 +60,15 @@
   co_return co_await forwardBuffered(Id, std::move(Answer));
 }
 
+RequestSession::Step RequestSession::onFailedBeforeBackup(const EndpointId &Id,
+                                                          int Status) {
+  m_History.exclude(Id);
+  m_State.m_Chooser.health().onResult(Id, serving::CallResult::Failed, now());
+  logEvent("request.failed_at_endpoint",
+           {{"endpoint", Id}, {"status", Status}});
+  return Step::TryAgain;
+}
+
 void RequestSession::recordReports(const Attempt &Answered,
                                    const ResponseMetadata &Facts) {
   const EndpointId &Id = Answered.endpoint();
@@ -143,7 +160,7 @@
   if (!Confirmed)
     co_return co_await onIncompleteResponse(Id, serving::CallResult::Broken,
                                             UnconfirmedEnd);
-  const bool Failed = Status >= 500;
+  const bool Failed = Status >= FirstServerErrorStatus;
   m_State.m_Chooser.health().onResult(
       Id, Failed ? serving::CallResult::Failed : serving::CallResult::Success,
       now());
