Keep silent attempts while endpoints still answer an isolated host

What callers saw: at a host whose open connections lived on while new ones were refused, a stream whose endpoint paused for 1.5 s was broken off, although the endpoint went on: the host gave it up for another host, which refused it.

Cause: an isolated host ended a silent attempt because some other host is known, not because one has taken the request. Now it does so only if no endpoint at all has sent anything for as long. A request that came from another host keeps its second attempt, too.

--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -148,6 +148,9 @@
     return m_Origin == RequestOrigin::Caller &&
            m_Relay.choose(m_RelaysTried).has_value();
   }
+  /// Whether a silent attempt is given up for another host. It stands while
+  /// other endpoints still send data on connections that are open.
+  bool mustLeave();
   /// Passes the request on to another host, or refuses it if there is none.
   Task<Step> passOn();
   RelayMetadata relayFacts() const;
--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -50,6 +50,11 @@
   return m_State.m_Chooser.choose(List, Context, now());
 }
 
+bool RequestSession::mustLeave() {
+  return mustPassOn() && canPassOn() &&
+         m_State.m_Links.silence() >= silenceTimeout();
+}
+
 void RequestSession::startSilenceTimer(Instant From) {
   m_SilenceTimer.expires_at(From + silenceTimeout());
   m_SilenceTimer.async_wait(
@@ -64,7 +69,7 @@
           Self->startSilenceTimer(Watched->lastProgressAt());
           return;
         }
-        if (Self->mustPassOn() && Self->canPassOn()) {
+        if (Self->mustLeave()) {
           Watched->supersede();
           return;
         }
@@ -196,7 +201,7 @@
   co_await m_BackupSettled.wait(
       std::min<Duration>(remainingTime(), silenceTimeout()));
   const bool IsOpen = m_Backup && m_Backup == Waited;
-  if (IsOpen && (m_State.m_Links.isIsolated() || chooseBackup()))
+  if (IsOpen && (mustLeave() || chooseBackup()))
     Waited->cancel();
 }
 
