Answer all requests before the host exits

Callers saw a connection that closed without an answer when a host stopped while their request had a longer deadline than the grace time. That includes requests that no endpoint had received, which they could have sent again.

Cause: only the wait for a model looked at the stop. All other waits ended with the process, which exits 0.6 s before the end of the grace time.

A stop now brings the end of each request forward to 0.3 s before the end of the drain: attempts are cancelled, and the caller gets 503 ("not_run") or, if an endpoint may have run the request, 502, both with the reason "shutting_down". Waits and the deadlines that endpoints are told are bounded by it, too. A response that has begun goes on until the exit as before.

--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -20,6 +20,10 @@
 constexpr milliseconds BalancerDrainTime{2500};
 /// Part of the grace time that is reserved for the exit of the process.
 constexpr milliseconds ExitMargin{600};
+/// Time from the failure of requests without an answer to the end of the drain.
+/// Longer than the probe of an endpoint (200 ms), which such a request may have
+/// to wait for.
+constexpr milliseconds LastAnswersTime{300};
 /// Lets the kernel send the last responses before the process exits.
 constexpr milliseconds ExitDelay{50};
 /// Idle timeout of listeners that only the platform and other hosts can reach.
@@ -131,6 +135,9 @@
   const auto Session = std::make_shared<RequestSession>(
       m_State, m_Demands, m_Streams, m_Sessions, m_Relay, Origin,
       std::move(Incoming), Caller);
+  m_ActiveSessions.insert(Session.get());
+  const std::shared_ptr<void> Registered(
+      nullptr, [&](void *) { m_ActiveSessions.erase(Session.get()); });
   co_await Session->run();
 }
 
@@ -253,9 +260,12 @@
       ExitMargin;
   m_Draining = true;
   m_State.m_StopBegunAt = Start;
+  m_State.m_LastAnswersAt = Deadline - LastAnswersTime;
   log::info(LogCategory, "process.stopping",
             {{"requests", m_Callers.activeRequests()},
              {"connections", m_Callers.connections()}});
+  for (RequestSession *Active : m_ActiveSessions)
+    Active->onStop();
   // Responses now ask callers to use another connection. Requests on open
   // connections are still served until the load balancer has removed this host.
   m_Callers.beginDrain();
--- a/Source/Core/Host/Host.h
+++ b/Source/Core/Host/Host.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace sff::host {
 
@@ -64,6 +65,8 @@
   boost::asio::signal_set m_Signals;
   bool m_Draining = false;
   std::size_t m_RelayedRequests = 0; ///< In progress.
+  /// Requests in progress.
+  std::set<RequestSession *> m_ActiveSessions;
 };
 
 } // namespace sff::host
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -79,6 +79,9 @@
   std::optional<Instant> m_EndpointsConfirmedAt;
   /// When the process was asked to stop.
   std::optional<Instant> m_StopBegunAt;
+  /// When requests without an answer are failed because the process exits soon
+  /// after. Set together with m_StopBegunAt.
+  std::optional<Instant> m_LastAnswersAt;
   /// Set while the process shuts down: requests that wait for a model are
   /// refused.
   bool m_Stopping = false;
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -124,21 +124,37 @@
   if (m_Facts.m_Deadline)
     Limit = std::min(Limit, *m_Facts.m_Deadline - DeadlineMargin);
   m_RespondBy = m_ArrivedAt + Limit;
+  startDeadlineTimer();
+  m_Caller.onCallerDisconnect([Weak = weak_from_this()] {
+    const auto Self = Weak.lock();
+    if (!Self || Self->m_Ended)
+      return;
+    Self->m_CallerGone = true;
+    Self->cancelAttempts();
+  });
+}
+
+void RequestSession::startDeadlineTimer() {
+  if (m_State.m_LastAnswersAt)
+    m_RespondBy = std::min(m_RespondBy, *m_State.m_LastAnswersAt);
   m_Timer.expires_at(m_RespondBy);
   m_Timer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Error) {
         if (Error || Self->m_Ended)
           return;
         Self->m_Expired = true;
+        // No other answer can replace one that has begun, and its endpoint may
+        // complete it before the exit.
+        if (Self->m_HeadSent && Self->endsWithProcess())
+          return;
         Self->cancelAttempts();
       });
-  m_Caller.onCallerDisconnect([Weak = weak_from_this()] {
-    const auto Self = Weak.lock();
-    if (!Self || Self->m_Ended)
-      return;
-    Self->m_CallerGone = true;
-    Self->cancelAttempts();
-  });
+}
+
+void RequestSession::onStop() {
+  const bool HasDeadline = m_RespondBy != Instant();
+  if (HasDeadline && !m_Ended && !m_Expired)
+    startDeadlineTimer();
 }
 
 void RequestSession::cancelAttempts() {
@@ -173,6 +189,8 @@
     m_DispatchGuard.markSent();
   if (m_CallerGone)
     recordOutcome("caller_gone", 0, "");
+  else if (endsWithProcess())
+    co_await endWithFailure("shutting_down", milliseconds(0));
   else
     co_await endWithFailure("timeout");
 }
@@ -263,7 +281,8 @@
       co_return Step::Finished;
     }
     // Unreachable endpoints are not counted as sends, so sends() may be 0.
-    co_await sleepFor(RefusalBackoff * std::max(1, m_History.sends()));
+    co_await sleepFor(std::min<Duration>(
+        RefusalBackoff * std::max(1, m_History.sends()), remainingTime()));
     co_return Step::TryAgain;
   }
   co_return co_await attempt(*Chosen);
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -47,6 +47,9 @@
                  http::Exchange &Caller);
 
   Task<void> run();
+  /// Called when the process begins to stop, at most once, while run() is in
+  /// progress. The request ends before the process does.
+  void onStop();
 
 private:
   /// The next step after an attempt to serve the request.
@@ -72,6 +75,14 @@
   /// Logs what the decision that no service takes the request is based on.
   void logNoRoute() const;
   void startTimers();
+  /// Sets the timer that ends the request, and brings its end forward to the
+  /// exit of the process.
+  void startDeadlineTimer();
+  /// Whether the end of the request is that of the process, not the deadline of
+  /// its caller.
+  bool endsWithProcess() const {
+    return m_RespondBy == m_State.m_LastAnswersAt;
+  }
   Task<void> serve();
   Task<Step> serveOnce();
   /// Whether the request or a part of its prompt has crashed too many endpoints
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -339,7 +339,8 @@
     co_return;
   }
   if (m_DispatchGuard.mayHaveBeenSent()) {
-    co_await respondWithProblem(m_Expired ? 504 : 502, Reason, std::nullopt);
+    const bool IsTimeout = m_Expired && !endsWithProcess();
+    co_await respondWithProblem(IsTimeout ? 504 : 502, Reason, std::nullopt);
     co_return;
   }
   co_await refuse(Reason, RetryAfter);
