Take endpoints whose address was reused out of use

Cause: an endpoint is replaced and its address goes to another one. While the registration stands, the directory counts it as a holder, so each request for its models is sent there up to four times, answered 421 by the new owner each time, and no host loads the model elsewhere.

A 421 of another endpoint now voids the registration from which the address was taken, and all older ones. Such an endpoint gets no requests and counts as no holder until a later heartbeat or incarnation is applied; an answer to a request that was sent by an older registration changes nothing. Demands name the void registrations of their service, so that the holder, which sends few requests itself, plans without them.

--- a/Source/Core/Core/Serving/EndpointDirectory.cpp
+++ b/Source/Core/Core/Serving/EndpointDirectory.cpp
@@ -79,7 +79,8 @@
   if (Found == m_Endpoints.end()) {
     m_RolloutDetector.onAdded(Incoming.m_Service, Now);
     EndpointId Id = Incoming.m_Id;
-    m_Endpoints.emplace(std::move(Id), Endpoint{std::move(Incoming), {}, Now});
+    m_Endpoints.emplace(std::move(Id),
+                        Endpoint{std::move(Incoming), {}, Now, {}});
     return RegistrationEffect::Added;
   }
   Endpoint &Existing = Found->second;
@@ -95,7 +96,11 @@
         Incoming.m_Draining || Existing.m_Registration.m_Draining;
   if (Incoming.m_Draining && !Existing.m_Registration.m_Draining)
     m_RolloutDetector.onLeaving(Incoming.m_Service, Now);
-  Existing = Endpoint{std::move(Incoming), {}, Existing.m_AddedAt};
+  const bool WasVoid = Existing.isVoid();
+  Existing = Endpoint{
+      std::move(Incoming), {}, Existing.m_AddedAt, Existing.m_VoidUpTo};
+  if (Effect == RegistrationEffect::Refreshed && WasVoid && !Existing.isVoid())
+    return RegistrationEffect::Changed;
   return Effect;
 }
 
@@ -215,6 +220,27 @@
   setLoaded(Id, Name, false, Now);
 }
 
+bool EndpointDirectory::onAddressReused(const EndpointId &Id,
+                                        const RegistrationVersion &Version) {
+  const auto Found = m_Endpoints.find(Id);
+  if (Found == m_Endpoints.end())
+    return false;
+  Endpoint &Existing = Found->second;
+  const bool Accepted = Existing.acceptsRequests();
+  Existing.m_VoidUpTo =
+      std::max(Existing.m_VoidUpTo.value_or(Version), Version);
+  return Accepted && !Existing.acceptsRequests();
+}
+
+std::map<EndpointId, RegistrationVersion>
+EndpointDirectory::voidRegistrations(std::string_view Service) const {
+  std::map<EndpointId, RegistrationVersion> Result;
+  for (const auto &[Id, Existing] : m_Endpoints)
+    if (Existing.isVoid() && Existing.m_Registration.m_Service == Service)
+      Result.emplace(Id, *Existing.m_VoidUpTo);
+  return Result;
+}
+
 const Endpoint *EndpointDirectory::find(const EndpointId &Id) const {
   const auto Found = m_Endpoints.find(Id);
   return Found == m_Endpoints.end() ? nullptr : &Found->second;
--- a/Source/Core/Core/Serving/EndpointDirectory.h
+++ b/Source/Core/Core/Serving/EndpointDirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/Codec/Fields.h"
 #include "Common/Identity/Ids.h"
 #include "Common/Time/Instant.h"
 #include "Core/Serving/Catalogue.h"
@@ -10,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace sff::serving {
@@ -40,6 +42,20 @@
   void setLoaded(const ModelName &Name, bool IsLoaded);
 };
 
+/// Orders the registrations of one endpoint.
+struct RegistrationVersion {
+  std::int64_t m_StartedAtMs = 0; ///< As in Incarnation.
+  std::int64_t m_Heartbeat = 0;
+  friend auto operator<=>(const RegistrationVersion &,
+                          const RegistrationVersion &) = default;
+
+  static constexpr auto describe() {
+    return std::make_tuple(
+        codec::field("started_at_ms", &RegistrationVersion::m_StartedAtMs),
+        codec::field("heartbeat", &RegistrationVersion::m_Heartbeat));
+  }
+};
+
 /// The registration record of an endpoint.
 struct Registration {
   EndpointId m_Id;
@@ -55,6 +71,10 @@
   int m_Slots = 0;
   bool m_Draining = false;
   Inventory m_Inventory;
+
+  RegistrationVersion version() const {
+    return {m_Incarnation.m_StartedAtMs, m_Heartbeat};
+  }
 };
 
 /// This host's view of an endpoint.
@@ -65,8 +85,16 @@
   /// unless confirmRemoval() comes first.
   std::optional<Instant> m_ExpiresAt;
   Instant m_AddedAt; ///< Time at which this host first saw the endpoint.
-
-  bool acceptsRequests() const { return !m_Registration.m_Draining; }
+  /// The newest registration after which another endpoint answered at the
+  /// address. Up to this version the registrations are void.
+  std::optional<RegistrationVersion> m_VoidUpTo;
+
+  bool isVoid() const {
+    return m_VoidUpTo && m_Registration.version() <= *m_VoidUpTo;
+  }
+  bool acceptsRequests() const {
+    return !m_Registration.m_Draining && !isVoid();
+  }
   const EndpointId &id() const { return m_Registration.m_Id; }
   const Inventory &inventory() const { return m_Registration.m_Inventory; }
 };
@@ -124,6 +152,17 @@
   void overrideAsNotLoaded(const EndpointId &Id, const ModelName &Name,
                            Instant Now);
 
+  /// Records that another endpoint answered at the address of the registration
+  /// \p Version. The endpoint accepts no requests until a later registration
+  /// of it is applied, as the answer may be older than that one. Returns true
+  /// if it accepted requests before.
+  bool onAddressReused(const EndpointId &Id,
+                       const RegistrationVersion &Version);
+  /// Returns the endpoints of a service whose registrations are void, with the
+  /// versions up to which they are.
+  std::map<EndpointId, RegistrationVersion>
+  voidRegistrations(std::string_view Service) const;
+
   const Endpoint *find(const EndpointId &Id) const;
   /// Returns the endpoints of a service that accept requests.
   std::vector<const Endpoint *> serving(std::string_view Service) const;
--- a/Source/Core/Host/Attempt.cpp
+++ b/Source/Core/Host/Attempt.cpp
@@ -16,6 +16,7 @@
     return;
   m_SoftwareVersion = Known->m_Registration.m_SoftwareVersion;
   m_State.m_RejectionLimits.onSent(*Known, m_SentAt);
+  m_Registration = Known->m_Registration.version();
   m_State.m_Crashes.onRequestSent(*Known, Request.m_Fingerprint,
                                   Request.m_Request, Request.m_Parts);
 }
--- a/Source/Core/Host/Attempt.h
+++ b/Source/Core/Host/Attempt.h
@@ -30,6 +30,10 @@
   const EndpointId &endpoint() const { return m_Endpoint; }
   /// The software version of the endpoint; empty if it is not known.
   const std::string &softwareVersion() const { return m_SoftwareVersion; }
+  /// The registration from which the endpoint's address was taken.
+  const serving::RegistrationVersion &registration() const {
+    return m_Registration;
+  }
   Instant sentAt() const { return m_SentAt; }
   Instant answerBegunAt() const { return m_AnswerBegunAt; }
   bool hasAnswered() const { return m_AnswerBegunAt != Instant(); }
@@ -57,6 +61,7 @@
   EndpointId m_Endpoint;
   RequestId m_Request;
   std::string m_SoftwareVersion;
+  serving::RegistrationVersion m_Registration;
   std::shared_ptr<http::CallCanceller> m_Canceller;
   /// The parts of the prompt of which this attempt is the trial.
   std::vector<PromptPartId> m_TrialParts;
--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -227,6 +227,7 @@
   if (const auto MissingAt = m_MissingAt.extract(Name))
     Demand.m_ReportedMissingBy.assign(MissingAt.mapped().begin(),
                                       MissingAt.mapped().end());
+  Demand.m_VoidRegistrations = m_State.m_Endpoints.voidRegistrations(Service);
   if (const auto Found = m_Waiting.find(Name); Found != m_Waiting.end())
     Demand.m_Waiting = Found->second;
   Demand.m_MayLoadRemote =
@@ -240,10 +241,11 @@
     if (!Name.m_Adapter.empty())
       m_State.m_Endpoints.overrideAsLoaded(Answer.m_Endpoint, Name, now());
   }
-  // A holder that does not know the limit of an endpoint answers at once that
-  // it has the model.
+  // A holder that does not know the limit of an endpoint, or that it is out of
+  // use, answers at once that it has the model.
   if (Answer.m_Status != DemandStatus::Ready ||
-      !m_State.m_RateLimits.allows(Answer.m_Endpoint, now()))
+      !m_State.m_RateLimits.allows(Answer.m_Endpoint, now()) ||
+      !m_State.isInUse(Answer.m_Endpoint))
     co_await sleepFor(DemandRetryDelay);
   m_ReadyAt.erase(Name.m_Model);
   m_Requested.erase(Name);
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -70,6 +70,19 @@
   m_RejectionLimits.setHosts(Hosts);
 }
 
+void HostState::onAddressReused(const EndpointId &Id,
+                                const serving::RegistrationVersion &Version) {
+  if (!m_Endpoints.onAddressReused(Id, Version))
+    return;
+  m_Metrics.onRemoval("address_reused");
+  log::info(log::Category::Membership, "endpoint.address_reused",
+            {{"endpoint", Id},
+             {"started_at_ms", Version.m_StartedAtMs},
+             {"heartbeat", Version.m_Heartbeat},
+             {"registrations_age_ms", endpointsAge().count()}});
+  m_Changed.notifyAll();
+}
+
 void HostState::forgetEndpoint(const EndpointId &Id) {
   m_Chooser.forget(Id);
   m_RateLimits.forget(Id);
@@ -87,6 +100,11 @@
     std::erase_if(List, IsLimited);
 }
 
+bool HostState::isInUse(const EndpointId &Id) const {
+  const serving::Endpoint *Found = m_Endpoints.find(Id);
+  return Found && Found->acceptsRequests();
+}
+
 std::optional<http::Address> HostState::addressOf(const EndpointId &Id) const {
   const serving::Endpoint *Known = m_Endpoints.find(Id);
   return Known ? http::Address::parse(Known->m_Registration.m_Address)
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -43,6 +43,8 @@
   /// Sets the number of hosts that share the retry budgets.
   void setHosts(std::size_t Hosts);
   std::size_t hosts() const { return m_Hosts; }
+  /// Returns true if the endpoint is known and accepts requests.
+  bool isInUse(const EndpointId &Id) const;
   /// The address of an endpoint; nothing when the endpoint is unknown or its
   /// address is not valid.
   std::optional<http::Address> addressOf(const EndpointId &Id) const;
@@ -52,6 +54,10 @@
   /// Time since the store last confirmed the registrations; zero before the
   /// first confirmation.
   milliseconds endpointsAge() const { return ageOf(m_EndpointsConfirmedAt); }
+  /// Takes an endpoint out of use because another one answered at the address
+  /// of its registration \p Version, unless a later one is known.
+  void onAddressReused(const EndpointId &Id,
+                       const serving::RegistrationVersion &Version);
   /// Drops what this host has observed of an endpoint.
   void forgetEndpoint(const EndpointId &Id);
   /// Removes the endpoints that have named a request rate, unless all have:
--- a/Source/Core/Host/PeerMessages.h
+++ b/Source/Core/Host/PeerMessages.h
@@ -2,6 +2,7 @@
 
 #include "Common/Codec/Fields.h"
 #include "Common/Identity/Ids.h"
+#include "Core/Serving/EndpointDirectory.h"
 #include "Host/CrashMessage.h"
 
 #include <nlohmann/json.hpp>
@@ -41,6 +42,9 @@
   /// Endpoints that have just reported to the sender that they lack the model.
   /// Overrides what the holder knows of them.
   std::vector<EndpointId> m_ReportedMissingBy;
+  /// Endpoints of the service whose addresses belong to other endpoints, with
+  /// the registrations up to which this is known.
+  std::map<EndpointId, serving::RegistrationVersion> m_VoidRegistrations;
 
   static constexpr auto describe() {
     using codec::field;
@@ -55,7 +59,8 @@
         field("remote", &ModelDemand::m_MayLoadRemote),
         field("replica", &ModelDemand::m_Replica),
         field("estimate", &ModelDemand::m_WantsEstimate),
-        field("lacked_by", &ModelDemand::m_ReportedMissingBy));
+        field("lacked_by", &ModelDemand::m_ReportedMissingBy),
+        field("void", &ModelDemand::m_VoidRegistrations));
   }
 };
 
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -495,9 +495,11 @@
   const EndpointId &Id = Refused.endpoint();
   m_History.exclude(Id);
   Refused.onNotRun();
-  if (Facts.m_AddressReused)
+  if (Facts.m_AddressReused) {
     m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
                                         now());
+    m_State.onAddressReused(Id, Refused.registration());
+  }
   if (Facts.m_ModelNotLoaded)
     m_Demands.onModelMissing(m_Facts.m_Model, Id);
   logEvent("request.not_run", {{"endpoint", Id},
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -134,6 +134,8 @@
   const std::shared_ptr<void> Remove(
       nullptr, [this, Waiting](void *) { m_Queue.remove(Waiting); });
   applyMissingModels(Demand);
+  for (const auto &[Id, Version] : Demand.m_VoidRegistrations)
+    m_State.onAddressReused(Id, Version);
   schedulePending();
   while (true) {
     if (const auto Answer = currentResponse(Demand, Key, now() >= Planned))
--- a/Source/UnitTests/Core/Serving/EndpointDirectoryTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointDirectoryTest.cpp
@@ -61,6 +61,64 @@
   EXPECT_TRUE(Directory.serving("engine").empty());
 }
 
+// Guards against requests that are sent to a reused address for as long as the
+// registration of the endpoint that had it stands, read again or not.
+TEST(EndpointDirectoryTest, EndpointIsOutOfUseOnceItsAddressIsReused) {
+  EndpointDirectory Directory;
+  Directory.apply(makeRegistration(5, {"m"}), Start);
+  EXPECT_TRUE(Directory.onAddressReused(First, {1, 5}));
+  EXPECT_TRUE(Directory.serving("engine").empty());
+  EXPECT_FALSE(Directory.find(First)->acceptsRequests());
+  EXPECT_EQ(Directory.apply(makeRegistration(5, {"m"}), Start),
+            RegistrationEffect::Refreshed);
+  EXPECT_TRUE(Directory.serving("engine").empty());
+  EXPECT_FALSE(Directory.onAddressReused(First, {1, 5}));
+  EXPECT_EQ(Directory.voidRegistrations("engine"),
+            (std::map<EndpointId, RegistrationVersion>{{First, {1, 5}}}));
+  EXPECT_TRUE(Directory.voidRegistrations("other").empty());
+}
+
+// Guards against losing an endpoint that registers after another one answered
+// at its former address.
+TEST(EndpointDirectoryTest, LaterRegistrationEndsTheReuseOfAnAddress) {
+  EndpointDirectory Directory;
+  Directory.apply(makeRegistration(5, {"m"}), Start);
+  Directory.onAddressReused(First, {1, 5});
+  EXPECT_EQ(Directory.apply(makeRegistration(6, {"m"}), Start),
+            RegistrationEffect::Changed);
+  EXPECT_EQ(Directory.serving("engine").size(), 1U);
+  EXPECT_TRUE(Directory.voidRegistrations("engine").empty());
+  Directory.onAddressReused(First, {1, 6});
+  EXPECT_EQ(Directory.apply(makeRegistration(1, {}, 2), Start),
+            RegistrationEffect::Restarted);
+  EXPECT_EQ(Directory.serving("engine").size(), 1U);
+}
+
+// Guards against taking a live endpoint out of use for an answer to a request
+// that was sent before its latest registration was read.
+TEST(EndpointDirectoryTest, LateAnswerDoesNotVoidALaterRegistration) {
+  EndpointDirectory Directory;
+  Directory.apply(makeRegistration(6, {"m"}), Start);
+  EXPECT_FALSE(Directory.onAddressReused(First, {1, 5}));
+  EXPECT_EQ(Directory.serving("engine").size(), 1U);
+  EXPECT_TRUE(Directory.voidRegistrations("engine").empty());
+  Directory.apply(makeRegistration(1, {}, 2), Start);
+  EXPECT_FALSE(Directory.onAddressReused(First, {1, 9}));
+  EXPECT_EQ(Directory.serving("engine").size(), 1U);
+}
+
+// Guards against a host that learns of the reuse from another one and then
+// reads a registration that the other one had found to be void.
+TEST(EndpointDirectoryTest, RegistrationOlderThanTheReuseStaysVoid) {
+  EndpointDirectory Directory;
+  Directory.apply(makeRegistration(4, {"m"}), Start);
+  EXPECT_TRUE(Directory.onAddressReused(First, {1, 5}));
+  Directory.apply(makeRegistration(5, {"m"}), Start);
+  EXPECT_TRUE(Directory.serving("engine").empty());
+  Directory.apply(makeRegistration(6, {"m"}), Start);
+  EXPECT_EQ(Directory.serving("engine").size(), 1U);
+}
+
 // Guards against removing live endpoints whose entries expired during a
 // registry outage.
 TEST(EndpointDirectoryTest, ExpiryDuringARegistryOutageIsDelayed) {
