Count answers of other hosts that no endpoint sealed as not served

Callers of a host that is cut off from all endpoints got a 404 for a route that their host knows when the request was passed on to a host with an older catalogue, and whatever a process that is no host answered on a host's address, including a stream that ended without an event.

Cause: the host forwarded every answer of another host except 503, sealed by an endpoint or not. A 503 ended the request, also where only that one host could not take it.

A host now marks its own answers to requests that were passed on: whether the request has not run or may have run, and whether it declines for reasons of its own (no catalogue, cut off itself, or only this route unknown). What was declined goes to another host; an unknown route does not make that host be left out for other requests. A refusal for reasons of the endpoints goes to the caller.

--- a/Source/Core/Host/PeerRelay.h
+++ b/Source/Core/Host/PeerRelay.h
@@ -14,8 +14,17 @@
 /// off from the endpoints. The rest is the target of the caller's request.
 constexpr std::string_view RelayPrefix = "/v1/relay";
 /// Header of an answer by which a host declines to take a request. The request
-/// has not run.
+/// has not run, and another host may take it.
 constexpr std::string_view RelayDeclinedHeader = "Relay-Declined";
+/// Value of the header of a host that may take other requests.
+constexpr std::string_view RelayDeclinedForRoute = "route";
+/// Header that a host adds to its own answers to requests that other hosts have
+/// passed on, with one of the values below. An answer with neither this header
+/// nor the seal of an endpoint comes from a process that is no host, or from an
+/// older one, and proves nothing.
+constexpr std::string_view RelayOutcomeHeader = "Relay-Outcome";
+constexpr std::string_view RelayOutcomeNotRun = "not-run";
+constexpr std::string_view RelayOutcomeUnknown = "unknown";
 
 /// A request on its way to another host, which counts as running there until
 /// the object is destroyed.
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -67,12 +67,12 @@
   m_Facts = m_State.m_Platform.m_WireFormat->decode(m_Incoming);
   m_Catalogue = m_State.m_Catalogue;
   if (!m_Catalogue) {
-    co_await refuse("no_catalogue", DefaultRetryAfter);
+    co_await refuse(NoCatalogueReason, DefaultRetryAfter);
     co_return;
   }
   if (!findRoute()) {
     logNoRoute();
-    co_await respondWithProblem(404, "no_route", std::nullopt);
+    co_await respondWithProblem(404, NoRouteReason, std::nullopt);
     co_return;
   }
   m_History = serving::AttemptHistory(m_Route->m_MaxEndpointsPerRequest);
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -63,6 +63,11 @@
   /// Retry-After for failures whose duration is not known.
   static constexpr milliseconds DefaultRetryAfter{1000};
 
+  /// Reasons of refusals that concern this host only.
+  static constexpr std::string_view NoCatalogueReason = "no_catalogue";
+  static constexpr std::string_view NoRouteReason = "no_route";
+  static constexpr std::string_view CutOffReason = "cut_off_from_endpoints";
+
   using OpenStream = std::shared_ptr<http::ResponseStream>;
 
   /// An attempt whose endpoint has begun to answer.
@@ -166,6 +171,14 @@
   Task<Step> passOn();
   RelayMetadata relayFacts() const;
   Task<Step> onRelayFailed(HostId Host, http::TransportFailure Failure);
+  /// Handles an answer that another host has made itself, or that is not an
+  /// endpoint's as far as is known.
+  Task<Step> onUnsealedRelay(HostId Host, OpenStream Answer);
+  /// Handles a request that may have run at another host, whose answer is lost.
+  Task<Step> onRelayedAnswerLost();
+  /// Adds to an answer of this host what the host that has passed the request
+  /// on must know.
+  void markRelayOutcome(http::Response &Answer, std::string_view Reason) const;
   Task<Step> forwardRelayed(HostId Host, OpenStream Answer);
   Task<Step> forwardRelayedStream(HostId Host, OpenStream Answer);
   /// Sends the head of a stream to the caller.
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -366,6 +366,8 @@
   if (RetryAfter)
     Answer.m_Headers.set("Retry-After",
                          std::to_string(toSeconds(*RetryAfter)).substr(0, 5));
+  if (m_Origin == RequestOrigin::Host)
+    markRelayOutcome(Answer, Reason);
   co_await m_Caller.respond(std::move(Answer));
   recordOutcome(RetryAfter ? "refused" : "failed", Status, Reason);
 }
--- a/Source/Core/Host/RequestSessionRelay.cpp
+++ b/Source/Core/Host/RequestSessionRelay.cpp
@@ -16,6 +16,12 @@
 /// Largest body of an answer that is not a stream.
 constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
 
+/// Returns whether another host has refused the request, which has not run.
+bool isRefusal(const http::Response &Head) {
+  return Head.m_Status == RefusalStatus &&
+         Head.m_Headers.view(RelayOutcomeHeader) == RelayOutcomeNotRun;
+}
+
 } // namespace
 
 RelayMetadata RequestSession::relayFacts() const {
@@ -34,7 +40,7 @@
       m_Origin == RequestOrigin::Caller && m_RelaysTried.size() < MaxRelays;
   const auto Chosen = MayPassOn ? m_Relay.choose(m_RelaysTried) : std::nullopt;
   if (!Chosen) {
-    co_await endWithFailure("cut_off_from_endpoints", NoHostRetryAfter);
+    co_await endWithFailure(CutOffReason, NoHostRetryAfter);
     co_return Step::Finished;
   }
   m_RelaysTried.insert(*Chosen);
@@ -55,15 +61,67 @@
   if (const auto *Failure = std::get_if<http::TransportFailure>(&Call.m_Result))
     co_return co_await onRelayFailed(Call.m_Host, *Failure);
   const auto Answer = std::get<OpenStream>(Call.m_Result);
-  if (!Answer->head().m_Headers.view(RelayDeclinedHeader).empty()) {
-    m_Relay.onFailed(Call.m_Host);
-    m_State.m_Metrics.onRelay("declined");
-    logEvent("request.relay_declined", {{"peer", Call.m_Host}});
-    co_return Step::TryAgain;
-  }
+  // Only endpoints seal their answers.
+  if (!m_State.m_Platform.m_WireFormat->decode(Answer->head()).m_Sealed)
+    co_return co_await onUnsealedRelay(Call.m_Host, Answer);
+  m_DispatchGuard.markSent();
   co_return co_await forwardRelayed(Call.m_Host, Answer);
 }
 
+Task<RequestSession::Step> RequestSession::onUnsealedRelay(HostId Host,
+                                                           OpenStream Answer) {
+  const int Status = Answer->head().m_Status;
+  const std::string Declined(
+      Answer->head().m_Headers.view(RelayDeclinedHeader));
+  const std::string Outcome(Answer->head().m_Headers.view(RelayOutcomeHeader));
+  // What endpoints refuse, they would refuse to other hosts, too.
+  if (Declined.empty() && isRefusal(Answer->head())) {
+    if (!m_DispatchGuard.mayHaveBeenSent())
+      co_return co_await forwardRelayed(std::move(Host), std::move(Answer));
+    Answer->close();
+    co_await endWithFailure("refused_by_host");
+    co_return Step::Finished;
+  }
+  Answer->close();
+  // A host that lacks the route of one request takes those of other routes.
+  if (Declined != RelayDeclinedForRoute)
+    m_Relay.onFailed(Host);
+  const bool HasNotRun = !Declined.empty() || Outcome == RelayOutcomeNotRun;
+  m_State.m_Metrics.onRelay(HasNotRun ? "declined" : "not_served");
+  logEvent(HasNotRun ? "request.relay_declined" : "request.relay_not_served",
+           {{"peer", Host},
+            {"status", Status},
+            {"declined", Declined},
+            {"outcome", Outcome}});
+  if (HasNotRun)
+    co_return Step::TryAgain;
+  co_return co_await onRelayedAnswerLost();
+}
+
+Task<RequestSession::Step> RequestSession::onRelayedAnswerLost() {
+  m_DispatchGuard.markSent();
+  m_Events.discardPartial();
+  if (m_Route->isIdempotent())
+    co_return Step::TryAgain;
+  co_await endWithFailure("peer_lost");
+  co_return Step::Finished;
+}
+
+void RequestSession::markRelayOutcome(http::Response &Answer,
+                                      std::string_view Reason) const {
+  const bool IsUnknown = m_DispatchGuard.mayHaveBeenSent();
+  Answer.m_Headers.set(
+      std::string(RelayOutcomeHeader),
+      std::string(IsUnknown ? RelayOutcomeUnknown : RelayOutcomeNotRun));
+  if (IsUnknown)
+    return;
+  if (Reason == NoRouteReason)
+    Answer.m_Headers.set(std::string(RelayDeclinedHeader),
+                         std::string(RelayDeclinedForRoute));
+  else if (Reason == NoCatalogueReason || Reason == CutOffReason)
+    Answer.m_Headers.set(std::string(RelayDeclinedHeader), "1");
+}
+
 Task<RequestSession::Step>
 RequestSession::onRelayFailed(HostId Host, http::TransportFailure Failure) {
   m_Relay.onFailed(Host);
@@ -72,30 +130,15 @@
            {{"peer", Host}, {"detail", Failure.m_Detail}});
   if (Failure.isKnownNotSent())
     co_return Step::TryAgain;
-  m_DispatchGuard.markSent();
-  m_Events.discardPartial();
-  if (m_Route->isIdempotent())
-    co_return Step::TryAgain;
-  co_await endWithFailure("peer_lost");
-  co_return Step::Finished;
+  co_return co_await onRelayedAnswerLost();
 }
 
 Task<RequestSession::Step> RequestSession::forwardRelayed(HostId Host,
                                                           OpenStream Answer) {
   const int Status = Answer->head().m_Status;
+  const bool IsRefusal = isRefusal(Answer->head());
   const bool IsStream = m_Route->m_Kind == serving::RouteKind::Stream &&
                         Status >= 200 && Status < 300;
-  // Only a refusal by the other host itself proves that the request has not
-  // run.
-  const bool IsSealed =
-      m_State.m_Platform.m_WireFormat->decode(Answer->head()).m_Sealed;
-  const bool IsRefusal = !IsSealed && Status == RefusalStatus;
-  if (!IsRefusal)
-    m_DispatchGuard.markSent();
-  if (IsRefusal && m_DispatchGuard.mayHaveBeenSent()) {
-    co_await endWithFailure("refused_by_host");
-    co_return Step::Finished;
-  }
   if (IsStream)
     co_return co_await forwardRelayedStream(Host, std::move(Answer));
   std::string Body;
@@ -121,6 +164,7 @@
   http::Response Final =
       m_State.m_Platform.m_WireFormat->makeCallerResponse(Answer->head());
   Final.m_Headers.erase("Content-Length");
+  Final.m_Headers.erase(std::string(RelayOutcomeHeader));
   Final.m_Body = std::move(Body);
   m_State.m_Metrics.onRelay(IsRefusal ? "refused" : "answered");
   m_State.m_Metrics.onFirstByte(now() - m_ArrivedAt);
