Let the fixed retry allowance grow with the age of a process

Suspected cause: each new process has its whole share of the fixed allowance at once, although its predecessor may have used the share of the same window, and the share is that of 32 hosts until the holder has counted the fleet. 81 hosts so get 2.5 times the allowance with each restart.

The share now grows from one retry to its full size over the first window of a process. The assumed number of hosts stays: it also divides the rates of endpoints, and by the time the share is whole the holder has counted them.

--- a/Source/Core/Core/Serving/SharedRetryBudget.cpp
+++ b/Source/Core/Core/Serving/SharedRetryBudget.cpp
@@ -43,11 +43,20 @@
     Retries += static_cast<double>(Entry.m_Retries);
   }
   const double Allowed =
-      UsableShare *
-      (m_Bounds.m_Ratio * Requests +
-       m_Bounds.m_FixedAllowance /
-           static_cast<double>(std::max<std::size_t>(m_Hosts, 1)));
+      UsableShare * m_Bounds.m_Ratio * Requests + usableFixedShare(Now);
   return Retries + 1 <= Allowed;
 }
 
+double SharedRetryBudget::usableFixedShare(Instant Now) const {
+  const double Share = UsableShare * m_Bounds.m_FixedAllowance /
+                       static_cast<double>(std::max<std::size_t>(m_Hosts, 1));
+  const Duration Age = Now - m_StartedAt;
+  if (Age >= m_Bounds.m_Window)
+    return Share;
+  // One retry is granted at once: with little traffic, the ratio grants none
+  // for a long time.
+  return std::max(Share * toSeconds(Age) / toSeconds(m_Bounds.m_Window),
+                  std::min(Share, 1.0));
+}
+
 } // namespace sff::serving
--- a/Source/Core/Core/Serving/SharedRetryBudget.h
+++ b/Source/Core/Core/Serving/SharedRetryBudget.h
@@ -20,7 +20,14 @@
 /// requests plus an equal share of the fixed allowance. Thread safety: none.
 class SharedRetryBudget {
 public:
-  explicit SharedRetryBudget(const RetryLimits &Bounds) : m_Bounds(Bounds) {}
+  /// \p StartedAt is the time at which this process started; by default it is
+  /// older than a window. The share of the
+  /// fixed allowance grows from one retry to its full size over the first
+  /// window after it, because the process may replace one that has used the
+  /// share of the same window.
+  explicit SharedRetryBudget(const RetryLimits &Bounds,
+                             Instant StartedAt = Instant())
+      : m_Bounds(Bounds), m_StartedAt(StartedAt) {}
 
   void setHosts(std::size_t Hosts) { m_Hosts = Hosts; }
   void onRequest(Instant Now);
@@ -44,8 +51,11 @@
   };
   Bucket &currentBucket(Instant Now);
   std::int64_t bucketNumber(Instant Now) const;
+  /// Returns the usable part of this host's share of the fixed allowance.
+  double usableFixedShare(Instant Now) const;
 
   RetryLimits m_Bounds;
+  Instant m_StartedAt;
   std::size_t m_Hosts = 1;
   std::array<Bucket, BucketCount + 1> m_Buckets;
 };
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -57,7 +57,7 @@
   const auto Found = m_Budgets.find(Service);
   if (Found != m_Budgets.end())
     return Found->second;
-  serving::SharedRetryBudget Created(retryBounds(m_Settings));
+  serving::SharedRetryBudget Created(retryBounds(m_Settings), m_StartedAt);
   Created.setHosts(m_Hosts);
   return m_Budgets.emplace(Service, Created).first->second;
 }
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -110,6 +110,7 @@
   void onLinksChanged();
   static milliseconds ageOf(const std::optional<Instant> &ConfirmedAt);
 
+  Instant m_StartedAt = now();
   std::map<std::string, serving::SharedRetryBudget> m_Budgets;
   /// Number of hosts that share the retry budgets.
   std::size_t m_Hosts = serving::FleetSize::AssumedHostCount;
