Leave a host that freezes while it serves a passed-on request

Reads and resumable streams that a cut-off host had passed on to a host that froze waited there until their deadline, although a third host worked.

Cause: only requests at endpoints were watched for silence.

The host that passes a request on now watches for silence with the timeout that holds for endpoints. Before that time is over it asks the silent host itself for a sign of life on a new connection, for 300 ms: a slow endpoint or a model load also makes a request silent, and to move those would run them twice. A host that gives no sign is left out like one that failed, and requests that may run again go to another host. Requests that must not run twice stay where they are.

--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -175,7 +175,9 @@
     co_return;
   }
   nlohmann::json Answer;
-  if (Incoming.path() == DemandPath) {
+  if (Incoming.path() == AlivePath) {
+    Answer = Acknowledgement{};
+  } else if (Incoming.path() == DemandPath) {
     if (auto Demand = parseMessage<ModelDemand>(Incoming))
       Answer = co_await m_Swaps.handleDemand(std::move(*Demand));
   } else if (Incoming.path() == UsagePath) {
--- a/Source/Core/Host/PeerRelay.cpp
+++ b/Source/Core/Host/PeerRelay.cpp
@@ -35,4 +35,22 @@
   co_return Call;
 }
 
+Task<bool> PeerRelay::isAlive(HostId Host) {
+  const auto Remote = http::Address::parse(Host.str());
+  if (!Remote)
+    co_return false;
+  http::Request Question;
+  Question.m_Method = "POST";
+  Question.m_Target = std::string(AlivePath);
+  http::ClientOptions Options;
+  Options.m_ConnectTimeout = AliveTimeout;
+  Options.m_WriteTimeout = AliveTimeout;
+  Options.m_ReadTimeout = AliveTimeout;
+  // A pooled connection may have been closed by a host that works.
+  Options.m_ForceNewConnection = true;
+  const http::SendResult Result =
+      co_await m_Peers.send(*Remote, std::move(Question), std::move(Options));
+  co_return std::holds_alternative<http::Response>(Result);
+}
+
 } // namespace sff::host
--- a/Source/Core/Host/PeerRelay.h
+++ b/Source/Core/Host/PeerRelay.h
@@ -26,6 +26,10 @@
 constexpr std::string_view RelayOutcomeNotRun = "not-run";
 constexpr std::string_view RelayOutcomeUnknown = "unknown";
 
+/// Path at which a host that works answers at once. Older hosts answer with
+/// status 400, which shows as much.
+constexpr std::string_view AlivePath = "/v1/alive";
+
 /// A request on its way to another host, which counts as running there until
 /// the object is destroyed.
 struct RelayedCall {
@@ -40,6 +44,9 @@
 /// Thread safety: use from the host's io_context only.
 class PeerRelay {
 public:
+  /// Longer than a host under load needs for an answer that takes no work.
+  static constexpr milliseconds AliveTimeout{300};
+
   /// \p Member is this host's own peer address.
   PeerRelay(HostState &State, std::string Member);
 
@@ -54,6 +61,9 @@
   /// host and waits for the head of the answer.
   Task<RelayedCall> open(HostId Host, http::Request Message,
                          http::ClientOptions Options);
+  /// Returns whether the host itself answers within AliveTimeout, however long
+  /// the requests take that it works on.
+  Task<bool> isAlive(HostId Host);
   /// Called when the host has declined a request or did not answer.
   void onFailed(const HostId &Host) { m_Targets.onFailed(Host, now()); }
 
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -170,6 +170,16 @@
   /// Passes the request on to another host, or refuses it if there is none.
   Task<Step> passOn();
   RelayMetadata relayFacts() const;
+  /// Watches the host that the request has been passed on to for silence, until
+  /// the returned guard is destroyed.
+  std::shared_ptr<void> watchRelay(const HostId &Host);
+  void startRelayTimer(HostId Host);
+  /// Ends the attempt at \p Host if the host sends nothing and does not answer
+  /// either, and the request may go elsewhere.
+  static Task<void> checkRelay(std::shared_ptr<RequestSession> Self,
+                               HostId Host);
+  /// Whether the request may leave the host that it has been passed on to.
+  bool mayLeaveRelay();
   Task<Step> onRelayFailed(HostId Host, http::TransportFailure Failure);
   /// Handles an answer that another host has made itself, or that is not an
   /// endpoint's as far as is known.
@@ -276,6 +286,9 @@
   AsyncCondition m_BackupSettled;
   std::shared_ptr<http::CallCanceller> m_RelayCanceller;
   std::set<HostId> m_RelaysTried;
+  /// Time of the latest data from the host that the request was passed on to,
+  /// or of its latest sign of life.
+  Instant m_RelayProgressAt;
   /// Another host has begun the stream. Only hosts that are told its first
   /// request know at which software version it goes on.
   bool m_RelayHasBegun = false;
--- a/Source/Core/Host/RequestSessionRelay.cpp
+++ b/Source/Core/Host/RequestSessionRelay.cpp
@@ -56,10 +56,12 @@
             {"silent_ms", m_State.m_Links.silence().count()}});
   http::Request Outgoing =
       m_State.m_Platform.m_WireFormat->encodeForHost(m_Incoming, relayFacts());
+  const auto Watch = watchRelay(*Chosen);
   RelayedCall Call =
       co_await m_Relay.open(*Chosen, std::move(Outgoing), std::move(Options));
   if (const auto *Failure = std::get_if<http::TransportFailure>(&Call.m_Result))
     co_return co_await onRelayFailed(Call.m_Host, *Failure);
+  m_RelayProgressAt = now();
   const auto Answer = std::get<OpenStream>(Call.m_Result);
   // Only endpoints seal their answers.
   if (!m_State.m_Platform.m_WireFormat->decode(Answer->head()).m_Sealed)
@@ -68,6 +70,71 @@
   co_return co_await forwardRelayed(Call.m_Host, Answer);
 }
 
+std::shared_ptr<void> RequestSession::watchRelay(const HostId &Host) {
+  m_RelayProgressAt = now();
+  startRelayTimer(Host);
+  return {nullptr, [this](void *) {
+            m_SilenceTimer.cancel();
+            m_RelayCanceller.reset();
+          }};
+}
+
+void RequestSession::startRelayTimer(HostId Host) {
+  m_SilenceTimer.expires_at(m_RelayProgressAt + silenceTimeout() -
+                            PeerRelay::AliveTimeout);
+  m_SilenceTimer.async_wait([Self = shared_from_this(), Host,
+                             Weak = std::weak_ptr<http::CallCanceller>(
+                                 m_RelayCanceller)](
+                                const boost::system::error_code &Error) {
+    const auto Watched = Weak.lock();
+    if (Error || Self->m_Ended || !Watched || Watched != Self->m_RelayCanceller)
+      return;
+    Self->m_State.spawn("check_relay", checkRelay(Self, Host));
+  });
+}
+
+Task<void> RequestSession::checkRelay(std::shared_ptr<RequestSession> Self,
+                                      HostId Host) {
+  const auto Watched = Self->m_RelayCanceller;
+  const Instant SilentSince = Self->m_RelayProgressAt;
+  const milliseconds Timeout = Self->silenceTimeout() - PeerRelay::AliveTimeout;
+  // The host waits for the caller, not for the other host.
+  if (Self->m_IsDelivering)
+    Self->m_RelayProgressAt = now();
+  bool IsAlive = now() - Self->m_RelayProgressAt < Timeout;
+  if (!IsAlive) {
+    IsAlive = co_await Self->m_Relay.isAlive(Host);
+    if (IsAlive)
+      Self->m_RelayProgressAt = now();
+  }
+  if (Self->m_Ended || Self->isOver() || Watched != Self->m_RelayCanceller)
+    co_return;
+  if (IsAlive || Self->m_RelayProgressAt != SilentSince) {
+    Self->startRelayTimer(Host);
+    co_return;
+  }
+  Self->m_Relay.onFailed(Host);
+  const bool MayLeave = Self->mayLeaveRelay();
+  Self->m_State.m_Metrics.onRelay("silent");
+  Self->logEvent("request.relay_silent",
+                 {{"peer", Host},
+                  {"silent_ms", toMilliseconds(now() - SilentSince).count()},
+                  {"begun", Self->m_HeadSent},
+                  {"tries_another", MayLeave}});
+  if (MayLeave) {
+    Watched->cancel();
+    co_return;
+  }
+  Self->m_RelayProgressAt = now();
+  Self->startRelayTimer(Host);
+}
+
+bool RequestSession::mayLeaveRelay() {
+  if (!m_Route->isIdempotent())
+    return false;
+  return !mustPassOn() || (m_RelaysTried.size() < MaxRelays && canPassOn());
+}
+
 Task<RequestSession::Step> RequestSession::onUnsealedRelay(HostId Host,
                                                            OpenStream Answer) {
   const int Status = Answer->head().m_Status;
@@ -146,6 +213,7 @@
     auto Next = co_await Answer->read();
     if (const auto *Failure = std::get_if<http::TransportFailure>(&Next))
       co_return co_await onRelayFailed(Host, *Failure);
+    m_RelayProgressAt = now();
     const std::string &Chunk = std::get<std::string>(Next);
     if (Chunk.empty())
       break;
@@ -156,6 +224,7 @@
       co_return Step::Finished;
     }
   }
+  m_SilenceTimer.cancel();
   if (m_HeadSent) {
     m_Caller.abort();
     recordOutcome("broken_off", 0, "resume_failed");
@@ -186,6 +255,7 @@
     }
     if (const auto *Failure = std::get_if<http::TransportFailure>(&Next))
       co_return co_await onRelayFailed(Host, *Failure);
+    m_RelayProgressAt = now();
     const std::string &Chunk = std::get<std::string>(Next);
     const std::string Complete = m_Events.append(Chunk);
     const bool IsTorn = Chunk.empty() && !m_Events.partialEvent().empty();
@@ -199,7 +269,9 @@
       m_RelayHasBegun = true;
       co_await beginStream(Answer->head());
     }
+    m_IsDelivering = true;
     const bool Written = co_await m_Caller.writeChunk(Complete);
+    m_IsDelivering = false;
     if (!Written) {
       recordOutcome("caller_gone", 0, "passed_on");
       co_return Step::Finished;
