Keep hosts in use when a passed-on request is given up

At a host that is cut off, requests were refused with 503 although the other hosts worked, for a second after callers had left before an answer had begun or the time of requests was over. Requests whose time was over at the other host got 502 instead of 504.

Cause: a call that the host ends itself counted as a failure of the other host, which is then left out for a second. Since answers without a seal count as not served, the other host's own 502 and 504 did the same and hid the status.

Now a host is left out only if it declines all requests, answers without a mark, or its connection fails while the request is still wanted. A marked 504 means that the time of the request is over.

Evidence: RequestsThatAreGivenUpLeaveTheHostsInUse failed on the commit before: 24 of 24 later requests got 503, and 24 of 24 requests without time got 502. It passes with the change, in one run.

--- a/Source/Core/Host/RequestSessionRelay.cpp
+++ b/Source/Core/Host/RequestSessionRelay.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds NoHostRetryAfter{500};
 /// Status of answers by which a host refuses a request that has not run.
 constexpr int RefusalStatus = 503;
+/// Status of answers to requests whose time is over.
+constexpr int TimeoutStatus = 504;
 /// Largest body of an answer that is not a stream.
 constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
 
@@ -150,9 +152,15 @@
     co_return Step::Finished;
   }
   Answer->close();
-  // A host that lacks the route of one request takes those of other routes.
-  if (Declined != RelayDeclinedForRoute)
+  // A host that lacks the route of one request, or that has lost it at an
+  // endpoint, takes other requests.
+  const bool TakesOthers =
+      Declined.empty() ? !Outcome.empty() : Declined == RelayDeclinedForRoute;
+  if (!TakesOthers)
     m_Relay.onFailed(Host);
+  // The other host was given the time that was left.
+  if (Status == TimeoutStatus && Outcome == RelayOutcomeUnknown)
+    m_Expired = true;
   const bool HasNotRun = !Declined.empty() || Outcome == RelayOutcomeNotRun;
   m_State.m_Metrics.onRelay(HasNotRun ? "declined" : "not_served");
   logEvent(HasNotRun ? "request.relay_declined" : "request.relay_not_served",
@@ -191,7 +199,10 @@
 
 Task<RequestSession::Step>
 RequestSession::onRelayFailed(HostId Host, http::TransportFailure Failure) {
-  m_Relay.onFailed(Host);
+  // The call also ends when the caller leaves or its time is over, which says
+  // nothing of the host.
+  if (!isOver())
+    m_Relay.onFailed(Host);
   m_State.m_Metrics.onRelay("failed");
   logEvent("request.relay_failed",
            {{"peer", Host}, {"detail", Failure.m_Detail}});
