Write no event of a passed-on stream after its head failed

The result of beginStream() was ignored for streams that another host serves, and writeChunk() requires that it returned true. No failure was seen: the write on the closed connection failed and ended the request the same way. No test shows a difference.

--- a/Source/Core/Host/RequestSessionRelay.cpp
+++ b/Source/Core/Host/RequestSessionRelay.cpp
@@ -278,7 +278,11 @@
     }
     if (!m_HeadSent) {
       m_RelayHasBegun = true;
-      co_await beginStream(Answer->head());
+      const bool Begun = co_await beginStream(Answer->head());
+      if (!Begun) {
+        recordOutcome("caller_gone", 0, "passed_on");
+        co_return Step::Finished;
+      }
     }
     m_IsDelivering = true;
     const bool Written = co_await m_Caller.writeChunk(Complete);
