Notice links whose connections stay silent

Cause: a host that suspects its links opens connections, and an accepted one counted as proof.

Change: when nothing came from any endpoint for 1 s though requests wait at two or more, the host sends health checks to two endpoints and, if these stay silent, to up to twelve others. Any answer proves the link. Only if all stay silent is the host isolated, and only an answer, to a check or to a request, ends that. A check that is refused or reset proves neither, so that overloaded endpoints which reset connections isolate nobody; HealthStatus tells the two apart now. EndpointReachability decides, LinkMonitor sends. Health checks are counted in sff_host_link_checks_total, and links.lost names its cause. An answer to a second attempt counts as data from an endpoint, too.

The zones of a round are drawn at random, because with two checks a round would always meet the first two zones.

In EndpointReachabilityTest, onRequestSent() gets the endpoint that it needs now; nothing else changed there.

--- a/Source/Core/Host/Attempt.cpp
+++ b/Source/Core/Host/Attempt.cpp
@@ -9,7 +9,7 @@
       m_LastProgressAt(m_SentAt) {
   m_State.m_Chooser.loads().onDispatched(m_Endpoint, m_SentAt);
   m_State.m_RateLimits.onSent(m_Endpoint, m_SentAt);
-  m_State.m_Links.onRequestSent();
+  m_State.m_Links.onRequestSent(m_Endpoint);
   m_TrialParts = m_State.m_Crashes.onSending(Request.m_Parts);
   const serving::Endpoint *Known = m_State.m_Endpoints.find(m_Endpoint);
   if (!Known)
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -40,6 +40,9 @@
       m_LinkProbes(m_Set.counterFamily(
           "sff_host_link_probes_total",
           "Rounds of connections that test the links to endpoints")),
+      m_LinkChecks(m_Set.counterFamily(
+          "sff_host_link_checks_total",
+          "Health checks that test the links, by the result of their round")),
       m_Isolated(m_Set.gauge("sff_host_isolated",
                              "1 while this host reaches no endpoint")),
       m_Silences(m_Set.counterFamily(
@@ -117,6 +120,11 @@
   m_LinkProbes.Add({{"result", std::string(Result)}}).Increment();
 }
 
+void HostMetrics::onLinkChecks(std::string_view Result, std::size_t Checks) {
+  m_LinkChecks.Add({{"result", std::string(Result)}})
+      .Increment(static_cast<double>(Checks));
+}
+
 void HostMetrics::setIsolated(bool IsIsolated) {
   m_Isolated.Set(IsIsolated ? 1 : 0);
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -43,6 +43,8 @@
   void onRelayRequest(std::string_view Result);
   /// Counts a round of connections that test this host's links to endpoints.
   void onLinkProbes(std::string_view Result);
+  /// Counts \p Checks health checks of one round that tests the links.
+  void onLinkChecks(std::string_view Result, std::size_t Checks);
   /// Sets whether this host is cut off from all endpoints.
   void setIsolated(bool IsIsolated);
   /// Counts an endpoint that sends nothing for too long, by what this host does
@@ -100,6 +102,7 @@
   prometheus::Family<prometheus::Counter> &m_Relays;
   prometheus::Family<prometheus::Counter> &m_RelayRequests;
   prometheus::Family<prometheus::Counter> &m_LinkProbes;
+  prometheus::Family<prometheus::Counter> &m_LinkChecks;
   prometheus::Gauge &m_Isolated;
   prometheus::Family<prometheus::Counter> &m_Silences;
   prometheus::Family<prometheus::Counter> &m_Answers;
--- a/Source/Core/Host/LinkMonitor.cpp
+++ b/Source/Core/Host/LinkMonitor.cpp
@@ -14,7 +14,21 @@
 
 /// Several times the delay of a connection between availability zones.
 constexpr milliseconds LinkProbeTimeout{300};
-constexpr milliseconds CheckInterval{100};
+constexpr milliseconds WatchInterval{100};
+/// Wake-up interval while health checks, which have a time limit, are open.
+constexpr milliseconds ChecksWait{1000};
+
+std::string_view toString(serving::CheckResult Result) {
+  switch (Result) {
+  case serving::CheckResult::Answered:
+    return "answered";
+  case serving::CheckResult::Silent:
+    return "silent";
+  case serving::CheckResult::Unclear:
+    return "unclear";
+  }
+  return "";
+}
 
 } // namespace
 
@@ -28,19 +42,43 @@
   timers::AsyncCondition m_Settled;
 };
 
-LinkMonitor::LinkMonitor(boost::asio::io_context &Context, http::Client &Http,
-                         const serving::EndpointDirectory &Endpoints,
-                         HostMetrics &Metrics)
-    : m_Context(Context), m_Http(Http), m_Endpoints(Endpoints),
-      m_Metrics(Metrics), m_Random(std::random_device{}()) {}
+/// Health checks that are sent at the same time.
+struct LinkMonitor::CheckRound {
+  std::vector<EndpointId> m_Asked;
+  std::size_t m_Open = 0;
+  bool m_AnyAnswered = false;
+  bool m_AnyBroken = false;
+  timers::AsyncCondition m_Settled;
+
+  serving::CheckResult result() const {
+    if (m_AnyAnswered)
+      return serving::CheckResult::Answered;
+    return m_AnyBroken ? serving::CheckResult::Unclear
+                       : serving::CheckResult::Silent;
+  }
+};
+
+LinkMonitor::LinkMonitor(
+    boost::asio::io_context &Context, http::Client &Http, HealthChecker &Health,
+    const serving::EndpointDirectory &Endpoints,
+    const std::shared_ptr<const serving::Catalogue> &Catalogue,
+    HostMetrics &Metrics)
+    : m_Context(Context), m_Http(Http), m_Health(Health),
+      m_Endpoints(Endpoints), m_Catalogue(Catalogue), m_Metrics(Metrics),
+      m_Random(std::random_device{}()) {}
 
 void LinkMonitor::start() {
   boost::asio::co_spawn(m_Context, watch(), boost::asio::detached);
 }
 
-void LinkMonitor::onRequestSent() { m_Reachability.onRequestSent(now()); }
+void LinkMonitor::onRequestSent(const EndpointId &Id) {
+  m_Reachability.onRequestSent(Id, now());
+}
 
-void LinkMonitor::onData() { m_Reachability.onData(now()); }
+void LinkMonitor::onData() {
+  if (m_Reachability.onData(now()))
+    onIsolationChanged(0, "answer");
+}
 
 void LinkMonitor::onConnectionFailed() {
   m_Reachability.onConnectionFailed();
@@ -54,13 +92,18 @@
 
 Task<void> LinkMonitor::watch() {
   while (true) {
+    if (m_Reachability.needsChecks(now()))
+      co_await checkLinks();
     if (m_Reachability.needsProbes(now()))
       co_await hasLinks();
-    co_await m_Suspected.wait(CheckInterval);
+    co_await m_Suspected.wait(WatchInterval);
   }
 }
 
 Task<bool> LinkMonitor::hasLinks() {
+  // A connection would prove nothing.
+  if (m_Reachability.isSilent())
+    co_return false;
   auto Current = m_Round;
   if (!Current) {
     Current = std::make_shared<Round>();
@@ -120,11 +163,76 @@
       Current.m_Tried.size(), Current.m_AnyConnected, now());
   m_Metrics.onLinkProbes(Current.m_AnyConnected ? "reached" : "failed");
   Current.m_Settled.notifyAll();
-  if (!Changed)
-    return;
+  if (Changed)
+    onIsolationChanged(Current.m_Tried.size(),
+                       Current.m_AnyConnected ? "connection" : "no_connection");
+}
+
+std::string LinkMonitor::healthPath(const serving::Endpoint &Endpoint) const {
+  if (!m_Catalogue)
+    return {};
+  const serving::Service *Service =
+      m_Catalogue->findService(Endpoint.m_Registration.m_Service);
+  return Service ? Service->m_HealthPath : std::string();
+}
+
+Task<void> LinkMonitor::checkLinks() {
+  const auto HasCheck = [this](const serving::Endpoint &Candidate) {
+    return !healthPath(Candidate).empty();
+  };
+  const auto Current = std::make_shared<CheckRound>();
+  auto Chosen = m_Reachability.chooseChecks(m_Endpoints, HasCheck, m_Random);
+  co_await sendChecks(Current, std::move(Chosen));
+  if (!Current->m_AnyAnswered) {
+    Chosen = m_Reachability.chooseFurtherChecks(m_Endpoints, HasCheck,
+                                                Current->m_Asked, m_Random);
+    co_await sendChecks(Current, std::move(Chosen));
+  }
+  const serving::CheckResult Result = Current->result();
+  m_Metrics.onLinkChecks(toString(Result), Current->m_Asked.size());
+  const bool Changed =
+      m_Reachability.onChecksEnded(Current->m_Asked.size(), Result, now());
+  if (Changed)
+    onIsolationChanged(Current->m_Asked.size(),
+                       isIsolated() ? "no_answer" : "answer");
+}
+
+Task<void> LinkMonitor::sendChecks(std::shared_ptr<CheckRound> Current,
+                                   std::vector<EndpointId> Chosen) {
+  Current->m_Open += Chosen.size();
+  Current->m_Asked.insert(Current->m_Asked.end(), Chosen.begin(), Chosen.end());
+  for (const EndpointId &Id : Chosen)
+    boost::asio::co_spawn(m_Context, sendCheck(Current, Id),
+                          boost::asio::detached);
+  while (Current->m_Open > 0 && !Current->m_AnyAnswered)
+    co_await Current->m_Settled.wait(ChecksWait);
+}
+
+Task<void> LinkMonitor::sendCheck(std::shared_ptr<CheckRound> Current,
+                                  EndpointId Id) {
+  auto Status = HealthStatus::Broken;
+  const serving::Endpoint *Asked = m_Endpoints.find(Id);
+  const auto Remote =
+      Asked ? http::Address::parse(Asked->m_Registration.m_Address)
+            : std::nullopt;
+  if (Remote) {
+    std::string Path = healthPath(*Asked);
+    Status = co_await m_Health.check(*Remote, Id, std::move(Path));
+  }
+  --Current->m_Open;
+  Current->m_AnyBroken |= Status == HealthStatus::Broken;
+  // An endpoint that refuses the check is reached, too.
+  Current->m_AnyAnswered |=
+      Status == HealthStatus::Serving || Status == HealthStatus::NotServing;
+  Current->m_Settled.notifyAll();
+}
+
+void LinkMonitor::onIsolationChanged(std::size_t Probes,
+                                     std::string_view Cause) {
   m_Metrics.setIsolated(isIsolated());
   log::warning(LogCategory, isIsolated() ? "links.lost" : "links.regained",
-               {{"probes", Current.m_Tried.size()},
+               {{"cause", Cause},
+                {"probes", Probes},
                 {"endpoints", m_Endpoints.all().size()},
                 {"silent_ms", silence().count()}});
   for (const auto &Listener : m_Listeners)
--- a/Source/Core/Host/LinkMonitor.h
+++ b/Source/Core/Host/LinkMonitor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Serving/Catalogue.h"
 #include "Core/Serving/EndpointReachability.h"
 #include "Host/HostMetrics.h"
 #include "Host/Ports.h"
@@ -11,18 +12,23 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace sff::host {
 
 /// Finds out whether this host is cut off from all endpoints, from what its
-/// requests see and from connections that it opens when they fail.
+/// requests see, from connections that it opens when they fail and from health
+/// checks that it sends when connections bring no answer.
 /// Thread safety: use from the host's io_context only.
 class LinkMonitor {
 public:
   /// Precondition: the arguments outlive the object.
   LinkMonitor(boost::asio::io_context &Context, http::Client &Http,
+              HealthChecker &Health,
               const serving::EndpointDirectory &Endpoints,
+              const std::shared_ptr<const serving::Catalogue> &Catalogue,
               HostMetrics &Metrics);
 
   /// Starts to watch. Precondition: called at most once.
@@ -32,7 +38,7 @@
     m_Listeners.push_back(std::move(Listener));
   }
 
-  void onRequestSent();
+  void onRequestSent(const EndpointId &Id);
   void onData();
   /// Called when a connection to an endpoint was lost or not established.
   void onConnectionFailed();
@@ -48,6 +54,7 @@
 
 private:
   struct Round;
+  struct CheckRound;
 
   Task<void> watch();
   void startProbes(const std::shared_ptr<Round> &Current,
@@ -57,9 +64,21 @@
   void onProbesFailed(const std::shared_ptr<Round> &Current);
   void endRound(Round &Current);
 
+  /// The path of the health check of an endpoint; empty if there is none.
+  std::string healthPath(const serving::Endpoint &Endpoint) const;
+  /// Asks endpoints for an answer, and then others if none has come.
+  Task<void> checkLinks();
+  /// Sends health checks and waits for the first answer or the last failure.
+  Task<void> sendChecks(std::shared_ptr<CheckRound> Current,
+                        std::vector<EndpointId> Chosen);
+  Task<void> sendCheck(std::shared_ptr<CheckRound> Current, EndpointId Id);
+  void onIsolationChanged(std::size_t Probes, std::string_view Cause);
+
   boost::asio::io_context &m_Context;
   http::Client &m_Http;
+  HealthChecker &m_Health;
   const serving::EndpointDirectory &m_Endpoints;
+  const std::shared_ptr<const serving::Catalogue> &m_Catalogue;
   HostMetrics &m_Metrics;
   std::mt19937_64 m_Random;
   serving::EndpointReachability m_Reachability;
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -242,7 +242,8 @@
 enum class HealthStatus {
   Serving,    ///< The endpoint is healthy and does not leave.
   NotServing, ///< It leaves or fails, or its address has another owner.
-  NoAnswer,
+  NoAnswer,   ///< Nothing came within the time limit.
+  Broken,     ///< The connection was refused or lost, or the answer invalid.
 };
 
 /// Asks endpoints of any service for their health.
--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -163,6 +163,7 @@
 
 bool RequestSession::onBackupOpened(const std::shared_ptr<Attempt> &Opened,
                                     OpenStream Answer) {
+  m_State.m_Links.onData();
   const ResponseMetadata Facts =
       m_State.m_Platform.m_WireFormat->decode(Answer->head());
   if (Facts.m_NotRun) {
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -35,6 +35,8 @@
     return "not_serving";
   case HealthStatus::NoAnswer:
     return "no_answer";
+  case HealthStatus::Broken:
+    return "broken";
   }
   return "";
 }
--- a/Source/UnitTests/Core/Serving/EndpointReachabilityTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointReachabilityTest.cpp
@@ -15,6 +15,8 @@
 constexpr auto ProbesPerRound = EndpointReachability::ProbesPerRound;
 constexpr milliseconds Silence = EndpointReachability::SilenceBeforeProbe;
 constexpr milliseconds Interval = EndpointReachability::ProbeInterval;
+constexpr milliseconds CheckSilence = EndpointReachability::SilenceBeforeChecks;
+const EndpointId AnyEndpoint("any");
 
 /// A host with endpoints, some of which cannot be reached.
 class Network {
@@ -54,6 +56,16 @@
     return m_Links.chooseProbes(m_Endpoints, m_Random);
   }
 
+  std::vector<EndpointId>
+  chooseChecks(const EndpointReachability::Filter &HasCheck) {
+    return m_Links.chooseChecks(m_Endpoints, HasCheck, m_Random);
+  }
+  std::vector<EndpointId>
+  chooseFurtherChecks(const EndpointReachability::Filter &HasCheck,
+                      std::span<const EndpointId> Tried) {
+    return m_Links.chooseFurtherChecks(m_Endpoints, HasCheck, Tried, m_Random);
+  }
+
   /// Connects to the chosen endpoints. Returns whether the host has become
   /// isolated or has ceased to be.
   bool playRound(Instant Now) {
@@ -117,7 +129,7 @@
   Network Net;
   Net.addZones(3, 2);
   for (int Index = 0; Index < 100; ++Index) {
-    Net.m_Links.onRequestSent(Start);
+    Net.m_Links.onRequestSent(AnyEndpoint, Start);
     Net.m_Links.onConnectionFailed();
   }
   EXPECT_TRUE(Net.m_Links.needsProbes(Start + std::chrono::minutes(1)));
@@ -184,8 +196,8 @@
 TEST(EndpointReachabilityTest, UnansweredRequestsAreSuspicious) {
   EndpointReachability Links;
   Links.onData(Start);
-  Links.onRequestSent(Start);
-  Links.onRequestSent(Start + Silence - Tick);
+  Links.onRequestSent(AnyEndpoint, Start);
+  Links.onRequestSent(AnyEndpoint, Start + Silence - Tick);
   EXPECT_FALSE(Links.needsProbes(Start + Silence - Tick));
   EXPECT_TRUE(Links.needsProbes(Start + Silence));
 }
@@ -202,7 +214,7 @@
   EndpointReachability Links;
   for (Instant Now = Start; Now < Start + std::chrono::minutes(1);
        Now += Silence) {
-    Links.onRequestSent(Now);
+    Links.onRequestSent(AnyEndpoint, Now);
     EXPECT_FALSE(Links.needsProbes(Now));
     Links.onData(Now + Silence - Tick);
     EXPECT_FALSE(Links.needsProbes(Now + Silence - Tick));
@@ -278,6 +290,158 @@
   EXPECT_EQ(Probed.size(), 12U);
 }
 
+/// Sends requests to as many endpoints as a round of health checks needs.
+void sendToSeveral(EndpointReachability &Links, Instant Now) {
+  for (std::size_t Index = 0;
+       Index < EndpointReachability::MinUnansweredEndpoints; ++Index)
+    Links.onRequestSent(EndpointId("e" + std::to_string(Index)), Now);
+}
+
+/// A host whose connections succeed and bring no answer.
+EndpointReachability makeSilent(Instant Now) {
+  EndpointReachability Result;
+  sendToSeveral(Result, Now - CheckSilence);
+  EXPECT_TRUE(Result.onChecksEnded(MinProbes, CheckResult::Silent, Now));
+  return Result;
+}
+
+// Guards against a host that takes its links for good because connections are
+// accepted, though nothing ever comes.
+TEST(EndpointReachabilityTest, ConnectionsThatStaySilentIsolate) {
+  EndpointReachability Links;
+  sendToSeveral(Links, Start);
+  for (Instant Now = Start + Silence; Now < Start + CheckSilence;
+       Now += Interval)
+    Links.onRoundEnded(MinProbes, true, Now);
+  EXPECT_FALSE(Links.needsChecks(Start + CheckSilence - Tick));
+  EXPECT_TRUE(Links.needsChecks(Start + CheckSilence));
+  EXPECT_FALSE(Links.isIsolated());
+  EXPECT_TRUE(Links.onChecksEnded(MinProbes, CheckResult::Silent,
+                                  Start + CheckSilence));
+  EXPECT_TRUE(Links.isIsolated());
+  EXPECT_EQ(Links.isolatedSince(), Start + CheckSilence);
+}
+
+// Guards against a host that passes requests on and takes them back in turn,
+// because connections succeed while nothing is answered.
+TEST(EndpointReachabilityTest, ConnectionDoesNotEndAnIsolationBySilence) {
+  EndpointReachability Links = makeSilent(Start);
+  EXPECT_FALSE(Links.needsProbes(Start + std::chrono::minutes(1)));
+  EXPECT_FALSE(Links.onRoundEnded(MinProbes, true, Start + Interval));
+  EXPECT_TRUE(Links.isIsolated());
+  EXPECT_FALSE(Links.needsChecks(Start + Interval - Tick));
+  EXPECT_TRUE(Links.needsChecks(Start + Interval));
+}
+
+// Guards against an isolation by silence that outlasts the silence.
+TEST(EndpointReachabilityTest, AnswerEndsAnIsolationBySilence) {
+  EndpointReachability Asked = makeSilent(Start);
+  EXPECT_TRUE(Asked.onChecksEnded(1, CheckResult::Answered, Start + Interval));
+  EXPECT_FALSE(Asked.isIsolated());
+  EndpointReachability Answered = makeSilent(Start);
+  EXPECT_TRUE(Answered.onData(Start + Interval));
+  EXPECT_FALSE(Answered.isIsolated());
+  EXPECT_FALSE(Answered.needsChecks(Start + std::chrono::minutes(1)));
+}
+
+// Guards against health checks, which are priced, while requests are answered.
+TEST(EndpointReachabilityTest, AnsweredRequestsNeedNoChecks) {
+  EndpointReachability Links;
+  for (Instant Now = Start; Now < Start + std::chrono::minutes(1);
+       Now += CheckSilence) {
+    sendToSeveral(Links, Now);
+    Links.onData(Now + CheckSilence - Tick);
+    EXPECT_FALSE(Links.needsChecks(Now + CheckSilence));
+  }
+}
+
+// Guards against health checks for the silence of a single endpoint.
+TEST(EndpointReachabilityTest, SilenceOfOneEndpointNeedsNoChecks) {
+  EndpointReachability Links;
+  Links.onRequestSent(AnyEndpoint, Start);
+  Links.onRequestSent(AnyEndpoint, Start + Tick);
+  EXPECT_FALSE(Links.needsChecks(Start + std::chrono::minutes(1)));
+}
+
+// Guards against isolation by a service whose endpoints are slow while others
+// answer health checks, and against many checks meanwhile.
+TEST(EndpointReachabilityTest, SlowServiceDoesNotIsolate) {
+  EndpointReachability Links;
+  int Rounds = 0;
+  for (Instant Now = Start; Now < Start + std::chrono::minutes(1);
+       Now += milliseconds(100)) {
+    sendToSeveral(Links, Now);
+    if (!Links.needsChecks(Now))
+      continue;
+    ++Rounds;
+    EXPECT_FALSE(Links.onChecksEnded(MinProbes, CheckResult::Answered, Now));
+  }
+  EXPECT_GT(Rounds, 0);
+  EXPECT_LE(Rounds, 60);
+}
+
+// Guards against isolation though data came on another connection while the
+// health checks were open.
+TEST(EndpointReachabilityTest, DataDuringARoundOutweighSilentChecks) {
+  EndpointReachability Links;
+  sendToSeveral(Links, Start);
+  Links.onData(Start + CheckSilence + Tick);
+  sendToSeveral(Links, Start + CheckSilence + Tick);
+  EXPECT_FALSE(Links.onChecksEnded(MinProbes, CheckResult::Silent,
+                                   Start + CheckSilence + Interval));
+  EXPECT_FALSE(Links.isIsolated());
+}
+
+// Guards against isolation by overloaded endpoints that reset connections.
+TEST(EndpointReachabilityTest, LostConnectionsAreNoSilence) {
+  EndpointReachability Links;
+  sendToSeveral(Links, Start);
+  EXPECT_FALSE(Links.onChecksEnded(MinProbes, CheckResult::Unclear,
+                                   Start + CheckSilence));
+  EXPECT_FALSE(Links.needsChecks(Start + 2 * CheckSilence - Tick));
+  EXPECT_TRUE(Links.needsChecks(Start + 2 * CheckSilence));
+}
+
+// Guards against isolation by the silence of the only endpoint with a check.
+TEST(EndpointReachabilityTest, FewerThanMinProbesNeverShowSilence) {
+  EndpointReachability Links;
+  sendToSeveral(Links, Start);
+  EXPECT_FALSE(Links.onChecksEnded(MinProbes - 1, CheckResult::Silent,
+                                   Start + CheckSilence));
+}
+
+// Guards against health checks to services that have none, and against a first
+// round that asks many endpoints or those of one zone only.
+TEST(EndpointReachabilityTest, ChecksGoToServicesThatHaveOne) {
+  Network Net;
+  Net.addZones(3, 2);
+  Net.add("board-1", "z0", "board");
+  Net.add("board-2", "z1", "board");
+  Net.add("board-3", "z1", "board");
+  const auto HasCheck = [](const Endpoint &Candidate) {
+    return Candidate.m_Registration.m_Service == "board";
+  };
+  const std::vector<EndpointId> Chosen = Net.chooseChecks(HasCheck);
+  EXPECT_EQ(Chosen.size(), EndpointReachability::ChecksPerRound);
+  EXPECT_EQ(Net.zonesOf(Chosen), 2U);
+  std::vector<EndpointId> All = Net.chooseFurtherChecks(HasCheck, Chosen);
+  All.insert(All.end(), Chosen.begin(), Chosen.end());
+  EXPECT_EQ(std::set<EndpointId>(All.begin(), All.end()),
+            (std::set<EndpointId>{EndpointId("board-1"), EndpointId("board-2"),
+                                  EndpointId("board-3")}));
+}
+
+// Guards against an isolated host that asks many endpoints in each round.
+TEST(EndpointReachabilityTest, IsolatedHostSendsNoFurtherChecks) {
+  Network Net;
+  Net.addZones(3, 2);
+  Net.m_Links = makeSilent(Start);
+  const auto HasCheck = [](const Endpoint &) { return true; };
+  const std::vector<EndpointId> Chosen = Net.chooseChecks(HasCheck);
+  EXPECT_EQ(Chosen.size(), EndpointReachability::ChecksPerRound);
+  EXPECT_TRUE(Net.chooseFurtherChecks(HasCheck, Chosen).empty());
+}
+
 // Guards against a round that leaves out a zone though it has probes for it.
 RC_GTEST_PROP(EndpointReachabilityProperty, ProbesReachAsManyZonesAsPossible,
               ()) {
@@ -301,7 +465,7 @@
 /// Feeds an event other than the end of a round.
 void feed(EndpointReachability &Links, Event Next, Instant Now) {
   if (Next == Event::RequestSent)
-    Links.onRequestSent(Now);
+    Links.onRequestSent(AnyEndpoint, Now);
   if (Next == Event::Data)
     Links.onData(Now);
   if (Next == Event::ConnectionFailed)
@@ -356,5 +520,67 @@
   }
 }
 
+/// A simpler account of when a host is isolated because nothing is answered.
+struct SilenceModel {
+  std::optional<Instant> m_NoDataSince;
+  std::set<EndpointId> m_Endpoints;
+  bool m_IsSilent = false;
+
+  void onSent(const EndpointId &Id, Instant Now) {
+    m_NoDataSince = m_NoDataSince.value_or(Now);
+    m_Endpoints.insert(Id);
+  }
+  void onData() { *this = {}; }
+  void onChecks(std::size_t Checks, CheckResult Result, Instant Now) {
+    if (Result == CheckResult::Answered)
+      onData();
+    else if (Result == CheckResult::Silent && Checks >= MinProbes &&
+             m_NoDataSince && Now - *m_NoDataSince >= CheckSilence &&
+             m_Endpoints.size() >= EndpointReachability::MinUnansweredEndpoints)
+      m_IsSilent = true;
+  }
+};
+
+enum class SilenceEvent { RequestSent, Data, Connected, ChecksEnded };
+
+// Guards against an isolation by silence without a second of silence at several
+// endpoints and unanswered health checks, one that anything but an answer ends,
+// and changes that are not reported.
+RC_GTEST_PROP(EndpointReachabilityProperty, OnlySilenceIsolatesTillAnAnswer,
+              ()) {
+  const auto Events = *rc::gen::container<std::vector<SilenceEvent>>(
+      rc::gen::element(SilenceEvent::RequestSent, SilenceEvent::RequestSent,
+                       SilenceEvent::Data, SilenceEvent::Connected,
+                       SilenceEvent::ChecksEnded, SilenceEvent::ChecksEnded));
+  EndpointReachability Links;
+  SilenceModel Expected;
+  Instant Now = Start;
+  for (const SilenceEvent Next : Events) {
+    Now += genPause();
+    const bool Before = Expected.m_IsSilent;
+    bool HasChanged = false;
+    if (Next == SilenceEvent::RequestSent) {
+      const EndpointId Id("e" + std::to_string(*rc::gen::inRange(0, 3)));
+      Links.onRequestSent(Id, Now);
+      Expected.onSent(Id, Now);
+    } else if (Next == SilenceEvent::Data) {
+      HasChanged = Links.onData(Now);
+      Expected.onData();
+    } else if (Next == SilenceEvent::Connected) {
+      HasChanged = Links.onRoundEnded(MinProbes, true, Now);
+    } else {
+      const auto Checks = *rc::gen::inRange<std::size_t>(1, ProbesPerRound);
+      const auto Result =
+          *rc::gen::element(CheckResult::Answered, CheckResult::Silent,
+                            CheckResult::Silent, CheckResult::Unclear);
+      HasChanged = Links.onChecksEnded(Checks, Result, Now);
+      Expected.onChecks(Checks, Result, Now);
+    }
+    RC_ASSERT(Links.isIsolated() == Expected.m_IsSilent);
+    RC_ASSERT(Links.isSilent() == Expected.m_IsSilent);
+    RC_ASSERT(HasChanged == (Before != Expected.m_IsSilent));
+  }
+}
+
 } // namespace
 } // namespace sff::serving
