Keep an answer whose endpoint resets a new connection

Callers lost complete answers that end with their connection when the endpoint was at its limit of connections.

Cause: the end of such an answer is confirmed by a new connection, and an endpoint at its limit resets that one, which was taken for a crash.

A connection to the endpoint that is still open 20 ms after a failed (not timed out) probe now shows that its process lives: a crash ends them all. It counts neither as a crash then. Where no other connection is open, or the probe has timed out, the answer still counts as cut off.

--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds ConnectTimeout{600};
 /// A request that was lost fails over only after the probe of its endpoint.
 constexpr milliseconds ProbeTimeout{200};
+/// Time in which the ends of the connections of a crashed endpoint arrive,
+/// after the first of them.
+constexpr milliseconds CrashSettleTime{20};
 constexpr milliseconds ReadSlack{1000};
 /// Pooled connections that have been idle for longer are not reused.
 constexpr milliseconds MaxIdleTime{4000};
@@ -458,8 +461,18 @@
   const auto Failure = co_await m_State.m_Http.connect(*Remote, ProbeTimeout);
   if (!Failure)
     co_return true;
-  logEvent("endpoint.probe_failed",
-           {{"endpoint", Id}, {"detail", Failure->m_Detail}});
+  // A process that ends may close its connections after its listener.
+  if (!Failure->m_TimedOut)
+    co_await sleepFor(CrashSettleTime);
+  // An endpoint at its limit of connections resets further ones. Without an
+  // answer to the attempt, the ends of other connections may be held up, too.
+  const bool IsAlive =
+      !Failure->m_TimedOut && m_State.m_Http.hasOpenConnection(*Remote);
+  logEvent(
+      "endpoint.probe_failed",
+      {{"endpoint", Id}, {"detail", Failure->m_Detail}, {"is_alive", IsAlive}});
+  if (IsAlive)
+    co_return true;
   co_await onUnreachable(Id);
   co_return false;
 }
--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <map>
 
@@ -153,6 +154,9 @@
     if (Error)
       co_return makeFailure(FailureStage::Connect, Error);
     configureSocket(NewConnection->m_Stream.socket());
+    auto &All = m_All[Remote];
+    std::erase_if(All, [](const auto &Weak) { return Weak.expired(); });
+    All.push_back(NewConnection);
     co_return NewConnection;
   }
 
@@ -175,6 +179,15 @@
     return Error == asio::error::would_block;
   }
 
+  bool hasOpenConnection(const Address &Remote) const {
+    const auto Found = m_All.find(Remote);
+    return Found != m_All.end() &&
+           std::ranges::any_of(Found->second, [](const auto &Weak) {
+             const auto Open = Weak.lock();
+             return Open && isUsable(*Open);
+           });
+  }
+
   void dropIdle(const Address &Remote) { m_Idle.erase(Remote); }
 
   void closeIdle(milliseconds MaxIdle) {
@@ -184,6 +197,10 @@
         return Now - Idle->m_IdleSince >= std::min(MaxIdle, Idle->m_KeepAlive);
       });
     std::erase_if(m_Idle, [](const auto &Item) { return Item.second.empty(); });
+    std::erase_if(m_All, [](const auto &Item) {
+      return std::ranges::all_of(
+          Item.second, [](const auto &Weak) { return Weak.expired(); });
+    });
   }
 
 private:
@@ -205,6 +222,8 @@
 
   asio::any_io_executor m_Executor;
   std::map<Address, std::vector<std::shared_ptr<Connection>>> m_Idle;
+  /// The connections in use and the idle ones.
+  std::map<Address, std::vector<std::weak_ptr<Connection>>> m_All;
 };
 
 namespace {
@@ -376,6 +395,9 @@
     : m_Impl(std::make_shared<Impl>(std::move(Executor))) {}
 Client::~Client() = default;
 
+bool Client::hasOpenConnection(const Address &Remote) {
+  return m_Impl->hasOpenConnection(Remote);
+}
 void Client::dropIdle(const Address &Remote) { m_Impl->dropIdle(Remote); }
 void Client::closeIdle(milliseconds MaxIdle) { m_Impl->closeIdle(MaxIdle); }
 
--- a/Source/Core/Net/Http/Client.h
+++ b/Source/Core/Net/Http/Client.h
@@ -119,6 +119,9 @@
   boost::asio::awaitable<std::optional<TransportFailure>>
   connect(Address Remote, milliseconds Timeout);
 
+  /// Returns whether \p Remote keeps a connection open that has no data to
+  /// read. A process that has ended keeps none.
+  bool hasOpenConnection(const Address &Remote);
   /// Drops all pooled connections to \p Remote, for example after one of them
   /// became unresponsive.
   void dropIdle(const Address &Remote);
