Count no crashes where a host has lost most paths

All hosts share crashes, so sound requests and prompt parts may be rejected everywhere.

Cause: a failed connection to an endpoint that had lost a request counted as its crash if any other endpoint could be reached.

Change: before it counts, the host connects to up to sixteen endpoints and to the endpoint itself once more. If three others or more, and at least half of those tried, fail too, the loss is the host's own; if the endpoint can be connected to, the path has returned. Either way the lost requests wait for firm evidence: the entry is removed, or another host reports the crash. Only losses that may count cause connections; calls share a round, and one that shows lost paths is valid for 1 s. A request whose connection fails no longer waits for the attribution; one that was lost itself does, since its own crash may forbid the next send.

Heartbeats are no evidence: an entry changes only with more than its sequence, and three missed intervals are longer than the 3 s after which a request that crashes endpoints must be refused.

Not covered: a host that has lost fewer than half of its paths still counts crashes; a crash beside the loss of most paths is counted 4 to 5 s later.

--- a/Source/Core/Core/Retry/CrashDetector.cpp
+++ b/Source/Core/Core/Retry/CrashDetector.cpp
@@ -25,6 +25,13 @@
   List.push_back(std::move(Report));
 }
 
+bool CrashDetector::hasLostRequests(const EndpointId &Endpoint,
+                                    Instant Now) const {
+  const auto Lost = m_LostRequests.find(Endpoint);
+  return Lost != m_LostRequests.end() && !Lost->second.empty() &&
+         Now - Lost->second.back().m_At <= CorrelationWindow;
+}
+
 void CrashDetector::onRequestSent(const EndpointCrash &Possible,
                                   std::string Fingerprint, RequestId Run,
                                   Instant Now,
--- a/Source/Core/Core/Retry/CrashDetector.h
+++ b/Source/Core/Core/Retry/CrashDetector.h
@@ -34,6 +34,8 @@
   /// onRequestEnded().
   void onRequestLost(const EndpointCrash &Possible, std::string Fingerprint,
                      RequestId Run, Instant Now);
+  /// Whether a crash of the endpoint now would count for a lost request.
+  bool hasLostRequests(const EndpointId &Endpoint, Instant Now) const;
   /// Call when the requests that were lost so far have another cause than
   /// crashes.
   void forgetLostRequests() { m_LostRequests.clear(); }
--- a/Source/Core/Core/Serving/EndpointReachability.h
+++ b/Source/Core/Core/Serving/EndpointReachability.h
@@ -43,6 +43,10 @@
   static constexpr std::size_t MaxFurtherProbes = 12;
   /// A host that knows fewer endpoints cannot tell its own loss from theirs.
   static constexpr std::size_t MinProbes = 2;
+  /// Fewer failed connections to other endpoints than this do not show that
+  /// this host has lost paths: a request that crashes endpoints may have
+  /// crashed two others shortly before, after which it is rejected.
+  static constexpr std::size_t MinLostPaths = 3;
   /// Unanswered requests are a reason for a round of health checks after this
   /// time without data from any endpoint, though connections succeed. Longer
   /// than most pauses of sound endpoints, because health checks are priced.
@@ -75,6 +79,13 @@
   /// Records the end of a round. Returns whether isIsolated() has changed.
   bool onRoundEnded(std::size_t Probes, bool AnyConnected, Instant Now);
 
+  /// Returns whether the loss of paths by this host explains that an endpoint
+  /// cannot be connected to: of \p Tried other endpoints, \p Failed could not
+  /// be connected to either. Endpoints that crash together are fewer than half.
+  static bool hasLostPaths(std::size_t Tried, std::size_t Failed) {
+    return Failed >= MinLostPaths && Failed * 2 >= Tried;
+  }
+
   /// Whether a round of health checks is due.
   bool needsChecks(Instant Now) const;
   /// The endpoints to send health checks to, from as many availability zones as
--- a/Source/Core/Host/CrashTracker.cpp
+++ b/Source/Core/Host/CrashTracker.cpp
@@ -159,6 +159,10 @@
                            std::move(Parts));
 }
 
+bool CrashTracker::hasLostRequests(const EndpointId &Id) const {
+  return m_Detector.hasLostRequests(Id, now());
+}
+
 void CrashTracker::onSuccess(const std::string &Fingerprint) {
   if (m_Quarantine.crashCount(Fingerprint, now()) == 0)
     return;
--- a/Source/Core/Host/CrashTracker.h
+++ b/Source/Core/Host/CrashTracker.h
@@ -49,6 +49,8 @@
   /// \p Endpoint may have run it.
   void onRequestLost(const serving::Endpoint &Endpoint,
                      const std::string &Fingerprint, const RequestId &Run);
+  /// Whether onEndpointDown() would count a crash for a lost request.
+  bool hasLostRequests(const EndpointId &Id) const;
   /// Called when this host has lost its links, which explains the requests that
   /// it has lost.
   void onLinksLost() { m_Detector.forgetLostRequests(); }
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr milliseconds SendRateTimeConstant{1000};
+/// Several times the delay of a connection between availability zones.
+constexpr milliseconds ConnectTimeout{300};
 
 serving::RetryLimits retryBounds(const settings::Settings &Values) {
   return {Values.get(RetryRatioSetting), Values.get(RetryExtraSetting),
@@ -92,6 +94,19 @@
   m_Metrics.setRejectionLimitedEndpoints(m_RejectionLimits.limitedEndpoints());
 }
 
+Task<void> HostState::attributeLosses(EndpointId Id) {
+  if (!m_Crashes.hasLostRequests(Id))
+    co_return;
+  const bool HasLostPaths = co_await m_Links.hasLostPaths(Id);
+  const auto Remote = addressOf(Id);
+  if (HasLostPaths || !Remote)
+    co_return;
+  // The path may have returned since the connection failed.
+  const auto Failure = co_await m_Http.connect(*Remote, ConnectTimeout);
+  if (Failure)
+    m_Crashes.onEndpointDown(Id);
+}
+
 void HostState::preferUnlimited(
     std::vector<const serving::Endpoint *> &List) const {
   const auto IsLimited = [this](const serving::Endpoint *Item) {
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -60,6 +60,11 @@
                        const serving::RegistrationVersion &Version);
   /// Drops what this host has observed of an endpoint.
   void forgetEndpoint(const EndpointId &Id);
+  /// Counts a crash for the requests that were lost at an endpoint to which no
+  /// connection is established, unless this host has lost the paths to others,
+  /// too, or a second connection is established. The requests then wait for
+  /// other evidence: a removed registration, or the report of another host.
+  Task<void> attributeLosses(EndpointId Id);
   /// Removes the endpoints that have named a request rate, unless all have:
   /// models are placed where requests can be sent.
   void preferUnlimited(std::vector<const serving::Endpoint *> &List) const;
--- a/Source/Core/Host/LinkMonitor.cpp
+++ b/Source/Core/Host/LinkMonitor.cpp
@@ -6,6 +6,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <optional>
+#include <set>
+
 namespace sff::host {
 
 namespace {
@@ -15,6 +18,9 @@
 /// Several times the delay of a connection between availability zones.
 constexpr milliseconds LinkProbeTimeout{300};
 constexpr milliseconds WatchInterval{100};
+/// Lost paths are not looked for again within this time, so that a host that
+/// has lost many opens few connections.
+constexpr milliseconds SurveyValidity{1000};
 /// Wake-up interval while health checks, which have a time limit, are open.
 constexpr milliseconds ChecksWait{1000};
 
@@ -42,6 +48,30 @@
   timers::AsyncCondition m_Settled;
 };
 
+/// Connections that are opened at the same time, all of which are waited for.
+struct LinkMonitor::Survey {
+  EndpointId m_Reason; ///< The endpoint that was found out of reach.
+  std::set<EndpointId> m_Tried;
+  std::set<EndpointId> m_Failed;
+  std::size_t m_Open = 0;
+  std::optional<Instant> m_EndedAt;
+  timers::AsyncCondition m_Settled;
+
+  /// Lost paths stay lost for a while; other results are not used again.
+  bool isOutdated(Instant Now) const {
+    return m_EndedAt &&
+           (!hasLostPaths(m_Reason) || Now - *m_EndedAt > SurveyValidity);
+  }
+  bool hasLostPaths(const EndpointId &Id) const {
+    return serving::EndpointReachability::hasLostPaths(
+        m_Tried.size() - m_Tried.count(Id), failures(Id));
+  }
+  /// The number of failed connections to endpoints other than \p Id.
+  std::size_t failures(const EndpointId &Id) const {
+    return m_Failed.size() - m_Failed.count(Id);
+  }
+};
+
 /// Health checks that are sent at the same time.
 struct LinkMonitor::CheckRound {
   std::vector<EndpointId> m_Asked;
@@ -136,16 +166,7 @@
 }
 
 Task<void> LinkMonitor::probe(std::shared_ptr<Round> Current, EndpointId Id) {
-  const auto Found = m_Endpoints.all().find(Id);
-  const auto Remote =
-      Found == m_Endpoints.all().end()
-          ? std::nullopt
-          : http::Address::parse(Found->second.m_Registration.m_Address);
-  bool Connected = false;
-  if (Remote) {
-    const auto Failure = co_await m_Http.connect(*Remote, LinkProbeTimeout);
-    Connected = !Failure;
-  }
+  const bool Connected = co_await connectTo(std::move(Id));
   --Current->m_Open;
   Current->m_AnyConnected |= Connected;
   // One connection is enough: the rest of the round need not be waited for.
@@ -168,6 +189,70 @@
                        Current.m_AnyConnected ? "connection" : "no_connection");
 }
 
+Task<bool> LinkMonitor::connectTo(EndpointId Id) {
+  const serving::Endpoint *Known = m_Endpoints.find(Id);
+  const auto Remote =
+      Known ? http::Address::parse(Known->m_Registration.m_Address)
+            : std::nullopt;
+  if (!Remote)
+    co_return false;
+  const auto Failure = co_await m_Http.connect(*Remote, LinkProbeTimeout);
+  co_return !Failure;
+}
+
+Task<bool> LinkMonitor::hasLostPaths(EndpointId Id) {
+  auto Current = m_Survey;
+  if (!Current || Current->isOutdated(now())) {
+    Current = std::make_shared<Survey>();
+    Current->m_Reason = Id;
+    m_Survey = Current;
+    boost::asio::co_spawn(m_Context, runSurvey(Current), boost::asio::detached);
+  }
+  while (!Current->m_EndedAt)
+    co_await Current->m_Settled.wait(LinkProbeTimeout);
+  co_return Current->hasLostPaths(Id);
+}
+
+Task<void> LinkMonitor::runSurvey(std::shared_ptr<Survey> Current) {
+  co_await tryPaths(Current,
+                    m_Reachability.chooseProbes(m_Endpoints, m_Random));
+  // The crash of a single endpoint costs no further connections.
+  if (Current->failures(Current->m_Reason) > 0) {
+    const std::vector<EndpointId> Tried(Current->m_Tried.begin(),
+                                        Current->m_Tried.end());
+    auto Others =
+        m_Reachability.chooseFurtherProbes(m_Endpoints, Tried, m_Random);
+    co_await tryPaths(Current, std::move(Others));
+  }
+  Current->m_EndedAt = now();
+  Current->m_Settled.notifyAll();
+  const std::size_t Tried = Current->m_Tried.size();
+  const std::size_t Failed = Current->m_Failed.size();
+  if (serving::EndpointReachability::hasLostPaths(Tried, Failed))
+    log::info(LogCategory, "links.partly_lost",
+              {{"probes", Tried}, {"failed", Failed}});
+}
+
+Task<void> LinkMonitor::tryPaths(std::shared_ptr<Survey> Current,
+                                 std::vector<EndpointId> Chosen) {
+  Current->m_Open += Chosen.size();
+  Current->m_Tried.insert(Chosen.begin(), Chosen.end());
+  for (const EndpointId &Id : Chosen)
+    boost::asio::co_spawn(m_Context, tryPath(Current, Id),
+                          boost::asio::detached);
+  while (Current->m_Open > 0)
+    co_await Current->m_Settled.wait(LinkProbeTimeout);
+}
+
+Task<void> LinkMonitor::tryPath(std::shared_ptr<Survey> Current,
+                                EndpointId Id) {
+  const bool Connected = co_await connectTo(Id);
+  --Current->m_Open;
+  if (!Connected)
+    Current->m_Failed.insert(Id);
+  Current->m_Settled.notifyAll();
+}
+
 std::string LinkMonitor::healthPath(const serving::Endpoint &Endpoint) const {
   if (!m_Catalogue)
     return {};
--- a/Source/Core/Host/LinkMonitor.h
+++ b/Source/Core/Host/LinkMonitor.h
@@ -51,10 +51,15 @@
   /// knows too few endpoints cannot tell. Calls at the same time share the
   /// connections.
   Task<bool> hasLinks();
+  /// Connects to several endpoints other than \p Id, which this host cannot
+  /// connect to, and returns whether the loss of this host's own paths explains
+  /// that. Waits for all connections. Calls within a short time share them.
+  Task<bool> hasLostPaths(EndpointId Id);
 
 private:
   struct Round;
   struct CheckRound;
+  struct Survey;
 
   Task<void> watch();
   void startProbes(const std::shared_ptr<Round> &Current,
@@ -72,6 +77,14 @@
   Task<void> sendChecks(std::shared_ptr<CheckRound> Current,
                         std::vector<EndpointId> Chosen);
   Task<void> sendCheck(std::shared_ptr<CheckRound> Current, EndpointId Id);
+  /// Connects to \p Chosen and waits until all connections have settled.
+  Task<void> tryPaths(std::shared_ptr<Survey> Current,
+                      std::vector<EndpointId> Chosen);
+  /// Tries the paths to a few endpoints and, if any fails, to further ones.
+  Task<void> runSurvey(std::shared_ptr<Survey> Current);
+  Task<void> tryPath(std::shared_ptr<Survey> Current, EndpointId Id);
+  /// Opens a connection to an endpoint. Returns false for an unknown one.
+  Task<bool> connectTo(EndpointId Id);
   void onIsolationChanged(std::size_t Probes, std::string_view Cause);
 
   boost::asio::io_context &m_Context;
@@ -82,7 +95,8 @@
   HostMetrics &m_Metrics;
   std::mt19937_64 m_Random;
   serving::EndpointReachability m_Reachability;
-  std::shared_ptr<Round> m_Round; ///< The round in progress, if any.
+  std::shared_ptr<Round> m_Round;   ///< The round in progress, if any.
+  std::shared_ptr<Survey> m_Survey; ///< The latest one, if any.
   timers::AsyncCondition m_Suspected;
   std::vector<std::function<void()>> m_Listeners;
 };
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -409,7 +409,9 @@
   m_RetryGranted = m_History.sends() > 0;
   if (isOver())
     co_return Step::TryAgain;
-  co_await onUnreachable(Id);
+  const bool HasLinks = co_await onUnreachable(Id);
+  if (HasLinks)
+    m_State.spawn("attribute_losses", m_State.attributeLosses(Id));
   logEvent("request.not_sent",
            {{"endpoint", Id}, {"detail", Failure.m_Detail}});
   co_return Step::TryAgain;
@@ -473,7 +475,10 @@
       {{"endpoint", Id}, {"detail", Failure->m_Detail}, {"is_alive", IsAlive}});
   if (IsAlive)
     co_return true;
-  co_await onUnreachable(Id);
+  const bool HasLinks = co_await onUnreachable(Id);
+  // Before the request is sent again, which its own crash may forbid.
+  if (HasLinks)
+    co_await m_State.attributeLosses(Id);
   co_return false;
 }
 
@@ -482,19 +487,19 @@
   co_await Self->probe(std::move(Id));
 }
 
-Task<void> RequestSession::onUnreachable(EndpointId Id) {
+Task<bool> RequestSession::onUnreachable(EndpointId Id) {
   m_State.m_Chooser.health().onResult(Id, serving::CallResult::Unreachable,
                                       now());
   // A host that reaches no endpoint at all has lost its own links.
-  const bool HasLinks = co_await m_State.m_Links.hasLinks();
-  if (HasLinks)
-    m_State.m_Crashes.onEndpointDown(Id);
+  co_return co_await m_State.m_Links.hasLinks();
 }
 
 Task<void>
 RequestSession::reportUnreachable(std::shared_ptr<RequestSession> Self,
                                   EndpointId Id) {
-  co_await Self->onUnreachable(std::move(Id));
+  const bool HasLinks = co_await Self->onUnreachable(Id);
+  if (HasLinks)
+    co_await Self->m_State.attributeLosses(std::move(Id));
 }
 
 Task<RequestSession::Step> RequestSession::onNotRun(ResponseMetadata Facts,
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -151,7 +151,9 @@
   /// Records how the body of an endpoint's answer ended.
   void recordAnswerEnd(const EndpointId &Id, const http::Response &Head,
                        std::string_view End);
-  Task<void> onUnreachable(EndpointId Id);
+  /// Called when no connection to an endpoint is established. Returns false if
+  /// this host has no links.
+  Task<bool> onUnreachable(EndpointId Id);
   static Task<void> reportUnreachable(std::shared_ptr<RequestSession> Self,
                                       EndpointId Id);
   /// Whether the request goes to another host: this one reaches no endpoint, or
--- a/Source/UnitTests/Core/Retry/CrashDetectorTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashDetectorTest.cpp
@@ -41,6 +41,21 @@
           .empty());
 }
 
+// Guards against connections that are opened to attribute requests though none
+// was lost, or only some that are too old.
+TEST(CrashDetectorTest, LostRequestsAreKnownWhileACrashCounts) {
+  CrashDetector Detector;
+  EXPECT_FALSE(Detector.hasLostRequests(First.m_Endpoint, Start));
+  Detector.onRequestLost(First, "a", FirstRun, Start);
+  const Instant Last = Start + CrashDetector::CorrelationWindow;
+  EXPECT_TRUE(Detector.hasLostRequests(First.m_Endpoint, Last));
+  EXPECT_FALSE(
+      Detector.hasLostRequests(First.m_Endpoint, Last + milliseconds(1)));
+  EXPECT_FALSE(Detector.hasLostRequests(Second.m_Endpoint, Start));
+  Detector.popLostRequests(First.m_Endpoint, Start);
+  EXPECT_FALSE(Detector.hasLostRequests(First.m_Endpoint, Start));
+}
+
 // Guards against a crash that only one host counts, because the others do not
 // connect to the endpoint soon enough to find it down.
 TEST(CrashDetectorTest, CrashNoticedByAnotherHostIsAttributed) {
--- a/Source/UnitTests/Core/Serving/EndpointReachabilityTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointReachabilityTest.cpp
@@ -442,6 +442,18 @@
   EXPECT_TRUE(Net.chooseFurtherChecks(HasCheck, Chosen).empty());
 }
 
+// Guards against failed connections of a host that has lost most of its paths,
+// which count as crashes of endpoints, and against crashes that do not count
+// because a request has crashed other endpoints shortly before.
+TEST(EndpointReachabilityTest, MostFailedConnectionsShowLostPaths) {
+  EXPECT_TRUE(EndpointReachability::hasLostPaths(15, 10));
+  EXPECT_TRUE(EndpointReachability::hasLostPaths(4, 3));
+  EXPECT_FALSE(EndpointReachability::hasLostPaths(4, 2));
+  EXPECT_FALSE(EndpointReachability::hasLostPaths(2, 2));
+  EXPECT_FALSE(EndpointReachability::hasLostPaths(15, 3));
+  EXPECT_FALSE(EndpointReachability::hasLostPaths(0, 0));
+}
+
 // Guards against a round that leaves out a zone though it has probes for it.
 RC_GTEST_PROP(EndpointReachabilityProperty, ProbesReachAsManyZonesAsPossible,
               ()) {
