Treat records that no endpoint writes as unreadable

Cause: a host parsed what others wrote with the JSON library's defaults. A value nested 100,000 deep overflowed the stack when it was copied, so the process ended, and again after each restart, since the listing holds the entry.

--- a/Source/Core/Common/Codec/Codec.h
+++ b/Source/Core/Common/Codec/Codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/Codec/BoundedJson.h"
 #include "Common/Codec/Fields.h"
 
 #include <boost/leaf/result.hpp>
@@ -49,7 +50,7 @@
 /// Parses JSON text into a typed value. Fails with DecodeError.
 template <typename T> boost::leaf::result<T> parseJson(std::string_view Text) {
   try {
-    return nlohmann::json::parse(Text).template get<T>();
+    return parseBounded(Text).template get<T>();
   } catch (const nlohmann::json::exception &Error) {
     return boost::leaf::new_error(DecodeError{Error.what()});
   }
--- a/Source/Core/Controller/EndpointClient.cpp
+++ b/Source/Core/Controller/EndpointClient.cpp
@@ -1,5 +1,6 @@
 #include "Controller/EndpointClient.h"
 
+#include "Common/Codec/BoundedJson.h"
 #include "Net/Http/Body.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,7 +27,7 @@
 };
 
 bool isBusy(const std::string &Body) {
-  const auto Parsed = nlohmann::json::parse(Body, nullptr, false);
+  const auto Parsed = codec::tryParseBounded(Body);
   return Parsed.is_object() && Parsed.value("reason", "") == "busy";
 }
 
--- a/Source/Core/Core/Streaming/EventSplitter.cpp
+++ b/Source/Core/Core/Streaming/EventSplitter.cpp
@@ -1,5 +1,7 @@
 #include "Core/Streaming/EventSplitter.h"
 
+#include "Common/Codec/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace sff::streaming {
@@ -20,7 +22,7 @@
 
 /// Returns the finish reason of the first choice, or an empty string.
 std::string finishReasonOf(std::string_view Document) {
-  const auto Parsed = nlohmann::json::parse(Document, nullptr, false);
+  const auto Parsed = codec::tryParseBounded(Document);
   const nlohmann::json::json_pointer Pointer("/choices/0/finish_reason");
   if (!Parsed.is_object() || !Parsed.contains(Pointer))
     return {};
--- a/Source/Core/Router/CallerRequest.cpp
+++ b/Source/Core/Router/CallerRequest.cpp
@@ -1,5 +1,7 @@
 #include "Router/CallerRequest.h"
 
+#include "Common/Codec/BoundedJson.h"
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/uuid/name_generator_sha1.hpp>
 #include <boost/uuid/uuid_io.hpp>
@@ -59,7 +61,7 @@
 
 std::variant<CompletionBody, std::string>
 parseCompletion(std::string_view Text) {
-  const nlohmann::json Body = nlohmann::json::parse(Text, nullptr, false);
+  const nlohmann::json Body = codec::tryParseBounded(Text);
   if (!Body.is_object())
     return "the body is not a JSON object";
   if (!Body.contains("model") || !Body["model"].is_string())
--- a/Source/Core/Router/EndpointApi.cpp
+++ b/Source/Core/Router/EndpointApi.cpp
@@ -1,5 +1,7 @@
 #include "Router/EndpointApi.h"
 
+#include "Common/Codec/BoundedJson.h"
+
 namespace sff::router {
 
 namespace {
@@ -22,7 +24,7 @@
 /// True if the response to a cancel request reports attempts that are still
 /// running, or an error.
 bool hasRunningAttempts(const http::Response &Answer) {
-  const auto Body = nlohmann::json::parse(Answer.m_Body, nullptr, false);
+  const auto Body = codec::tryParseBounded(Answer.m_Body);
   const auto Count = Body.is_object() ? Body.find("cancelled") : Body.end();
   return !isSuccess(Answer.m_Status) ||
          (Body.is_object() && Count != Body.end() && Count->is_number() &&
--- a/Source/Core/Router/LoadPoller.cpp
+++ b/Source/Core/Router/LoadPoller.cpp
@@ -1,5 +1,6 @@
 #include "Router/LoadPoller.h"
 
+#include "Common/Codec/BoundedJson.h"
 #include "Common/Time/Clock.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -16,7 +17,7 @@
   const auto *Answer = std::get_if<http::Response>(&Result);
   if (!Answer || Answer->m_Status != 200)
     return nullptr;
-  nlohmann::json Body = nlohmann::json::parse(Answer->m_Body, nullptr, false);
+  nlohmann::json Body = codec::tryParseBounded(Answer->m_Body);
   return Body.is_object() ? Body : nlohmann::json();
 }
 
