--- a/Source/ProcessTests/Support/ProcessTest.cpp
+++ b/Source/ProcessTests/Support/ProcessTest.cpp
@@ -29,15 +29,24 @@
   return Result;
 }
 
+using boost::asio::ip::address_v4;
+
+/// A loopback address that no other process of tests uses at the same time, so
+/// that tests cannot take each other's ports, also while a program is down.
+address_v4 ownLoopbackAddress() {
+  constexpr address_v4::uint_type Network = 0x7F400000; // 127.64.0.0
+  constexpr address_v4::uint_type PidMask = 0x003FFFFF;
+  return address_v4(Network |
+                    (static_cast<address_v4::uint_type>(getpid()) & PidMask));
+}
+
 bool isFree(int Port) {
   using boost::asio::ip::tcp;
   boost::asio::io_context Context;
   tcp::acceptor Probe(Context, tcp::v4());
   Probe.set_option(boost::asio::socket_base::reuse_address(true));
   boost::system::error_code Error;
-  Probe.bind({boost::asio::ip::address_v4::loopback(),
-              static_cast<std::uint16_t>(Port)},
-             Error);
+  Probe.bind({ownLoopbackAddress(), static_cast<std::uint16_t>(Port)}, Error);
   return !Error;
 }
 
@@ -62,12 +71,12 @@
 http::Address freeAddress() {
   static const PortRange Range = readPortRange();
   const int Count = Range.m_Last - Range.m_First + 1;
-  // Test programs that run concurrently start at different ports.
-  static int Next = static_cast<int>(getpid() * 37L % Count);
+  static int Next = 0;
   for (int Tries = 0; Tries < Count; ++Tries) {
     const int Port = Range.m_First + Next++ % Count;
     if (isFree(Port))
-      return {"127.0.0.1", static_cast<std::uint16_t>(Port)};
+      return {ownLoopbackAddress().to_string(),
+              static_cast<std::uint16_t>(Port)};
   }
   throw std::runtime_error("no free port in SFF_TEST_PORTS");
 }
--- a/Source/ProcessTests/Support/ProcessTest.h
+++ b/Source/ProcessTests/Support/ProcessTest.h
@@ -15,7 +15,7 @@
 /// program of that name.
 std::string programPath(const std::string &Name);
 
-/// An address on 127.0.0.1 that is currently free. Ports are taken from the
+/// An address on loopback that is currently free. Ports are taken from the
 /// range in SFF_TEST_PORTS (default "21000-29999"); a port is not returned
 /// again until the whole range has been used. Throws std::runtime_error if no
 /// port is free.
