Count the age of registrations from the send of their read

Cause: the age counted from the moment at which the host processed the store's answer. An answer that waited in the socket while the host stood still, or that the network held back, made registrations of any age fresh for another 2.5 s: the host took the software version that it knew for the only one and went on with streams of a version that had joined meanwhile.

Change: the ages of the registrations and of the catalogue count from the send.

Traced by reading; no process test of a pause at that very moment.

--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -48,11 +48,10 @@
   /// The address of an endpoint; nothing when the endpoint is unknown or its
   /// address is not valid.
   std::optional<http::Address> addressOf(const EndpointId &Id) const;
-  /// Time since the store last confirmed the catalogue; zero before the first
-  /// confirmation.
+  /// Age of the catalogue: time since the host sent the last read that the
+  /// store has answered; zero before the first answer.
   milliseconds catalogueAge() const { return ageOf(m_CatalogueConfirmedAt); }
-  /// Time since the store last confirmed the registrations; zero before the
-  /// first confirmation.
+  /// The same for the registrations.
   milliseconds endpointsAge() const { return ageOf(m_EndpointsConfirmedAt); }
   /// Takes an endpoint out of use because another one answered at the address
   /// of its registration \p Version, unless a later one is known.
@@ -84,8 +83,9 @@
   std::shared_ptr<const serving::Catalogue> m_Catalogue;
   serving::EndpointDirectory m_Endpoints;
   LinkMonitor m_Links; ///< Whether this host reaches endpoints.
-  /// Values of bootTime() at which the store last answered a read of the
-  /// catalogue and of the registrations.
+  /// Values of bootTime() at which the last answered reads of the catalogue and
+  /// of the registrations were sent. What the store holds may have changed
+  /// since then, however late the answer was processed.
   std::optional<Instant> m_CatalogueConfirmedAt;
   std::optional<Instant> m_EndpointsConfirmedAt;
   /// When the process was asked to stop.
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -110,6 +110,7 @@
 Task<void> StoreFollower::followCatalogue() {
   std::optional<Cursor> Position;
   while (true) {
+    const Instant SentAt = bootTime();
     CatalogueBatch Batch;
     if (Position)
       Batch = co_await m_State.m_Platform.m_Store->followCatalogue(
@@ -127,7 +128,7 @@
       Position.reset();
       continue;
     }
-    m_State.m_CatalogueConfirmedAt = bootTime();
+    m_State.m_CatalogueConfirmedAt = SentAt;
     applyCatalogue(Batch.m_Newest);
     Position = Batch.m_Next;
     // No catalogue has been published yet: read again after a delay.
@@ -272,6 +273,9 @@
   std::optional<Cursor> Position;
   while (true) {
     const bool WholeListing = !Position;
+    // An answer may be processed long after the store has made it: while this
+    // host stood still, or the network held it back.
+    const Instant SentAt = bootTime();
     EndpointBatch Batch;
     if (Position)
       Batch = co_await m_State.m_Platform.m_Store->followEndpoints(
@@ -290,7 +294,7 @@
       Position.reset();
       continue;
     }
-    m_State.m_EndpointsConfirmedAt = bootTime();
+    m_State.m_EndpointsConfirmedAt = SentAt;
     apply(Batch, WholeListing);
     Position = Batch.m_Next;
     co_await sleepFor(BatchInterval);
--- /dev/null
+++ b/Source/UnitTests/Host/StoreFollowerTest.cpp
@@ -0,0 +1,62 @@
+#include "Host/FakeStore.h"
+
+#include "Host/StoreFollower.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace sff::host {
+namespace {
+
+settings::Settings makeSettings() {
+  const nlohmann::json Document = {
+      {"process", {{"host", "h1"}, {"zone", "zone-a"}, {"zones", {"zone-a"}}}},
+      {"listen",
+       {{"callers", "127.0.0.1:1"},
+        {"readiness", "127.0.0.1:2"},
+        {"peers", "127.0.0.1:3"},
+        {"metrics", "127.0.0.1:4"}}},
+      {"store", {{"address", "127.0.0.1:5"}}}};
+  return hostSchema().check(Document, "test").value();
+}
+
+class StoreFollowerTest : public testing::Test {
+protected:
+  StoreFollowerTest()
+      : m_Store(std::make_shared<FakeStore>()),
+        m_State(
+            m_Context, makeSettings(), {"sff-host", "h1", "zone-a", "i"},
+            {nullptr, m_Store, nullptr, std::make_shared<FakeHealthChecker>()}),
+        m_Leases(m_State, "127.0.0.1:3"), m_Streams(m_State, m_Leases),
+        m_Follower(m_State, m_Streams) {}
+
+  void runUntilReads(int Count) {
+    while (m_Store->m_AnsweredReads < Count)
+      m_Context.run_one();
+    m_Context.poll();
+  }
+
+  boost::asio::io_context m_Context;
+  std::shared_ptr<FakeStore> m_Store;
+  HostState m_State;
+  OrderLeases m_Leases;
+  StreamTracker m_Streams;
+  StoreFollower m_Follower;
+};
+
+// Guards against a host that stood still, or was cut off, while an endpoint of
+// a new software version joined: it took the answer that had waited for it for
+// fresh, the version that it knew for the only one, and went on with streams of
+// the new version at an endpoint of the old one.
+TEST_F(StoreFollowerTest, AnswerThatWasHeldBackIsAsOldAsItsRead) {
+  constexpr milliseconds HeldBack{700};
+  m_Store->m_ReadDelay = HeldBack;
+  m_Follower.start();
+  runUntilReads(1);
+  EXPECT_TRUE(m_State.m_EndpointsKnown);
+  EXPECT_GE(m_State.endpointsAge(), HeldBack);
+}
+
+} // namespace
+} // namespace sff::host
