Read logs of the store only when they have grown

Cause: each host read the registrations every 0.8 s whatever the time to stop sending allows, and ended a read of the catalogue and one of the crash log every 3 s with nothing; while the store was away it asked for the catalogue as often as for the registrations.

Change: the interval of the registrations follows from the time to stop sending (0.4 of it, at most 1.6 s; unchanged on the first sites). Where a zone has six hosts or more, hosts ask its holder whether a log has grown and read it only then; answers carry their age, and records are never passed on. During an outage the catalogue is read when the registrations show that the store is back, or every 2 s.

Measured: StoreFollowerTest.CatalogueIsRarelyReadWhileTheStoreIsAway counted 10 reads in 3 s before, at most 3 after.

--- /dev/null
+++ b/Source/Core/Core/Serving/StoreReadTimes.cpp
@@ -0,0 +1,32 @@
+#include "Core/Serving/StoreReadTimes.h"
+
+#include <algorithm>
+
+namespace sff::serving {
+
+namespace {
+
+/// Part of the time to stop sending that may pass between two reads. The rest
+/// covers a slow call to the store, its repetition, and requests on their way.
+constexpr double DrainShare = 0.4;
+/// Registrations must be confirmed more often than they count as fresh
+/// (SoftwareVersions::MaxBeliefAge), whatever the time to stop sending.
+constexpr milliseconds MaxInterval{1600};
+constexpr double CatalogueShare = 0.75;
+/// Bounded because a dead connection is noticed only by the next read.
+constexpr milliseconds MaxCatalogueWait{3000};
+
+} // namespace
+
+milliseconds registrationsInterval(Duration DrainTime) {
+  return std::min(MaxInterval, toMilliseconds(fromSeconds(
+                                   DrainShare * toSeconds(DrainTime))));
+}
+
+milliseconds catalogueWait(Duration ApplyTime) {
+  return std::min(
+      MaxCatalogueWait,
+      toMilliseconds(fromSeconds(CatalogueShare * toSeconds(ApplyTime))));
+}
+
+} // namespace sff::serving
--- a/Source/Core/Host/CrashTracker.cpp
+++ b/Source/Core/Host/CrashTracker.cpp
@@ -2,6 +2,7 @@
 
 #include "Common/Logging/Log.h"
 #include "Common/Time/Clock.h"
+#include "Host/LogQueries.h"
 
 #include <algorithm>
 
@@ -80,13 +81,19 @@
     : m_Log(std::move(Log)), m_Metrics(Metrics),
       m_Quarantine(MaxFingerprints, RejectionPeriod), m_Parts(Metrics) {}
 
-Task<void> CrashTracker::follow() {
+Task<void> CrashTracker::follow(LogQueries &Queries) {
   Cursor Position = 0;
   while (true) {
+    const auto Confirmed =
+        co_await Queries.confirm(FollowedLog::Crashes, Position);
+    if (Confirmed)
+      continue;
+    const Instant SentAt = bootTime();
     // A call that is sent during an outage may hang even after its end, so it
     // must not wait for long.
     const CrashBatch Batch = co_await m_Log->followCrashes(
-        Position, m_LogReachable ? MaxFollowWait : milliseconds(0));
+        Position,
+        m_LogReachable ? Queries.readWait(MaxFollowWait) : milliseconds(0));
     const bool Answered = Batch.m_Status != FollowStatus::Unreachable;
     m_LogReachable = Answered;
     m_Metrics.onStoreCall("crashes", Answered);
@@ -98,6 +105,7 @@
       continue;
     }
     Position = Batch.m_Next;
+    Queries.onRead(FollowedLog::Crashes, Position, SentAt);
     for (const CrashNews &News : Batch.m_News) {
       onMessages(News.m_Requests);
       for (const CrashMessage &Message : News.m_Requests)
--- a/Source/Core/Host/CrashTracker.h
+++ b/Source/Core/Host/CrashTracker.h
@@ -13,6 +13,8 @@
 
 namespace sff::host {
 
+class LogQueries;
+
 /// Attributes crashes of endpoints to the requests that were running there, and
 /// shares them with the other hosts through a log in the store, so that all
 /// hosts reject a request that crashes endpoints. Hosts that start later read
@@ -25,7 +27,8 @@
   CrashTracker(std::shared_ptr<Store> Log, HostMetrics &Metrics);
 
   /// Reads the crashes that other hosts share. Does not return.
-  Task<void> follow();
+  /// Precondition: \p Queries outlives the run of the io_context.
+  Task<void> follow(LogQueries &Queries);
   /// Shares the crashes that this host notices. Does not return.
   Task<void> publish();
 
--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -77,7 +77,8 @@
       m_Swaps(m_State, m_OrderLeases, m_Notifier),
       m_Relay(m_State, Values.get(PeersSetting)),
       m_Demands(m_State, m_OrderLeases, m_Swaps, m_Relay),
-      m_Streams(m_State, m_OrderLeases), m_Follower(m_State, m_Streams),
+      m_Streams(m_State, m_OrderLeases), m_Queries(m_State, m_OrderLeases),
+      m_Follower(m_State, m_Streams, m_Queries),
       m_Callers(m_Context, {},
                 [this](http::Request Incoming, http::Exchange &Caller) {
                   return handleCaller(std::move(Incoming), Caller);
@@ -107,7 +108,7 @@
   m_Streams.start();
   m_State.m_Links.start();
   m_State.spawn("follow_limits", followLimits());
-  m_State.spawn("follow_crashes", m_State.m_Crashes.follow());
+  m_State.spawn("follow_crashes", m_State.m_Crashes.follow(m_Queries));
   m_State.spawn("publish_crashes", m_State.m_Crashes.publish());
   const settings::Settings &Values = m_State.m_Settings;
   m_Peers.listen(addressOf(Values, PeersSetting));
@@ -193,6 +194,9 @@
       m_Streams.onNotice(*Notice);
       Answer = Acknowledgement{};
     }
+  } else if (Incoming.path() == LogQueryPath) {
+    if (const auto Query = parseMessage<LogQuery>(Incoming))
+      Answer = co_await m_Queries.onQuery(*Query);
   } else if (Incoming.path() == StreamQueryPath) {
     if (const auto Query = parseMessage<StreamQuery>(Incoming))
       Answer = m_Streams.onQuery(*Query);
--- a/Source/Core/Host/Host.h
+++ b/Source/Core/Host/Host.h
@@ -56,6 +56,7 @@
   PeerRelay m_Relay;
   DemandRouter m_Demands;
   StreamTracker m_Streams;
+  LogQueries m_Queries;
   StoreFollower m_Follower;
   SessionAffinity m_Sessions;
   http::Server m_Callers;
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -19,6 +19,9 @@
       m_StoreCalls(
           m_Set.counterFamily("sff_host_store_calls_total",
                               "Calls to the store by call and result")),
+      m_LogQueries(m_Set.counterFamily(
+          "sff_host_log_queries_total",
+          "Queries to other hosts whether a log of the store has grown")),
       m_Durations(histogram("sff_host_request_seconds",
                             "Time from a request to the end of its answer")),
       m_FirstByte(histogram("sff_host_first_byte_seconds",
@@ -183,6 +186,10 @@
       .Increment();
 }
 
+void HostMetrics::onLogQuery(std::string_view Result) {
+  m_LogQueries.Add({{"result", std::string(Result)}}).Increment();
+}
+
 void HostMetrics::onUnreadableRecords(int Records) {
   if (Records > 0)
     m_MalformedRecords.Increment(Records);
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -56,6 +56,9 @@
   void onOrder(std::string_view Result);
   void onSwap(Duration Taken) { observe(m_Swaps, Taken); }
   void onStoreCall(std::string_view Call, bool Answered);
+  /// Counts a query to another host whether a log has grown, by whether it
+  /// spared a read.
+  void onLogQuery(std::string_view Result);
   void onUnreadableRecords(int Records);
   /// Counts a stream that a caller takes up, by what becomes of it.
   void onStreamTakenUp(std::string_view Result);
@@ -93,6 +96,7 @@
   prometheus::Family<prometheus::Counter> &m_Requests;
   prometheus::Family<prometheus::Counter> &m_Orders;
   prometheus::Family<prometheus::Counter> &m_StoreCalls;
+  prometheus::Family<prometheus::Counter> &m_LogQueries;
   prometheus::Histogram &m_Durations;
   prometheus::Histogram &m_FirstByte;
   prometheus::Histogram &m_Swaps;
--- a/Source/Core/Host/HostSettings.cpp
+++ b/Source/Core/Host/HostSettings.cpp
@@ -14,6 +14,8 @@
         .add(MetricsSetting)
         .add(StoreSetting)
         .add(CatalogueApplySetting)
+        .add(DrainTimeSetting)
+        .add(QueryMinHostsSetting)
         .add(ZonesSetting)
         .add(CpuShareSetting)
         .add(LeaseSetting)
--- a/Source/Core/Host/HostSettings.h
+++ b/Source/Core/Host/HostSettings.h
@@ -68,6 +68,25 @@
     .m_Doc = "Longest time from the acknowledgement of a configuration until "
              "this host applies it."};
 
+inline const Setting<milliseconds> DrainTimeSetting{
+    .m_Section = "store",
+    .m_Key = "drain_ms",
+    .m_Default = milliseconds(2000),
+    .m_Unit = "ms",
+    .m_Range = {500, 60000},
+    .m_Doc = "Longest time from the acknowledgement of an endpoint's leaving "
+             "until it gets no more requests. Sets how often the registrations "
+             "are read."};
+
+inline const Setting<std::int64_t> QueryMinHostsSetting{
+    .m_Section = "store",
+    .m_Key = "query_min_hosts",
+    .m_Default = 6,
+    .m_Unit = "hosts",
+    .m_Range = {1, 100000},
+    .m_Doc = "Hosts of an availability zone from which on they ask its holder "
+             "whether a log of the store has grown, instead of reading it."};
+
 inline const Setting<std::vector<std::string>> ZonesSetting{
     .m_Section = "process",
     .m_Key = "zones",
--- /dev/null
+++ b/Source/Core/Host/LogQueries.cpp
@@ -0,0 +1,75 @@
+#include "Host/LogQueries.h"
+
+#include "Host/PeerCall.h"
+
+#include <algorithm>
+
+namespace sff::host {
+
+namespace {
+
+/// A host that was asked so long ago no longer reads for others.
+constexpr milliseconds AskedPeriod{5000};
+/// Bounds how long a query can occupy this host.
+constexpr milliseconds MaxQueryWait{5000};
+
+} // namespace
+
+std::optional<serving::LogQueryTimes> LogQueries::times() const {
+  const auto Zones = m_State.m_Settings.get(ZonesSetting).size();
+  const auto MinHosts =
+      static_cast<std::size_t>(m_State.m_Settings.get(QueryMinHostsSetting));
+  if (m_State.hosts() < MinHosts * std::max<std::size_t>(Zones, 1))
+    return std::nullopt;
+  return serving::logQueryTimes(m_State.m_Settings.get(CatalogueApplySetting));
+}
+
+bool LogQueries::isAsked() const {
+  return m_AskedAt && now() - *m_AskedAt < AskedPeriod;
+}
+
+void LogQueries::onRead(FollowedLog Log, Cursor End, Instant SentAt) {
+  Progress &Known = progress(Log);
+  Known.m_End = End;
+  Known.m_ConfirmedAt = SentAt;
+  Known.m_Changed.notifyAll();
+}
+
+milliseconds LogQueries::readWait(milliseconds Longest) const {
+  const auto Times = times();
+  return isAsked() && Times ? std::min(Longest, Times->m_ReaderWait) : Longest;
+}
+
+Task<std::optional<Instant>> LogQueries::confirm(FollowedLog Log, Cursor End) {
+  const auto Times = times();
+  const auto Holder = m_Leases.knownHolder(m_State.m_Zone);
+  // A host that is asked reads by itself, so that no two hosts rely on each
+  // other.
+  if (!Times || !Holder || *Holder == m_Leases.member() || isAsked())
+    co_return std::nullopt;
+  const Instant SentAt = bootTime();
+  const auto Answer = co_await callPeer<serving::LogAge>(
+      m_Peers, *Holder, LogQueryPath,
+      LogQuery{Log, End, Times->m_QueryWait.count()},
+      Times->m_QueryWait + serving::LogQueryTimes::AnswerSlack);
+  const auto Confirmed =
+      Answer ? serving::confirmedAt(End, *Answer, SentAt, Times->m_MaxAge)
+             : std::nullopt;
+  m_State.m_Metrics.onLogQuery(Confirmed ? "confirmed" : "read");
+  co_return Confirmed;
+}
+
+Task<serving::LogAge> LogQueries::onQuery(LogQuery Query) {
+  m_AskedAt = now();
+  Progress &Known = progress(Query.m_Log);
+  const Instant Until = now() + std::clamp(milliseconds(Query.m_WaitMs),
+                                           milliseconds(0), MaxQueryWait);
+  while (Known.m_ConfirmedAt && Known.m_End == Query.m_End && now() < Until)
+    co_await Known.m_Changed.wait(Until - now());
+  if (!Known.m_ConfirmedAt)
+    co_return serving::LogAge{};
+  co_return serving::LogAge{
+      Known.m_End, toMilliseconds(bootTime() - *Known.m_ConfirmedAt).count()};
+}
+
+} // namespace sff::host
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -1,27 +1,18 @@
 #include "Host/StoreFollower.h"
 
+#include "Core/Serving/StoreReadTimes.h"
+
 #include <algorithm>
 
 namespace sff::host {
 
 namespace {
 
-/// Part of the time to apply a catalogue that one read of it may wait. A read
-/// that reaches the store while a record is appended may be answered only at
-/// the end of its wait; the rest of the time is for the next read.
-constexpr double CatalogueWaitShare = 0.75;
-/// Longest wait of one read of the catalogue. Bounded because a dead connection
-/// is noticed only by the next read.
-constexpr milliseconds MaxCatalogueWait{3000};
-/// Longest wait of one read of the registrations. Endpoints register
-/// continuously, so a longer wait means that the store is unreachable.
-constexpr milliseconds MaxEndpointsWait{1000};
-/// Delay between reads of the registrations. Endpoints register about every
-/// second and each read is billed, so registrations are read in batches. The
-/// delay must not exceed half the time after which a leaving endpoint must get
-/// no more requests.
-constexpr milliseconds BatchInterval{800};
 constexpr milliseconds RetryDelay{300};
+/// Longest time without a read of the catalogue while reads of the
+/// registrations fail. Those find out when the store is back; all calls are
+/// billed.
+constexpr milliseconds MaxOutageWait{2000};
 /// Longest wait for a connection to an endpoint that vanished.
 constexpr milliseconds ProbeTimeout{300};
 
@@ -74,6 +65,7 @@
   if (Reachable) {
     m_State.m_Endpoints.onRegistryRestored(now());
     log::info(LogCategory, "store.regained", Ages);
+    m_Regained.notifyAll();
     m_State.spawn("expire_endpoints", expireEndpoints());
     return;
   }
@@ -100,28 +92,34 @@
   m_State.m_Changed.notifyAll();
 }
 
-milliseconds StoreFollower::catalogueWait() const {
-  const Duration ApplyTime = m_State.m_Settings.get(CatalogueApplySetting);
-  return std::min(
-      MaxCatalogueWait,
-      toMilliseconds(fromSeconds(CatalogueWaitShare * toSeconds(ApplyTime))));
+Task<CatalogueBatch>
+StoreFollower::readCatalogue(std::optional<Cursor> Position) {
+  if (!Position)
+    co_return co_await m_State.m_Platform.m_Store->listCatalogue();
+  const milliseconds Wait = m_Queries.readWait(
+      serving::catalogueWait(m_State.m_Settings.get(CatalogueApplySetting)));
+  co_return co_await m_State.m_Platform.m_Store->followCatalogue(
+      *Position, m_Reachable ? Wait : milliseconds(0));
 }
 
 Task<void> StoreFollower::followCatalogue() {
   std::optional<Cursor> Position;
   while (true) {
+    if (Position) {
+      const auto Confirmed =
+          co_await m_Queries.confirm(FollowedLog::Catalogue, *Position);
+      if (Confirmed) {
+        m_State.m_CatalogueConfirmedAt = *Confirmed;
+        continue;
+      }
+    }
     const Instant SentAt = bootTime();
-    CatalogueBatch Batch;
-    if (Position)
-      Batch = co_await m_State.m_Platform.m_Store->followCatalogue(
-          *Position, m_Reachable ? catalogueWait() : milliseconds(0));
-    else
-      Batch = co_await m_State.m_Platform.m_Store->listCatalogue();
+    const CatalogueBatch Batch = co_await readCatalogue(Position);
     m_State.m_Metrics.onStoreCall("catalogue",
                                   Batch.m_Status != FollowStatus::Unreachable);
     m_State.m_Metrics.onUnreadableRecords(Batch.m_MalformedRecords);
     if (Batch.m_Status == FollowStatus::Unreachable) {
-      co_await sleepFor(RetryDelay);
+      co_await m_Regained.wait(m_Reachable ? RetryDelay : MaxOutageWait);
       continue;
     }
     if (Batch.m_Status == FollowStatus::HistoryCompacted) {
@@ -131,6 +129,7 @@
     m_State.m_CatalogueConfirmedAt = SentAt;
     applyCatalogue(Batch.m_Newest);
     Position = Batch.m_Next;
+    m_Queries.onRead(FollowedLog::Catalogue, *Position, SentAt);
     // No catalogue has been published yet: read again after a delay.
     if (!m_State.m_Catalogue)
       co_await sleepFor(RetryDelay);
@@ -279,7 +278,7 @@
     EndpointBatch Batch;
     if (Position)
       Batch = co_await m_State.m_Platform.m_Store->followEndpoints(
-          *Position, MaxEndpointsWait);
+          *Position, serving::MaxRegistrationsWait);
     else
       Batch = co_await m_State.m_Platform.m_Store->listEndpoints();
     const bool Answered = Batch.m_Status != FollowStatus::Unreachable;
@@ -297,7 +296,8 @@
     m_State.m_EndpointsConfirmedAt = SentAt;
     apply(Batch, WholeListing);
     Position = Batch.m_Next;
-    co_await sleepFor(BatchInterval);
+    co_await sleepFor(serving::registrationsInterval(
+        m_State.m_Settings.get(DrainTimeSetting)));
   }
 }
 
--- a/Source/Core/Host/StoreFollower.h
+++ b/Source/Core/Host/StoreFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Host/LogQueries.h"
 #include "Host/StreamTracker.h"
 
 namespace sff::host {
@@ -9,16 +10,16 @@
 /// Thread safety: use from the host's io_context only.
 class StoreFollower {
 public:
-  /// Precondition: \p State and \p Streams outlive the run of the io_context.
-  StoreFollower(HostState &State, StreamTracker &Streams)
-      : m_State(State), m_Streams(Streams) {}
+  /// Precondition: all arguments outlive the run of the io_context.
+  StoreFollower(HostState &State, StreamTracker &Streams, LogQueries &Queries)
+      : m_State(State), m_Streams(Streams), m_Queries(Queries) {}
 
   void start();
 
 private:
   Task<void> followCatalogue();
-  /// Longest wait of one read of the catalogue.
-  milliseconds catalogueWait() const;
+  /// Reads the catalogues from \p Position on, or the newest one.
+  Task<CatalogueBatch> readCatalogue(std::optional<Cursor> Position);
   Task<void> followEndpoints();
   void applyCatalogue(const std::shared_ptr<const serving::Catalogue> &Newest);
   void apply(const EndpointBatch &Batch, bool WholeListing);
@@ -42,7 +43,9 @@
 
   HostState &m_State;
   StreamTracker &m_Streams;
+  LogQueries &m_Queries;
   bool m_Reachable = true;
+  AsyncCondition m_Regained; ///< The store answers again.
 };
 
 } // namespace sff::host
--- a/Source/UnitTests/Host/StoreFollowerTest.cpp
+++ b/Source/UnitTests/Host/StoreFollowerTest.cpp
@@ -29,7 +29,8 @@
             m_Context, makeSettings(), {"sff-host", "h1", "zone-a", "i"},
             {nullptr, m_Store, nullptr, std::make_shared<FakeHealthChecker>()}),
         m_Leases(m_State, "127.0.0.1:3"), m_Streams(m_State, m_Leases),
-        m_Follower(m_State, m_Streams) {}
+        m_Queries(m_State, m_Leases),
+        m_Follower(m_State, m_Streams, m_Queries) {}
 
   void runUntilReads(int Count) {
     while (m_Store->m_AnsweredReads < Count)
@@ -42,6 +43,7 @@
   HostState m_State;
   OrderLeases m_Leases;
   StreamTracker m_Streams;
+  LogQueries m_Queries;
   StoreFollower m_Follower;
 };
 
@@ -58,5 +60,21 @@
   EXPECT_GE(m_State.endpointsAge(), HeldBack);
 }
 
+// Guards against calls to a store that is known to be away: each host asked for
+// the catalogue as often as for the registrations, and calls that are refused
+// are billed, too.
+TEST_F(StoreFollowerTest, CatalogueIsRarelyReadWhileTheStoreIsAway) {
+  m_Store->m_IsDown = true;
+  m_Follower.start();
+  m_Context.run_for(milliseconds(3000));
+  EXPECT_LE(m_Store->m_CatalogueReads, 3);
+  // Both are read as soon as the store is back.
+  m_Store->m_IsDown = false;
+  const int Before = m_Store->m_CatalogueReads;
+  m_Context.run_for(milliseconds(500));
+  EXPECT_EQ(m_Store->m_AnsweredReads, 1);
+  EXPECT_EQ(m_Store->m_CatalogueReads, Before + 1);
+}
+
 } // namespace
 } // namespace sff::host
