Read registrations more often while endpoints may register again

Cause: endpoints have three seconds to register again after an outage of the store, of which one is left for the host's read; with the longer interval of the registrations the read could come after it, and sound endpoints were dropped for a moment.

Change: while removals are unconfirmed, the interval is at most 0.8 s, as before.

--- a/Source/Core/Core/Serving/StoreReadTimes.cpp
+++ b/Source/Core/Core/Serving/StoreReadTimes.cpp
@@ -12,15 +12,19 @@
 /// Registrations must be confirmed more often than they count as fresh
 /// (SoftwareVersions::MaxBeliefAge), whatever the time to stop sending.
 constexpr milliseconds MaxInterval{1600};
+/// EndpointDirectory::ExpiryGracePeriod leaves a second for this and a read.
+constexpr milliseconds MaxIntervalAfterOutage{800};
 constexpr double CatalogueShare = 0.75;
 /// Bounded because a dead connection is noticed only by the next read.
 constexpr milliseconds MaxCatalogueWait{3000};
 
 } // namespace
 
-milliseconds registrationsInterval(Duration DrainTime) {
-  return std::min(MaxInterval, toMilliseconds(fromSeconds(
-                                   DrainShare * toSeconds(DrainTime))));
+milliseconds registrationsInterval(Duration DrainTime, bool AwaitsEndpoints) {
+  const milliseconds Longest =
+      AwaitsEndpoints ? MaxIntervalAfterOutage : MaxInterval;
+  return std::min(
+      Longest, toMilliseconds(fromSeconds(DrainShare * toSeconds(DrainTime))));
 }
 
 milliseconds catalogueWait(Duration ApplyTime) {
--- a/Source/Core/Core/Serving/StoreReadTimes.h
+++ b/Source/Core/Core/Serving/StoreReadTimes.h
@@ -13,7 +13,9 @@
 /// read as rarely as \p DrainTime allows, the time after which a leaving
 /// endpoint must get no more requests: a registration that has just missed a
 /// read is known after its wait, this delay and the next call to the store.
-milliseconds registrationsInterval(Duration DrainTime);
+/// Shorter if the host \p AwaitsEndpoints, which register again after an outage
+/// of the store and are taken for gone if they have not soon enough.
+milliseconds registrationsInterval(Duration DrainTime, bool AwaitsEndpoints);
 
 /// Longest wait of one read of the catalogue, given the time to apply a
 /// catalogue. A read may be answered only at the end of its wait; the rest of
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -297,7 +297,8 @@
     apply(Batch, WholeListing);
     Position = Batch.m_Next;
     co_await sleepFor(serving::registrationsInterval(
-        m_State.m_Settings.get(DrainTimeSetting)));
+        m_State.m_Settings.get(DrainTimeSetting),
+        !m_State.m_Endpoints.unconfirmedRemovals().empty()));
   }
 }
 
--- a/Source/UnitTests/Core/Serving/StoreReadTimesTest.cpp
+++ b/Source/UnitTests/Core/Serving/StoreReadTimesTest.cpp
@@ -7,13 +7,16 @@
 namespace sff::serving {
 namespace {
 
+using std::chrono::seconds;
+
 /// Longest answer of a store that is not in trouble.
 constexpr milliseconds CallTime{100};
 
 /// Time from the acknowledgement of a registration until a host knows it, if
 /// the read that was waiting is answered without it.
 milliseconds worstDelay(milliseconds DrainTime) {
-  return MaxRegistrationsWait + registrationsInterval(DrainTime) + 2 * CallTime;
+  return MaxRegistrationsWait + registrationsInterval(DrainTime, false) +
+         2 * CallTime;
 }
 
 // Guards against requests to an endpoint that left: hosts must know of it well
@@ -35,11 +38,24 @@
         << DrainTime.count();
 }
 
+// Guards against endpoints that are dropped though they have registered again
+// in time after an outage of the store: their registrations were read too late.
+TEST(StoreReadTimesTest, EndpointsThatRegisterAgainAreReadInTheirGracePeriod) {
+  constexpr seconds ReregistrationTime{2};
+  for (milliseconds DrainTime{500}; DrainTime <= milliseconds(60000);
+       DrainTime += milliseconds(500))
+    EXPECT_LE(ReregistrationTime + registrationsInterval(DrainTime, true) +
+                  CallTime,
+              EndpointDirectory::ExpiryGracePeriod);
+}
+
 // Guards against reads more often than the time to stop sending asks for, which
 // were the largest price of the deployments with hundreds of hosts.
 TEST(StoreReadTimesTest, ReadsAreAsRareAsTheDrainTimeAllows) {
-  EXPECT_EQ(registrationsInterval(milliseconds(2000)), milliseconds(800));
-  EXPECT_EQ(registrationsInterval(milliseconds(4000)), milliseconds(1600));
+  EXPECT_EQ(registrationsInterval(milliseconds(2000), false),
+            milliseconds(800));
+  EXPECT_EQ(registrationsInterval(milliseconds(4000), false),
+            milliseconds(1600));
 }
 
 TEST(StoreReadTimesTest, CatalogueIsReadTwiceInTheTimeToApplyIt) {
