Search only new bytes for the end of an event

Cause: HostEndlessAnswerTest.EventOfAStreamIsBounded failed in a test run under load (8,087 ms of 8,000). Streams without an end of an event were broken off by their deadline, since the buffer searched all of an unfinished event with each read, and the host was busy with that.

Change: the search begins two bytes before the new data.

--- a/Source/Core/Core/Streaming/CompleteEventBuffer.cpp
+++ b/Source/Core/Core/Streaming/CompleteEventBuffer.cpp
@@ -1,11 +1,16 @@
 #include "Core/Streaming/CompleteEventBuffer.h"
 
+#include <algorithm>
+
 namespace sff::streaming {
 
 namespace {
 
 constexpr std::string_view IdField = "id:";
 
+/// Bytes of a blank line that earlier data may hold.
+constexpr std::size_t MaxOverlap = 2;
+
 /// Returns the position after the last blank line, or 0.
 std::size_t endOfLastEvent(std::string_view Text) {
   const auto LfEnd = Text.rfind("\n\n");
@@ -35,10 +40,16 @@
 } // namespace
 
 std::string CompleteEventBuffer::append(std::string_view Data) {
+  // No event ends in what was there before. Searching it again with each read
+  // would take time with the square of an event's length.
+  const std::size_t Searched =
+      m_PartialEvent.size() - std::min(m_PartialEvent.size(), MaxOverlap);
   m_PartialEvent += Data;
-  const std::size_t End = endOfLastEvent(m_PartialEvent);
-  if (End == 0)
+  const std::size_t EndInRest =
+      endOfLastEvent(std::string_view(m_PartialEvent).substr(Searched));
+  if (EndInRest == 0)
     return {};
+  const std::size_t End = Searched + EndInRest;
   std::string Complete = m_PartialEvent.substr(0, End);
   m_PartialEvent.erase(0, End);
   if (const std::string_view Id = lastIdIn(Complete); !Id.empty())
--- a/Source/UnitTests/Core/Streaming/CompleteEventBufferTest.cpp
+++ b/Source/UnitTests/Core/Streaming/CompleteEventBufferTest.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <chrono>
+
 namespace sff::streaming {
 namespace {
 
@@ -45,5 +47,20 @@
   RC_ASSERT(!Boundary.lastId().empty());
 }
 
+// Guards against time with the square of an event's length: streams without an
+// end of an event kept a host busy until their deadline.
+TEST(EventBoundaryTest, LongEventIsSearchedOnce) {
+  constexpr std::size_t EventBytes = 256 * 1024;
+  constexpr std::chrono::seconds MaxTime{2};
+  CompleteEventBuffer Boundary;
+  const auto Start = std::chrono::steady_clock::now();
+  for (std::size_t Byte = 0; Byte < EventBytes; ++Byte)
+    EXPECT_TRUE(Boundary.append("x").empty());
+  EXPECT_EQ(Boundary.append("\n").size(), 0U);
+  EXPECT_EQ(Boundary.append("\r").size(), 0U);
+  EXPECT_EQ(Boundary.append("\n").size(), EventBytes + 3);
+  EXPECT_LT(std::chrono::steady_clock::now() - Start, MaxTime);
+}
+
 } // namespace
 } // namespace sff::streaming
