Log when a host begins or ceases to rely on its zone's holder

Cause: only a counter told whether a host reads the catalogue and the crash log itself; a reader of the logs could not tell how old what it believed was. Change: one line at each change, with the holder and the age of its answer.

--- a/Source/Core/Host/LogQueries.cpp
+++ b/Source/Core/Host/LogQueries.cpp
@@ -3,6 +3,7 @@
 #include "Host/PeerCall.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sff::host {
 
@@ -56,9 +57,20 @@
       Answer ? serving::confirmedAt(End, *Answer, SentAt, Times->m_MaxAge)
              : std::nullopt;
   m_State.m_Metrics.onLogQuery(Confirmed ? "confirmed" : "read");
+  noteAsking(Log, Confirmed.has_value(), *Holder,
+             Answer ? Answer->m_AgeMs : serving::LogAge{}.m_AgeMs);
   co_return Confirmed;
 }
 
+void LogQueries::noteAsking(FollowedLog Log, bool IsAsking,
+                            const std::string &Holder, std::int64_t AgeMs) {
+  if (std::exchange(progress(Log).m_IsAsking, IsAsking) == IsAsking)
+    return;
+  log::info(log::Category::Platform,
+            IsAsking ? "log.asked_at_holder" : "log.read_again",
+            {{"log", Log}, {"holder", Holder}, {"age_ms", AgeMs}});
+}
+
 Task<serving::LogAge> LogQueries::onQuery(LogQuery Query) {
   m_AskedAt = now();
   Progress &Known = progress(Query.m_Log);
--- a/Source/Core/Host/LogQueries.h
+++ b/Source/Core/Host/LogQueries.h
@@ -35,8 +35,9 @@
 /// the logs rarely grow. While its availability zone has many hosts, a host
 /// asks the holder of the zone's order lease whether a log has grown, and reads
 /// the log by itself when it has, when the holder does not answer, or when what
-/// the holder knows is too old. Records are never passed on. Thread safety: use
-/// from the host's io_context only.
+/// the holder knows is too old. Records are never passed on.
+///
+/// Thread safety: use from the host's io_context only.
 class LogQueries {
 public:
   LogQueries(HostState &State, OrderLeases &Leases)
@@ -60,11 +61,16 @@
     std::optional<Instant> m_ConfirmedAt;
     Cursor m_End = 0;
     AsyncCondition m_Changed;
+    /// The last query of this host has spared a read.
+    bool m_IsAsking = false;
   };
 
   /// The times of queries, if they are worth their messages.
   std::optional<serving::LogQueryTimes> times() const;
   bool isAsked() const;
+  /// Logs when this host begins or ceases to rely on the holder.
+  void noteAsking(FollowedLog Log, bool IsAsking, const std::string &Holder,
+                  std::int64_t AgeMs);
   Progress &progress(FollowedLog Log) {
     return m_Progress[static_cast<std::size_t>(Log)];
   }
