Ask the holder less often, and never between two late reads

With longer waits LogQueryProperties found a configuration 9.1 s after its acknowledgement: a read that missed it, a query that waited at a holder without the store, and only then the next read.

Change: queries wait twice as long, the holder reads more often; a holder whose knowledge is too old says so at once; one that gives no answer is not asked for 5 s; and while queries may follow, own reads wait shorter.

--- a/Source/Core/Core/Serving/LogAge.cpp
+++ b/Source/Core/Core/Serving/LogAge.cpp
@@ -5,8 +5,8 @@
 namespace {
 
 /// Parts of the time to apply a catalogue.
-constexpr double ReaderShare = 0.2;
-constexpr double QueryShare = 0.15;
+constexpr double ReaderShare = 0.15;
+constexpr double QueryShare = 0.3;
 /// Longest connection to a host, and longest answer of the store.
 constexpr milliseconds CallTime{600};
 
@@ -22,9 +22,10 @@
   Result.m_QueryWait = share(ApplyTime, QueryShare);
   // Just before a read is answered, what the last one told is two waits old.
   Result.m_MaxAge = 2 * Result.m_ReaderWait + CallTime / 3;
-  const Duration Worst = Result.m_MaxAge + Result.m_QueryWait +
-                         LogQueryTimes::AnswerSlack + CallTime;
-  if (Worst > ApplyTime)
+  const Duration QueryAndRead =
+      Result.m_QueryWait + LogQueryTimes::AnswerSlack + CallTime;
+  Result.m_OwnWait = toMilliseconds(ApplyTime - QueryAndRead);
+  if (Result.m_MaxAge + QueryAndRead > ApplyTime)
     return std::nullopt;
   return Result;
 }
--- a/Source/Core/Core/Serving/LogAge.h
+++ b/Source/Core/Core/Serving/LogAge.h
@@ -29,6 +29,9 @@
   milliseconds m_ReaderWait; ///< Longest wait of a read by the host asked.
   milliseconds m_QueryWait;  ///< Longest wait of the host asked for a change.
   milliseconds m_MaxAge;     ///< Oldest knowledge that counts.
+  /// Longest wait of an own read of the host that asks. Such a read may miss a
+  /// record, and a query that gets no answer may follow it.
+  milliseconds m_OwnWait;
 
   /// Added to m_QueryWait, after which the host asked counts as silent.
   static constexpr milliseconds AnswerSlack{300};
--- a/Source/Core/Host/LogQueries.cpp
+++ b/Source/Core/Host/LogQueries.cpp
@@ -11,6 +11,8 @@
 
 /// A host that was asked so long ago no longer reads for others.
 constexpr milliseconds AskedPeriod{5000};
+/// A holder that gave no answer is not asked for so long.
+constexpr milliseconds QueryPause{5000};
 /// Bounds how long a query can occupy this host.
 constexpr milliseconds MaxQueryWait{5000};
 
@@ -38,21 +40,36 @@
 
 milliseconds LogQueries::readWait(milliseconds Longest) const {
   const auto Times = times();
-  return isAsked() && Times ? std::min(Longest, Times->m_ReaderWait) : Longest;
+  if (!Times)
+    return Longest;
+  if (isAsked())
+    return std::min(Longest, Times->m_ReaderWait);
+  return holderToAsk(now() + Longest) ? std::min(Longest, Times->m_OwnWait)
+                                      : Longest;
 }
 
-Task<std::optional<Instant>> LogQueries::confirm(FollowedLog Log, Cursor End) {
-  const auto Times = times();
+std::optional<std::string> LogQueries::holderToAsk(Instant At) const {
   const auto Holder = m_Leases.knownHolder(m_State.m_Zone);
   // A host that is asked reads by itself, so that no two hosts rely on each
   // other.
-  if (!Times || !Holder || *Holder == m_Leases.member() || isAsked())
+  if (!Holder || *Holder == m_Leases.member() || isAsked() ||
+      At < m_PausedUntil)
+    return std::nullopt;
+  return Holder;
+}
+
+Task<std::optional<Instant>> LogQueries::confirm(FollowedLog Log, Cursor End) {
+  const auto Times = times();
+  const auto Holder = holderToAsk(now());
+  if (!Times || !Holder)
     co_return std::nullopt;
   const Instant SentAt = bootTime();
   const auto Answer = co_await callPeer<serving::LogAge>(
       m_Peers, *Holder, LogQueryPath,
       LogQuery{Log, End, Times->m_QueryWait.count()},
       Times->m_QueryWait + serving::LogQueryTimes::AnswerSlack);
+  if (!Answer)
+    m_PausedUntil = now() + QueryPause;
   const auto Confirmed =
       Answer ? serving::confirmedAt(End, *Answer, SentAt, Times->m_MaxAge)
              : std::nullopt;
@@ -73,10 +90,14 @@
 
 Task<serving::LogAge> LogQueries::onQuery(LogQuery Query) {
   m_AskedAt = now();
+  const auto Times = times();
+  const milliseconds MaxAge = Times ? Times->m_MaxAge : milliseconds(0);
   Progress &Known = progress(Query.m_Log);
   const Instant Until = now() + std::clamp(milliseconds(Query.m_WaitMs),
                                            milliseconds(0), MaxQueryWait);
-  while (Known.m_ConfirmedAt && Known.m_End == Query.m_End && now() < Until)
+  // Knowledge that is too old is told at once: the other host must read.
+  while (Known.m_ConfirmedAt && Known.m_End == Query.m_End &&
+         bootTime() - *Known.m_ConfirmedAt <= MaxAge && now() < Until)
     co_await Known.m_Changed.wait(Until - now());
   if (!Known.m_ConfirmedAt)
     co_return serving::LogAge{};
--- a/Source/Core/Host/LogQueries.h
+++ b/Source/Core/Host/LogQueries.h
@@ -51,7 +51,7 @@
   /// this host must read the log.
   Task<std::optional<Instant>> confirm(FollowedLog Log, Cursor End);
   /// The wait of a read of this host that could wait for \p Longest: shorter
-  /// while other hosts ask this one.
+  /// while other hosts ask this one, and while queries may follow the read.
   milliseconds readWait(milliseconds Longest) const;
   /// Handles the query of another host.
   Task<serving::LogAge> onQuery(LogQuery Query);
@@ -68,6 +68,8 @@
   /// The times of queries, if they are worth their messages.
   std::optional<serving::LogQueryTimes> times() const;
   bool isAsked() const;
+  /// The holder that this host asks at \p At, if it asks one then.
+  std::optional<std::string> holderToAsk(Instant At) const;
   /// Logs when this host begins or ceases to rely on the holder.
   void noteAsking(FollowedLog Log, bool IsAsking, const std::string &Holder,
                   std::int64_t AgeMs);
@@ -80,6 +82,8 @@
   http::Client m_Peers;
   std::array<Progress, 2> m_Progress;
   std::optional<Instant> m_AskedAt; ///< Time of the last query to this host.
+  /// Until when this host asks nobody, because the holder gave no answer.
+  Instant m_PausedUntil;
 };
 
 } // namespace sff::host
--- a/Source/UnitTests/Core/Serving/LogAgeTest.cpp
+++ b/Source/UnitTests/Core/Serving/LogAgeTest.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds ApplyTime{4000};
 /// Longest answer of the store or of a host, in milliseconds.
 constexpr std::int64_t CallTime = 50;
+/// For how long a host that gave no answer is not asked, in milliseconds.
+constexpr std::int64_t QueryPause = 5000;
 
 /// What happens while one record is appended to a log of the store. Times are
 /// in milliseconds.
@@ -37,7 +39,8 @@
     std::int64_t Now = 0;
     while (true) {
       const std::int64_t SentAt = Now;
-      const LogAge Answer = query(Now);
+      const bool IsPaused = Now < m_PausedUntil;
+      const LogAge Answer = IsPaused ? LogAge{} : query(Now);
       const auto Confirmed = confirmedAt(
           0, Answer, Instant(milliseconds(SentAt)), m_Times.m_MaxAge);
       // What the store held then must not be beyond what is confirmed.
@@ -89,9 +92,11 @@
       if (isStopped(Now))
         continue;
       advanceReader(Now);
-      if (m_ReaderHasRecord || Now >= WaitEnd)
-        return {m_ReaderHasRecord ? 1U : 0U, Now - m_LastAnswered};
+      const std::int64_t Age = Now - m_LastAnswered;
+      if (m_ReaderHasRecord || Now >= WaitEnd || Age > m_Times.m_MaxAge.count())
+        return {m_ReaderHasRecord ? 1U : 0U, Age};
     }
+    m_PausedUntil = Now + QueryPause;
     return {};
   }
 
@@ -99,7 +104,10 @@
   /// record.
   bool readDirectly(std::int64_t &Now) const {
     const std::int64_t SentAt = Now;
-    Now += catalogueWait(ApplyTime).count();
+    const milliseconds Longest = catalogueWait(ApplyTime);
+    Now += Now + Longest.count() < m_PausedUntil
+               ? Longest.count()
+               : std::min(Longest, m_Times.m_OwnWait).count();
     if (!showsRecord(SentAt, Now)) {
       Now += CallTime;
       return false;
@@ -112,6 +120,7 @@
   const LogQueryTimes m_Times;
   std::int64_t m_ReadSentAt = 0;
   std::int64_t m_LastAnswered = 0;
+  std::int64_t m_PausedUntil = 0;
   bool m_ReaderHasRecord = false;
   bool m_HasFalseBelief = false;
 };
