--- a/Source/Core/Host/LogQueries.cpp
+++ b/Source/Core/Host/LogQueries.cpp
@@ -49,7 +49,7 @@
 }
 
 std::optional<std::string> LogQueries::holderToAsk(Instant At) const {
-  const auto Holder = m_Leases.knownHolder(m_State.m_Zone);
+  auto Holder = m_Leases.knownHolder(m_State.m_Zone);
   // A host that is asked reads by itself, so that no two hosts rely on each
   // other.
   if (!Holder || *Holder == m_Leases.member() || isAsked() ||
