--- a/Source/Core/Core/Serving/LogAge.cpp
+++ b/Source/Core/Core/Serving/LogAge.cpp
@@ -7,6 +7,8 @@
 /// Parts of the time to apply a catalogue.
 constexpr double ReaderShare = 0.15;
 constexpr double QueryShare = 0.3;
+/// Time between two reads of the host asked.
+constexpr milliseconds ReadOverhead{200};
 /// Longest connection to a host, and longest answer of the store.
 constexpr milliseconds CallTime{600};
 
@@ -21,7 +23,7 @@
   Result.m_ReaderWait = share(ApplyTime, ReaderShare);
   Result.m_QueryWait = share(ApplyTime, QueryShare);
   // Just before a read is answered, what the last one told is two waits old.
-  Result.m_MaxAge = 2 * Result.m_ReaderWait + CallTime / 3;
+  Result.m_MaxAge = 2 * Result.m_ReaderWait + ReadOverhead;
   const Duration QueryAndRead =
       Result.m_QueryWait + LogQueryTimes::AnswerSlack + CallTime;
   Result.m_OwnWait = toMilliseconds(ApplyTime - QueryAndRead);
