Decode and log what endpoints say of themselves in their answers

Nothing in the logs told whether an endpoint had said that it leaves, or for how long it wanted no requests, so the hypotheses of the incident could not be told apart. Server-Leaving was read for health checks only, Retry-After of an endpoint nowhere.

A notice is logged as endpoint.notice with the registration by which the endpoint was asked and the age of the registrations, and counted as sff_host_endpoint_notices_total. Answers to requests are read in one place, when their head has arrived, so that those of superseded attempts count, too. No decision depends on a notice yet.

--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -78,6 +78,9 @@
       m_Removals(m_Set.counterFamily(
           "sff_host_removals_total",
           "Removals of registrations by what the host did")),
+      m_EndpointNotices(m_Set.counterFamily(
+          "sff_host_endpoint_notices_total",
+          "Notices of endpoints about themselves in their answers, by kind")),
       m_Endpoints(m_Set.gauge("sff_host_endpoints", "Known endpoints")),
       m_LimitedEndpoints(
           m_Set.gauge("sff_host_limited_endpoints",
@@ -207,6 +210,10 @@
   m_Removals.Add({{"result", std::string(Result)}}).Increment();
 }
 
+void HostMetrics::onEndpointNotice(std::string_view Kind) {
+  m_EndpointNotices.Add({{"kind", std::string(Kind)}}).Increment();
+}
+
 void HostMetrics::setEndpoints(std::size_t Count) {
   m_Endpoints.Set(static_cast<double>(Count));
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -66,6 +66,8 @@
   void onStreamNotice(bool Answered);
   /// Counts the removal of an endpoint's registration, by what this host did.
   void onRemoval(std::string_view Result);
+  /// Counts a notice of an endpoint about itself, by its kind.
+  void onEndpointNotice(std::string_view Kind);
   void setEndpoints(std::size_t Count);
   /// Sets the number of endpoints that name a request rate.
   void setLimitedEndpoints(std::size_t Count);
@@ -120,6 +122,7 @@
   prometheus::Family<prometheus::Counter> &m_StreamsTakenUp;
   prometheus::Family<prometheus::Counter> &m_StreamNotices;
   prometheus::Family<prometheus::Counter> &m_Removals;
+  prometheus::Family<prometheus::Counter> &m_EndpointNotices;
   prometheus::Gauge &m_Endpoints;
   prometheus::Gauge &m_LimitedEndpoints;
   prometheus::Gauge &m_RejectionLimitedEndpoints;
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -45,6 +45,11 @@
   m_RateLimits.setHosts(m_Hosts);
   m_RejectionLimits.setHosts(m_Hosts);
   m_Links.onChange([this] { onLinksChanged(); });
+  m_Links.onNotice([this](const EndpointId &Id,
+                          const serving::RegistrationVersion &Asked,
+                          const EndpointNotice &Notice) {
+    onNotice(Id, Asked, Notice, "health_check");
+  });
 }
 
 void HostState::onLinksChanged() {
@@ -86,6 +91,38 @@
   m_Changed.notifyAll();
 }
 
+void HostState::onNotice(const EndpointId &Id,
+                         const serving::RegistrationVersion &Asked,
+                         const EndpointNotice &Notice, std::string_view Source,
+                         std::string_view Request) {
+  if (Notice.isEmpty())
+    return;
+  for (const auto &[IsGiven, Kind] :
+       {std::pair(Notice.m_IsLeaving, "leaving"),
+        std::pair(Notice.m_RetryAfter.has_value(), "turned_away"),
+        std::pair(Notice.m_IsUnreadable, "unreadable")})
+    if (IsGiven)
+      m_Metrics.onEndpointNotice(Kind);
+  log::request(
+      log::Category::Membership, "endpoint.notice", Request, {},
+      {{"endpoint", Id},
+       {"source", Source},
+       {"leaving", Notice.m_IsLeaving},
+       {"retry_after_s", Notice.m_RetryAfter
+                             ? nlohmann::json(toSeconds(*Notice.m_RetryAfter))
+                             : nlohmann::json()},
+       {"unreadable", Notice.m_IsUnreadable},
+       {"started_at_ms", Asked.m_StartedAtMs},
+       {"registrations_age_ms", endpointsAge().count()}});
+}
+
+serving::RegistrationVersion
+HostState::registrationOf(const EndpointId &Id) const {
+  const serving::Endpoint *Known = m_Endpoints.find(Id);
+  return Known ? Known->m_Registration.version()
+               : serving::RegistrationVersion();
+}
+
 void HostState::forgetEndpoint(const EndpointId &Id) {
   m_Chooser.forget(Id);
   m_RateLimits.forget(Id);
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -57,6 +57,14 @@
   /// of its registration \p Version, unless a later one is known.
   void onAddressReused(const EndpointId &Id,
                        const serving::RegistrationVersion &Version);
+  /// Takes note of what the answer to a call of the kind \p Source says of its
+  /// endpoint. \p Asked is the registration by which the endpoint was asked,
+  /// \p Request the id of a caller's request, if it was one.
+  void onNotice(const EndpointId &Id, const serving::RegistrationVersion &Asked,
+                const EndpointNotice &Notice, std::string_view Source,
+                std::string_view Request = {});
+  /// The known registration of an endpoint; empty when it is unknown.
+  serving::RegistrationVersion registrationOf(const EndpointId &Id) const;
   /// Drops what this host has observed of an endpoint.
   void forgetEndpoint(const EndpointId &Id);
   /// Counts a crash for the requests that were lost at an endpoint to which no
--- a/Source/Core/Host/LinkMonitor.cpp
+++ b/Source/Core/Host/LinkMonitor.cpp
@@ -301,8 +301,14 @@
       Asked ? http::Address::parse(Asked->m_Registration.m_Address)
             : std::nullopt;
   if (Remote) {
+    const serving::RegistrationVersion Version =
+        Asked->m_Registration.version();
     std::string Path = healthPath(*Asked);
-    Status = co_await m_Health.check(*Remote, Id, std::move(Path));
+    const HealthAnswer Answer =
+        co_await m_Health.check(*Remote, Id, std::move(Path));
+    Status = Answer.m_Status;
+    if (m_NoticeListener)
+      m_NoticeListener(Id, Version, Answer.m_Notice);
   }
   --Current->m_Open;
   Current->m_AnyBroken |= Status == HealthStatus::Broken;
--- a/Source/Core/Host/LinkMonitor.h
+++ b/Source/Core/Host/LinkMonitor.h
@@ -24,6 +24,10 @@
 /// Thread safety: use from the host's io_context only.
 class LinkMonitor {
 public:
+  using NoticeListener = std::function<void(
+      const EndpointId &, const serving::RegistrationVersion &,
+      const EndpointNotice &)>;
+
   /// Precondition: the arguments outlive the object.
   LinkMonitor(boost::asio::io_context &Context, http::Client &Http,
               HealthChecker &Health,
@@ -38,6 +42,12 @@
     m_Listeners.push_back(std::move(Listener));
   }
 
+  /// Calls \p Listener with what the answer to each health check says of its
+  /// endpoint, and the registration by which that was asked.
+  void onNotice(NoticeListener Listener) {
+    m_NoticeListener = std::move(Listener);
+  }
+
   void onRequestSent(const EndpointId &Id);
   void onData();
   /// Called when a connection to an endpoint was lost or not established.
@@ -90,6 +100,7 @@
   boost::asio::io_context &m_Context;
   http::Client &m_Http;
   HealthChecker &m_Health;
+  NoticeListener m_NoticeListener;
   const serving::EndpointDirectory &m_Endpoints;
   const std::shared_ptr<const serving::Catalogue> &m_Catalogue;
   HostMetrics &m_Metrics;
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -67,6 +67,20 @@
   std::int64_t m_Waiting = 0;
 };
 
+/// What an answer says of its endpoint, whatever the request was.
+struct EndpointNotice {
+  bool m_IsLeaving = false; ///< The endpoint exits soon.
+  /// How long the endpoint wants no requests from this host, if the answer
+  /// turns the request away and names a time.
+  std::optional<Duration> m_RetryAfter;
+  /// One of the headers is present, but cannot be read.
+  bool m_IsUnreadable = false;
+
+  bool isEmpty() const {
+    return !m_IsLeaving && !m_RetryAfter && !m_IsUnreadable;
+  }
+};
+
 /// Meaning of the head of an endpoint's response.
 struct ResponseMetadata {
   bool m_NotRun = false; ///< The endpoint did not run the request.
@@ -85,6 +99,13 @@
   /// The response names such a limit, but not one that can be read.
   bool m_IsMaxRejectionsUnreadable = false;
   bool m_WasFull = false; ///< The endpoint had no room for the request.
+  EndpointNotice m_Notice;
+
+  /// Whether the endpoint that the request was sent to has made the response,
+  /// as far as can be known.
+  bool isFromEndpoint() const {
+    return (m_Sealed || m_NotRun) && !m_AddressReused;
+  }
 };
 
 /// Translates HTTP headers of callers and endpoints.
@@ -219,6 +240,11 @@
   Unknown, ///< No response: the order may be executed now, later or never.
 };
 
+struct OrderAnswer {
+  OrderStatus m_Status = OrderStatus::Unknown;
+  EndpointNotice m_Notice; ///< Empty unless the endpoint itself has answered.
+};
+
 /// State that an endpoint that runs models reports.
 struct EngineReport {
   serving::Inventory m_Inventory;
@@ -227,15 +253,19 @@
   std::vector<serving::ModelName> m_PendingAdapters;
 };
 
+struct ReportAnswer {
+  std::optional<EngineReport> m_Report; ///< Empty if there is none.
+  EndpointNotice m_Notice; ///< Empty unless the endpoint itself has answered.
+};
+
 /// Sends orders to endpoints that run models and reads their reports.
 /// Thread safety: use from the host's io_context only.
 class EngineControl {
 public:
   virtual ~EngineControl() = default;
-  virtual Task<OrderStatus> send(http::Address Remote, EndpointId Id,
+  virtual Task<OrderAnswer> send(http::Address Remote, EndpointId Id,
                                  Order Request) = 0;
-  virtual Task<std::optional<EngineReport>> report(http::Address Remote,
-                                                   EndpointId Id) = 0;
+  virtual Task<ReportAnswer> report(http::Address Remote, EndpointId Id) = 0;
 };
 
 /// What an endpoint says of itself in a health check.
@@ -246,6 +276,11 @@
   Broken,     ///< The connection was refused or lost, or the answer invalid.
 };
 
+struct HealthAnswer {
+  HealthStatus m_Status = HealthStatus::NoAnswer;
+  EndpointNotice m_Notice; ///< Empty unless the endpoint itself has answered.
+};
+
 /// Asks endpoints of any service for their health.
 /// Thread safety: use from the host's io_context only.
 class HealthChecker {
@@ -253,7 +288,7 @@
   virtual ~HealthChecker() = default;
   /// Sends a health check to \p Path at \p Remote and waits for less than a
   /// second for the answer of \p Id.
-  virtual Task<HealthStatus> check(http::Address Remote, EndpointId Id,
+  virtual Task<HealthAnswer> check(http::Address Remote, EndpointId Id,
                                    std::string Path) = 0;
 };
 
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -338,7 +338,7 @@
   m_Current = startAttempt(Id);
   m_State.m_SendRates.add(m_Service->m_Name, 1, now());
   const auto Watch = watchCurrent();
-  http::OpenResult Result = co_await open(*m_Current, *Remote);
+  http::OpenResult Result = co_await open(m_Current, *Remote);
   if (auto *Failure = std::get_if<http::TransportFailure>(&Result))
     co_return co_await onOpenFailed(Id, std::move(*Failure));
   co_return co_await onOpened(std::get<OpenStream>(std::move(Result)));
@@ -372,14 +372,18 @@
           }};
 }
 
-Task<http::OpenResult> RequestSession::open(const Attempt &Sent,
+Task<http::OpenResult> RequestSession::open(std::shared_ptr<Attempt> Sent,
                                             http::Address Remote) {
-  http::Request Outgoing = m_State.m_Platform.m_WireFormat->encode(
-      m_Incoming, dispatchFacts(Sent.endpoint()));
+  const WireFormat &Format = *m_State.m_Platform.m_WireFormat;
+  http::Request Outgoing =
+      Format.encode(m_Incoming, dispatchFacts(Sent->endpoint()));
   http::ClientOptions Options = callOptions();
-  Options.m_Canceller = Sent.canceller();
-  return m_State.m_Http.open(std::move(Remote), std::move(Outgoing),
-                             std::move(Options));
+  Options.m_Canceller = Sent->canceller();
+  http::OpenResult Result = co_await m_State.m_Http.open(
+      std::move(Remote), std::move(Outgoing), std::move(Options));
+  if (const auto *Answer = std::get_if<OpenStream>(&Result))
+    recordReports(*Sent, Format.decode((*Answer)->head()));
+  co_return Result;
 }
 
 Task<RequestSession::Step> RequestSession::onOpened(OpenStream Answer) {
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -126,7 +126,10 @@
   /// Watches the current attempt for silence. The attempt ends with the
   /// returned guard.
   std::shared_ptr<void> watchCurrent();
-  Task<http::OpenResult> open(const Attempt &Sent, http::Address Remote);
+  /// Sends the request and waits for the head of the answer. Records what that
+  /// says of its endpoint, whatever becomes of the answer.
+  Task<http::OpenResult> open(std::shared_ptr<Attempt> Sent,
+                              http::Address Remote);
   Task<Step> onOpened(OpenStream Answer);
   Task<Step> onNotRun(ResponseMetadata Facts, int Status);
   /// Handles a failure of the endpoint while a second attempt is under way.
@@ -203,7 +206,7 @@
   static Task<void> probeLater(std::shared_ptr<RequestSession> Self,
                                EndpointId Id);
   serving::CallResult resultOf(const http::TransportFailure &Failure) const;
-  /// Records the load and the request rate that an answer of an endpoint names.
+  /// Records what an answer of an endpoint says of it.
   void recordReports(const Attempt &Answered, const ResponseMetadata &Facts);
   void recordRateLimit(const Attempt &Answered, const ResponseMetadata &Facts);
   /// Records what an answer says of the room at its endpoint.
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -33,7 +33,6 @@
                                                   OpenStream Answer) {
   const http::Response &Head = Answer->head();
   const ResponseMetadata Facts = m_State.m_Platform.m_WireFormat->decode(Head);
-  recordReports(*m_Current, Facts);
   if (Facts.m_NotRun) {
     Answer->close();
     co_return co_await onNotRun(Facts, Head.m_Status);
@@ -76,8 +75,11 @@
     m_State.m_Chooser.loads().onReport(
         Id, Facts.m_Load->m_Running + Facts.m_Load->m_Waiting, Duration::zero(),
         now());
-  const bool IsTrusted = Facts.m_Sealed || Facts.m_NotRun;
-  if (!IsTrusted || Facts.m_AddressReused || !m_State.m_Endpoints.find(Id))
+  if (!Facts.isFromEndpoint())
+    return;
+  m_State.onNotice(Id, Answered.registration(), Facts.m_Notice, "request",
+                   m_Facts.m_Id.str());
+  if (!m_State.m_Endpoints.find(Id))
     return;
   recordRateLimit(Answered, Facts);
   recordCapacity(Answered, Facts);
--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -136,7 +136,7 @@
   const auto Backup = startAttempt(Id);
   m_Backup = Backup;
   m_State.m_Metrics.onRetry();
-  http::OpenResult Result = co_await open(*Backup, *Remote);
+  http::OpenResult Result = co_await open(Backup, *Remote);
   if (m_Backup == Backup)
     m_Backup.reset();
   if (const auto *Failure = std::get_if<http::TransportFailure>(&Result))
@@ -168,7 +168,6 @@
       m_State.m_Platform.m_WireFormat->decode(Answer->head());
   if (Facts.m_NotRun) {
     m_History.onSent();
-    recordReports(*Opened, Facts);
     recordRefusal(*Opened, Facts, Answer->head().m_Status);
     return false;
   }
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -179,13 +179,15 @@
     co_return;
   const serving::Service *Service =
       m_State.m_Catalogue->findService(Known->m_Registration.m_Service);
-  auto Status = HealthStatus::NoAnswer;
+  const serving::RegistrationVersion Asked = Known->m_Registration.version();
+  HealthAnswer Answer;
   if (Service && !Service->m_HealthPath.empty())
-    Status = co_await m_State.m_Platform.m_Health->check(*Remote, Id,
+    Answer = co_await m_State.m_Platform.m_Health->check(*Remote, Id,
                                                          Service->m_HealthPath);
   log::info(log::Category::Membership, "endpoint.removal_checked",
-            {{"endpoint", Id}, {"health", toString(Status)}});
-  if (Status == HealthStatus::Serving)
+            {{"endpoint", Id}, {"health", toString(Answer.m_Status)}});
+  m_State.onNotice(Id, Asked, Answer.m_Notice, "health_check");
+  if (Answer.m_Status == HealthStatus::Serving)
     co_return;
   if (const auto Gone = m_State.m_Endpoints.confirmRemoval(Id, now())) {
     m_State.m_Metrics.onRemoval("confirmed");
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -140,6 +140,8 @@
   Task<bool> loadAdapter(Target Destination, serving::ModelName Name,
                          serving::EngineSpec Engine);
   Task<bool> evictAdapter(Target Destination, EngineReport Report);
+  /// Reads the endpoint's report. Returns nothing if it cannot be read.
+  Task<std::optional<EngineReport>> fetchReport(Target Destination);
   /// Reads the endpoint's report unless it is already known. False when it
   /// cannot be read or an order is being executed.
   Task<bool> ensureReport(Target Destination);
--- a/Source/Core/Host/SwapServiceOrders.cpp
+++ b/Source/Core/Host/SwapServiceOrders.cpp
@@ -141,17 +141,23 @@
       m_ManagedEndpoints[Destination.m_Id].m_LastOrderAt + ReportLag;
   if (now() < Settled)
     co_await sleepFor(Settled - now());
-  auto Report = co_await m_State.m_Platform.m_Engines->report(
-      Destination.m_Address, Destination.m_Id);
+  auto Report = co_await fetchReport(Destination);
   if (!Report || Report->m_OrderRunning)
     co_return false;
   m_ManagedEndpoints[Destination.m_Id].m_Report = std::move(Report);
   co_return true;
 }
 
-Task<bool> SwapService::orderCountsMatch(Target Destination) {
-  const auto Report = co_await m_State.m_Platform.m_Engines->report(
+Task<std::optional<EngineReport>> SwapService::fetchReport(Target Destination) {
+  const auto Asked = m_State.registrationOf(Destination.m_Id);
+  ReportAnswer Answer = co_await m_State.m_Platform.m_Engines->report(
       Destination.m_Address, Destination.m_Id);
+  m_State.onNotice(Destination.m_Id, Asked, Answer.m_Notice, "report");
+  co_return std::move(Answer.m_Report);
+}
+
+Task<bool> SwapService::orderCountsMatch(Target Destination) {
+  const auto Report = co_await fetchReport(Destination);
   const ManagedEndpoint &Known = m_ManagedEndpoints[Destination.m_Id];
   co_return Report &&Known.m_Report &&
       Report->m_AcceptedOrders <= Known.m_Report->m_AcceptedOrders &&
@@ -176,8 +182,11 @@
     co_return OrderStatus::Rejected;
   const Order Request{Kind, Name, m_OrderLeases.member(), *Token,
                       Known.m_Report->m_AcceptedOrders};
-  const OrderStatus Status = co_await m_State.m_Platform.m_Engines->send(
+  const auto Asked = m_State.registrationOf(Destination.m_Id);
+  const OrderAnswer Answer = co_await m_State.m_Platform.m_Engines->send(
       Destination.m_Address, Destination.m_Id, Request);
+  const OrderStatus Status = Answer.m_Status;
+  m_State.onNotice(Destination.m_Id, Asked, Answer.m_Notice, "order");
   m_State.m_Metrics.onOrder(toString(Status));
   log::entry(LogCategory, "order.sent", Name.str(),
              {{"endpoint", Destination.m_Id},
--- a/Source/UnitTests/Host/FakeStore.h
+++ b/Source/UnitTests/Host/FakeStore.h
@@ -71,8 +71,8 @@
 /// An endpoint that never answers a health check. Thread safety: none.
 class FakeHealthChecker final : public HealthChecker {
 public:
-  Task<HealthStatus> check(http::Address, EndpointId, std::string) override {
-    co_return HealthStatus::NoAnswer;
+  Task<HealthAnswer> check(http::Address, EndpointId, std::string) override {
+    co_return HealthAnswer();
   }
 };
 
