Take an endpoint out of use as soon as it says that it leaves

A host learned of a leave from the store alone: one that was cut off from the store for 12 s went by its last registration, and one in touch went by a registration that was up to a drain time old. The header in each answer was read by nobody.

An endpoint that says so in any answer counts as draining from then on: no request, retry, second attempt, resumed stream or order goes there, and it has no place in replica counts. Registrations of the same process do not end it, also when they expire and return; a new process does. The holder that is asked for a model is told, and a host that passed a request on is told by which endpoint it was answered.

--- a/Source/Core/Core/Serving/EndpointDirectory.cpp
+++ b/Source/Core/Core/Serving/EndpointDirectory.cpp
@@ -75,6 +75,8 @@
 
 RegistrationEffect EndpointDirectory::apply(Registration Incoming,
                                             Instant Now) {
+  // The registry may list an endpoint as active after it has said otherwise.
+  Incoming.m_Draining = Incoming.m_Draining || hasSaidToLeave(Incoming);
   const auto Found = m_Endpoints.find(Incoming.m_Id);
   if (Found == m_Endpoints.end()) {
     m_RolloutDetector.onAdded(Incoming.m_Service, Now);
@@ -241,6 +243,43 @@
   return Result;
 }
 
+bool EndpointDirectory::hasSaidToLeave(const Registration &Entry) const {
+  const auto Found = m_Departures.find(Entry.m_Id);
+  return Found != m_Departures.end() &&
+         Entry.m_Incarnation <= Found->second.m_Process;
+}
+
+bool EndpointDirectory::onLeaving(const EndpointId &Id,
+                                  const Incarnation &Leaving, Instant Now) {
+  std::erase_if(m_Departures, [&](const auto &Entry) {
+    return !m_Endpoints.contains(Entry.first) &&
+           Now - Entry.second.m_NoticedAt > DepartureRetention;
+  });
+  Departure &Latest = m_Departures[Id];
+  Latest.m_Process = std::max(Latest.m_Process, Leaving);
+  Latest.m_NoticedAt = Now;
+  const auto Found = m_Endpoints.find(Id);
+  if (Found == m_Endpoints.end())
+    return false;
+  Endpoint &Existing = Found->second;
+  if (!hasSaidToLeave(Existing.m_Registration))
+    return false;
+  const bool Accepted = Existing.acceptsRequests();
+  if (!std::exchange(Existing.m_Registration.m_Draining, true))
+    m_RolloutDetector.onLeaving(Existing.m_Registration.m_Service, Now);
+  return Accepted;
+}
+
+std::map<EndpointId, RegistrationVersion>
+EndpointDirectory::departures(std::string_view Service) const {
+  std::map<EndpointId, RegistrationVersion> Result;
+  for (const auto &[Id, Existing] : m_Endpoints)
+    if (Existing.m_Registration.m_Service == Service &&
+        hasSaidToLeave(Existing.m_Registration))
+      Result.emplace(Id, Existing.m_Registration.version());
+  return Result;
+}
+
 const Endpoint *EndpointDirectory::find(const EndpointId &Id) const {
   const auto Found = m_Endpoints.find(Id);
   return Found == m_Endpoints.end() ? nullptr : &Found->second;
--- a/Source/Core/Core/Serving/EndpointDirectory.h
+++ b/Source/Core/Core/Serving/EndpointDirectory.h
@@ -163,6 +163,16 @@
   std::map<EndpointId, RegistrationVersion>
   voidRegistrations(std::string_view Service) const;
 
+  /// Records that the process \p Leaving of an endpoint has said itself that it
+  /// leaves. It accepts no requests from then on, whatever its registrations
+  /// say; a later process under the same id does. Returns true if it accepted
+  /// requests before.
+  bool onLeaving(const EndpointId &Id, const Incarnation &Leaving, Instant Now);
+  /// Returns the endpoints of a service that have said themselves that they
+  /// leave, with the registrations that are known of them.
+  std::map<EndpointId, RegistrationVersion>
+  departures(std::string_view Service) const;
+
   const Endpoint *find(const EndpointId &Id) const;
   /// Returns the endpoints of a service that accept requests.
   std::vector<const Endpoint *> serving(std::string_view Service) const;
@@ -178,6 +188,17 @@
   };
   using InventoryOverrides = std::map<ModelName, InventoryOverride>;
 
+  /// A process that has said itself that it leaves.
+  struct Departure {
+    Incarnation m_Process;
+    Instant m_NoticedAt;
+  };
+  /// How long a departure is kept without a registration. A registration may
+  /// expire in an outage and return while its endpoint still serves.
+  static constexpr milliseconds DepartureRetention{600000};
+
+  /// Returns whether the process of the registration has said that it leaves.
+  bool hasSaidToLeave(const Registration &Entry) const;
   void setLoaded(const EndpointId &Id, const ModelName &Name, bool IsLoaded,
                  Instant Now);
   void applyOverrides(Registration &Incoming, Instant Now);
@@ -187,6 +208,7 @@
 
   std::map<EndpointId, Endpoint> m_Endpoints;
   std::map<EndpointId, InventoryOverrides> m_Overrides;
+  std::map<EndpointId, Departure> m_Departures;
   RolloutDetector m_RolloutDetector;
   bool m_RegistryUnavailable = false;
   std::optional<Instant> m_RegistryRestoredAt;
--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -228,6 +228,7 @@
     Demand.m_ReportedMissingBy.assign(MissingAt.mapped().begin(),
                                       MissingAt.mapped().end());
   Demand.m_VoidRegistrations = m_State.m_Endpoints.voidRegistrations(Service);
+  Demand.m_LeavingEndpoints = m_State.m_Endpoints.departures(Service);
   if (const auto Found = m_Waiting.find(Name); Found != m_Waiting.end())
     Demand.m_Waiting = Found->second;
   Demand.m_MayLoadRemote =
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -103,6 +103,10 @@
         std::pair(Notice.m_IsUnreadable, "unreadable")})
     if (IsGiven)
       m_Metrics.onEndpointNotice(Kind);
+  const bool IsNews = Notice.m_IsLeaving && onLeaving(Id, Asked);
+  // An endpoint that leaves says so in each answer.
+  if (!IsNews && !Notice.m_RetryAfter && !Notice.m_IsUnreadable)
+    return;
   log::request(
       log::Category::Membership, "endpoint.notice", Request, {},
       {{"endpoint", Id},
@@ -116,6 +120,15 @@
        {"registrations_age_ms", endpointsAge().count()}});
 }
 
+bool HostState::onLeaving(const EndpointId &Id,
+                          const serving::RegistrationVersion &Asked) {
+  if (!m_Endpoints.onLeaving(Id, {Asked.m_StartedAtMs}, now()))
+    return false;
+  m_Metrics.onRemoval("said_to_leave");
+  m_Changed.notifyAll();
+  return true;
+}
+
 serving::RegistrationVersion
 HostState::registrationOf(const EndpointId &Id) const {
   const serving::Endpoint *Known = m_Endpoints.find(Id);
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -120,6 +120,9 @@
   serving::DemandRates m_OwnDemand;
 
 private:
+  /// Takes an endpoint out of use that leaves. Returns true if it was in use.
+  bool onLeaving(const EndpointId &Id,
+                 const serving::RegistrationVersion &Asked);
   void onLinksChanged();
   static milliseconds ageOf(const std::optional<Instant> &ConfirmedAt);
 
--- a/Source/Core/Host/PeerMessages.h
+++ b/Source/Core/Host/PeerMessages.h
@@ -45,6 +45,9 @@
   /// Endpoints of the service whose addresses belong to other endpoints, with
   /// the registrations up to which this is known.
   std::map<EndpointId, serving::RegistrationVersion> m_VoidRegistrations;
+  /// Endpoints of the service that have told the sender that they leave, with
+  /// the registrations by which it knows them.
+  std::map<EndpointId, serving::RegistrationVersion> m_LeavingEndpoints;
 
   static constexpr auto describe() {
     using codec::field;
@@ -60,7 +63,8 @@
         field("replica", &ModelDemand::m_Replica),
         field("estimate", &ModelDemand::m_WantsEstimate),
         field("lacked_by", &ModelDemand::m_ReportedMissingBy),
-        field("void", &ModelDemand::m_VoidRegistrations));
+        field("void", &ModelDemand::m_VoidRegistrations),
+        field("leaving", &ModelDemand::m_LeavingEndpoints));
   }
 };
 
--- a/Source/Core/Host/PeerRelay.h
+++ b/Source/Core/Host/PeerRelay.h
@@ -26,6 +26,10 @@
 constexpr std::string_view RelayOutcomeNotRun = "not-run";
 constexpr std::string_view RelayOutcomeUnknown = "unknown";
 
+/// Header by which a host names the endpoint whose answer it passes back to the
+/// host that has passed the request on.
+constexpr std::string_view RelayEndpointHeader = "Relay-Endpoint";
+
 /// Path at which a host that works answers at once. Older hosts answer with
 /// status 400, which shows as much.
 constexpr std::string_view AlivePath = "/v1/alive";
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -196,6 +196,13 @@
   void markRelayOutcome(http::Response &Answer, std::string_view Reason) const;
   Task<Step> forwardRelayed(HostId Host, OpenStream Answer);
   Task<Step> forwardRelayedStream(HostId Host, OpenStream Answer);
+  /// Returns the head of an endpoint's answer in the form that is sent to the
+  /// caller, or to the host that has passed the request on.
+  http::Response makeAnswerHead(const http::Response &Head) const;
+  /// Records what an answer that came through another host says of its
+  /// endpoint.
+  void recordRelayedNotice(const http::Response &Head,
+                           const ResponseMetadata &Facts);
   /// Sends the head of a stream to the caller.
   Task<bool> beginStream(http::Response Head);
   /// Connects to an endpoint, to tell a crash from a lost answer or a regular
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -181,10 +181,8 @@
     recordOutcome("broken_off", 0, "resume_failed");
     co_return Step::Finished;
   }
-  http::Response Final =
-      m_State.m_Platform.m_WireFormat->makeCallerResponse(Answer->head());
+  http::Response Final = makeAnswerHead(Answer->head());
   Final.m_Body = std::move(Body);
-  Final.m_Headers.erase("Content-Length");
   if (isSuccess(Status) && !Final.m_EndsWithConnection)
     recordCompletion();
   m_State.m_Metrics.onFirstByte(now() - m_ArrivedAt);
@@ -269,11 +267,22 @@
   }
 }
 
+http::Response
+RequestSession::makeAnswerHead(const http::Response &Head) const {
+  http::Response Result =
+      m_State.m_Platform.m_WireFormat->makeCallerResponse(Head);
+  for (const std::string_view Name : {std::string_view("Content-Length"),
+                                      RelayOutcomeHeader, RelayEndpointHeader})
+    Result.m_Headers.erase(std::string(Name));
+  if (m_Origin == RequestOrigin::Host && m_Current)
+    Result.m_Headers.set(std::string(RelayEndpointHeader),
+                         m_Current->endpoint().str());
+  return Result;
+}
+
 Task<bool> RequestSession::beginStream(http::Response Head) {
   m_CallerReadsToEnd = Head.m_EndsWithConnection;
-  http::Response Begun =
-      m_State.m_Platform.m_WireFormat->makeCallerResponse(Head);
-  Begun.m_Headers.erase("Content-Length");
+  http::Response Begun = makeAnswerHead(Head);
   m_State.m_Metrics.onFirstByte(now() - m_ArrivedAt);
   m_HeadSent = true;
   m_IsDelivering = true;
--- a/Source/Core/Host/RequestSessionRelay.cpp
+++ b/Source/Core/Host/RequestSessionRelay.cpp
@@ -65,13 +65,27 @@
     co_return co_await onRelayFailed(Call.m_Host, *Failure);
   m_RelayProgressAt = now();
   const auto Answer = std::get<OpenStream>(Call.m_Result);
+  const ResponseMetadata Facts =
+      m_State.m_Platform.m_WireFormat->decode(Answer->head());
   // Only endpoints seal their answers.
-  if (!m_State.m_Platform.m_WireFormat->decode(Answer->head()).m_Sealed)
+  if (!Facts.m_Sealed)
     co_return co_await onUnsealedRelay(Call.m_Host, Answer);
+  recordRelayedNotice(Answer->head(), Facts);
   m_DispatchGuard.markSent();
   co_return co_await forwardRelayed(Call.m_Host, Answer);
 }
 
+void RequestSession::recordRelayedNotice(const http::Response &Head,
+                                         const ResponseMetadata &Facts) {
+  const EndpointId Id(std::string(Head.m_Headers.view(RelayEndpointHeader)));
+  // A time without requests concerns only the host that was turned away.
+  EndpointNotice Notice;
+  Notice.m_IsLeaving = Facts.m_Notice.m_IsLeaving;
+  if (!Id.str().empty())
+    m_State.onNotice(Id, m_State.registrationOf(Id), Notice, "relayed_request",
+                     m_Facts.m_Id.str());
+}
+
 std::shared_ptr<void> RequestSession::watchRelay(const HostId &Host) {
   m_RelayProgressAt = now();
   startRelayTimer(Host);
@@ -241,10 +255,7 @@
     recordOutcome("broken_off", 0, "resume_failed");
     co_return Step::Finished;
   }
-  http::Response Final =
-      m_State.m_Platform.m_WireFormat->makeCallerResponse(Answer->head());
-  Final.m_Headers.erase("Content-Length");
-  Final.m_Headers.erase(std::string(RelayOutcomeHeader));
+  http::Response Final = makeAnswerHead(Answer->head());
   Final.m_Body = std::move(Body);
   m_State.m_Metrics.onRelay(IsRefusal ? "refused" : "answered");
   m_State.m_Metrics.onFirstByte(now() - m_ArrivedAt);
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -136,6 +136,10 @@
   applyMissingModels(Demand);
   for (const auto &[Id, Version] : Demand.m_VoidRegistrations)
     m_State.onAddressReused(Id, Version);
+  EndpointNotice Leaving;
+  Leaving.m_IsLeaving = true;
+  for (const auto &[Id, Version] : Demand.m_LeavingEndpoints)
+    m_State.onNotice(Id, Version, Leaving, "demand");
   schedulePending();
   while (true) {
     if (const auto Answer = currentResponse(Demand, Key, now() >= Planned))
--- a/Source/UnitTests/Core/Serving/EndpointDirectoryTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointDirectoryTest.cpp
@@ -48,6 +48,45 @@
             RegistrationEffect::Stale);
 }
 
+// Guards against requests to an endpoint that has said that it leaves: a later
+// registration lists it as active, expires, and returns.
+TEST(EndpointDirectoryTest, RegistrationsDoNotEndWhatAnEndpointHasSaid) {
+  EndpointDirectory Directory;
+  Directory.apply(makeRegistration(1, {}), Start);
+  EXPECT_TRUE(Directory.onLeaving(First, {1}, Start));
+  EXPECT_FALSE(Directory.onLeaving(First, {1}, Start));
+  EXPECT_EQ(Directory.apply(makeRegistration(2, {}), Start),
+            RegistrationEffect::Refreshed);
+  EXPECT_TRUE(Directory.serving("engine").empty());
+  EXPECT_TRUE(Directory.remove(First, Start));
+  Directory.apply(makeRegistration(3, {}), Start);
+  EXPECT_TRUE(Directory.serving("engine").empty());
+  EXPECT_EQ(Directory.departures("engine").size(), 1U);
+  EXPECT_TRUE(Directory.departures("plain").empty());
+}
+
+// Guards against a new process of an endpoint that gets no requests because the
+// one before it left, or because a late answer of that one says so.
+TEST(EndpointDirectoryTest, NewProcessOfAnEndpointThatLeftAcceptsRequests) {
+  EndpointDirectory Directory;
+  Directory.apply(makeRegistration(9, {}, 1), Start);
+  Directory.onLeaving(First, {1}, Start);
+  EXPECT_EQ(Directory.apply(makeRegistration(1, {}, 2), Start),
+            RegistrationEffect::Restarted);
+  EXPECT_EQ(Directory.serving("engine").size(), 1U);
+  EXPECT_FALSE(Directory.onLeaving(First, {1}, Start));
+  EXPECT_EQ(Directory.serving("engine").size(), 1U);
+}
+
+// Guards against a notice that is lost because it comes before the registration
+// that it is about.
+TEST(EndpointDirectoryTest, NoticeBeforeTheRegistrationCounts) {
+  EndpointDirectory Directory;
+  EXPECT_FALSE(Directory.onLeaving(First, {1}, Start));
+  Directory.apply(makeRegistration(1, {}, 1), Start);
+  EXPECT_TRUE(Directory.serving("engine").empty());
+}
+
 // Guards against sending requests to an endpoint that has announced its
 // shutdown.
 TEST(EndpointDirectoryTest, DrainingEndpointIsNotReadmitted) {
