Leave an endpoint alone for as long as it has asked for

Retry-After of an endpoint was read by nobody, and a rejection excluded the endpoint for the one request that got it.

EndpointBackoff keeps the time for each process of an endpoint. All requests of callers wait: new ones, retries, second attempts, resumed streams, and those whose connection is still being established, which the client now asks about before it writes. If all endpoints that could serve a request rest, it waits if its caller does, else it is refused at once with that time as Retry-After. No swap begins there.

--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -103,9 +103,12 @@
         std::pair(Notice.m_IsUnreadable, "unreadable")})
     if (IsGiven)
       m_Metrics.onEndpointNotice(Kind);
-  const bool IsNews = Notice.m_IsLeaving && onLeaving(Id, Asked);
+  bool IsNews = Notice.m_IsLeaving && onLeaving(Id, Asked);
+  if (Notice.m_RetryAfter)
+    IsNews |= m_Backoff.onTurnedAway(Id, {Asked.m_StartedAtMs},
+                                     *Notice.m_RetryAfter, now());
   // An endpoint that leaves says so in each answer.
-  if (!IsNews && !Notice.m_RetryAfter && !Notice.m_IsUnreadable)
+  if (!IsNews && !Notice.m_IsUnreadable)
     return;
   log::request(
       log::Category::Membership, "endpoint.notice", Request, {},
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -3,6 +3,7 @@
 #include "Common/Logging/Log.h"
 #include "Common/Time/Clock.h"
 #include "Core/Serving/DemandRates.h"
+#include "Core/Serving/EndpointBackoff.h"
 #include "Core/Serving/EndpointChooser.h"
 #include "Core/Serving/EndpointRateLimits.h"
 #include "Core/Serving/FleetSize.h"
@@ -107,6 +108,7 @@
   /// The registry has been listed at least once.
   bool m_EndpointsKnown = false;
   serving::EndpointChooser m_Chooser;
+  serving::EndpointBackoff m_Backoff;
   serving::EndpointRateLimits m_RateLimits;
   serving::RejectionLimits m_RejectionLimits;
   /// Requests that wait until the rates of a service's endpoints allow them.
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -199,7 +199,7 @@
 }
 
 std::vector<const serving::Endpoint *> RequestSession::candidates() const {
-  auto List = holders();
+  auto List = openHolders();
   std::erase_if(List, [this, Now = now()](const serving::Endpoint *Holder) {
     return !m_State.m_RateLimits.allows(Holder->id(), Now) ||
            !m_State.m_RejectionLimits.allows(*Holder, Now);
@@ -207,6 +207,14 @@
   return List;
 }
 
+std::vector<const serving::Endpoint *> RequestSession::openHolders() const {
+  auto List = holders();
+  std::erase_if(List, [this, Now = now()](const serving::Endpoint *Holder) {
+    return !m_State.m_Backoff.allows(*Holder, Now);
+  });
+  return List;
+}
+
 std::vector<const serving::Endpoint *> RequestSession::holders() const {
   auto List = m_State.m_Endpoints.serving(m_Service->m_Name);
   const serving::ModelName &Name = m_Facts.m_Model;
@@ -258,6 +266,8 @@
     co_await endWithFailure("no_endpoint_of_version");
     co_return Step::Finished;
   }
+  if (!holders().empty() && openHolders().empty())
+    co_return co_await waitForBackoff();
   if (List.empty() && mustAwaitRoom())
     co_return co_await waitForRoom();
   if (List.empty() && NeedsModel)
@@ -372,6 +382,12 @@
           }};
 }
 
+bool RequestSession::mayStillSend(const Attempt &Chosen) const {
+  const serving::Endpoint *Known = m_State.m_Endpoints.find(Chosen.endpoint());
+  return Known && Known->acceptsRequests() &&
+         m_State.m_Backoff.allows(*Known, now());
+}
+
 Task<http::OpenResult> RequestSession::open(std::shared_ptr<Attempt> Sent,
                                             http::Address Remote) {
   const WireFormat &Format = *m_State.m_Platform.m_WireFormat;
@@ -379,6 +395,7 @@
       Format.encode(m_Incoming, dispatchFacts(Sent->endpoint()));
   http::ClientOptions Options = callOptions();
   Options.m_Canceller = Sent->canceller();
+  Options.m_MaySend = [this, Sent] { return mayStillSend(*Sent); };
   http::OpenResult Result = co_await m_State.m_Http.open(
       std::move(Remote), std::move(Outgoing), std::move(Options));
   if (const auto *Answer = std::get_if<OpenStream>(&Result))
@@ -402,8 +419,8 @@
 
 Task<RequestSession::Step>
 RequestSession::onOpenFailed(EndpointId Id, http::TransportFailure Failure) {
-  m_History.exclude(Id);
   if (!Failure.isKnownNotSent()) {
+    m_History.exclude(Id);
     m_History.onSent();
     co_return co_await onIncompleteResponse(Id, resultOf(Failure),
                                             Failure.m_Detail);
@@ -411,8 +428,10 @@
   m_Current->onNotRun();
   // Nothing was sent, so what was taken from the budget covers the next send.
   m_RetryGranted = m_History.sends() > 0;
-  if (isOver())
+  // An endpoint that was connected to is not out of reach.
+  if (isOver() || Failure.m_Stage == http::FailureStage::NotSent)
     co_return Step::TryAgain;
+  m_History.exclude(Id);
   const bool HasLinks = co_await onUnreachable(Id);
   if (HasLinks)
     m_State.spawn("attribute_losses", m_State.attributeLosses(Id));
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -107,9 +107,15 @@
   /// Endpoints that serve the request's service, hold its model and have a
   /// software version that may run it.
   std::vector<const serving::Endpoint *> holders() const;
-  /// The holders whose limits allow a request now.
+  /// The holders that have not asked this host for a time without requests.
+  std::vector<const serving::Endpoint *> openHolders() const;
+  /// The open holders whose limits allow a request now.
   std::vector<const serving::Endpoint *> candidates() const;
   Task<Step> waitForModel();
+  /// Waits until one of the holders, all of which have turned this host away,
+  /// wants requests again, or refuses the request if its caller will not wait
+  /// that long.
+  Task<Step> waitForBackoff();
   /// Waits until the request rate of an endpoint allows the request, or refuses
   /// it if the caller will not wait that long.
   Task<Step> waitForRate();
@@ -126,6 +132,9 @@
   /// Watches the current attempt for silence. The attempt ends with the
   /// returned guard.
   std::shared_ptr<void> watchCurrent();
+  /// Whether the endpoint of an attempt still takes the request, which waits
+  /// for its connection.
+  bool mayStillSend(const Attempt &Chosen) const;
   /// Sends the request and waits for the head of the answer. Records what that
   /// says of its endpoint, whatever becomes of the answer.
   Task<http::OpenResult> open(std::shared_ptr<Attempt> Sent,
--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -155,7 +155,7 @@
   Failed.onNotRun();
   m_History.exclude(Failed.endpoint());
   m_RetryGranted = true;
-  if (!WasCancelled)
+  if (!WasCancelled && Failure.m_Stage == http::FailureStage::Connect)
     m_State.spawn("attribute_crash",
                   reportUnreachable(shared_from_this(), Failed.endpoint()));
   return false;
--- a/Source/Core/Host/RequestSessionWaits.cpp
+++ b/Source/Core/Host/RequestSessionWaits.cpp
@@ -63,8 +63,28 @@
   co_return Step::TryAgain;
 }
 
+Task<RequestSession::Step> RequestSession::waitForBackoff() {
+  const Duration Wait = m_State.m_Backoff.shortest(holders(), now());
+  const Duration CallerPatience =
+      m_Route->callerTimeout() - (now() - m_ArrivedAt);
+  const Duration WaitLimit =
+      std::min<Duration>(remainingTime() - MinUsefulTime, CallerPatience);
+  if (Wait > WaitLimit || m_State.m_Stopping) {
+    co_await endWithFailure("turned_away",
+                            toMilliseconds(Wait) + RetryAfterMargin);
+    co_return Step::Finished;
+  }
+  if (!std::exchange(m_WaitLogged, true))
+    logEvent("request.turned_away", {{"wait_ms", toMilliseconds(Wait).count()},
+                                     {"endpoints", holders().size()}});
+  // Another endpoint may hold the model before.
+  co_await m_State.m_Changed.wait(
+      std::clamp<Duration>(Wait, MinRateWait, RecheckInterval));
+  co_return Step::TryAgain;
+}
+
 Task<RequestSession::Step> RequestSession::waitForRate() {
-  const auto Holders = holders();
+  const auto Holders = openHolders();
   std::vector<EndpointId> Endpoints;
   Endpoints.reserve(Holders.size());
   for (const serving::Endpoint *Item : Holders)
@@ -95,7 +115,7 @@
 }
 
 bool RequestSession::mustAwaitRoom() const {
-  const auto Holders = holders();
+  const auto Holders = openHolders();
   return std::ranges::any_of(
       Holders, [this, Now = now()](const serving::Endpoint *Holder) {
         return m_State.m_RateLimits.allows(Holder->id(), Now) &&
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -277,7 +277,8 @@
     return false;
   ManagedEndpoint &Known = m_ManagedEndpoints[Best->id()];
   const auto Address = m_State.addressOf(Best->id());
-  if (Known.m_Busy || now() < Known.m_BackoffUntil || !Address)
+  if (Known.m_Busy || now() < Known.m_BackoffUntil || !Address ||
+      !m_State.m_Backoff.allows(*Best, now()))
     return true;
   Known.m_Busy = true;
   m_State.spawn("load_adapter",
@@ -328,6 +329,7 @@
   for (const serving::Endpoint *Item : endpointsOf(Request.m_Key)) {
     const ManagedEndpoint &Known = m_ManagedEndpoints[Item->id()];
     if (Known.m_Busy || now() < Known.m_BackoffUntil ||
+        !m_State.m_Backoff.allows(*Item, now()) ||
         Item->inventory().find(Model.m_Name) ||
         (Request.m_IsEligible && !Request.m_IsEligible(Item->id())))
       continue;
--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -435,6 +435,11 @@
     co_return TransportFailure{FailureStage::NotSent, false, "cancelled"};
   auto ActiveConnection =
       std::get<std::shared_ptr<Connection>>(std::move(ConnectionResult));
+  if (Options.m_MaySend && !Options.m_MaySend()) {
+    ActiveConnection->m_Stream.expires_never();
+    Pool->release(Remote, std::move(ActiveConnection));
+    co_return TransportFailure{FailureStage::NotSent, false, "not wanted"};
+  }
   if (Canceller)
     Canceller->m_Close = [Weak = std::weak_ptr<Connection>(ActiveConnection),
                           CompletedCalls = ActiveConnection->m_CompletedCalls] {
--- a/Source/Core/Net/Http/Client.h
+++ b/Source/Core/Net/Http/Client.h
@@ -18,7 +18,7 @@
 /// the endpoint cannot have received the request.
 enum class FailureStage {
   Connect, ///< No connection was established; no byte was written.
-  NotSent, ///< Connected, but cancelled before the first byte was written.
+  NotSent, ///< Connected, but ended before the first byte was written.
   Write,   ///< Part of the request may have been sent.
   Read,    ///< The request was sent; the response is missing or incomplete.
 };
@@ -74,6 +74,9 @@
   /// responses to an earlier request.
   std::optional<ExpectedEcho> m_ExpectedEcho = std::nullopt;
   std::shared_ptr<CallCanceller> m_Canceller = nullptr;
+  /// Asked once a connection is established. If it returns false, the call
+  /// fails before it sends any data.
+  std::function<bool()> m_MaySend = nullptr;
 };
 
 /// A response whose body is read incrementally.
