Take no answer for a request's own that does not name it on a kept connection

Other operators report callers who were told "not run" for requests that ran: a faulty endpoint had written an earlier refusal once more on a kept connection. It could happen here, and worse: a refusal without an id on a reused connection was taken for the answer, and a request that must not run twice was sent to an endpoint a second time while the first run went on (TWICE).

A response without the id of the request is now accepted only on a new connection, whatever its status. A refusal that names another request was skipped before, too; one that names the same request cannot come, as the connection of a refused send is closed.

HostTruncatedAnswerTest.RepeatedRefusalIsNoAnswerToALaterRequest: two sends and a 504 before, one send and the whole answer now.

--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -324,14 +324,15 @@
 
   /// Checks whether the response belongs to the request of this call. A
   /// response without the echo header is accepted only where no other request
-  /// can have caused it: on a new connection, or with a status of 300 or above.
+  /// can have caused it: on a new connection. On a reused one, a faulty endpoint
+  /// may have written an earlier refusal once more.
   bool matchesRequest() const {
     if (!m_Options.m_ExpectedEcho)
       return true;
     const std::string_view ResponseRequestId =
         m_Head.m_Headers.view(m_Options.m_ExpectedEcho->m_Header);
     if (ResponseRequestId.empty())
-      return !m_Reused || m_Head.m_Status >= 300;
+      return !m_Reused;
     return ResponseRequestId == m_Options.m_ExpectedEcho->m_Value;
   }
 
