Let no answer but a success go on with a stream that has begun

Here a 204 of that endpoint did it: any status from 200 to 299 counted as the rest of the stream, so an answer without events ended it with the mark of a complete one. A failure was kept from the caller, but ended the stream at once, and a 404 of a second attempt ended one whose first endpoint was only silent.

Only a 200 goes on with a stream. After any other answer the host tries again as far as attempts and the retry budget allow, and breaks the stream off visibly if none is left.

--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -413,7 +413,7 @@
   // decoded; a backup goes on until then.
   m_Current->onProgress();
   m_State.m_Links.onData();
-  m_State.m_Chooser.health().onLatency(Id, now() - m_Current->sentAt());
+  m_State.m_Chooser.health().onLatency(Id, now() - m_Current->sentAt(), now());
   co_return co_await onHead(Id, std::move(Answer));
 }
 
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -141,8 +141,8 @@
                               http::Address Remote);
   Task<Step> onOpened(OpenStream Answer);
   Task<Step> onNotRun(ResponseMetadata Facts, int Status);
-  /// Handles a failure of the endpoint while a second attempt is under way.
-  Step onFailedBeforeBackup(const EndpointId &Id, int Status);
+  /// Goes on without an answer that is not passed on.
+  Step onUnusableAnswer(const EndpointId &Id, int Status);
   void recordRefusal(Attempt &Refused, const ResponseMetadata &Facts,
                      int Status);
   Task<Step> onHead(EndpointId Id, OpenStream Answer);
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -14,6 +14,7 @@
 /// Largest event of a stream, of which an incomplete one is held in memory.
 constexpr std::size_t MaxEventBytes = 256 * 1024;
 
+constexpr int HttpOk = 200;
 constexpr int FirstServerErrorStatus = 500;
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
@@ -45,24 +46,27 @@
                                             "the answer has no seal");
   }
   const bool HasFailed = Head.m_Status >= FirstServerErrorStatus;
-  if (HasFailed && (m_Backup || m_Taken)) {
-    // The second attempt may still succeed.
+  const bool IsStream =
+      m_Route->m_Kind == serving::RouteKind::Stream && Head.m_Status == HttpOk;
+  // A second attempt may still succeed, and no other answer may reach the
+  // caller of a stream that has begun.
+  if ((HasFailed && (m_Backup || m_Taken)) || (m_HeadSent && !IsStream)) {
     Answer->close();
-    co_return onFailedBeforeBackup(Id, Head.m_Status);
+    co_return onUnusableAnswer(Id, Head.m_Status);
   }
   onProgress();
   m_Current->onAnswerBegun();
   m_Sessions.record(m_Facts.m_Session, Id);
-  const bool Streams = m_Route->m_Kind == serving::RouteKind::Stream;
-  if (Streams && isSuccess(Head.m_Status))
+  if (IsStream)
     co_return co_await forwardStream(Id, std::move(Answer));
   co_return co_await forwardBuffered(Id, std::move(Answer));
 }
 
-RequestSession::Step RequestSession::onFailedBeforeBackup(const EndpointId &Id,
-                                                          int Status) {
+RequestSession::Step RequestSession::onUnusableAnswer(const EndpointId &Id,
+                                                      int Status) {
   m_History.exclude(Id);
-  m_State.m_Chooser.health().onResult(Id, serving::CallResult::Failed, now());
+  if (Status >= FirstServerErrorStatus)
+    m_State.m_Chooser.health().onResult(Id, serving::CallResult::Failed, now());
   logEvent("request.failed_at_endpoint",
            {{"endpoint", Id}, {"status", Status}});
   return Step::TryAgain;
@@ -166,7 +170,7 @@
   m_State.m_Chooser.health().onResult(
       Id, Failed ? serving::CallResult::Failed : serving::CallResult::Success,
       now());
-  const bool Repeat = Failed && !m_HeadSent && m_Route->isIdempotent() &&
+  const bool Repeat = Failed && m_Route->isIdempotent() &&
                       candidates().size() > m_History.excluded().size() + 1 &&
                       tryAcquireRetry();
   if (Repeat) {
@@ -176,11 +180,6 @@
              {{"endpoint", Id}, {"status", Status}});
     co_return Step::TryAgain;
   }
-  if (m_HeadSent) {
-    m_Caller.abort();
-    recordOutcome("broken_off", 0, "resume_failed");
-    co_return Step::Finished;
-  }
   http::Response Final = makeAnswerHead(Answer->head());
   Final.m_Body = std::move(Body);
   if (isSuccess(Status) && !Final.m_EndsWithConnection)
--- a/Source/Core/Host/RequestSessionRelay.cpp
+++ b/Source/Core/Host/RequestSessionRelay.cpp
@@ -11,6 +11,7 @@
 /// Retry-After of requests that no host can take. The caller's next try may
 /// reach another host.
 constexpr milliseconds NoHostRetryAfter{500};
+constexpr int HttpOk = 200;
 /// Status of answers by which a host refuses a request that has not run.
 constexpr int RefusalStatus = 503;
 /// Status of answers to requests whose time is over.
@@ -229,8 +230,8 @@
                                                           OpenStream Answer) {
   const int Status = Answer->head().m_Status;
   const bool IsRefusal = isRefusal(Answer->head());
-  const bool IsStream = m_Route->m_Kind == serving::RouteKind::Stream &&
-                        Status >= 200 && Status < 300;
+  const bool IsStream =
+      m_Route->m_Kind == serving::RouteKind::Stream && Status == HttpOk;
   if (IsStream)
     co_return co_await forwardRelayedStream(Host, std::move(Answer));
   std::string Body;
--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds MinSilenceTimeout{400};
 /// The same for a pause in a stream that can be resumed at another endpoint.
 constexpr milliseconds StreamSilenceTimeout{1500};
+constexpr int HttpOk = 200;
 constexpr int FirstServerErrorStatus = 500;
 
 } // namespace
@@ -171,9 +172,12 @@
     recordRefusal(*Opened, Facts, Answer->head().m_Status);
     return false;
   }
-  // A failure is no reason to end an attempt that may still succeed.
+  // A failure is no reason to end an attempt that may still succeed, and only
+  // a success goes on with a stream that has begun.
+  const int Status = Answer->head().m_Status;
   const bool IsUseful =
-      !m_Current || Answer->head().m_Status < FirstServerErrorStatus;
+      !m_Current ||
+      (m_HeadSent ? Status == HttpOk : Status < FirstServerErrorStatus);
   if (!Facts.m_Sealed || !IsUseful || Opened->canceller()->cancelled()) {
     onBackupLost(*Opened, serving::CallResult::Broken);
     return false;
