Try endpoints again whose latency or failures are outdated

The penalty for a latency above twice the lowest outweighs all slots, an endpoint that is never chosen never answers, and so the average never changes. The same held for an endpoint that had failed a few requests.

What is known of an endpoint is outdated when nothing has been learned of it for 5 s. It is then chosen like the others, by one request, and what was known stays in force for the rest until that has an answer, which counts for half of the average.

EndpointChooserTest.EndpointThatIsAvoidedIsTriedAgain and EndpointThatStaysSlowGetsTrialsOnly are new.

--- a/Source/Core/Core/Serving/EndpointChooser.cpp
+++ b/Source/Core/Core/Serving/EndpointChooser.cpp
@@ -35,6 +35,9 @@
   double Load = std::max(0.0, m_Loads.estimate(Candidate.id(), Now));
   if (Candidate.m_Registration.m_Zone != m_LocalZone)
     Load += CrossZonePenalty * Slots;
+  // An endpoint that is never chosen would never get another chance.
+  if (m_Health.isOutdated(Candidate.id(), Now))
+    return Load;
   const double FailureRate = m_Health.failureRate(Candidate.id());
   Load += FailurePenalty * Slots *
           std::max(0.0, FailureRate - LowestFailureRate - FailureTolerance);
@@ -77,7 +80,10 @@
       routing::pickEndpoint(List, routing::ScoreWeights{}, m_Random);
   if (!Chosen)
     return std::nullopt;
-  return List[*Chosen].m_Endpoint;
+  EndpointId &Id = List[*Chosen].m_Endpoint;
+  if (m_Health.isOutdated(Id, Now))
+    m_Health.onTrial(Id, Now);
+  return std::move(Id);
 }
 
 std::optional<EndpointId>
--- a/Source/Core/Core/Serving/EndpointHealth.cpp
+++ b/Source/Core/Core/Serving/EndpointHealth.cpp
@@ -6,8 +6,12 @@
 
 namespace {
 
-/// Weight of the latest result or latency in the moving averages.
+/// Weight of the latest result or latency in the moving averages, and the same
+/// where the averages are outdated.
 constexpr double SmoothingFactor = 0.15;
+constexpr double OutdatedSmoothingFactor = 0.5;
+/// Observations that are older say little of an endpoint.
+constexpr milliseconds ObservationValidity{5000};
 /// Consecutive connection failures after which an endpoint is suspended.
 constexpr int SuspensionThreshold = 2;
 constexpr milliseconds InitialSuspension{1000};
@@ -18,13 +22,22 @@
          Result == CallResult::Broken;
 }
 
+double weightOfNext(Instant LastAt, Instant Now) {
+  return Now - LastAt > ObservationValidity ? OutdatedSmoothingFactor
+                                            : SmoothingFactor;
+}
+
 } // namespace
 
 void EndpointHealth::onResult(const EndpointId &Endpoint, CallResult Result,
                               Instant Now) {
   Entry &State = m_Entries[Endpoint];
   const double Failed = Result == CallResult::Success ? 0 : 1;
-  State.m_FailureRate += SmoothingFactor * (Failed - State.m_FailureRate);
+  const double Weight = State.m_ResultAt == Instant()
+                            ? SmoothingFactor
+                            : weightOfNext(State.m_ResultAt, Now);
+  State.m_FailureRate += Weight * (Failed - State.m_FailureRate);
+  State.m_ResultAt = Now;
   if (!isConnectionFailure(Result)) {
     State.m_ConsecutiveFailures = 0;
     return;
@@ -39,15 +52,25 @@
   State.m_SuspendedUntil = Now + InitialSuspension * (1 << Doublings);
 }
 
-void EndpointHealth::onLatency(const EndpointId &Endpoint, Duration Latency) {
+void EndpointHealth::onLatency(const EndpointId &Endpoint, Duration Latency,
+                               Instant Now) {
   Entry &State = m_Entries[Endpoint];
-  if (State.m_Latency == Duration::zero()) {
-    State.m_Latency = Latency;
-    return;
-  }
+  const double Weight = State.m_Latency == Duration::zero()
+                            ? 1
+                            : weightOfNext(State.m_LatencyAt, Now);
   const auto Difference = Latency - State.m_Latency;
-  State.m_Latency +=
-      std::chrono::duration_cast<Duration>(Difference * SmoothingFactor);
+  State.m_Latency += std::chrono::duration_cast<Duration>(Difference * Weight);
+  State.m_LatencyAt = Now;
+}
+
+bool EndpointHealth::isOutdated(const EndpointId &Endpoint, Instant Now) const {
+  const auto Found = m_Entries.find(Endpoint);
+  if (Found == m_Entries.end())
+    return false;
+  const Entry &State = Found->second;
+  return Now -
+             std::max({State.m_ResultAt, State.m_LatencyAt, State.m_TriedAt}) >
+         ObservationValidity;
 }
 
 bool EndpointHealth::isSuspended(const EndpointId &Endpoint,
--- a/Source/Core/Core/Serving/EndpointHealth.h
+++ b/Source/Core/Core/Serving/EndpointHealth.h
@@ -18,18 +18,28 @@
 
 /// Tracks the health of endpoints from the results of this host's own requests.
 /// An endpoint may fail requests while its registration and its health check
-/// report it as healthy. Thread safety: none.
+/// report it as healthy. What is known of an endpoint that gets no requests
+/// becomes outdated, so that a trial can show whether it still holds.
+/// Thread safety: none.
 class EndpointHealth {
 public:
   void onResult(const EndpointId &Endpoint, CallResult Result, Instant Now);
   /// Records the time from sending a request to the first byte of the answer.
-  void onLatency(const EndpointId &Endpoint, Duration Latency);
+  void onLatency(const EndpointId &Endpoint, Duration Latency, Instant Now);
+  /// Records that a request is sent to an endpoint of which what is known is
+  /// outdated. It stays in force for others until the result is known.
+  void onTrial(const EndpointId &Endpoint, Instant Now) {
+    m_Entries[Endpoint].m_TriedAt = Now;
+  }
   void forget(const EndpointId &Endpoint) { m_Entries.erase(Endpoint); }
   /// Drops what has been learned of all endpoints.
   void clear() { m_Entries.clear(); }
 
   /// Returns true while no requests should be sent to the endpoint.
   bool isSuspended(const EndpointId &Endpoint, Instant Now) const;
+  /// Returns true if nothing has been learned of the endpoint lately, although
+  /// something is known of it, and no trial is under way.
+  bool isOutdated(const EndpointId &Endpoint, Instant Now) const;
   /// Returns the moving average of failed requests, between 0 and 1.
   double failureRate(const EndpointId &Endpoint) const;
   /// Returns the moving average of the latency, zero if unknown.
@@ -42,6 +52,9 @@
     int m_ConsecutiveFailures = 0;
     Instant m_SuspendedUntil;
     Duration m_Latency{0};
+    Instant m_ResultAt;
+    Instant m_LatencyAt;
+    Instant m_TriedAt;
   };
   std::map<EndpointId, Entry> m_Entries;
 };
--- a/Source/UnitTests/Core/Serving/EndpointChooserTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointChooserTest.cpp
@@ -79,12 +79,52 @@
 TEST_F(EndpointChooserTest, SlowLocalEndpointIsPassedOverForAnotherZone) {
   m_Endpoints = {&m_Local, &m_Remote};
   for (int Count = 0; Count < 30; ++Count) {
-    m_Chooser.health().onLatency(m_Local.id(), milliseconds(400));
-    m_Chooser.health().onLatency(m_Remote.id(), milliseconds(80));
+    m_Chooser.health().onLatency(m_Local.id(), milliseconds(400), Start);
+    m_Chooser.health().onLatency(m_Remote.id(), milliseconds(80), Start);
   }
   EXPECT_EQ(countChosen(m_Remote.id()), 50);
 }
 
+// Guards against an endpoint that one slow answer, or a few failures, take out
+// of use for ever while the load is low: it is never chosen, so nothing more is
+// learned of it.
+TEST_F(EndpointChooserTest, EndpointThatIsAvoidedIsTriedAgain) {
+  constexpr std::chrono::seconds Pause{6};
+  m_Endpoints = {&m_Local, &m_Local2};
+  const auto Observe = [this](const Endpoint &Item, milliseconds Latency,
+                              CallResult Result) {
+    m_Chooser.health().onLatency(Item.id(), Latency, m_Now);
+    m_Chooser.health().onResult(Item.id(), Result, m_Now);
+  };
+  for (int Count = 0; Count < 3; ++Count)
+    Observe(m_Local2, milliseconds(50), CallResult::Failed);
+  int Trials = 0;
+  while (countChosen(m_Local2.id()) <= 1 && Trials < 8) {
+    m_Now += Pause;
+    Observe(m_Local, milliseconds(1), CallResult::Success);
+    // One request only finds out; the others do not follow it.
+    EXPECT_EQ(countChosen(m_Local2.id()), 1);
+    EXPECT_EQ(countChosen(m_Local2.id()), 0);
+    ++Trials;
+    Observe(m_Local2, milliseconds(1), CallResult::Success);
+  }
+  EXPECT_GT(countChosen(m_Local2.id()), 10);
+}
+
+// Guards against trials that make a slow endpoint look sound.
+TEST_F(EndpointChooserTest, EndpointThatStaysSlowGetsTrialsOnly) {
+  m_Endpoints = {&m_Local, &m_Local2};
+  int Chosen = 0;
+  for (int Trial = 0; Trial < 10; ++Trial) {
+    m_Chooser.health().onLatency(m_Local.id(), milliseconds(1), m_Now);
+    m_Chooser.health().onLatency(m_Local2.id(), milliseconds(50), m_Now);
+    m_Now += std::chrono::seconds(6);
+    m_Chooser.health().onLatency(m_Local.id(), milliseconds(1), m_Now);
+    Chosen += countChosen(m_Local2.id());
+  }
+  EXPECT_EQ(Chosen, 10);
+}
+
 // Guards against sending requests to an endpoint that has stopped answering.
 TEST_F(EndpointChooserTest, UnresponsiveEndpointIsSuspendedTemporarily) {
   for (int Count = 0; Count < 2; ++Count)
