Notice when the store comes back from an older copy

A host read on at an offset behind which other records stand, so a configuration was missed; endpoints that the copy lacks were dropped at once, and their callers refused; a holder ordered with a token that had been given out before.

When the era rises the host lists anew, keeps endpoints that the copy lacks as after an outage, and acquires its lease anew. An endpoint that has drained does not come back with the copy.

--- a/Source/Core/Core/Serving/EndpointDirectory.cpp
+++ b/Source/Core/Core/Serving/EndpointDirectory.cpp
@@ -132,6 +132,10 @@
                            Instant Now) {
   m_RolloutDetector.onLeaving(Position->second.m_Registration.m_Service, Now);
   m_Overrides.erase(Position->first);
+  // A registry that is restored from an older copy may list it as active.
+  const Registration &Last = Position->second.m_Registration;
+  if (Last.m_Draining)
+    m_Departures[Last.m_Id] = {Last.m_Incarnation, Now};
   return std::move(m_Endpoints.extract(Position).mapped());
 }
 
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -19,6 +19,9 @@
       m_StoreCalls(
           m_Set.counterFamily("sff_host_store_calls_total",
                               "Calls to the store by call and result")),
+      m_StoreRestores(
+          m_Set.counter("sff_host_store_restores_total",
+                        "Restores of the store from an older copy")),
       m_LogQueries(m_Set.counterFamily(
           "sff_host_log_queries_total",
           "Queries to other hosts whether a log of the store has grown")),
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -56,6 +56,8 @@
   void onOrder(std::string_view Result);
   void onSwap(Duration Taken) { observe(m_Swaps, Taken); }
   void onStoreCall(std::string_view Call, bool Answered);
+  /// Counts a restore of the store from an older copy.
+  void onStoreRestored() { m_StoreRestores.Increment(); }
   /// Counts a query to another host whether a log has grown, by whether it
   /// spared a read.
   void onLogQuery(std::string_view Result);
@@ -98,6 +100,7 @@
   prometheus::Family<prometheus::Counter> &m_Requests;
   prometheus::Family<prometheus::Counter> &m_Orders;
   prometheus::Family<prometheus::Counter> &m_StoreCalls;
+  prometheus::Counter &m_StoreRestores;
   prometheus::Family<prometheus::Counter> &m_LogQueries;
   prometheus::Histogram &m_Durations;
   prometheus::Histogram &m_FirstByte;
--- a/Source/Core/Host/OrderLeases.cpp
+++ b/Source/Core/Host/OrderLeases.cpp
@@ -21,7 +21,18 @@
   return m_State.m_Settings.get(LeaseSetting);
 }
 
+void OrderLeases::onStoreRestored() {
+  for (auto &[Zone, Lease] : m_Leases) {
+    if (Lease.holds())
+      log::info(LogCategory, "orders.withdrawn",
+                {{"zone", Zone}, {"cause", "store_restored"}});
+    Lease.onReleased();
+  }
+  m_Holders.clear();
+}
+
 void OrderLeases::start() {
+  m_State.m_Platform.m_Store->onRestored([this] { onStoreRestored(); });
   m_State.m_Links.onChange([this] {
     if (!m_State.m_Links.isIsolated() || m_Released)
       return;
--- a/Source/Core/Host/OrderLeases.h
+++ b/Source/Core/Host/OrderLeases.h
@@ -49,6 +49,9 @@
   /// Leaves the group of the zone while this host reaches no endpoint.
   Task<void> withdraw(ZoneId Zone);
   void joinZone(const ZoneId &Zone);
+  /// Gives up what the store may never have granted, as it says since its
+  /// restore.
+  void onStoreRestored();
   Duration leaseTerm() const;
 
   HostState &m_State;
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -129,12 +130,14 @@
   makeCallerResponse(const http::Response &Head) const = 0;
 };
 
-/// Offset in one of the store's logs.
+/// Position in one of the store's logs. Positions from before and after a
+/// restore of the store differ, though it may use the same offsets again.
 using Cursor = std::uint64_t;
 
 enum class FollowStatus {
   Ok,
-  /// Records after the cursor have been discarded; a new listing is needed.
+  /// Records after the cursor have been discarded, or the store has been
+  /// restored from an older copy; a new listing is needed.
   HistoryCompacted,
   Unreachable,
 };
@@ -169,6 +172,8 @@
 };
 
 struct GroupMembership {
+  /// Rises with each change of the group, also when the store is restored from
+  /// an older copy and gives out its own numbers once more.
   serving::FencingToken m_Generation = 0;
   bool m_IsHolder = false; ///< This member is the holder of the group.
 };
@@ -178,6 +183,9 @@
 class Store {
 public:
   virtual ~Store() = default;
+  /// Calls \p Listener each time an answer shows that the store has been
+  /// restored from an older copy: what it had acknowledged lately may be gone.
+  virtual void onRestored(std::function<void()> Listener) = 0;
   /// Cancels all calls that wait for a response, for example when another call
   /// has shown that the store is unreachable.
   virtual void cancelPendingCalls() = 0;
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -51,6 +51,7 @@
 } // namespace
 
 void StoreFollower::start() {
+  m_State.m_Platform.m_Store->onRestored([this] { onStoreRestored(); });
   m_State.spawn("follow_catalogue", followCatalogue());
   m_State.spawn("follow_endpoints", followEndpoints());
 }
@@ -75,6 +76,13 @@
   m_State.m_Platform.m_Store->cancelPendingCalls();
 }
 
+void StoreFollower::onStoreRestored() {
+  m_State.m_Metrics.onStoreRestored();
+  m_State.m_Endpoints.onRegistryUnavailable();
+  m_State.m_Endpoints.onRegistryRestored(now());
+  m_State.spawn("expire_endpoints", expireEndpoints());
+}
+
 void StoreFollower::applyCatalogue(
     const std::shared_ptr<const serving::Catalogue> &Newest) {
   if (!Newest)
--- a/Source/Core/Host/StoreFollower.h
+++ b/Source/Core/Host/StoreFollower.h
@@ -40,6 +40,9 @@
   Task<void> probeGone(EndpointId Id, http::Address Remote);
   bool isAddressReused(const std::string &Address) const;
   void setReachable(bool Reachable);
+  /// Called when the store has been restored from an older copy, which may lack
+  /// endpoints that serve.
+  void onStoreRestored();
 
   HostState &m_State;
   StreamTracker &m_Streams;
--- a/Source/UnitTests/Core/Serving/EndpointDirectoryTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointDirectoryTest.cpp
@@ -78,6 +78,20 @@
   EXPECT_EQ(Directory.serving("engine").size(), 1U);
 }
 
+// Guards against an endpoint that has drained and is in use again after the
+// registry was restored from an older copy, which lists it as active.
+TEST(EndpointDirectoryTest, DrainedEndpointDoesNotComeBackFromAnOlderCopy) {
+  EndpointDirectory Directory;
+  Registration Leaving = makeRegistration(5, {}, 1);
+  Leaving.m_Draining = true;
+  Directory.apply(Leaving, Start);
+  EXPECT_TRUE(Directory.remove(First, Start));
+  Directory.apply(makeRegistration(3, {}, 1), Start);
+  EXPECT_TRUE(Directory.serving("engine").empty());
+  Directory.apply(makeRegistration(1, {}, 2), Start);
+  EXPECT_EQ(Directory.serving("engine").size(), 1U);
+}
+
 // Guards against a notice that is lost because it comes before the registration
 // that it is about.
 TEST(EndpointDirectoryTest, NoticeBeforeTheRegistrationCounts) {
--- a/Source/UnitTests/Host/FakeStore.h
+++ b/Source/UnitTests/Host/FakeStore.h
@@ -15,6 +15,7 @@
   int m_AnsweredReads = 0;
   int m_CatalogueReads = 0;
 
+  void onRestored(std::function<void()>) override {}
   void cancelPendingCalls() override {}
   Task<CatalogueBatch> listCatalogue() override { return noCatalogue(); }
   Task<CatalogueBatch> followCatalogue(Cursor, milliseconds) override {
