Send no request whose caller left before it was read

Before each send, and again when a new connection to the endpoint is established, the host now looks at the caller's socket itself. It does so before it passes a request on to another host, too.

HostFaultTest.RequestIsNotSentOnWhoseCallerLeftBeforeItWasRead: 3 of 21 requests reached the endpoint before, 1 is right; passes now, with HostNoticeTest 14 of 14.

--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -334,6 +334,8 @@
 }
 
 Task<RequestSession::Step> RequestSession::attempt(EndpointId Id) {
+  if (isCallerGone())
+    co_return Step::TryAgain;
   const auto Remote = m_State.addressOf(Id);
   if (!Remote) {
     m_History.exclude(Id);
@@ -382,9 +384,14 @@
           }};
 }
 
-bool RequestSession::mayStillSend(const Attempt &Chosen) const {
+bool RequestSession::isCallerGone() {
+  m_CallerGone = m_CallerGone || m_Caller.isCallerDisconnected();
+  return m_CallerGone;
+}
+
+bool RequestSession::mayStillSend(const Attempt &Chosen) {
   const serving::Endpoint *Known = m_State.m_Endpoints.find(Chosen.endpoint());
-  return Known && Known->acceptsRequests() &&
+  return !isCallerGone() && Known && Known->acceptsRequests() &&
          m_State.m_Backoff.allows(*Known, now());
 }
 
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -132,9 +132,12 @@
   /// Watches the current attempt for silence. The attempt ends with the
   /// returned guard.
   std::shared_ptr<void> watchCurrent();
-  /// Whether the endpoint of an attempt still takes the request, which waits
-  /// for its connection.
-  bool mayStillSend(const Attempt &Chosen) const;
+  /// Whether the request, which waited for the connection of an attempt, is
+  /// still wanted by its caller and by the endpoint.
+  bool mayStillSend(const Attempt &Chosen);
+  /// Whether the caller has left, also if this host has not been notified yet:
+  /// under load, a request is read long after it came.
+  bool isCallerGone();
   /// Sends the request and waits for the head of the answer. Records what that
   /// says of its endpoint, whatever becomes of the answer.
   Task<http::OpenResult> open(std::shared_ptr<Attempt> Sent,
--- a/Source/Core/Host/RequestSessionRelay.cpp
+++ b/Source/Core/Host/RequestSessionRelay.cpp
@@ -39,6 +39,8 @@
 }
 
 Task<RequestSession::Step> RequestSession::passOn() {
+  if (isCallerGone())
+    co_return Step::TryAgain;
   const bool MayPassOn =
       m_Origin == RequestOrigin::Caller && m_RelaysTried.size() < MaxRelays;
   const auto Chosen = MayPassOn ? m_Relay.choose(m_RelaysTried) : std::nullopt;
