--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -324,8 +324,8 @@
 
   /// Checks whether the response belongs to the request of this call. A
   /// response without the echo header is accepted only where no other request
-  /// can have caused it: on a new connection. On a reused one, a faulty endpoint
-  /// may have written an earlier refusal once more.
+  /// can have caused it: on a new connection. On a reused one, a faulty
+  /// endpoint may have written an earlier refusal once more.
   bool matchesRequest() const {
     if (!m_Options.m_ExpectedEcho)
       return true;
