Bound the trials of endpoints that a host avoids

The change before let every endpoint count as sound once nothing had been learned of it for 5 s. Now a host tries one avoided endpoint every 10 s at most, after 10 s without an observation, and only the result of a trial has the larger weight in the averages.

--- a/Source/Core/Core/Serving/EndpointChooser.cpp
+++ b/Source/Core/Core/Serving/EndpointChooser.cpp
@@ -21,6 +21,9 @@
 /// of the endpoint's slots.
 constexpr double LatencyPenalty = 0.2;
 constexpr double MaxLatencyPenalty = 1;
+/// Interval between two trials of endpoints that are avoided. Bounds what
+/// trials of many slow endpoints cost the callers of a host with few requests.
+constexpr milliseconds TrialInterval{10000};
 
 bool wasTried(const Endpoint &Candidate, const ChoiceContext &Context) {
   return Context.m_Tried && Context.m_Tried->contains(Candidate.id());
@@ -28,19 +31,22 @@
 
 } // namespace
 
-double EndpointChooser::cost(const Endpoint &Candidate,
-                             double LowestFailureRate, Duration LowestLatency,
-                             Instant Now) const {
+double EndpointChooser::load(const Endpoint &Candidate, Instant Now) const {
   const double Slots = std::max(1, Candidate.m_Registration.m_Slots);
   double Load = std::max(0.0, m_Loads.estimate(Candidate.id(), Now));
   if (Candidate.m_Registration.m_Zone != m_LocalZone)
     Load += CrossZonePenalty * Slots;
-  // An endpoint that is never chosen would never get another chance.
-  if (m_Health.isOutdated(Candidate.id(), Now))
-    return Load;
+  return Load;
+}
+
+double EndpointChooser::penalty(const Endpoint &Candidate,
+                                double LowestFailureRate,
+                                Duration LowestLatency) const {
+  const double Slots = std::max(1, Candidate.m_Registration.m_Slots);
   const double FailureRate = m_Health.failureRate(Candidate.id());
-  Load += FailurePenalty * Slots *
-          std::max(0.0, FailureRate - LowestFailureRate - FailureTolerance);
+  double Load =
+      FailurePenalty * Slots *
+      std::max(0.0, FailureRate - LowestFailureRate - FailureTolerance);
   if (LowestLatency > Duration::zero()) {
     const double LatencyRatio =
         toSeconds(m_Health.latency(Candidate.id())) / toSeconds(LowestLatency);
@@ -68,10 +74,18 @@
   }
   std::vector<routing::PickCandidate> List;
   List.reserve(Eligible.size());
+  std::set<EndpointId> Trials;
   for (const Endpoint *Item : Eligible) {
     routing::PickCandidate Candidate;
     Candidate.m_Endpoint = Item->id();
-    Candidate.m_Load = cost(*Item, LowestFailureRate, LowestLatency, Now);
+    Candidate.m_Load = load(*Item, Now);
+    const double Penalty = penalty(*Item, LowestFailureRate, LowestLatency);
+    // An endpoint that is never chosen would never get another chance.
+    if (Penalty > 0 && Now >= m_NextTrialAt &&
+        m_Health.isOutdated(Item->id(), Now))
+      Trials.insert(Item->id());
+    else
+      Candidate.m_Load += Penalty;
     if (Context.m_AffinityEndpoint == Item->id())
       Candidate.m_PrefixTokens = Context.m_AffinityTokens;
     List.push_back(std::move(Candidate));
@@ -80,10 +94,12 @@
       routing::pickEndpoint(List, routing::ScoreWeights{}, m_Random);
   if (!Chosen)
     return std::nullopt;
-  EndpointId &Id = List[*Chosen].m_Endpoint;
-  if (m_Health.isOutdated(Id, Now))
+  const EndpointId &Id = List[*Chosen].m_Endpoint;
+  if (Trials.contains(Id)) {
     m_Health.onTrial(Id, Now);
-  return std::move(Id);
+    m_NextTrialAt = Now + TrialInterval;
+  }
+  return Id;
 }
 
 std::optional<EndpointId>
--- a/Source/Core/Core/Serving/EndpointChooser.h
+++ b/Source/Core/Core/Serving/EndpointChooser.h
@@ -40,13 +40,18 @@
 private:
   std::optional<EndpointId> pick(std::span<const Endpoint *const> Eligible,
                                  const ChoiceContext &Context, Instant Now);
-  double cost(const Endpoint &Candidate, double LowestFailureRate,
-              Duration LowestLatency, Instant Now) const;
+  /// The load of the endpoint, with a penalty for another availability zone.
+  double load(const Endpoint &Candidate, Instant Now) const;
+  /// Load to add because the endpoint fails or is slow, in comparison with the
+  /// others.
+  double penalty(const Endpoint &Candidate, double LowestFailureRate,
+                 Duration LowestLatency) const;
 
   ZoneId m_LocalZone;
   std::mt19937_64 m_Random;
   routing::LoadEstimator m_Loads;
   EndpointHealth m_Health;
+  Instant m_NextTrialAt;
 };
 
 } // namespace sff::serving
--- a/Source/Core/Core/Serving/EndpointHealth.cpp
+++ b/Source/Core/Core/Serving/EndpointHealth.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-/// Weight of the latest result or latency in the moving averages, and the same
-/// where the averages are outdated.
+/// Weight of the latest result or latency in the moving averages, and of one
+/// that comes from a trial.
 constexpr double SmoothingFactor = 0.15;
-constexpr double OutdatedSmoothingFactor = 0.5;
+constexpr double TrialSmoothingFactor = 0.5;
 /// Observations that are older say little of an endpoint.
-constexpr milliseconds ObservationValidity{5000};
+constexpr milliseconds ObservationValidity{10000};
 /// Consecutive connection failures after which an endpoint is suspended.
 constexpr int SuspensionThreshold = 2;
 constexpr milliseconds InitialSuspension{1000};
@@ -22,9 +22,10 @@
          Result == CallResult::Broken;
 }
 
-double weightOfNext(Instant LastAt, Instant Now) {
-  return Now - LastAt > ObservationValidity ? OutdatedSmoothingFactor
-                                            : SmoothingFactor;
+/// The weight of an observation at an endpoint that was last observed at
+/// \p LastAt and tried at \p TriedAt.
+double weightOfNext(Instant LastAt, Instant TriedAt) {
+  return TriedAt > LastAt ? TrialSmoothingFactor : SmoothingFactor;
 }
 
 } // namespace
@@ -33,10 +34,8 @@
                               Instant Now) {
   Entry &State = m_Entries[Endpoint];
   const double Failed = Result == CallResult::Success ? 0 : 1;
-  const double Weight = State.m_ResultAt == Instant()
-                            ? SmoothingFactor
-                            : weightOfNext(State.m_ResultAt, Now);
-  State.m_FailureRate += Weight * (Failed - State.m_FailureRate);
+  State.m_FailureRate += weightOfNext(State.m_ResultAt, State.m_TriedAt) *
+                         (Failed - State.m_FailureRate);
   State.m_ResultAt = Now;
   if (!isConnectionFailure(Result)) {
     State.m_ConsecutiveFailures = 0;
@@ -57,7 +56,7 @@
   Entry &State = m_Entries[Endpoint];
   const double Weight = State.m_Latency == Duration::zero()
                             ? 1
-                            : weightOfNext(State.m_LatencyAt, Now);
+                            : weightOfNext(State.m_LatencyAt, State.m_TriedAt);
   const auto Difference = Latency - State.m_Latency;
   State.m_Latency += std::chrono::duration_cast<Duration>(Difference * Weight);
   State.m_LatencyAt = Now;
--- a/Source/Core/Core/Serving/EndpointHealth.h
+++ b/Source/Core/Core/Serving/EndpointHealth.h
@@ -37,8 +37,8 @@
 
   /// Returns true while no requests should be sent to the endpoint.
   bool isSuspended(const EndpointId &Endpoint, Instant Now) const;
-  /// Returns true if nothing has been learned of the endpoint lately, although
-  /// something is known of it, and no trial is under way.
+  /// Returns true if nothing has been learned of the endpoint lately and no
+  /// trial is under way.
   bool isOutdated(const EndpointId &Endpoint, Instant Now) const;
   /// Returns the moving average of failed requests, between 0 and 1.
   double failureRate(const EndpointId &Endpoint) const;
--- a/Source/UnitTests/Core/Serving/EndpointChooserTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointChooserTest.cpp
@@ -89,7 +89,7 @@
 // of use for ever while the load is low: it is never chosen, so nothing more is
 // learned of it.
 TEST_F(EndpointChooserTest, EndpointThatIsAvoidedIsTriedAgain) {
-  constexpr std::chrono::seconds Pause{6};
+  constexpr std::chrono::seconds Pause{11};
   m_Endpoints = {&m_Local, &m_Local2};
   const auto Observe = [this](const Endpoint &Item, milliseconds Latency,
                               CallResult Result) {
@@ -111,6 +111,16 @@
   EXPECT_GT(countChosen(m_Local2.id()), 10);
 }
 
+// Guards against a host with few requests that spends many of them on trials of
+// several slow endpoints.
+TEST_F(EndpointChooserTest, SeveralEndpointsShareTheTrials) {
+  m_Chooser.health().onLatency(m_Local.id(), milliseconds(50), Start);
+  m_Chooser.health().onLatency(m_Local2.id(), milliseconds(50), Start);
+  m_Now = Start + std::chrono::seconds(11);
+  m_Chooser.health().onLatency(m_Remote.id(), milliseconds(1), m_Now);
+  EXPECT_EQ(countChosen(m_Remote.id()), 49);
+}
+
 // Guards against trials that make a slow endpoint look sound.
 TEST_F(EndpointChooserTest, EndpointThatStaysSlowGetsTrialsOnly) {
   m_Endpoints = {&m_Local, &m_Local2};
@@ -118,7 +128,7 @@
   for (int Trial = 0; Trial < 10; ++Trial) {
     m_Chooser.health().onLatency(m_Local.id(), milliseconds(1), m_Now);
     m_Chooser.health().onLatency(m_Local2.id(), milliseconds(50), m_Now);
-    m_Now += std::chrono::seconds(6);
+    m_Now += std::chrono::seconds(11);
     m_Chooser.health().onLatency(m_Local.id(), milliseconds(1), m_Now);
     Chosen += countChosen(m_Local2.id());
   }
