--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,12 +21,37 @@
 TROUBLE = os.environ.get("TROUBLE", "1")
 
 
-class Panels:
-    """Clients that all send the same request."""
+class Balancer:
+    """Asks each host once a second whether it is ready. One that misses twice
+    gets no requests until it is ready again."""
 
     def __init__(self, hosts, record):
         self.hosts = hosts
         self.record = record
+        self.misses = {host.name: 0 for host in hosts}
+        self.turn = 0
+
+    async def run(self):
+        while True:
+            await asyncio.sleep(1)
+            for host in self.hosts:
+                if await host.is_ready():
+                    self.misses[host.name] = 0
+                else:
+                    self.misses[host.name] += 1
+
+    def choose(self):
+        self.turn += 1
+        eligible = [host for host in self.hosts if self.misses[host.name] < 2]
+        return (eligible or self.hosts)[self.turn % len(eligible or self.hosts)]
+
+
+class Panels:
+    """Clients that all send the same request."""
+
+    def __init__(self, balancer, record):
+        self.balancer = balancer
+        self.record = record
         self.count = 0
         self.outcomes = []  # (time sent, status or None)
         self.tasks = set()
@@ -50,7 +75,7 @@
     def ask_together(self):
         for _ in range(PANELS):
             self.count += 1
-            host = self.hosts[self.count % len(self.hosts)]
+            host = self.balancer.choose()
             task = asyncio.ensure_future(self.ask(host, f"s{self.count}"))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
@@ -99,7 +124,9 @@
     for host in hosts:
         await host.wait_ready()
     await asyncio.sleep(3)
-    panels = Panels(hosts, record)
+    balancer = Balancer(hosts, record)
+    checks = asyncio.ensure_future(balancer.run())
+    panels = Panels(balancer, record)
     traffic = asyncio.ensure_future(panels.run())
     begin = time.monotonic()
     await asyncio.sleep(STEADY_S)
@@ -127,6 +154,7 @@
     judged = time.monotonic()
     await asyncio.sleep(JUDGED_S + 1)
     traffic.cancel()
+    checks.cancel()
     after = panels.share_served(judged, judged + JUDGED_S)
     record("judged", served_before=before, served_after=after)
     return before >= 0.25 and after < 0.25
