--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,7 +2,9 @@
 The server crashes behind a cut and starts again."""
 
 import asyncio
+import os
 import pathlib
+import signal
 import sys
 import time
 
@@ -15,6 +17,8 @@
 CRASH_AFTER_CUT_S = 1.0   # At the earliest: right after the next heartbeat.
 DOWN_S = 2.0              # From the crash to the new start.
 HEAL_AFTER_START_S = 0.3
+# TROUBLE=freeze stops one host instead of cutting the server off.
+IS_FREEZE = os.environ.get("TROUBLE") == "freeze"
 
 
 class StreamServer(standins.Server):
@@ -84,10 +88,18 @@
     return request_id, ids, is_complete
 
 
-async def cut_and_crash(server, link, store, record):
+def signal_host(host, record, number):
+    host.process.send_signal(number)
+    record("signal", host=host.name, number=int(number))
+
+
+async def cut_and_crash(server, link, store, record, hosts):
     await asyncio.sleep(CUT_AFTER_S)
-    link.is_open.clear()
-    record("cut", server=server.id)
+    if IS_FREEZE:
+        signal_host(hosts[0], record, signal.SIGSTOP)
+    else:
+        link.is_open.clear()
+        record("cut", server=server.id)
     cut = time.monotonic()
     await asyncio.sleep(CRASH_AFTER_CUT_S)
     beaten_at = server.beaten_at
@@ -101,6 +113,8 @@
     await again.start()
     record("started_again", server=again.id)
     await asyncio.sleep(HEAL_AFTER_START_S)
+    if IS_FREEZE:
+        signal_host(hosts[0], record, signal.SIGCONT)
     link.is_open.set()
     record("healed", after_s=round(time.monotonic() - cut, 2))
 
@@ -133,7 +147,7 @@
                                        f"a{number}"))
              for number in range(12)]
     if standins.has_trouble():
-        await cut_and_crash(servers[0], links[0], store, record)
+        await cut_and_crash(servers[0], links[0], store, record, hosts)
     answers = await asyncio.gather(*asked)
     short = [f"{name}: {len(ids)} of {EVENTS}"
              for name, ids, is_complete in answers
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -441,6 +441,7 @@
 
     def kill(self):
         if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
             self.process.send_signal(signal.SIGKILL)
         self.process.wait()
         self.record("host_killed", host=self.name)
