Decide the framing of a request by its head and reject unknown ones

Cause: the host left the framing to the library's parser. That ignores every transfer coding but a sole or last "chunked", takes the request to end with its head and then reads the body as the next message. It also accepts codings of HTTP/1.0, decodes "gzip, chunked" as if the body had no other coding, and adds the fields of a trailer to those of the head.

Change: requestFraming() and responseFraming() say what ends a body, from the fields alone and stricter than the parser. The server answers 400 where the end cannot be known, 501 to a coding beside chunked, closes the connection and reads nothing behind the head. The fields of a request are those of its head. All requests pass there: those of callers and those that hosts pass on.

--- /dev/null
+++ b/Source/Core/Net/Http/Framing.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Net/Http/Message.h"
+
+#include <string_view>
+#include <variant>
+
+namespace sff::http {
+
+/// What ends the body of a message.
+enum class BodyEnd {
+  Head,       ///< There is no body.
+  Length,     ///< The number of bytes that Content-Length names.
+  LastChunk,  ///< The last chunk of a chunked body.
+  Connection, ///< The end of the connection; a cut looks the same.
+};
+
+/// Why the body of a message cannot be read. The bytes after its head must not
+/// be taken for the next message.
+enum class FramingFault {
+  UnknownEnd,        ///< The head names no end, an invalid one or several.
+  UnsupportedCoding, ///< The body has a transfer coding beside chunked.
+};
+
+using Framing = std::variant<BodyEnd, FramingFault>;
+
+enum class HttpVersion { Http10, Http11 };
+
+/// Returns what the head of a request says of its body (RFC 9112, 6.3).
+/// Stricter than the parser, which ignores unknown transfer codings and codings
+/// of HTTP/1.0: what the head of an accepted request says can be understood in
+/// one way only.
+/// Thread safety: reentrant.
+Framing requestFraming(const Headers &Fields, HttpVersion Version);
+
+/// Returns what the head of an answer to a request with the method
+/// \p RequestMethod says of its body.
+/// Thread safety: reentrant.
+Framing responseFraming(const Headers &Fields, HttpVersion Version, int Status,
+                        std::string_view RequestMethod);
+
+/// Whether an answer with \p Status precedes the final one.
+bool isInterim(int Status);
+
+/// A description for log lines and problem documents.
+std::string_view describe(FramingFault Fault);
+
+} // namespace sff::http
--- a/Source/Core/Net/Http/Server.cpp
+++ b/Source/Core/Net/Http/Server.cpp
@@ -1,6 +1,7 @@
 #include "Net/Http/Server.h"
 
 #include "Common/Logging/Log.h"
+#include "Net/Http/Framing.h"
 #include "Net/Timers/AsyncCondition.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -40,6 +41,7 @@
 constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
 
 using RequestParser = bhttp::request_parser<bhttp::string_body>;
+using RequestHead = bhttp::request_header<>;
 
 struct ServerState {
   ServerLimits m_Limits;
@@ -285,7 +287,7 @@
     });
   }
 
-  asio::awaitable<error_code> readRequest(RequestParser &Parser) {
+  asio::awaitable<error_code> readHead(RequestParser &Parser) {
     const ServerLimits &Limits = m_State->m_Limits;
     m_ReadTimedOut = false;
     m_Stream.expires_never();
@@ -293,14 +295,31 @@
     error_code Error;
     co_await bhttp::async_read_header(m_Stream, m_Buffer, Parser,
                                       redirectTo(Error));
-    if (!Error && !Parser.is_done()) {
-      startReadTimer(Limits.m_ReadTimeout);
-      co_await bhttp::async_read(m_Stream, m_Buffer, Parser, redirectTo(Error));
-    }
     m_ReadTimer.cancel();
     co_return m_ReadTimedOut ? beast::error::timeout : Error;
   }
 
+  asio::awaitable<error_code> readBody(RequestParser &Parser) {
+    error_code Error;
+    if (Parser.is_done())
+      co_return Error;
+    startReadTimer(m_State->m_Limits.m_ReadTimeout);
+    co_await bhttp::async_read(m_Stream, m_Buffer, Parser, redirectTo(Error));
+    m_ReadTimer.cancel();
+    co_return m_ReadTimedOut ? beast::error::timeout : Error;
+  }
+
+  /// Rejects a request whose body cannot be read. The bytes after its head may
+  /// belong to it, so they are not read as another request.
+  asio::awaitable<bool> rejectFraming(FramingFault Fault) {
+    log::info(log::Category::Http, "http.framing_rejected",
+              {{"detail", describe(Fault)}});
+    const bool IsUnsupported = Fault == FramingFault::UnsupportedCoding;
+    co_return co_await rejectRequest(
+        IsUnsupported ? 501 : 400,
+        IsUnsupported ? "Not Implemented" : "Bad Request", describe(Fault));
+  }
+
   asio::awaitable<bool> serveRequest() {
     if (!co_await waitForRequest())
       co_return false;
@@ -311,18 +330,31 @@
     Parser.header_limit(m_State->m_Limits.m_MaxHeaderBytes);
     Parser.body_limit(m_State->m_Limits.m_MaxBodyBytes);
     m_Buffer.max_size(m_State->m_Limits.m_MaxHeaderBytes + MaxUnparsedBytes);
-    const error_code Error = co_await readRequest(Parser);
-    if (Error)
+    if (const error_code Error = co_await readHead(Parser))
       co_return co_await rejectReadError(Error);
     m_KeepAlive = Parser.get().keep_alive();
+    Request Incoming = convertHead(Parser.get());
+    const Framing Expected =
+        requestFraming(Incoming.m_Headers, versionOf(Parser.get()));
+    if (const auto *Fault = std::get_if<FramingFault>(&Expected))
+      co_return co_await rejectFraming(*Fault);
+    if (const error_code Error = co_await readBody(Parser))
+      co_return co_await rejectReadError(Error);
+    Incoming.m_Body = std::move(Parser.get().body());
     ++m_RequestSequence;
-    co_await handleRequest(convertRequest(Parser.release()));
+    co_await handleRequest(std::move(Incoming));
     ++m_RequestSequence;
     m_OnDisconnect = nullptr;
     co_return m_Finished &&shouldKeepAlive();
   }
 
-  static Request convertRequest(bhttp::request<bhttp::string_body> Message) {
+  static HttpVersion versionOf(const RequestHead &Message) {
+    constexpr unsigned BeastHttp10 = 10;
+    return Message.version() == BeastHttp10 ? HttpVersion::Http10
+                                            : HttpVersion::Http11;
+  }
+
+  static Request convertHead(const RequestHead &Message) {
     Request Result;
     Result.m_Method = std::string(Message.method_string());
     Result.m_Target = std::string(Message.target());
@@ -330,7 +362,6 @@
       Result.m_Headers.add(std::string_view(Item.name_string().data(),
                                             Item.name_string().size()),
                            std::string(Item.value()));
-    Result.m_Body = std::move(Message.body());
     return Result;
   }
 
