Look for an answer's endpoint where the request was sent

Cause: to tell a crash from a regular end, the host connects to the endpoint after an answer that ended with its connection. It took the address from the directory; an endpoint that is not there counted as one that has crashed. But an endpoint that leaves serves on after its registration is gone, as does one that cannot reach the store.

Change: an attempt keeps the address that the request was sent to, and the end of its answer is confirmed there.

--- a/Source/Core/Host/Attempt.cpp
+++ b/Source/Core/Host/Attempt.cpp
@@ -15,6 +15,7 @@
   if (!Known)
     return;
   m_SoftwareVersion = Known->m_Registration.m_SoftwareVersion;
+  m_Address = m_State.addressOf(m_Endpoint);
   m_State.m_RejectionLimits.onSent(*Known, m_SentAt);
   m_Registration = Known->m_Registration.version();
   m_State.m_Crashes.onRequestSent(*Known, Request.m_Fingerprint,
--- a/Source/Core/Host/Attempt.h
+++ b/Source/Core/Host/Attempt.h
@@ -3,6 +3,7 @@
 #include "Host/HostState.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
   const EndpointId &endpoint() const { return m_Endpoint; }
   /// The software version of the endpoint; empty if it is not known.
   const std::string &softwareVersion() const { return m_SoftwareVersion; }
+  /// Where the request was sent; nothing if the endpoint was not known then.
+  const std::optional<http::Address> &address() const { return m_Address; }
   /// The registration from which the endpoint's address was taken.
   const serving::RegistrationVersion &registration() const {
     return m_Registration;
@@ -61,6 +64,7 @@
   EndpointId m_Endpoint;
   RequestId m_Request;
   std::string m_SoftwareVersion;
+  std::optional<http::Address> m_Address;
   serving::RegistrationVersion m_Registration;
   std::shared_ptr<http::CallCanceller> m_Canceller;
   /// The parts of the prompt of which this attempt is the trial.
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -220,7 +220,7 @@
   /// Connects to an endpoint, to tell a crash from a lost answer or a regular
   /// end. Returns false if the endpoint cannot be connected to and keeps no
   /// other connection of this host open.
-  Task<bool> probe(EndpointId Id);
+  Task<bool> probe(EndpointId Id, std::optional<http::Address> Remote);
   /// The same after the end of run().
   static Task<void> probeLater(std::shared_ptr<RequestSession> Self,
                                EndpointId Id);
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -309,7 +309,9 @@
     co_return true;
   // Before the probe, which counts a crash for the requests that were lost.
   recordPossibleLoss(Id);
-  co_return co_await probe(std::move(Id));
+  // An endpoint that leaves may still serve after its registration is gone, so
+  // the address is the one that the request was sent to.
+  co_return co_await probe(std::move(Id), m_Current->address());
 }
 
 void RequestSession::recordCompletion() {
