Let only the process that has answered confirm the end of an answer

Cause: after an answer that ended with its connection, the host connected to the address once more. It took any listener there for the process that had answered, which had closed its connections by crashing. One bool stood for three questions: is there a process, is it the same one, did it crash.

Change: the host asks who is at the address. EndpointIdentifier asks for the report of an endpoint that runs models, which may name the start of its process, or else for its health, by the id that was asked for. The pure function judgeAnswerEnd() decides with that, the present registration and, where connections are refused, the connections from before the end. Whatever is not confirmed within two seconds is broken off. It holds for streams and whole answers; a host that has passed a request on sees an orderly close only after the other host has confirmed the end. The log line answer.end_judged gives the evidence.

Why it works: a process that answers after the end has not crashed at it.

--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Serving/AnswerEnd.h"
 #include "Core/Serving/Catalogue.h"
 #include "Core/Serving/EndpointDirectory.h"
 #include "Core/Serving/OrderLease.h"
@@ -300,12 +301,45 @@
                                    std::string Path) = 0;
 };
 
+/// How an endpoint is asked who it is.
+enum class IdentityQuestion {
+  /// For its report, which needs no room at the endpoint and may name its
+  /// process. Only endpoints that run models have one.
+  Report,
+  /// For its health, which is checked when the endpoint has room.
+  HealthCheck,
+};
+
+/// Who answers at an address.
+struct IdentityAnswer {
+  serving::AddressOwner m_Owner = serving::AddressOwner::Unknown;
+  /// The process that answers, if it says when it was started.
+  std::optional<serving::Incarnation> m_Process;
+  EndpointNotice m_Notice; ///< Empty unless the endpoint itself has answered.
+};
+
+/// Asks endpoints who they are.
+/// Thread safety: use from the host's io_context only.
+class EndpointIdentifier {
+public:
+  virtual ~EndpointIdentifier() = default;
+  /// Asks who is at \p Remote, where \p Id was found before, and waits up to
+  /// \p Limit. Prefers an open connection of \p Http and leaves one for later
+  /// calls. \p HealthPath is the path of a health check there.
+  virtual Task<IdentityAnswer> identify(http::Client &Http,
+                                        http::Address Remote, EndpointId Id,
+                                        IdentityQuestion Question,
+                                        std::string HealthPath,
+                                        milliseconds Limit) = 0;
+};
+
 /// The platform adapter's implementations of the interfaces.
 struct Platform {
   std::shared_ptr<WireFormat> m_WireFormat;
   std::shared_ptr<Store> m_Store;
   std::shared_ptr<EngineControl> m_Engines;
   std::shared_ptr<HealthChecker> m_Health;
+  std::shared_ptr<EndpointIdentifier> m_Identities;
 };
 
 } // namespace sff::host
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -499,7 +499,7 @@
   // An endpoint at its limit of connections resets further ones. Without an
   // answer to the attempt, the ends of other connections may be held up, too.
   const bool IsAlive =
-      !Failure->m_TimedOut && m_State.m_Http.hasOpenConnection(*Remote);
+      !Failure->m_TimedOut && m_State.m_Http.hasOpenConnection(*Remote, now());
   logEvent(
       "endpoint.probe_failed",
       {{"endpoint", Id}, {"detail", Failure->m_Detail}, {"is_alive", IsAlive}});
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -156,9 +156,16 @@
   /// Otherwise the endpoint has broken the stream off, as far as can be known.
   bool checkStreamEnd(const EndpointId &Id, const http::Response &Head);
   /// Returns whether an answer that ended may be passed on as its endpoint sent
-  /// it. One without a mark of its end may not if the endpoint is gone, because
-  /// a crash closes the connection like a regular end.
-  Task<bool> confirmEnd(EndpointId Id, bool EndsWithConnection);
+  /// it. One without a mark of its end may only if the process that sent it is
+  /// still there, because a crash closes the connection like a regular end.
+  Task<bool> confirmEnd(bool EndsWithConnection);
+  /// Finds out what has become of the process that has answered.
+  /// Precondition: the address of \p Answered is known.
+  Task<serving::AnswerEndEvidence>
+  gatherEndEvidence(std::shared_ptr<Attempt> Answered, Instant EndedAt);
+  /// Asks who is at the address that the request was sent to. An endpoint that
+  /// leaves may serve there after its registration is gone.
+  Task<IdentityAnswer> identify(std::shared_ptr<Attempt> Answered);
   /// Records that the request has certainly completed with success.
   void recordCompletion();
   /// Counts the request for the endpoint's crash if that is noticed soon.
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -25,8 +25,8 @@
 constexpr std::string_view EndInsideEvent = "inside_event";
 constexpr std::string_view EndUnproved = "unproved";
 
-/// Detail of an answer without a mark of its end whose endpoint is gone.
-constexpr const char *UnconfirmedEnd = "the endpoint is gone after the answer";
+/// Detail of an answer without a mark of its end, for which there is no proof.
+constexpr const char *UnconfirmedEnd = "the end of the answer is not confirmed";
 
 } // namespace
 
@@ -162,7 +162,7 @@
   recordAnswerEnd(Id, Answer->head(), EndComplete);
   m_SilenceTimer.cancel();
   const bool Confirmed =
-      co_await confirmEnd(Id, Answer->head().m_EndsWithConnection);
+      co_await confirmEnd(Answer->head().m_EndsWithConnection);
   if (!Confirmed)
     co_return co_await onIncompleteResponse(Id, serving::CallResult::Broken,
                                             UnconfirmedEnd);
@@ -198,7 +198,7 @@
   m_SilenceTimer.cancel();
   if (End == StreamResult::Complete) {
     const bool Confirmed =
-        co_await confirmEnd(Id, Answer->head().m_EndsWithConnection);
+        co_await confirmEnd(Answer->head().m_EndsWithConnection);
     if (!Confirmed)
       End = StreamResult::EndpointFailed;
   }
@@ -304,16 +304,6 @@
   return !InsideEvent && !IsUnproved;
 }
 
-Task<bool> RequestSession::confirmEnd(EndpointId Id, bool EndsWithConnection) {
-  if (!EndsWithConnection)
-    co_return true;
-  // Before the probe, which counts a crash for the requests that were lost.
-  recordPossibleLoss(Id);
-  // An endpoint that leaves may still serve after its registration is gone, so
-  // the address is the one that the request was sent to.
-  co_return co_await probe(std::move(Id), m_Current->address());
-}
-
 void RequestSession::recordCompletion() {
   m_State.m_Crashes.onSuccess(m_Fingerprint);
   m_State.m_Crashes.onCompleted(m_Facts.m_PromptParts,
--- /dev/null
+++ b/Source/Core/Host/RequestSessionEnds.cpp
@@ -0,0 +1,100 @@
+#include "Host/RequestSession.h"
+
+#include <algorithm>
+
+namespace sff::host {
+
+namespace {
+
+/// Longest wait for the proof that an endpoint has ended an answer itself. The
+/// caller of a stream has all events by then.
+constexpr milliseconds MaxProofTime{2000};
+/// A proof gets this time also if the caller's is over: without it, an answer
+/// that the endpoint has completed would be thrown away.
+constexpr milliseconds MinProofTime{200};
+/// Time in which the ends of the connections of a crashed endpoint arrive,
+/// after the first of them.
+constexpr milliseconds EndSettleTime{200};
+
+std::optional<serving::Incarnation>
+processOf(const serving::RegistrationVersion &Version) {
+  // Endpoints need not say when they were started.
+  if (Version.m_StartedAtMs == 0)
+    return std::nullopt;
+  return serving::Incarnation{Version.m_StartedAtMs};
+}
+
+} // namespace
+
+Task<bool> RequestSession::confirmEnd(bool EndsWithConnection) {
+  if (!EndsWithConnection)
+    co_return true;
+  const std::shared_ptr<Attempt> Answered = m_Current;
+  recordPossibleLoss(Answered->endpoint());
+  const Instant EndedAt = now();
+  serving::AnswerEndEvidence Evidence;
+  if (Answered->address())
+    Evidence = co_await gatherEndEvidence(Answered, EndedAt);
+  const serving::AnswerEnd End = serving::judgeAnswerEnd(Evidence);
+  const auto Start = [](const std::optional<serving::Incarnation> &Process) {
+    return Process ? nlohmann::json(Process->m_StartedAtMs) : nlohmann::json();
+  };
+  m_State.m_Metrics.onAnswer("connection", serving::toString(End));
+  logEvent("answer.end_judged",
+           {{"endpoint", Answered->endpoint()},
+            {"end", serving::toString(End)},
+            {"owner", serving::toString(Evidence.m_Owner)},
+            {"asked_started_at_ms", Start(Evidence.m_Asked)},
+            {"answering_started_at_ms", Start(Evidence.m_Answering)},
+            {"registered_started_at_ms", Start(Evidence.m_Registered)},
+            {"registrations_age_ms", m_State.endpointsAge().count()},
+            {"older_connection", Evidence.m_HasOlderConnection},
+            {"took_ms", toMilliseconds(now() - EndedAt).count()}});
+  co_return End == serving::AnswerEnd::Confirmed;
+}
+
+Task<IdentityAnswer>
+RequestSession::identify(std::shared_ptr<Attempt> Answered) {
+  const EndpointId &Id = Answered->endpoint();
+  const http::Address Remote = *Answered->address();
+  EndpointIdentifier &Identities = *m_State.m_Platform.m_Identities;
+  const milliseconds Limit =
+      std::clamp(toMilliseconds(remainingTime()), MinProofTime, MaxProofTime);
+  IdentityAnswer Identity;
+  // A report tells a process from a later one with the same id.
+  if (m_Service->m_Engine && processOf(Answered->registration()))
+    Identity = co_await Identities.identify(m_State.m_Http, Remote, Id,
+                                            IdentityQuestion::Report,
+                                            m_Service->m_HealthPath, Limit);
+  const bool IsKnown =
+      Identity.m_Process || Identity.m_Owner == serving::AddressOwner::Another;
+  if (!IsKnown && !m_Service->m_HealthPath.empty())
+    Identity = co_await Identities.identify(m_State.m_Http, Remote, Id,
+                                            IdentityQuestion::HealthCheck,
+                                            m_Service->m_HealthPath, Limit);
+  m_State.onNotice(Id, Answered->registration(), Identity.m_Notice,
+                   "answer_end", m_Facts.m_Id.str());
+  if (Identity.m_Owner == serving::AddressOwner::Another)
+    m_State.onAddressReused(Id, Answered->registration());
+  co_return Identity;
+}
+
+Task<serving::AnswerEndEvidence>
+RequestSession::gatherEndEvidence(std::shared_ptr<Attempt> Answered,
+                                  Instant EndedAt) {
+  const IdentityAnswer Identity = co_await identify(Answered);
+  serving::AnswerEndEvidence Evidence;
+  Evidence.m_Owner = Identity.m_Owner;
+  Evidence.m_Asked = processOf(Answered->registration());
+  Evidence.m_Answering = Identity.m_Process;
+  Evidence.m_Registered =
+      processOf(m_State.registrationOf(Answered->endpoint()));
+  if (Evidence.m_Owner != serving::AddressOwner::Nobody)
+    co_return Evidence;
+  co_await sleepFor(EndSettleTime);
+  Evidence.m_HasOlderConnection =
+      m_State.m_Http.hasOpenConnection(*Answered->address(), EndedAt);
+  co_return Evidence;
+}
+
+} // namespace sff::host
--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -46,6 +46,7 @@
       : m_Stream(Executor), m_Buffer(MaxUnparsedBytes) {}
   beast::tcp_stream m_Stream;
   beast::flat_buffer m_Buffer;
+  Instant m_OpenedAt; ///< When it was established.
   Instant m_IdleSince;
   /// Keep-alive timeout that the endpoint announced.
   milliseconds m_KeepAlive = milliseconds::max();
@@ -153,6 +154,7 @@
                                                      redirectTo(Error));
     if (Error)
       co_return makeFailure(FailureStage::Connect, Error);
+    NewConnection->m_OpenedAt = std::chrono::steady_clock::now();
     configureSocket(NewConnection->m_Stream.socket());
     auto &All = m_All[Remote];
     std::erase_if(All, [](const auto &Weak) { return Weak.expired(); });
@@ -179,12 +181,12 @@
     return Error == asio::error::would_block;
   }
 
-  bool hasOpenConnection(const Address &Remote) const {
+  bool hasOpenConnection(const Address &Remote, Instant Before) const {
     const auto Found = m_All.find(Remote);
     return Found != m_All.end() &&
-           std::ranges::any_of(Found->second, [](const auto &Weak) {
+           std::ranges::any_of(Found->second, [Before](const auto &Weak) {
              const auto Open = Weak.lock();
-             return Open && isUsable(*Open);
+             return Open && Open->m_OpenedAt < Before && isUsable(*Open);
            });
   }
 
@@ -396,8 +398,8 @@
     : m_Impl(std::make_shared<Impl>(std::move(Executor))) {}
 Client::~Client() = default;
 
-bool Client::hasOpenConnection(const Address &Remote) {
-  return m_Impl->hasOpenConnection(Remote);
+bool Client::hasOpenConnection(const Address &Remote, Instant Before) {
+  return m_Impl->hasOpenConnection(Remote, Before);
 }
 void Client::dropIdle(const Address &Remote) { m_Impl->dropIdle(Remote); }
 void Client::closeIdle(milliseconds MaxIdle) { m_Impl->closeIdle(MaxIdle); }
--- a/Source/Core/Net/Http/Client.h
+++ b/Source/Core/Net/Http/Client.h
@@ -122,9 +122,10 @@
   boost::asio::awaitable<std::optional<TransportFailure>>
   connect(Address Remote, milliseconds Timeout);
 
-  /// Returns whether \p Remote keeps a connection open that has no data to
-  /// read. A process that has ended keeps none.
-  bool hasOpenConnection(const Address &Remote);
+  /// Returns whether \p Remote keeps a connection open that was established
+  /// before \p Before and has no data to read. A process that has ended keeps
+  /// none.
+  bool hasOpenConnection(const Address &Remote, Instant Before);
   /// Drops all pooled connections to \p Remote, for example after one of them
   /// became unresponsive.
   void dropIdle(const Address &Remote);
