--- a/Source/UnitTests/Net/Http/ClientSendTest.cpp
+++ b/Source/UnitTests/Net/Http/ClientSendTest.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using boost::asio::ip::tcp;
+using std::chrono::steady_clock;
 
 // Guards against a request that reaches an endpoint which has asked for none
 // while the connection to it was being established.
@@ -23,6 +24,7 @@
   Outgoing.m_Method = "GET";
   Outgoing.m_Target = "/";
   SendResult Result;
+  const Instant Start = steady_clock::now();
   boost::asio::co_spawn(Context, Sender.send(Remote, Outgoing, Options),
                         [&](const std::exception_ptr &, SendResult Ended) {
                           Result = std::move(Ended);
@@ -34,7 +36,9 @@
   tcp::socket Socket = Acceptor.accept();
   EXPECT_EQ(Socket.available(), 0U);
   // The connection serves the next call.
-  EXPECT_TRUE(Sender.hasOpenConnection(Remote));
+  EXPECT_TRUE(Sender.hasOpenConnection(Remote, steady_clock::now()));
+  // It is no sign of a process that was asked before.
+  EXPECT_FALSE(Sender.hasOpenConnection(Remote, Start));
 }
 
 } // namespace
