Read answers by the framing that their heads name

What callers saw: an answer in a transfer coding that the host doesn't know (gzip; "gzip, chunked"; identity beside a length; chunks in HTTP/1.0) reached them without the coding's name, as the endpoint's body; an answer behind an interim one (100, 103) became a 502; one to HEAD was waited for until the deadline (504). After a 101, the connection was used again.

Cause: as with requests, the framing was left to the parser, which reads such bodies to the end of the connection or as plain chunks, takes an interim answer for the final one, and cannot know which method it answers.

Change: the client checks each head with responseFraming(); what cannot be read, or is of another protocol, is a failure of the endpoint. It skips up to 16 interim answers and reads no body behind an answer to HEAD.

--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -1,5 +1,6 @@
 #include "Net/Http/Client.h"
 
+#include "Net/Http/Framing.h"
 #include "Net/Timers/AsyncCondition.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -28,6 +29,8 @@
 namespace {
 
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
+/// HTTP/1.0 as Beast numbers versions.
+constexpr unsigned BeastHttp10 = 10;
 
 auto redirectTo(error_code &Error) {
   return asio::redirect_error(asio::use_awaitable, Error);
@@ -74,6 +77,8 @@
 /// Maximum number of late responses to earlier requests that a call skips on
 /// its connection.
 constexpr int MaxSkippedResponses = 2;
+/// Maximum number of interim responses before the final one.
+constexpr int MaxInterimResponses = 16;
 /// Most bytes of the body of a skipped response.
 constexpr std::size_t MaxSkippedBytes = 64 * 1024;
 /// Client::send() ends a body that takes longer than this multiple of the read
@@ -236,9 +241,10 @@
 public:
   ResponseStreamImpl(std::shared_ptr<Owner> Pool, Address Remote,
                      std::shared_ptr<Connection> ActiveConnection,
-                     ClientOptions Options)
+                     std::string RequestMethod, ClientOptions Options)
       : m_Pool(std::move(Pool)), m_Remote(std::move(Remote)),
         m_Connection(std::move(ActiveConnection)),
+        m_RequestMethod(std::move(RequestMethod)),
         m_Options(std::move(Options)), m_Reused(m_Connection->m_Reused) {
     startParser();
   }
@@ -251,14 +257,8 @@
   asio::awaitable<std::optional<TransportFailure>> readHeader() {
     for (int ResponseCount = 0; ResponseCount <= MaxSkippedResponses;
          ++ResponseCount) {
-      error_code Error;
-      m_Connection->m_Stream.expires_after(m_Options.m_ReadTimeout);
-      co_await bhttp::async_read_header(m_Connection->m_Stream,
-                                        m_Connection->m_Buffer, *m_Parser,
-                                        redirectTo(Error));
-      if (Error)
-        co_return makeFailure(FailureStage::Read, Error);
-      storeHeader();
+      if (auto Failure = co_await readFinalHeader())
+        co_return Failure;
       if (matchesRequest())
         co_return std::nullopt;
       const bool Discarded = co_await discardBody();
@@ -312,6 +312,46 @@
   void startParser() {
     m_Parser.emplace();
     m_Parser->body_limit(boost::none);
+    // The fields of such an answer describe a body that is not sent.
+    m_Parser->skip(m_RequestMethod == "HEAD");
+  }
+
+  /// Reads the header of a final response and skips interim ones before it.
+  asio::awaitable<std::optional<TransportFailure>> readFinalHeader() {
+    for (int Interim = 0; Interim <= MaxInterimResponses; ++Interim) {
+      error_code Error;
+      m_Connection->m_Stream.expires_after(m_Options.m_ReadTimeout);
+      co_await bhttp::async_read_header(m_Connection->m_Stream,
+                                        m_Connection->m_Buffer, *m_Parser,
+                                        redirectTo(Error));
+      if (Error)
+        co_return makeFailure(FailureStage::Read, Error);
+      storeHeader();
+      if (!isInterim(m_Head.m_Status))
+        co_return checkHeader();
+      startParser();
+    }
+    close();
+    co_return TransportFailure{FailureStage::Read, false,
+                               "too many interim answers"};
+  }
+
+  /// Fails if the bytes behind the header cannot be read as its body.
+  std::optional<TransportFailure> checkHeader() {
+    std::string_view Fault;
+    const auto Version = m_Parser->get().version() == BeastHttp10
+                             ? HttpVersion::Http10
+                             : HttpVersion::Http11;
+    const Framing Body = responseFraming(m_Head.m_Headers, Version,
+                                         m_Head.m_Status, m_RequestMethod);
+    if (const auto *Unreadable = std::get_if<FramingFault>(&Body))
+      Fault = describe(*Unreadable);
+    if (switchesProtocols(m_Head.m_Status))
+      Fault = "the endpoint switches to another protocol";
+    if (Fault.empty())
+      return std::nullopt;
+    close();
+    return TransportFailure{FailureStage::Read, false, std::string(Fault)};
   }
 
   void storeHeader() {
@@ -385,6 +425,7 @@
   std::shared_ptr<Owner> m_Pool;
   Address m_Remote;
   std::shared_ptr<Connection> m_Connection;
+  std::string m_RequestMethod;
   ClientOptions m_Options;
   std::optional<bhttp::response_parser<bhttp::buffer_body>> m_Parser;
   Response m_Head;
@@ -467,7 +508,8 @@
                    asio::detached);
   }
   auto Stream = std::make_shared<ResponseStreamImpl<Impl>>(
-      std::move(Pool), Remote, std::move(ActiveConnection), std::move(Options));
+      std::move(Pool), Remote, std::move(ActiveConnection),
+      std::string(OutgoingMessage->method_string()), std::move(Options));
   if (auto Failure = co_await Stream->readHeader())
     co_return std::move(*Failure);
   co_return Stream;
--- a/Source/Core/Net/Http/Framing.cpp
+++ b/Source/Core/Net/Http/Framing.cpp
@@ -102,7 +102,7 @@
 Framing responseFraming(const Headers &Fields, HttpVersion Version, int Status,
                         std::string_view RequestMethod) {
   const bool HasNoBody = RequestMethod == "HEAD" || isInterim(Status) ||
-                         Status == SwitchingProtocolsStatus ||
+                         switchesProtocols(Status) ||
                          Status == NoContentStatus ||
                          Status == NotModifiedStatus;
   if (HasNoBody)
@@ -111,7 +111,11 @@
 }
 
 bool isInterim(int Status) {
-  return Status >= 100 && Status < 200 && Status != SwitchingProtocolsStatus;
+  return Status >= 100 && Status < 200 && !switchesProtocols(Status);
+}
+
+bool switchesProtocols(int Status) {
+  return Status == SwitchingProtocolsStatus;
 }
 
 std::string_view describe(FramingFault Fault) {
--- a/Source/Core/Net/Http/Framing.h
+++ b/Source/Core/Net/Http/Framing.h
@@ -42,6 +42,9 @@
 /// Whether an answer with \p Status precedes the final one.
 bool isInterim(int Status);
 
+/// Whether what follows an answer with \p Status is of another protocol.
+bool switchesProtocols(int Status);
+
 /// A description for log lines and problem documents.
 std::string_view describe(FramingFault Fault);
 
--- /dev/null
+++ b/Source/UnitTests/Net/Http/ClientFramingTest.cpp
@@ -0,0 +1,155 @@
+#include "Net/Http/Client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace sff::http {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+const std::string Sized = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// Accepts one connection and answers each request on it with the next of the
+/// given texts, on its own thread. Then keeps the connection open until the
+/// client closes it.
+class ScriptedServer {
+public:
+  explicit ScriptedServer(std::vector<std::string> Answers)
+      : m_Acceptor(m_Context, {boost::asio::ip::address_v4::loopback(), 0}),
+        m_Thread([this, Answers = std::move(Answers)] { serve(Answers); }) {}
+  ~ScriptedServer() { m_Thread.join(); }
+
+  Address address() const {
+    return {"127.0.0.1", m_Acceptor.local_endpoint().port()};
+  }
+
+private:
+  void serve(const std::vector<std::string> &Answers) {
+    tcp::socket Socket = m_Acceptor.accept();
+    boost::asio::streambuf Received;
+    error_code Error;
+    for (const std::string &Answer : Answers) {
+      const std::size_t Bytes =
+          boost::asio::read_until(Socket, Received, "\r\n\r\n", Error);
+      Received.consume(Bytes);
+      boost::asio::write(Socket, boost::asio::buffer(Answer), Error);
+    }
+    while (!Error)
+      boost::asio::read_until(Socket, Received, "\r\n\r\n", Error);
+  }
+
+  boost::asio::io_context m_Context;
+  tcp::acceptor m_Acceptor;
+  std::thread m_Thread;
+};
+
+/// Sends requests one after the other and returns the results.
+std::vector<SendResult> exchange(const std::vector<std::string> &Answers,
+                                 const std::string &Method = "GET") {
+  ScriptedServer Endpoint(Answers);
+  boost::asio::io_context Context;
+  Client Caller(Context.get_executor());
+  std::vector<SendResult> Results;
+  ClientOptions Options;
+  Options.m_ReadTimeout = milliseconds(1000);
+  Request Message;
+  Message.m_Method = Method;
+  boost::asio::co_spawn(
+      Context,
+      [&]() -> boost::asio::awaitable<void> {
+        for (std::size_t Call = 0; Call < Answers.size(); ++Call)
+          Results.push_back(
+              co_await Caller.send(Endpoint.address(), Message, Options));
+        Caller.dropIdle(Endpoint.address());
+      },
+      boost::asio::detached);
+  Context.run();
+  return Results;
+}
+
+void expectBody(const SendResult &Result, const std::string &Body) {
+  const auto *Answer = std::get_if<Response>(&Result);
+  ASSERT_TRUE(Answer) << std::get<TransportFailure>(Result).m_Detail;
+  EXPECT_EQ(Answer->m_Status, 200);
+  EXPECT_EQ(Answer->m_Body, Body);
+}
+
+// Guards against an interim answer that counts as the answer to the request:
+// its caller got an error, and the final answer was left on the connection.
+TEST(ClientFramingTest, InterimAnswersAreSkipped) {
+  const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n"
+                              "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  for (const SendResult &Result :
+       exchange({Interim + Sized, Sized, Interim + Sized}))
+    expectBody(Result, "ok");
+}
+
+// Guards against interim answers without end.
+TEST(ClientFramingTest, InterimAnswersAreBounded) {
+  std::string Answer;
+  for (int Count = 0; Count < 100; ++Count)
+    Answer += "HTTP/1.1 100 Continue\r\n\r\n";
+  EXPECT_TRUE(std::holds_alternative<TransportFailure>(
+      exchange({Answer + Sized}).front()));
+}
+
+// Guards against a connection that is used again after its endpoint has begun
+// to speak another protocol on it.
+TEST(ClientFramingTest, SwitchOfProtocolsIsAFailure) {
+  const std::string Answer = "HTTP/1.1 101 Switching Protocols\r\n"
+                             "Connection: upgrade\r\nUpgrade: x\r\n\r\n";
+  EXPECT_TRUE(
+      std::holds_alternative<TransportFailure>(exchange({Answer}).front()));
+}
+
+// Guards against a wait for the body of an answer that has none, and against a
+// body that is taken from the next answer.
+TEST(ClientFramingTest, AnswerToHeadHasNoBody) {
+  const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n";
+  for (const SendResult &Result : exchange({Answer, Answer}, "HEAD"))
+    expectBody(Result, "");
+}
+
+// Guards against a coded body that is passed on as if it had no coding, and
+// against one whose end the endpoint sees elsewhere.
+TEST(ClientFramingTest, AnswerOfUnknownFramingIsAFailure) {
+  for (const std::string Fields :
+       {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: identity\r\nContent-Length: 2\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+        "Content-Length: 2\r\nContent-Length: 3\r\n"}) {
+    SCOPED_TRACE(Fields);
+    const std::string Answer = "HTTP/1.1 200 OK\r\nConnection: close\r\n" +
+                               Fields + "\r\n2\r\nok\r\n0\r\n\r\n";
+    EXPECT_TRUE(
+        std::holds_alternative<TransportFailure>(exchange({Answer}).front()));
+  }
+  const std::string Chunks10 = "HTTP/1.0 200 OK\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n"
+                               "2\r\nok\r\n0\r\n\r\n";
+  EXPECT_TRUE(
+      std::holds_alternative<TransportFailure>(exchange({Chunks10}).front()));
+}
+
+// Guards against fields behind a body that count as fields of the head.
+TEST(ClientFramingTest, TrailerIsNoPartOfTheHead) {
+  const auto Results =
+      exchange({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "2\r\nok\r\n0\r\nX-Added: 1\r\n\r\n"});
+  expectBody(Results.front(), "ok");
+  EXPECT_FALSE(std::get<Response>(Results.front()).m_Headers.find("X-Added"));
+}
+
+} // namespace
+} // namespace sff::http
