Answer HTTP/1.0 and HEAD in forms that their callers can read

What callers saw: a caller of HTTP/1.0 got a stream in chunks, whose lengths it takes for a part of the body, on a connection that stayed open; behind the answer to a HEAD request came a body, which is taken for the next answer.

Cause: the server chose the form of an answer without regard to the request.

Change: to HTTP/1.0 a body without a length ends with its connection, which is reset if the body is cut, and connections are not kept. An answer to HEAD ends with its head.

Measured: before, Http10CallerGetsABodyThatEndsWithTheConnection, CutBodyOfHttp10IsReset and AnswerToHeadHasNoBody of ServerFramingTest failed; now all 56 tests of net_tests pass.

--- a/Source/Core/Net/Http/Server.cpp
+++ b/Source/Core/Net/Http/Server.cpp
@@ -104,6 +104,8 @@
   }
 
   asio::awaitable<bool> respond(Response HttpResponse) override {
+    if (m_IsHeadOnly)
+      co_return co_await respondWithHead(std::move(HttpResponse));
     if (HttpResponse.m_EndsWithConnection)
       co_return co_await respondUnframed(std::move(HttpResponse));
     bhttp::response<bhttp::string_body> Message;
@@ -120,7 +122,12 @@
   }
 
   asio::awaitable<bool> beginStream(Response ResponseHead) override {
-    m_EndsWithConnection = ResponseHead.m_EndsWithConnection;
+    const bool HasLength =
+        !ResponseHead.m_Headers.view("Content-Length").empty();
+    // HTTP/1.0 has no chunks.
+    m_EndsWithConnection =
+        !m_IsHeadOnly && (ResponseHead.m_EndsWithConnection ||
+                          (m_Version == HttpVersion::Http10 && !HasLength));
     if (m_EndsWithConnection) {
       m_KeepAlive = false;
       ResponseHead.m_Headers.erase("Content-Length");
@@ -129,8 +136,7 @@
     bhttp::response<bhttp::empty_body> Message;
     copyStatusAndHeaders(ResponseHead, Message);
     Message.keep_alive(shouldKeepAlive());
-    m_Chunked = !m_EndsWithConnection &&
-                Message.count(bhttp::field::content_length) == 0;
+    m_Chunked = !m_IsHeadOnly && !m_EndsWithConnection && !HasLength;
     // chunked(false) would also remove the Content-Length header.
     if (m_Chunked)
       Message.chunked(true);
@@ -143,7 +149,7 @@
   }
 
   asio::awaitable<bool> writeChunk(std::string_view Data) override {
-    if (Data.empty())
+    if (Data.empty() || m_IsHeadOnly)
       co_return true;
     error_code Error;
     m_Stream.expires_after(m_State->m_Limits.m_WriteTimeout);
@@ -210,6 +216,22 @@
     return m_KeepAlive && !m_State->m_Stopping && !m_State->m_Draining;
   }
 
+  /// Responds to a HEAD request, whose response has no body.
+  asio::awaitable<bool> respondWithHead(Response HttpResponse) {
+    bhttp::response<bhttp::empty_body> Message;
+    copyStatusAndHeaders(HttpResponse, Message);
+    if (!HttpResponse.m_Body.empty())
+      Message.content_length(HttpResponse.m_Body.size());
+    Message.keep_alive(shouldKeepAlive());
+    m_Started = true;
+    bhttp::response_serializer<bhttp::empty_body> Serializer(Message);
+    error_code Error;
+    m_Stream.expires_after(m_State->m_Limits.m_WriteTimeout);
+    co_await bhttp::async_write_header(m_Stream, Serializer, redirectTo(Error));
+    m_Finished = !Error;
+    co_return !Error;
+  }
+
   asio::awaitable<bool> respondUnframed(Response HttpResponse) {
     const std::string Body = std::exchange(HttpResponse.m_Body, {});
     const bool Begun = co_await beginStream(std::move(HttpResponse));
@@ -326,16 +348,19 @@
     ScopedCounter Active(m_State->m_Active);
     m_Started = false;
     m_Finished = false;
+    m_IsHeadOnly = false;
     RequestParser Parser;
     Parser.header_limit(m_State->m_Limits.m_MaxHeaderBytes);
     Parser.body_limit(m_State->m_Limits.m_MaxBodyBytes);
     m_Buffer.max_size(m_State->m_Limits.m_MaxHeaderBytes + MaxUnparsedBytes);
     if (const error_code Error = co_await readHead(Parser))
       co_return co_await rejectReadError(Error);
-    m_KeepAlive = Parser.get().keep_alive();
+    m_Version = versionOf(Parser.get());
+    // Callers of HTTP/1.0 expect a close unless they are told otherwise.
+    m_KeepAlive = m_Version != HttpVersion::Http10 && Parser.get().keep_alive();
     Request Incoming = convertHead(Parser.get());
-    const Framing Expected =
-        requestFraming(Incoming.m_Headers, versionOf(Parser.get()));
+    m_IsHeadOnly = Incoming.m_Method == "HEAD";
+    const Framing Expected = requestFraming(Incoming.m_Headers, m_Version);
     if (const auto *Fault = std::get_if<FramingFault>(&Expected))
       co_return co_await rejectFraming(*Fault);
     if (const error_code Error = co_await readBody(Parser))
@@ -392,7 +417,9 @@
   /// Incremented before and after each request is handled, so that callbacks of
   /// the read timer and of the disconnect wait detect that they are stale.
   std::uint64_t m_RequestSequence = 0;
+  HttpVersion m_Version = HttpVersion::Http11; ///< Of the request.
   bool m_KeepAlive = true;
+  bool m_IsHeadOnly = false; ///< The response has no body.
   bool m_Chunked = true;
   bool m_EndsWithConnection = false;
   bool m_Started = false;
--- a/Source/UnitTests/Net/Http/ServerFramingTest.cpp
+++ b/Source/UnitTests/Net/Http/ServerFramingTest.cpp
@@ -168,5 +168,42 @@
   }
 }
 
+// Guards against chunks that reach a caller whose version has none: it takes
+// their lengths for a part of the body.
+TEST_F(ServerFramingTest, Http10CallerGetsABodyThatEndsWithTheConnection) {
+  const std::string Whole = exchange("GET /stream HTTP/1.0\r\nHost: a\r\n"
+                                     "Connection: keep-alive\r\n\r\n");
+  EXPECT_TRUE(Whole.ends_with("\r\n\r\none two")) << Whole;
+  EXPECT_EQ(Whole.find("Transfer-Encoding"), std::string::npos);
+  EXPECT_NE(Whole.find("Connection: close"), std::string::npos);
+  EXPECT_FALSE(m_WasReset);
+}
+
+// Guards against a cut body that looks complete to such a caller.
+TEST_F(ServerFramingTest, CutBodyOfHttp10IsReset) {
+  const std::string Cut =
+      exchange("GET /stream?cut HTTP/1.0\r\nHost: a\r\n\r\n");
+  EXPECT_EQ(Cut.find("Transfer-Encoding"), std::string::npos);
+  EXPECT_TRUE(m_WasReset);
+}
+
+// Guards against a body behind the answer to a HEAD request, which the caller
+// takes for the next answer.
+TEST_F(ServerFramingTest, AnswerToHeadHasNoBody) {
+  const std::string Next =
+      "GET /outer HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Content-Length: 2\r\n\r\nok";
+  for (const std::string Head :
+       {"HEAD /stream HTTP/1.1\r\nHost: a\r\n\r\n",
+        "HEAD /outer HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"}) {
+    SCOPED_TRACE(Head);
+    const std::string Answers = exchange(Head + Next);
+    const auto HeadEnd = Answers.find("\r\n\r\n");
+    ASSERT_NE(HeadEnd, std::string::npos);
+    EXPECT_EQ(Answers.substr(HeadEnd + 4, 12), "HTTP/1.1 200") << Answers;
+    EXPECT_EQ(countOf(Answers, "HTTP/1.1 200"), 2u) << Answers;
+  }
+}
+
 } // namespace
 } // namespace sff::http
