Bound the memory that the answers of all requests hold together

What callers could see: a host that ends for want of memory, with the requests of all its callers, while an endpoint answers many requests with bodies without end (reported by another operator; shown here by a test).

Cause: a body that is held until it is complete was bounded by 4 MB and an incomplete event by 256 KB, each by itself. The event of a passed-on stream had no limit at the host that had passed the request on.

Ends that are judged and answers that are too long have counters of their own.

--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -57,6 +57,14 @@
       m_Answers(m_Set.counterFamily(
           "sff_host_answers_total",
           "Answers of endpoints by the framing and the end of the body")),
+      m_AnswerEnds(m_Set.counterFamily(
+          "sff_host_answer_ends_total",
+          "Answers that ended with their connection, by what the host has "
+          "found out about the end")),
+      m_AnswersTooLong(m_Set.counterFamily(
+          "sff_host_answers_too_long_total",
+          "Answers that were given up because too much of them had to be held, "
+          "by the limit: that of one answer, or that of all together")),
       m_Crashes(m_Set.counterFamily(
           "sff_host_crashes_total",
           "Endpoint crashes attributed to a request, by source")),
@@ -147,6 +155,14 @@
       .Increment();
 }
 
+void HostMetrics::onAnswerEndJudged(std::string_view Verdict) {
+  m_AnswerEnds.Add({{"verdict", std::string(Verdict)}}).Increment();
+}
+
+void HostMetrics::onAnswerTooLong(std::string_view Limit) {
+  m_AnswersTooLong.Add({{"limit", std::string(Limit)}}).Increment();
+}
+
 void HostMetrics::onCrash(std::string_view Source) {
   m_Crashes.Add({{"source", std::string(Source)}}).Increment();
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -53,6 +53,12 @@
   /// Counts an answer of an endpoint. \p Framing tells how the end of its body
   /// is marked, \p End how the body ended.
   void onAnswer(std::string_view Framing, std::string_view End);
+  /// Counts an answer that ended with its connection, by what is known of the
+  /// end.
+  void onAnswerEndJudged(std::string_view Verdict);
+  /// Counts an answer that is given up because it is too long, by the limit
+  /// that it exceeds.
+  void onAnswerTooLong(std::string_view Limit);
   void onOrder(std::string_view Result);
   void onSwap(Duration Taken) { observe(m_Swaps, Taken); }
   void onStoreCall(std::string_view Call, bool Answered);
@@ -115,6 +121,8 @@
   prometheus::Gauge &m_Isolated;
   prometheus::Family<prometheus::Counter> &m_Silences;
   prometheus::Family<prometheus::Counter> &m_Answers;
+  prometheus::Family<prometheus::Counter> &m_AnswerEnds;
+  prometheus::Family<prometheus::Counter> &m_AnswersTooLong;
   prometheus::Family<prometheus::Counter> &m_Crashes;
   prometheus::Family<prometheus::Gauge> &m_SuspectCrashes;
   std::map<std::string, prometheus::Gauge *> m_Suspects; ///< By fingerprint.
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -64,7 +64,8 @@
     : m_State(State), m_Demands(Demands), m_Streams(Streams),
       m_Sessions(Sessions), m_Relay(Relay), m_Origin(Origin),
       m_Incoming(std::move(Incoming)), m_Caller(Caller), m_ArrivedAt(now()),
-      m_Timer(State.m_Context), m_SilenceTimer(State.m_Context) {}
+      m_AnswerMemory(State.m_AnswerMemory), m_Timer(State.m_Context),
+      m_SilenceTimer(State.m_Context) {}
 
 Task<void> RequestSession::run() {
   m_Facts = m_State.m_Platform.m_WireFormat->decode(m_Incoming);
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -60,6 +60,11 @@
   /// Maximum number of sends of one request, including those that endpoints
   /// refuse. Each send after the first is taken from the retry budget.
   static constexpr int MaxSends = 4;
+  /// Largest body of an answer that is not a stream, which is held in memory
+  /// until it is complete.
+  static constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
+  /// Largest event of a stream, of which an incomplete one is held in memory.
+  static constexpr std::size_t MaxEventBytes = 256 * 1024;
   /// Retry-After for failures whose duration is not known.
   static constexpr milliseconds DefaultRetryAfter{1000};
 
@@ -150,6 +155,13 @@
                      int Status);
   Task<Step> onHead(EndpointId Id, OpenStream Answer);
   Task<Step> forwardBuffered(EndpointId Id, OpenStream Answer);
+  /// Whether \p Size bytes of an answer, of which at most \p Limit are allowed,
+  /// may be held until more of it has arrived. The answers of all requests
+  /// share a limit, too.
+  bool mayHold(std::size_t Size, std::size_t Limit);
+  /// Adds to a body that is held until it is complete. Returns false if it may
+  /// not be held.
+  bool appendToBody(std::string &Body, std::string_view Chunk);
   Task<Step> forwardStream(EndpointId Id, OpenStream Answer);
   Task<StreamResult> copyStream(EndpointId Id, OpenStream Answer);
   /// Returns whether the end of a stream's body may be passed on to the caller.
@@ -308,6 +320,7 @@
   const serving::Service *m_Service = nullptr; ///< In m_Catalogue.
   Instant m_ArrivedAt;
   Instant m_RespondBy;
+  serving::ByteBudget::Share m_AnswerMemory; ///< For what is held of an answer.
   /// The attempt whose answer is waited for; null between attempts.
   std::shared_ptr<Attempt> m_Current;
   /// The attempt that was made because the current one is silent, until its
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -8,12 +8,6 @@
 
 constexpr auto LogCategory = log::Category::Routing;
 
-/// Largest body of an answer that is not a stream, which is held in memory
-/// until it is complete.
-constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
-/// Largest event of a stream, of which an incomplete one is held in memory.
-constexpr std::size_t MaxEventBytes = 256 * 1024;
-
 constexpr int HttpOk = 200;
 constexpr int FirstServerErrorStatus = 500;
 
@@ -152,12 +146,11 @@
     std::string &Chunk = std::get<std::string>(Next);
     if (Chunk.empty())
       break;
-    if (Body.size() + Chunk.size() > MaxBodyBytes) {
+    if (!appendToBody(Body, Chunk)) {
       Answer->close();
       co_return co_await onIncompleteResponse(Id, serving::CallResult::Broken,
                                               "the body is too long");
     }
-    Body += Chunk;
   }
   recordAnswerEnd(Id, Answer->head(), EndComplete);
   m_SilenceTimer.cancel();
@@ -190,6 +183,23 @@
   co_return Step::Finished;
 }
 
+bool RequestSession::mayHold(std::size_t Size, std::size_t Limit) {
+  if (Size <= Limit && m_AnswerMemory.resize(Size))
+    return true;
+  m_State.m_Metrics.onAnswerTooLong(Size > Limit ? "single" : "together");
+  logEvent("answer.too_long", {{"bytes", Size},
+                               {"limit", Limit},
+                               {"held_by_all", m_State.m_AnswerMemory.used()}});
+  return false;
+}
+
+bool RequestSession::appendToBody(std::string &Body, std::string_view Chunk) {
+  if (!mayHold(Body.size() + Chunk.size(), MaxBodyBytes))
+    return false;
+  Body += Chunk;
+  return true;
+}
+
 Task<RequestSession::Step> RequestSession::forwardStream(EndpointId Id,
                                                          OpenStream Answer) {
   if (m_HeadSent)
@@ -240,7 +250,7 @@
     onProgress();
     const std::string &Chunk = std::get<std::string>(Next);
     std::string Complete = m_Events.append(Chunk);
-    if (m_Events.partialEvent().size() > MaxEventBytes)
+    if (!mayHold(m_Events.partialEvent().size(), MaxEventBytes))
       co_return StreamResult::EndpointFailed;
     if (Chunk.empty() && !checkStreamEnd(Id, Answer->head()))
       co_return StreamResult::EndpointFailed;
--- a/Source/Core/Host/RequestSessionEnds.cpp
+++ b/Source/Core/Host/RequestSessionEnds.cpp
@@ -39,7 +39,7 @@
   const auto Start = [](const std::optional<serving::Incarnation> &Process) {
     return Process ? nlohmann::json(Process->m_StartedAtMs) : nlohmann::json();
   };
-  m_State.m_Metrics.onAnswer("connection", serving::toString(End));
+  m_State.m_Metrics.onAnswerEndJudged(serving::toString(End));
   logEvent("answer.end_judged",
            {{"endpoint", Answered->endpoint()},
             {"end", serving::toString(End)},
--- a/Source/Core/Host/RequestSessionRelay.cpp
+++ b/Source/Core/Host/RequestSessionRelay.cpp
@@ -16,8 +16,6 @@
 constexpr int RefusalStatus = 503;
 /// Status of answers to requests whose time is over.
 constexpr int TimeoutStatus = 504;
-/// Largest body of an answer that is not a stream.
-constexpr std::size_t MaxBodyBytes = 4 * 1024 * 1024;
 
 /// Returns whether another host has refused the request, which has not run.
 bool isRefusal(const http::Response &Head) {
@@ -245,8 +243,7 @@
     const std::string &Chunk = std::get<std::string>(Next);
     if (Chunk.empty())
       break;
-    Body += Chunk;
-    if (Body.size() > MaxBodyBytes) {
+    if (!appendToBody(Body, Chunk)) {
       Answer->close();
       co_await endWithFailure("peer_lost");
       co_return Step::Finished;
@@ -283,11 +280,15 @@
     m_RelayProgressAt = now();
     const std::string &Chunk = std::get<std::string>(Next);
     const std::string Complete = m_Events.append(Chunk);
+    const bool IsTooLong =
+        !mayHold(m_Events.partialEvent().size(), MaxEventBytes);
     const bool IsTorn = Chunk.empty() && !m_Events.partialEvent().empty();
-    if (IsTorn) {
+    if (IsTooLong || IsTorn) {
+      Answer->close();
       http::TransportFailure Torn;
       Torn.m_Stage = http::FailureStage::Read;
-      Torn.m_Detail = "ended inside an event";
+      Torn.m_Detail =
+          IsTooLong ? "an event is too long" : "ended inside an event";
       co_return co_await onRelayFailed(Host, std::move(Torn));
     }
     if (!m_HeadSent) {
