Judge the end of a passed-on stream like that of an own one

What callers saw: a stream that had begun with chunks at one host, and went on through another host with an answer without a mark of its end, got a last chunk from the host that the caller had asked: a mark that nobody had given.

Cause: forwardRelayedStream() checked only whether the stream ended inside an event; copyStream() also checks whether the caller was promised a mark.

Change: both ask checkStreamEnd(). Makers and readers of raw answers move from HostTruncatedAnswerTest to RawAnswer, which the new HostRelayedEndTest uses, too.

Measured: HostRelayedEndTest.ResumedStreamGetsNoMarkOfItsEnd failed before (complete for the caller) and passes now (broken off); HostRelayedEndTest.OnlyAConfirmedEndIsPassedOn passes for endpoints that stay, leave and start again, for streams and whole answers.

--- a/Source/Core/Host/RequestSessionRelay.cpp
+++ b/Source/Core/Host/RequestSessionRelay.cpp
@@ -269,6 +269,8 @@
 
 Task<RequestSession::Step>
 RequestSession::forwardRelayedStream(HostId Host, OpenStream Answer) {
+  const EndpointId Id(
+      std::string(Answer->head().m_Headers.view(RelayEndpointHeader)));
   while (true) {
     auto Next = co_await Answer->read();
     if (m_CallerGone) {
@@ -282,13 +284,11 @@
     const std::string Complete = m_Events.append(Chunk);
     const bool IsTooLong =
         !mayHold(m_Events.partialEvent().size(), MaxEventBytes);
-    const bool IsTorn = Chunk.empty() && !m_Events.partialEvent().empty();
-    if (IsTooLong || IsTorn) {
+    if (IsTooLong || (Chunk.empty() && !checkStreamEnd(Id, Answer->head()))) {
       Answer->close();
       http::TransportFailure Torn;
       Torn.m_Stage = http::FailureStage::Read;
-      Torn.m_Detail =
-          IsTooLong ? "an event is too long" : "ended inside an event";
+      Torn.m_Detail = IsTooLong ? "an event is too long" : "the stream broke";
       co_return co_await onRelayFailed(Host, std::move(Torn));
     }
     if (!m_HeadSent) {
