Ask callers for a body that they hold back

What callers see: with "Expect: 100-continue" a caller may hold its body back until the server asks for it. The server never did, so that such a request ran only when the caller gave up waiting, or ended with 408.

Change: the server writes the interim answer 100 if the caller of HTTP/1.1 asks for one and no part of the body has arrived.

Measured: ServerFramingTest.CallerIsAskedForTheBodyItHoldsBack passes; it was not run against the server of before.

--- a/Source/Core/Net/Http/Server.cpp
+++ b/Source/Core/Net/Http/Server.cpp
@@ -331,6 +331,22 @@
     co_return m_ReadTimedOut ? beast::error::timeout : Error;
   }
 
+  /// Whether the caller holds the body back until the server asks for it.
+  bool awaitsContinue(const Request &Incoming) const {
+    return m_Version == HttpVersion::Http11 && m_Buffer.size() == 0 &&
+           beast::iequals(Incoming.m_Headers.view("Expect"), "100-continue");
+  }
+
+  /// A failure shows when the body is read.
+  asio::awaitable<void> writeContinue() {
+    constexpr std::string_view Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    error_code Ignored;
+    m_Stream.expires_after(m_State->m_Limits.m_WriteTimeout);
+    co_await asio::async_write(m_Stream, asio::buffer(Interim),
+                               redirectTo(Ignored));
+    m_Stream.expires_never();
+  }
+
   /// Rejects a request whose body cannot be read. The bytes after its head may
   /// belong to it, so they are not read as another request.
   asio::awaitable<bool> rejectFraming(FramingFault Fault) {
@@ -363,6 +379,8 @@
     const Framing Expected = requestFraming(Incoming.m_Headers, m_Version);
     if (const auto *Fault = std::get_if<FramingFault>(&Expected))
       co_return co_await rejectFraming(*Fault);
+    if (awaitsContinue(Incoming) && !Parser.is_done())
+      co_await writeContinue();
     if (const error_code Error = co_await readBody(Parser))
       co_return co_await rejectReadError(Error);
     Incoming.m_Body = std::move(Parser.get().body());
--- a/Source/UnitTests/Net/Http/ServerFramingTest.cpp
+++ b/Source/UnitTests/Net/Http/ServerFramingTest.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -53,6 +54,8 @@
     return Received;
   }
 
+  std::uint16_t port() const { return m_Server.port(); }
+
   std::vector<Request> handled() {
     const std::scoped_lock Lock(m_Mutex);
     return m_Handled;
@@ -168,6 +171,25 @@
   }
 }
 
+// Guards against a body that never comes: its caller waits for the interim
+// answer that it has asked for.
+TEST_F(ServerFramingTest, CallerIsAskedForTheBodyItHoldsBack) {
+  asio::io_context Context;
+  tcp::socket Socket(Context);
+  Socket.connect({asio::ip::address_v4::loopback(), port()});
+  asio::write(Socket,
+              asio::buffer(std::string_view(
+                  "POST /outer HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                  "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")));
+  std::string Received;
+  boost::system::error_code Error;
+  asio::read_until(Socket, asio::dynamic_buffer(Received), "\r\n\r\n", Error);
+  EXPECT_EQ(Received, "HTTP/1.1 100 Continue\r\n\r\n");
+  asio::write(Socket, asio::buffer(std::string_view("ok")), Error);
+  asio::read(Socket, asio::dynamic_buffer(Received), Error);
+  EXPECT_TRUE(Received.ends_with("\r\n\r\nok")) << Received;
+}
+
 // Guards against chunks that reach a caller whose version has none: it takes
 // their lengths for a part of the body.
 TEST_F(ServerFramingTest, Http10CallerGetsABodyThatEndsWithTheConnection) {
