--- a/Source/UnitTests/Host/StoreFollowerTest.cpp
+++ b/Source/UnitTests/Host/StoreFollowerTest.cpp
@@ -25,9 +25,9 @@
 protected:
   StoreFollowerTest()
       : m_Store(std::make_shared<FakeStore>()),
-        m_State(
-            m_Context, makeSettings(), {"sff-host", "h1", "zone-a", "i"},
-            {nullptr, m_Store, nullptr, std::make_shared<FakeHealthChecker>()}),
+        m_State(m_Context, makeSettings(), {"sff-host", "h1", "zone-a", "i"},
+                {nullptr, m_Store, nullptr,
+                 std::make_shared<FakeHealthChecker>(), nullptr}),
         m_Leases(m_State, "127.0.0.1:3"), m_Streams(m_State, m_Leases),
         m_Queries(m_State, m_Leases),
         m_Follower(m_State, m_Streams, m_Queries) {}
