Ask who is at an address on a new connection, and once

A kept connection may still bring a late answer of a process that has ended, which would have confirmed the end of its answer; found by reading the change as a newcomer. A report that brings no answer is not followed by a health check any more, which doubled the wait. probe() is again what it was: its address was needed only for ends.

--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -324,7 +324,7 @@
 public:
   virtual ~EndpointIdentifier() = default;
   /// Asks who is at \p Remote, where \p Id was found before, and waits up to
-  /// \p Limit. Prefers an open connection of \p Http and leaves one for later
+  /// \p Limit. Asks on a new connection of \p Http, which is left for later
   /// calls. \p HealthPath is the path of a health check there.
   virtual Task<IdentityAnswer> identify(http::Client &Http,
                                         http::Address Remote, EndpointId Id,
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -477,7 +477,7 @@
   const bool Repeats =
       m_Taken || (m_Route->isIdempotent() && m_History.canTryAnotherEndpoint());
   if (Repeats && !Silent)
-    co_await probe(Id, m_State.addressOf(Id));
+    co_await probe(Id);
   if (Repeats)
     co_return Step::TryAgain;
   // The caller gets the answer without waiting for the probe.
@@ -487,8 +487,8 @@
   co_return Step::Finished;
 }
 
-Task<bool> RequestSession::probe(EndpointId Id,
-                                 std::optional<http::Address> Remote) {
+Task<bool> RequestSession::probe(EndpointId Id) {
+  const auto Remote = m_State.addressOf(Id);
   if (!Remote)
     co_return false;
   const auto Failure = co_await m_State.m_Http.connect(*Remote, ProbeTimeout);
@@ -506,9 +506,6 @@
       {{"endpoint", Id}, {"detail", Failure->m_Detail}, {"is_alive", IsAlive}});
   if (IsAlive)
     co_return true;
-  // Nothing is recorded of an endpoint whose registration is gone.
-  if (!m_State.m_Endpoints.find(Id))
-    co_return false;
   const bool HasLinks = co_await onUnreachable(Id);
   // Before the request is sent again, which its own crash may forbid.
   if (HasLinks)
@@ -518,8 +515,7 @@
 
 Task<void> RequestSession::probeLater(std::shared_ptr<RequestSession> Self,
                                       EndpointId Id) {
-  const auto Remote = Self->m_State.addressOf(Id);
-  co_await Self->probe(std::move(Id), Remote);
+  co_await Self->probe(std::move(Id));
 }
 
 Task<bool> RequestSession::onUnreachable(EndpointId Id) {
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -236,10 +236,10 @@
                            const ResponseMetadata &Facts);
   /// Sends the head of a stream to the caller.
   Task<bool> beginStream(http::Response Head);
-  /// Connects to an endpoint, to tell a crash from a lost answer or a regular
-  /// end. Returns false if the endpoint cannot be connected to and keeps no
-  /// other connection of this host open.
-  Task<bool> probe(EndpointId Id, std::optional<http::Address> Remote);
+  /// Connects to an endpoint, to tell a crash from a lost answer. Returns false
+  /// if the endpoint cannot be connected to and keeps no other connection of
+  /// this host open.
+  Task<bool> probe(EndpointId Id);
   /// The same after the end of run().
   static Task<void> probeLater(std::shared_ptr<RequestSession> Self,
                                EndpointId Id);
--- a/Source/Core/Host/RequestSessionEnds.cpp
+++ b/Source/Core/Host/RequestSessionEnds.cpp
@@ -60,18 +60,21 @@
   EndpointIdentifier &Identities = *m_State.m_Platform.m_Identities;
   const milliseconds Limit =
       std::clamp(toMilliseconds(remainingTime()), MinProofTime, MaxProofTime);
-  IdentityAnswer Identity;
+  const auto Ask = [&](IdentityQuestion Question) {
+    return Identities.identify(m_State.m_Http, Remote, Id, Question,
+                               m_Service->m_HealthPath, Limit);
+  };
+  const bool HasHealthCheck = !m_Service->m_HealthPath.empty();
   // A report tells a process from a later one with the same id.
-  if (m_Service->m_Engine && processOf(Answered->registration()))
-    Identity = co_await Identities.identify(m_State.m_Http, Remote, Id,
-                                            IdentityQuestion::Report,
-                                            m_Service->m_HealthPath, Limit);
-  const bool IsKnown =
-      Identity.m_Process || Identity.m_Owner == serving::AddressOwner::Another;
-  if (!IsKnown && !m_Service->m_HealthPath.empty())
-    Identity = co_await Identities.identify(m_State.m_Http, Remote, Id,
-                                            IdentityQuestion::HealthCheck,
-                                            m_Service->m_HealthPath, Limit);
+  const bool AsksForReport =
+      !HasHealthCheck ||
+      (m_Service->m_Engine && processOf(Answered->registration()));
+  IdentityAnswer Identity = co_await Ask(
+      AsksForReport ? IdentityQuestion::Report : IdentityQuestion::HealthCheck);
+  const bool IsReportVague = AsksForReport && !Identity.m_Process &&
+                             Identity.m_Owner == serving::AddressOwner::Same;
+  if (IsReportVague && HasHealthCheck)
+    Identity = co_await Ask(IdentityQuestion::HealthCheck);
   m_State.onNotice(Id, Answered->registration(), Identity.m_Notice,
                    "answer_end", m_Facts.m_Id.str());
   if (Identity.m_Owner == serving::AddressOwner::Another)
