Give router tests ports that no outgoing connection takes

Trace: PortBlock checks nine ports and closes the probes; the test listens on them later. They lay at 43000 to 43989, among the ports that the kernel gives to outgoing connections (32768 to 60999), so the connection of another test took one between. They now lie at 31000 to 31989; process tests use 21000 to 29999 on addresses of their own. The checks of the tests are as they were.

--- a/Source/UnitTests/Router/PortBlock.cpp
+++ b/Source/UnitTests/Router/PortBlock.cpp
@@ -10,7 +10,10 @@
 
 using boost::asio::ip::tcp;
 
-constexpr int FirstPort = 43000;
+/// Below the ports that the kernel gives to outgoing connections, which could
+/// take a port between its check and its use, and beside those of the process
+/// tests.
+constexpr int FirstPort = 31000;
 constexpr int PortsPerBlock = 10;
 constexpr int Blocks = 99;
 constexpr int LockIndex = PortsPerBlock - 1;
--- a/Source/UnitTests/Router/PortBlock.h
+++ b/Source/UnitTests/Router/PortBlock.h
@@ -6,8 +6,8 @@
 namespace sff::router::testing {
 
 /// Ten consecutive free ports of 127.0.0.1. The last one stays bound as a lock
-/// against tests that run in parallel. All ports are checked, because outgoing
-/// connections of other programs may occupy them as well.
+/// against tests that run in parallel. All ports are checked, because other
+/// programs may occupy them as well.
 class PortBlock {
 public:
   /// Throws std::runtime_error if no block is free.
