Share the completions that clear the crashes of a request

Cause: a completion takes back the crashes of a request at the host that sees it and nowhere else. The log of crashes, which the other hosts follow and which a host that starts reads, had the crash and not its end.

Change: a completion is a proof against each crash that counts for the request at its host, and the proofs go into the log. Crashes and proofs are sets, so they may arrive in any order. A refuted crash is not told to other hosts any more. A request that crashes each endpoint never completes, so its rejection is as before.

--- a/Source/Core/Core/Retry/CrashQuarantine.cpp
+++ b/Source/Core/Core/Retry/CrashQuarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace sff::retry {
 
@@ -12,13 +13,7 @@
 bool CrashQuarantine::add(const CrashReport &Report, Instant Now) {
   if (Now - Report.m_At >= maxAge())
     return false;
-  if (!m_Records.contains(Report.m_Fingerprint) &&
-      m_Records.size() >= std::max<std::size_t>(m_MaxFingerprints, 1))
-    evictRecord(Now);
-  auto &Crashes = m_Records[Report.m_Fingerprint].m_Crashes;
-  std::erase_if(Crashes, [&](const auto &Entry) {
-    return Now - Entry.second.m_At >= maxAge();
-  });
+  auto &Crashes = makeRecord(Report.m_Fingerprint, Now).m_Crashes;
   const auto Known =
       Crashes.try_emplace(Report.m_Crash, KnownCrash{Report.m_At, Now}).first;
   if (!Known->second.addRun(Report.m_Run))
@@ -27,12 +22,37 @@
   return true;
 }
 
-void CrashQuarantine::onSuccess(const std::string &Fingerprint) {
+CrashQuarantine::CrashRecord &
+CrashQuarantine::makeRecord(const std::string &Fingerprint, Instant Now) {
+  if (!m_Records.contains(Fingerprint) &&
+      m_Records.size() >= std::max<std::size_t>(m_MaxFingerprints, 1))
+    evictRecord(Now);
+  CrashRecord &Record = m_Records[Fingerprint];
+  std::erase_if(Record.m_Crashes, [&](const auto &Entry) {
+    return Now - Entry.second.m_At >= maxAge();
+  });
+  return Record;
+}
+
+std::vector<CrashProof>
+CrashQuarantine::onSuccess(const std::string &Fingerprint, Instant Now) {
+  std::vector<CrashProof> Proofs;
   const auto Found = m_Records.find(Fingerprint);
   if (Found == m_Records.end())
-    return;
-  for (auto &[Crash, Known] : Found->second.m_Crashes)
+    return Proofs;
+  for (auto &[Crash, Known] : Found->second.m_Crashes) {
+    if (counts(Known, Now))
+      Proofs.push_back({Fingerprint, Crash});
     Known.m_Counts = false;
+  }
+  return Proofs;
+}
+
+bool CrashQuarantine::addProof(const CrashProof &Proof, Instant Now) {
+  auto &Crashes = makeRecord(Proof.m_Fingerprint, Now).m_Crashes;
+  const auto Known =
+      Crashes.try_emplace(Proof.m_Crash, KnownCrash{Now, Now}).first;
+  return std::exchange(Known->second.m_Counts, false);
 }
 
 std::size_t CrashQuarantine::crashCount(const std::string &Fingerprint,
@@ -66,7 +86,7 @@
   std::vector<CrashReport> Result;
   for (const auto &[Fingerprint, Record] : m_Records)
     for (const auto &[Crash, Known] : Record.m_Crashes)
-      if (Now - Known.m_AddedAt < RecentCrashPeriod)
+      if (counts(Known, Now) && Now - Known.m_AddedAt < RecentCrashPeriod)
         appendReports(Result, Fingerprint, Crash, Known);
   return Result;
 }
--- a/Source/Core/Core/Retry/CrashQuarantine.h
+++ b/Source/Core/Core/Retry/CrashQuarantine.h
@@ -47,10 +47,23 @@
   std::vector<PromptPartId> m_Parts{};
 };
 
+/// A crash of which a request is proved not to be the cause: the request has
+/// completed since.
+struct CrashProof {
+  std::string m_Fingerprint; ///< Identifies repetitions of the request.
+  EndpointCrash m_Crash;
+
+  static constexpr auto describe() {
+    using codec::field;
+    return std::make_tuple(field("fingerprint", &CrashProof::m_Fingerprint),
+                           field("crash", &CrashProof::m_Crash));
+  }
+};
+
 /// Records requests that were running when their endpoint crashed, by a
 /// fingerprint of the request. The crashes of a request are a set, and so are
-/// the runs that ended with each crash, so reports of several hosts add up in
-/// any order and repeated reports have no effect.
+/// the runs that ended with each crash and the proofs, so reports of several
+/// hosts add up in any order and repeated reports have no effect.
 ///
 /// A request is rejected for a period after its second crash, or after a crash
 /// that ended three of its runs: one crash may have any cause, but copies of a
@@ -68,12 +81,17 @@
   /// already, or the crash is older than maxAge().
   bool add(const CrashReport &Report, Instant Now);
   /// The request has completed, so the crashes known so far do not count.
-  void onSuccess(const std::string &Fingerprint);
+  /// Returns the proofs for other hosts.
+  std::vector<CrashProof> onSuccess(const std::string &Fingerprint,
+                                    Instant Now);
+  /// Records the proof of another host, also for a crash that is not known
+  /// here yet. Returns false if the crash does not count already.
+  bool addProof(const CrashProof &Proof, Instant Now);
   /// Number of crashes that count for the fingerprint.
   std::size_t crashCount(const std::string &Fingerprint, Instant Now) const;
   QuarantineVerdict verdict(const std::string &Fingerprint, Instant Now) const;
-  /// Returns the runs of the crashes that were added within RecentCrashPeriod,
-  /// for other hosts to add.
+  /// Returns the runs of the counting crashes that were added within
+  /// RecentCrashPeriod, for other hosts to add.
   std::vector<CrashReport> recentReports(Instant Now) const;
 
   /// Records that the crashes of the fingerprint are in the log that hosts
@@ -100,7 +118,7 @@
   struct KnownCrash {
     Instant m_At;
     Instant m_AddedAt;
-    bool m_Counts = true; ///< Cleared when the request completes.
+    bool m_Counts = true; ///< Cleared when the request has completed.
     /// The first MaxRunsOfOneCrash runs that are known to have ended with it.
     std::set<RequestId> m_Runs{};
 
@@ -123,6 +141,9 @@
     }
   };
 
+  /// Returns the record of the fingerprint without crashes that no longer
+  /// count for their age, after making room for a new one.
+  CrashRecord &makeRecord(const std::string &Fingerprint, Instant Now);
   /// Appends a report for each run that ended with \p Crash.
   static void appendReports(std::vector<CrashReport> &Out,
                             const std::string &Fingerprint,
--- a/Source/Core/Host/CrashMessage.h
+++ b/Source/Core/Host/CrashMessage.h
@@ -30,20 +30,22 @@
 /// in the store.
 struct CrashNews {
   std::vector<CrashMessage> m_Requests;
+  std::vector<retry::CrashProof> m_RequestProofs;
   std::vector<retry::PartCrash> m_PartCrashes;
   /// Crashes of which a part is proved not to be the cause.
   std::vector<retry::PartCrash> m_PartProofs;
   std::vector<retry::PartTrial> m_PartTrials;
 
   std::size_t size() const {
-    return m_Requests.size() + m_PartCrashes.size() + m_PartProofs.size() +
-           m_PartTrials.size();
+    return m_Requests.size() + m_RequestProofs.size() + m_PartCrashes.size() +
+           m_PartProofs.size() + m_PartTrials.size();
   }
   bool empty() const { return size() == 0; }
 
   static constexpr auto describe() {
     using codec::field;
     return std::make_tuple(field("requests", &CrashNews::m_Requests),
+                           field("request_proofs", &CrashNews::m_RequestProofs),
                            field("part_crashes", &CrashNews::m_PartCrashes),
                            field("part_proofs", &CrashNews::m_PartProofs),
                            field("part_trials", &CrashNews::m_PartTrials));
--- a/Source/Core/Host/CrashTracker.cpp
+++ b/Source/Core/Host/CrashTracker.cpp
@@ -72,6 +72,7 @@
   moveItems(From.m_PartTrials, To.m_PartTrials, Room);
   moveItems(From.m_PartProofs, To.m_PartProofs, Room);
   moveItems(From.m_PartCrashes, To.m_PartCrashes, Room);
+  moveItems(From.m_RequestProofs, To.m_RequestProofs, Room);
   moveItems(From.m_Requests, To.m_Requests, Room);
 }
 
@@ -110,6 +111,7 @@
       onMessages(News.m_Requests);
       for (const CrashMessage &Message : News.m_Requests)
         m_Quarantine.onShared(Message.m_Fingerprint, now());
+      onProofs(News.m_RequestProofs);
       m_Parts.onNews(News);
     }
     if (!Batch.m_News.empty())
@@ -172,12 +174,29 @@
 }
 
 void CrashTracker::onSuccess(const std::string &Fingerprint) {
-  if (m_Quarantine.crashCount(Fingerprint, now()) == 0)
+  CrashNews News;
+  News.m_RequestProofs = m_Quarantine.onSuccess(Fingerprint, now());
+  if (News.empty())
     return;
-  m_Quarantine.onSuccess(Fingerprint);
-  log::info(LogCategory, "crash.refuted", {{"fingerprint", Fingerprint}});
+  log::info(
+      LogCategory, "crash.refuted",
+      {{"fingerprint", Fingerprint}, {"crashes", News.m_RequestProofs.size()}});
   m_Metrics.onCrash("refuted");
   measure(Fingerprint);
+  share(std::move(News));
+}
+
+void CrashTracker::onProofs(std::span<const retry::CrashProof> Proofs) {
+  for (const retry::CrashProof &Proof : Proofs) {
+    if (!m_Quarantine.addProof(Proof, now()))
+      continue;
+    log::info(LogCategory, "crash.refutation_reported",
+              {{"fingerprint", Proof.m_Fingerprint},
+               {"endpoint", Proof.m_Crash.m_Endpoint},
+               {"incarnation", Proof.m_Crash.m_Incarnation}});
+    m_Metrics.onCrash("refutation_reported");
+    measure(Proof.m_Fingerprint);
+  }
 }
 
 void CrashTracker::measure(const std::string &Fingerprint) {
--- a/Source/Core/Host/CrashTracker.h
+++ b/Source/Core/Host/CrashTracker.h
@@ -64,6 +64,8 @@
   /// Called when the endpoint has crashed, though its connections may still be
   /// open. Counts a crash also for the requests that run there.
   void onEndpointCrashed(const EndpointId &Id);
+  /// Called when a request has completed. Its known crashes no longer count at
+  /// any host that reads the log.
   void onSuccess(const std::string &Fingerprint);
   /// Adds the crashes that other hosts have noticed.
   void onMessages(std::span<const CrashMessage> Messages);
@@ -93,6 +95,8 @@
   std::vector<CrashMessage> recentMessages() const;
 
 private:
+  /// Adds the proofs that other hosts have shared.
+  void onProofs(std::span<const retry::CrashProof> Proofs);
   /// Counts the requests of this host that ended with one crash.
   void onNoticed(std::span<const retry::CrashReport> Ended);
   /// The fields of the log line of a noticed or reported crash.
--- a/Source/Core/Router/RequestScheduler.cpp
+++ b/Source/Core/Router/RequestScheduler.cpp
@@ -139,7 +139,7 @@
       It->second.m_Queue.onServed(Report.m_Class, Report.m_ServiceTime);
   }
   if (Report.m_Answered)
-    m_Quarantine.onSuccess(Report.m_Fingerprint);
+    m_Quarantine.onSuccess(Report.m_Fingerprint, Now);
   schedule(Assigned.m_Entry);
 }
 
--- a/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
+++ b/Source/UnitTests/Core/Retry/CrashQuarantineTest.cpp
@@ -82,7 +82,7 @@
 TEST(CrashQuarantineTest, QuarantineEndsAfterSuccessOrPeriod) {
   CrashQuarantine Quarantine(10, Period);
   Quarantine.add(crashOf("f", "e1"), Start);
-  Quarantine.onSuccess("f");
+  Quarantine.onSuccess("f", Start);
   EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Normal);
   Quarantine.add(crashOf("f", "e2"), Start);
   EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Isolate);
@@ -99,11 +99,57 @@
 TEST(CrashQuarantineTest, CrashesBeforeASuccessStayRefuted) {
   CrashQuarantine Quarantine(10, Period);
   Quarantine.add(crashOf("f", "e1"), Start);
-  Quarantine.onSuccess("f");
+  Quarantine.onSuccess("f", Start);
   EXPECT_FALSE(Quarantine.add(crashOf("f", "e1"), Start));
   EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Normal);
 }
 
+// Guards against hosts that reject a request which has completed at another
+// host, in whatever order the crash and the proof reach them.
+TEST(CrashQuarantineTest, CompletionAtOneHostCountsAtAll) {
+  CrashQuarantine First(10, Period);
+  CrashQuarantine Second(10, Period);
+  CrashQuarantine Third(10, Period);
+  for (const std::string Run : {"r1", "r2", "r3"}) {
+    First.add(crashOf("f", "e1", Start, Run), Start);
+    Second.add(crashOf("f", "e1", Start, Run), Start);
+  }
+  ASSERT_EQ(Second.verdict("f", Start), QuarantineVerdict::Reject);
+  const std::vector<CrashProof> Proofs = First.onSuccess("f", Start);
+  ASSERT_EQ(Proofs.size(), 1U);
+  EXPECT_TRUE(First.onSuccess("f", Start).empty());
+  EXPECT_TRUE(Second.addProof(Proofs.front(), Start));
+  EXPECT_FALSE(Second.addProof(Proofs.front(), Start));
+  EXPECT_EQ(Second.verdict("f", Start), QuarantineVerdict::Normal);
+  EXPECT_TRUE(Third.addProof(Proofs.front(), Start));
+  for (const std::string Run : {"r1", "r2", "r3"})
+    Third.add(crashOf("f", "e1", Start, Run), Start);
+  EXPECT_EQ(Third.verdict("f", Start), QuarantineVerdict::Normal);
+}
+
+// Guards against a proof that covers crashes after it: the endpoint's next
+// crash, or one of another endpoint.
+TEST(CrashQuarantineTest, ProofCoversItsCrashOnly) {
+  CrashQuarantine Quarantine(10, Period);
+  Quarantine.add(crashOf("f", "e1"), Start);
+  Quarantine.addProof({"f", crashOf("f", "e1").m_Crash}, Start);
+  CrashReport Next = crashOf("f", "e1");
+  Next.m_Crash.m_Incarnation = IncarnationId("2");
+  Quarantine.add(Next, Start);
+  EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Isolate);
+  Quarantine.add(crashOf("f", "e2"), Start);
+  EXPECT_EQ(Quarantine.verdict("f", Start), QuarantineVerdict::Reject);
+}
+
+// Guards against a host that tells others of crashes which no longer count.
+TEST(CrashQuarantineTest, RefutedCrashesAreNotReported) {
+  CrashQuarantine Quarantine(10, Period);
+  Quarantine.add(crashOf("f", "e1"), Start);
+  ASSERT_EQ(Quarantine.recentReports(Start).size(), 1U);
+  Quarantine.onSuccess("f", Start);
+  EXPECT_TRUE(Quarantine.recentReports(Start).empty());
+}
+
 // Guards against two hosts that keep an old crash alive by repeating it to each
 // other.
 TEST(CrashQuarantineTest, OldCrashesExpireOnAllHosts) {
--- a/Source/UnitTests/Core/Retry/RetryProperties.cpp
+++ b/Source/UnitTests/Core/Retry/RetryProperties.cpp
@@ -36,11 +36,11 @@
   }
 }
 
-enum class EventKind { Crash, Success };
+enum class EventKind { Crash, Proof, Success };
 
 struct Event {
   EventKind m_Kind;
-  CrashReport m_Report; ///< For EventKind::Crash.
+  CrashReport m_Report; ///< For a proof, only its crash is used.
   Instant m_ProcessedAt;
 };
 
@@ -64,7 +64,10 @@
     if (Action.m_Kind == EventKind::Success)
       for (const auto &[Crash, At] : Known)
         Refuted.insert(Crash);
-    else if (Action.m_ProcessedAt - Action.m_Report.m_At < MaxAge) {
+    else if (Action.m_Kind == EventKind::Proof) {
+      Known.emplace(Action.m_Report.m_Crash, Action.m_ProcessedAt);
+      Refuted.insert(Action.m_Report.m_Crash);
+    } else if (Action.m_ProcessedAt - Action.m_Report.m_At < MaxAge) {
       Known.emplace(Action.m_Report.m_Crash, Action.m_Report.m_At);
       Runs[Action.m_Report.m_Crash].insert(Action.m_Report.m_Run);
     }
@@ -109,7 +112,7 @@
   for (int Step = 0; Step < Steps; ++Step) {
     Now += milliseconds(*rc::gen::element(0, 1, 300, 999, 1000, 4000));
     const std::string Name(1, *rc::gen::inRange('a', 'd'));
-    switch (*rc::gen::inRange(0, 4)) {
+    switch (*rc::gen::inRange(0, 5)) {
     case 0:
     case 1: {
       const CrashReport Report = arbitraryReport(Name, Now);
@@ -120,9 +123,15 @@
       break;
     }
     case 2:
-      Quarantine.onSuccess(Name);
+      Quarantine.onSuccess(Name, Now);
       Histories[Name].push_back({EventKind::Success, {}, Now});
       break;
+    case 3: {
+      const CrashReport Report = arbitraryReport(Name, Now);
+      Quarantine.addProof({Name, Report.m_Crash}, Now);
+      Histories[Name].push_back({EventKind::Proof, Report, Now});
+      break;
+    }
     default:
       RC_ASSERT(Quarantine.verdict(Name, Now) ==
                 referenceVerdict(Histories[Name], Now, Period));
@@ -130,34 +139,44 @@
   }
 }
 
-/// Delivers each report to a host in a random order, some of them twice.
-CrashQuarantine deliver(std::vector<CrashReport> Reports, Instant Now) {
+/// Delivers each crash and proof to a host twice, in a random order.
+CrashQuarantine deliver(std::vector<Event> Events, Instant Now) {
   // All reports are younger than the period.
   constexpr milliseconds Period{60000};
   CrashQuarantine Host(100, Period);
-  std::vector<CrashReport> Repeated = Reports;
-  Reports.insert(Reports.end(), Repeated.begin(), Repeated.end());
+  const std::vector<Event> Repeated = Events;
+  Events.insert(Events.end(), Repeated.begin(), Repeated.end());
   std::mt19937 Random(*rc::gen::arbitrary<std::uint32_t>());
-  std::ranges::shuffle(Reports, Random);
-  for (const CrashReport &Report : Reports)
-    Host.add(Report, Now);
+  std::ranges::shuffle(Events, Random);
+  for (const auto &[Kind, Report, At] : Events)
+    if (Kind == EventKind::Proof)
+      Host.addProof({Report.m_Fingerprint, Report.m_Crash}, Now);
+    else
+      Host.add(Report, Now);
   return Host;
 }
 
 // Guards against hosts that disagree on a request because they got the reports
-// of the same crashes in another order.
+// of the same crashes, and the proofs against them, in another order.
 RC_GTEST_PROP(RetryProperties, HostsWithTheSameReportsAgree, ()) {
   const Instant Now{std::chrono::hours(1)};
   const std::string Name = "f";
-  std::vector<CrashReport> Reports;
+  std::vector<Event> Events;
   std::set<EndpointCrash> Crashes;
+  std::set<EndpointCrash> Refuted;
   const int Count = *rc::gen::inRange(0, 8);
   for (int Index = 0; Index < Count; ++Index) {
-    Reports.push_back(arbitraryReport(Name, Now));
-    Crashes.insert(Reports.back().m_Crash);
+    const CrashReport Report = arbitraryReport(Name, Now);
+    const bool IsProof = *rc::gen::inRange(0, 4) == 0;
+    Events.push_back(
+        {IsProof ? EventKind::Proof : EventKind::Crash, Report, Now});
+    (IsProof ? Refuted : Crashes).insert(Report.m_Crash);
   }
-  const CrashQuarantine First = deliver(Reports, Now);
-  const CrashQuarantine Second = deliver(Reports, Now);
+  std::erase_if(Crashes, [&](const EndpointCrash &Crash) {
+    return Refuted.contains(Crash);
+  });
+  const CrashQuarantine First = deliver(Events, Now);
+  const CrashQuarantine Second = deliver(Events, Now);
   RC_ASSERT(First.crashCount(Name, Now) == Crashes.size());
   RC_ASSERT(Second.crashCount(Name, Now) == Crashes.size());
   RC_ASSERT(First.verdict(Name, Now) == Second.verdict(Name, Now));
