Write messages that hold a caller's bytes without an exception

After a crash that ended a request whose id is no UTF-8, its host told no other host of any crash, so others sent crashing requests that it rejected.

Cause: headers of HTTP carry any bytes. nlohmann::json::dump() throws for a string that is no UTF-8, which ended the duty that wrote the message: load_adapter left its endpoint marked as busy, publish_crashes did not come back.

Change: all messages to hosts, the store and endpoints, and log lines, are written by codec::toJsonText(), which replaces such bytes. A request for an adapter that no order can name is refused at once, like one for an unknown model.

--- a/Source/Core/Common/Logging/Log.cpp
+++ b/Source/Core/Common/Logging/Log.cpp
@@ -1,5 +1,6 @@
 #include "Common/Logging/Log.h"
 
+#include "Common/Codec/Text.h"
 #include "Common/Concurrency/BoundedQueue.h"
 #include "Common/Concurrency/NamedThread.h"
 #include "Common/Logging/LineChunk.h"
@@ -94,7 +95,7 @@
     }
     nlohmann::json Wrapped = {{"level", google::GetLogSeverityName(Severity)},
                               {"text", Text}};
-    writeLine(Wrapped.dump());
+    writeLine(codec::toJsonText(Wrapped));
   }
 
 private:
@@ -226,8 +227,7 @@
   timeline::Event RecordedEvent = makeEvent(Item);
   nlohmann::json Output = RecordedEvent;
   Output["level"] = levelName(Item.m_Level);
-  const std::string Text =
-      Output.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  const std::string Text = codec::toJsonText(Output);
   google::LogMessage(__FILE__, __LINE__, toSeverity(Item.m_Level),
                      Logger.m_Sink.get(), false)
           .stream()
--- a/Source/Core/Host/PeerCall.h
+++ b/Source/Core/Host/PeerCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Common/Codec/Text.h"
 #include "Host/PeerMessages.h"
 #include "Host/Ports.h"
 #include "Net/Http/Body.h"
@@ -25,7 +26,7 @@
   http::Request Outgoing;
   Outgoing.m_Method = "POST";
   Outgoing.m_Target = std::string(Path);
-  Outgoing.m_Body = nlohmann::json(Request).dump();
+  Outgoing.m_Body = codec::toJsonText(Request);
   http::ClientOptions Options;
   Options.m_ConnectTimeout = PeerConnectTimeout;
   Options.m_ReadTimeout = Timeout;
--- a/Source/Core/Host/RequestSessionWaits.cpp
+++ b/Source/Core/Host/RequestSessionWaits.cpp
@@ -1,5 +1,7 @@
 #include "Host/RequestSession.h"
 
+#include "Common/Codec/Text.h"
+
 #include <algorithm>
 
 namespace sff::host {
@@ -26,7 +28,9 @@
 Task<RequestSession::Step> RequestSession::waitForModel() {
   const bool AnyEndpoint =
       !m_State.m_Endpoints.serving(m_Service->m_Name).empty();
-  const bool Known = m_Service->m_Engine->find(m_Facts.m_Model.m_Model);
+  // Orders are JSON, so no endpoint can be told to load another name.
+  const bool Known = m_Service->m_Engine->find(m_Facts.m_Model.m_Model) &&
+                     codec::isUtf8(m_Facts.m_Model.m_Adapter);
   if (!AnyEndpoint || !Known) {
     co_await endWithFailure(Known ? "no_endpoint" : "unknown_model");
     co_return Step::Finished;
--- a/Source/Core/Net/Http/Message.cpp
+++ b/Source/Core/Net/Http/Message.cpp
@@ -1,4 +1,5 @@
 #include "Net/Http/Message.h"
+#include "Common/Codec/Text.h"
 
 #include <boost/beast/core/string.hpp>
 
@@ -70,9 +71,8 @@
 }
 
 Response makeJsonResponse(int Status, const nlohmann::json &Body) {
-  return {Status,
-          {{"Content-Type", "application/json"}},
-          Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+  return {
+      Status, {{"Content-Type", "application/json"}}, codec::toJsonText(Body)};
 }
 
 Response makeProblem(int Status, std::string_view Title,
