Pause after a failed accept

Change: the server waits 20 ms after a failed accept and logs the first of several failures in a row.

The connection is served as soon as a descriptor is free.

--- a/Source/Core/Net/Http/Server.cpp
+++ b/Source/Core/Net/Http/Server.cpp
@@ -39,6 +39,9 @@
 /// what the parser waits for, such as the end of a chunk header or of a
 /// trailer.
 constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
+/// Delay after a failed accept. While the process has no free descriptor, the
+/// connection stays in the queue and the next accept would fail at once.
+constexpr milliseconds AcceptRetryDelay{20};
 
 using RequestParser = bhttp::request_parser<bhttp::string_body>;
 using RequestHead = bhttp::request_header<>;
@@ -493,12 +496,26 @@
           co_await Self->m_Acceptor.async_accept(redirectTo(Error));
       if (Error == asio::error::operation_aborted)
         break;
-      if (Error || Self->isAtConnectionLimit())
+      if (Error) {
+        Self->logAcceptFailure(Error);
+        co_await timers::sleepFor(AcceptRetryDelay);
+        continue;
+      }
+      Self->m_LastAcceptFailed = false;
+      if (Self->isAtConnectionLimit())
         continue;
       Self->startSession(std::move(Socket));
     }
   }
 
+  /// Logs the first of several failures in a row.
+  void logAcceptFailure(const error_code &Error) {
+    if (!std::exchange(m_LastAcceptFailed, true))
+      log::warning(log::Category::Http, "http.accept_failed",
+                   {{"detail", Error.message()},
+                    {"connections", m_State->m_OpenConnections.load()}});
+  }
+
   bool isAtConnectionLimit() const {
     return m_State->m_OpenConnections >= m_State->m_Limits.m_MaxConnections;
   }
@@ -519,6 +536,7 @@
   std::shared_ptr<ServerState> m_State;
   std::list<std::weak_ptr<Session>> m_Sessions;
   std::uint16_t m_Port = 0;
+  bool m_LastAcceptFailed = false;
 };
 
 Server::Server(asio::io_context &Context, ServerLimits Limits,
--- a/Source/UnitTests/Net/Http/ServerTest.cpp
+++ b/Source/UnitTests/Net/Http/ServerTest.cpp
@@ -10,6 +10,10 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <ctime>
 #include <span>
 #include <thread>
 
@@ -195,5 +199,48 @@
   EXPECT_LT(std::chrono::steady_clock::now(), Deadline);
 }
 
+/// Takes all free descriptors from the process while it exists.
+class DescriptorLimit {
+public:
+  /// \p Descriptor is the lowest free one.
+  explicit DescriptorLimit(int Descriptor) {
+    getrlimit(RLIMIT_NOFILE, &m_Before);
+    const rlimit Reduced{static_cast<rlim_t>(Descriptor), m_Before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &Reduced);
+  }
+  ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &m_Before); }
+
+private:
+  rlimit m_Before{};
+};
+
+// Guards against a server that tries to accept a connection again and again,
+// without a pause, while the process has no free descriptor.
+TEST_F(HttpServerTest, ServerWithoutDescriptorsWaits) {
+  constexpr milliseconds Period{500};
+  // A loop without a pause takes nearly the whole period.
+  constexpr milliseconds MaxProcessorTime = Period / 5;
+  asio::io_context Context;
+  asio::ip::tcp::socket Caller(Context);
+  Caller.open(asio::ip::tcp::v4());
+  const int Free = ::dup(Caller.native_handle());
+  ::close(Free);
+  {
+    const DescriptorLimit Limit(Free);
+    const std::clock_t Before = std::clock();
+    Caller.connect({asio::ip::make_address_v4("127.0.0.1"), m_Server.port()});
+    std::this_thread::sleep_for(Period);
+    const double Used =
+        static_cast<double>(std::clock() - Before) / CLOCKS_PER_SEC;
+    EXPECT_LT(Used * 1000, static_cast<double>(MaxProcessorTime.count()));
+    EXPECT_EQ(m_Server.connections(), 0U);
+  }
+  asio::write(Caller, asio::buffer(std::string_view(
+                          "GET /echo HTTP/1.1\r\nHost: a\r\n\r\n")));
+  std::string Answer(15, '\0');
+  Caller.read_some(asio::buffer(Answer));
+  EXPECT_EQ(Answer, "HTTP/1.1 200 OK");
+}
+
 } // namespace
 } // namespace sff::http
