Hold SIGHUP until the host handles it

Cause: the signal has its default effect until the host sets its handler, after it has read its settings.

A signal between the start of the process and main() still ends it. No test sends one to a host at that moment.

--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -1,6 +1,7 @@
 #include "Host/Host.h"
 
 #include "Common/Process/Program.h"
+#include "Common/Process/Signals.h"
 #include "Net/Http/Body.h"
 
 #include <boost/leaf/handle_errors.hpp>
@@ -101,6 +102,7 @@
 
 void Host::run() {
   waitForSignal();
+  process::releaseSignal(SIGHUP);
   m_Follower.start();
   m_OrderLeases.start();
   m_Swaps.start();
