Take blank lines behind an event as complete, however they arrive

What callers would see: an endpoint ends a stream with one more blank line in a chunk of its own, and the host breaks the complete stream off as one that ends inside an event.

Cause: CompleteEventBuffer looked for a blank line behind another line only. One that came by itself was kept as the beginning of the next event. An event with an empty id also hid the id before it, if both came in one read.

Change: a blank line at the beginning of what is kept is complete, and the last id is the last one that is not empty, so that neither depends on how the bytes were split.

--- a/Source/Core/Core/Streaming/CompleteEventBuffer.h
+++ b/Source/Core/Core/Streaming/CompleteEventBuffer.h
@@ -7,7 +7,9 @@
 
 /// Splits the bytes of an event stream after complete events and keeps the id
 /// of the last one, so that an interrupted stream can be resumed at another
-/// endpoint without a gap or a partialEvent event. Thread safety: none.
+/// endpoint without a gap or a partialEvent event. Blank lines between events
+/// belong to the events before them. What is returned and kept does not depend
+/// on how the bytes were split in transit. Thread safety: none.
 class CompleteEventBuffer {
 public:
   /// Appends bytes and returns the events that they complete.
@@ -17,7 +19,7 @@
   const std::string &partialEvent() const { return m_PartialEvent; }
   void discardPartial() { m_PartialEvent.clear(); }
   /// Returns the id of the last complete event that had one, or an empty
-  /// string.
+  /// string. An empty id counts as none.
   const std::string &lastId() const { return m_LastId; }
 
 private:
--- a/Source/UnitTests/Core/Streaming/CompleteEventBufferTest.cpp
+++ b/Source/UnitTests/Core/Streaming/CompleteEventBufferTest.cpp
@@ -47,6 +47,39 @@
   RC_ASSERT(!Boundary.lastId().empty());
 }
 
+// Guards against a complete stream that is taken to end inside an event, and
+// against an id that gets lost, because of where its bytes were split.
+RC_GTEST_PROP(EventBoundaryTest, BlankLinesAndIdsDoNotDependOnTheSplit, ()) {
+  const auto Pieces = *rc::gen::container<std::vector<std::string>>(
+      rc::gen::element(std::string("\n"), std::string("\r\n"),
+                       std::string("id: 1\n"), std::string("id:\r\n"),
+                       std::string("data: a\n"), std::string(":\n")));
+  std::string Text;
+  for (const std::string &Piece : Pieces)
+    Text += Piece;
+  CompleteEventBuffer Whole;
+  CompleteEventBuffer Parts;
+  const std::string Events = Whole.append(Text);
+  std::string Forwarded;
+  for (const char Byte : Text)
+    Forwarded += Parts.append(std::string_view(&Byte, 1));
+  RC_ASSERT(Forwarded == Events);
+  RC_ASSERT(Parts.partialEvent() == Whole.partialEvent());
+  RC_ASSERT(Parts.lastId() == Whole.lastId());
+}
+
+// Guards against a stream that is taken to end inside an event because the
+// endpoint sends one more blank line at its end.
+TEST(EventBoundaryTest, BlankLineAfterAnEventIsNotInsideAnEvent) {
+  for (const std::string Blank : {"\n", "\r\n"}) {
+    CompleteEventBuffer Boundary;
+    EXPECT_EQ(Boundary.append("id: 1\ndata: a\n\n"), "id: 1\ndata: a\n\n");
+    EXPECT_EQ(Boundary.append(Blank), Blank);
+    EXPECT_TRUE(Boundary.partialEvent().empty());
+    EXPECT_EQ(Boundary.lastId(), "1");
+  }
+}
+
 // Guards against time with the square of an event's length: streams without an
 // end of an event kept a host busy until their deadline.
 TEST(EventBoundaryTest, LongEventIsSearchedOnce) {
