Identify callers by their keys and fail closed on revocation

Hosts knew no tenants: keys went on to endpoints, unknown and revoked keys were served. A host now identifies the caller before each send from the newest catalogue, sends the tenant's name in place of the key, and refuses requests with a key while it cannot prove that the key has not been revoked. The priority of a tenant comes before that of its route.

--- a/Source/Core/Core/Serving/Catalogue.cpp
+++ b/Source/Core/Core/Serving/Catalogue.cpp
@@ -55,6 +55,32 @@
                        return m_Routes[Left].m_PathPrefix.size() >
                               m_Routes[Right].m_PathPrefix.size();
                      });
+  buildRanks();
+}
+
+void Catalogue::buildRanks() {
+  m_Priorities.clear();
+  for (const Route &Candidate : m_Routes) {
+    const std::int64_t RoutePriority = Candidate.m_Priority;
+    m_Priorities.emplace_back(RoutePriority, RoutePriority);
+    for (const tenants::Tenant &Owner : m_Tenants.all())
+      m_Priorities.emplace_back(Owner.m_Priority.value_or(RoutePriority),
+                                RoutePriority);
+  }
+  std::ranges::sort(m_Priorities);
+  const auto Repeated = std::ranges::unique(m_Priorities);
+  m_Priorities.erase(Repeated.begin(), Repeated.end());
+}
+
+std::int64_t Catalogue::priorityRank(std::optional<std::int64_t> TenantPriority,
+                                     std::int64_t RoutePriority) const {
+  if (m_Tenants.empty())
+    return std::clamp<std::int64_t>(RoutePriority, 0, HighestRank);
+  const PriorityPair Priority(TenantPriority.value_or(RoutePriority),
+                              RoutePriority);
+  const auto Rank =
+      std::ranges::lower_bound(m_Priorities, Priority) - m_Priorities.begin();
+  return std::min<std::int64_t>(Rank, HighestRank);
 }
 
 const Route *Catalogue::findRoute(std::string_view Host,
--- a/Source/Core/Core/Serving/Catalogue.h
+++ b/Source/Core/Core/Serving/Catalogue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Time/Instant.h"
+#include "Core/Tenants/Tenant.h"
 
 #include <cstdint>
 #include <map>
@@ -33,6 +34,7 @@
   /// Maximum number of endpoints that a request may be sent to.
   int m_MaxEndpointsPerRequest = 1;
   bool m_Resumable = false; ///< A stream may be resumed at another endpoint.
+  bool m_Anonymous = false; ///< Callers need no key.
   std::vector<ServiceShare> m_ServiceShares;
 
   /// Returns true if a request may be executed more than once.
@@ -91,6 +93,7 @@
   std::vector<Route> m_Routes;
   std::map<std::string, Service, std::less<>> m_Services;
   CallerLimits m_Limits;
+  tenants::TenantIndex m_Tenants; ///< Empty if callers need no keys.
 
   /// Returns the route of \p Host with the longest prefix that matches \p Path,
   /// or nullptr. \p Host may include a port and is case-insensitive.
@@ -101,11 +104,27 @@
   /// Returns a model of such a service, or nullptr.
   const ModelSpec *findModel(std::string_view ServiceName,
                              std::string_view Model) const;
-  /// Builds the index of findRoute(). Call once, after the routes are set.
+  /// The priority of a request by that of its tenant, if it has one, and that
+  /// of its route: 0 is the highest, HighestRank the lowest. The tenant's
+  /// priority comes first. Without tenants it is the priority of the route.
+  std::int64_t priorityRank(std::optional<std::int64_t> TenantPriority,
+                            std::int64_t RoutePriority) const;
+  /// Builds the indexes of findRoute() and priorityRank(). Call once, after
+  /// routes and tenants are set.
   void buildIndex();
 
+  static constexpr std::int64_t HighestRank = 9;
+
 private:
+  /// Priorities of a tenant and a route. A tenant without a priority counts
+  /// with that of the route.
+  using PriorityPair = std::pair<std::int64_t, std::int64_t>;
+
+  void buildRanks();
+
   std::map<std::string, std::vector<std::size_t>, std::less<>> m_ByHost;
+  /// All priorities that requests can have, the highest first.
+  std::vector<PriorityPair> m_Priorities;
 };
 
 /// A parsed "model/adapter" name. The adapter is empty for the model itself.
--- a/Source/Core/Core/Serving/StoreReadTimes.h
+++ b/Source/Core/Core/Serving/StoreReadTimes.h
@@ -22,4 +22,8 @@
 /// the time is for the next read.
 milliseconds catalogueWait(Duration ApplyTime);
 
+/// Longest wait of one read of the catalogue that keeps the proof that no newer
+/// one exists younger than \p MaxAge, also if one read gets no answer.
+milliseconds proofWait(Duration MaxAge);
+
 } // namespace sff::serving
--- a/Source/Core/Host/HostSettings.cpp
+++ b/Source/Core/Host/HostSettings.cpp
@@ -23,7 +23,14 @@
         .add(RetryRatioSetting)
         .add(RetryExtraSetting)
         .add(RetryWindowSetting)
-        .add(StopGraceSetting);
+        .add(StopGraceSetting)
+        .add(RevocationFailsClosedSetting)
+        .add(RevocationTimeSetting)
+        .add(QuotaWindowSetting)
+        .add(QuotaOvershootSetting)
+        .add(QuotaSlackSetting)
+        .add(MemorySetting)
+        .add(DescriptorsSetting);
     return Result;
   }();
   return Instance;
--- a/Source/Core/Host/HostSettings.h
+++ b/Source/Core/Host/HostSettings.h
@@ -156,6 +156,69 @@
     .m_Range = {0.5, 3600},
     .m_Doc = "Time from the stop signal to the kill."};
 
+inline const Setting<bool> RevocationFailsClosedSetting{
+    .m_Section = "tenants",
+    .m_Key = "revocation_fails_closed",
+    .m_Default = false,
+    .m_Unit = "",
+    .m_Range = {},
+    .m_Doc = "Requests with a key are refused while this host cannot prove "
+             "that the key has not been revoked."};
+
+inline const Setting<milliseconds> RevocationTimeSetting{
+    .m_Section = "tenants",
+    .m_Key = "revocation_ms",
+    .m_Default = milliseconds(5000),
+    .m_Unit = "ms",
+    .m_Range = {500, 60000},
+    .m_Doc =
+        "Longest time from the acknowledgement of a configuration until no "
+        "request with a key that it revokes is run."};
+
+inline const Setting<double> QuotaWindowSetting{
+    .m_Section = "quota",
+    .m_Key = "window_s",
+    .m_Default = 8.0,
+    .m_Unit = "s",
+    .m_Range = {0.5, 3600},
+    .m_Doc =
+        "Length of the window in which a tenant's use is compared with its "
+        "quota."};
+
+inline const Setting<double> QuotaOvershootSetting{
+    .m_Section = "quota",
+    .m_Key = "overshoot",
+    .m_Default = 0.0,
+    .m_Unit = "",
+    .m_Range = {0, 10},
+    .m_Doc = "Part of a tenant's quota by which all hosts together may exceed "
+             "it in a window."};
+
+inline const Setting<double> QuotaSlackSetting{
+    .m_Section = "quota",
+    .m_Key = "slack",
+    .m_Default = 0.0,
+    .m_Unit = "units",
+    .m_Range = {0, 1e12},
+    .m_Doc = "Tokens or requests by which all hosts together may exceed a "
+             "tenant's quota in a window, beside the overshoot."};
+
+inline const Setting<std::int64_t> MemorySetting{
+    .m_Section = "process",
+    .m_Key = "memory_mb",
+    .m_Default = 0,
+    .m_Unit = "MB",
+    .m_Range = {0, 1e9},
+    .m_Doc = "Memory of this host; 0 if it is not known."};
+
+inline const Setting<std::int64_t> DescriptorsSetting{
+    .m_Section = "process",
+    .m_Key = "max_descriptors",
+    .m_Default = 0,
+    .m_Unit = "descriptors",
+    .m_Range = {0, 1e9},
+    .m_Doc = "Descriptors that this process may open; 0 if that is not known."};
+
 /// The schema of all settings of sff-host.
 /// Thread safety: any thread.
 const settings::Schema &hostSchema();
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -180,6 +180,12 @@
                : std::nullopt;
 }
 
+std::optional<Duration> HostState::catalogueProofAge() const {
+  if (!m_CatalogueConfirmedAt)
+    return std::nullopt;
+  return bootTime() - *m_CatalogueConfirmedAt;
+}
+
 milliseconds HostState::ageOf(const std::optional<Instant> &ConfirmedAt) {
   return ConfirmedAt ? toMilliseconds(bootTime() - *ConfirmedAt)
                      : milliseconds(0);
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -53,6 +53,8 @@
   /// Age of the catalogue: time since the host sent the last read that the
   /// store has answered; zero before the first answer.
   milliseconds catalogueAge() const { return ageOf(m_CatalogueConfirmedAt); }
+  /// The same, or nothing before the first answer.
+  std::optional<Duration> catalogueProofAge() const;
   /// The same for the registrations.
   milliseconds endpointsAge() const { return ageOf(m_EndpointsConfirmedAt); }
   /// Takes an endpoint out of use because another one answered at the address
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -34,6 +34,13 @@
   /// Identifies a prompt prefix that other requests share.
   std::string m_Session;
   std::int64_t m_SessionTokens = 0;
+  /// Tokens of the prompt and the most tokens of the answer, if the caller
+  /// names them.
+  std::optional<std::int64_t> m_PromptTokens;
+  std::optional<std::int64_t> m_OutputTokens;
+  /// The key by which the caller identifies itself; empty if there is none, or
+  /// if the request has several. Must not be logged.
+  std::string m_ApiKey;
   /// The parts of the prompt that other requests may share, in their order.
   std::vector<PromptPartId> m_PromptParts;
   /// The last event that the caller has, if it takes a stream up.
@@ -51,6 +58,9 @@
   std::optional<std::int64_t> m_Priority; ///< 0 is the highest priority.
   /// Set to resume a stream after this event.
   std::optional<std::string> m_LastEventId;
+  /// Set if callers are identified by keys, which endpoints must not see: the
+  /// name of the caller's tenant, or empty for a caller without one.
+  std::optional<std::string> m_Tenant;
 };
 
 /// Metadata that the host adds to a request that it passes on to another host.
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -29,7 +29,7 @@
 constexpr milliseconds RefusalBackoff{60};
 /// Retry-After for quarantined requests, which have crashed endpoints.
 constexpr milliseconds QuarantineRetryAfter{30000};
-constexpr std::int64_t HighestRank = 9;
+constexpr int UnauthorizedStatus = 401;
 /// Longest part of a caller's text in a log line.
 constexpr std::size_t MaxLoggedBytes = 100;
 
@@ -79,6 +79,9 @@
     co_await respondWithProblem(404, NoRouteReason, std::nullopt);
     co_return;
   }
+  const bool IsAdmitted = co_await checkCaller();
+  if (!IsAdmitted)
+    co_return;
   m_History = serving::AttemptHistory(m_Route->m_MaxEndpointsPerRequest);
   startTimers();
   m_Fingerprint = std::to_string(
@@ -103,6 +106,33 @@
   return m_Service != nullptr;
 }
 
+tenants::CallerIdentity RequestSession::identifyCaller() const {
+  const tenants::RevocationPolicy Policy{
+      m_State.m_Settings.get(RevocationFailsClosedSetting),
+      m_State.m_Settings.get(RevocationTimeSetting)};
+  return tenants::identifyCaller(*m_State.m_Catalogue, *m_Route,
+                                 m_Facts.m_ApiKey, Policy,
+                                 m_State.catalogueProofAge());
+}
+
+Task<bool> RequestSession::checkCaller() {
+  m_Identity = identifyCaller();
+  if (m_Identity.isAdmitted())
+    co_return true;
+  const bool IsUnknown = m_Identity.m_Kind == tenants::CallerKind::UnknownKey;
+  const std::string_view Reason =
+      IsUnknown ? UnknownKeyReason : UnprovenKeyReason;
+  logEvent("request.not_admitted",
+           {{"reason", Reason},
+            {"catalogue", m_State.m_Catalogue->m_Version},
+            {"catalogue_age_ms", m_State.catalogueAge().count()}});
+  if (IsUnknown && !m_HeadSent && !m_DispatchGuard.mayHaveBeenSent())
+    co_await respondWithProblem(UnauthorizedStatus, Reason, std::nullopt);
+  else
+    co_await endWithFailure(Reason);
+  co_return false;
+}
+
 void RequestSession::logNoRoute() const {
   std::string Prefix;
   std::string Service;
@@ -253,6 +283,9 @@
     co_await waitForBackup();
     co_return Step::TryAgain;
   }
+  const bool IsAdmitted = co_await checkCaller();
+  if (!IsAdmitted)
+    co_return Step::Finished;
   if (const auto Reason = checkQuarantine()) {
     co_await endWithFailure(*Reason, QuarantineRetryAfter);
     co_return Step::Finished;
@@ -320,8 +353,9 @@
   Facts.m_Endpoint = Id;
   Facts.m_Deadline = toMilliseconds(remainingTime());
   if (m_Service->m_Engine)
-    Facts.m_Priority =
-        std::clamp<std::int64_t>(m_Route->m_Priority, 0, HighestRank);
+    Facts.m_Priority = m_Identity.m_Priority;
+  if (m_Identity.m_HasTenants)
+    Facts.m_Tenant = m_Identity.m_Tenant;
   if (m_HeadSent && !m_Events.lastId().empty())
     Facts.m_LastEventId = m_Events.lastId();
   return Facts;
@@ -392,8 +426,8 @@
 
 bool RequestSession::mayStillSend(const Attempt &Chosen) {
   const serving::Endpoint *Known = m_State.m_Endpoints.find(Chosen.endpoint());
-  return !isCallerGone() && Known && Known->acceptsRequests() &&
-         m_State.m_Backoff.allows(*Known, now());
+  return !isCallerGone() && identifyCaller().isAdmitted() && Known &&
+         Known->acceptsRequests() && m_State.m_Backoff.allows(*Known, now());
 }
 
 Task<http::OpenResult> RequestSession::open(std::shared_ptr<Attempt> Sent,
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -3,6 +3,7 @@
 #include "Core/Execution/Outcome.h"
 #include "Core/Serving/AttemptHistory.h"
 #include "Core/Streaming/CompleteEventBuffer.h"
+#include "Core/Tenants/CallerIdentity.h"
 #include "Host/Attempt.h"
 #include "Host/DemandRouter.h"
 #include "Host/PeerRelay.h"
@@ -72,6 +73,8 @@
   static constexpr std::string_view NoCatalogueReason = "no_catalogue";
   static constexpr std::string_view NoRouteReason = "no_route";
   static constexpr std::string_view CutOffReason = "cut_off_from_endpoints";
+  static constexpr std::string_view UnknownKeyReason = "unknown_key";
+  static constexpr std::string_view UnprovenKeyReason = "unproven_key";
 
   using OpenStream = std::shared_ptr<http::ResponseStream>;
 
@@ -82,6 +85,12 @@
   };
 
   bool findRoute();
+  /// Identifies the caller by the newest catalogue that this host knows. A key
+  /// may be revoked while its request waits, is sent again or is resumed.
+  tenants::CallerIdentity identifyCaller() const;
+  /// Identifies the caller anew. Returns false, after the request has been
+  /// ended, if it may not be sent.
+  Task<bool> checkCaller();
   /// Logs what the decision that no service takes the request is based on.
   void logNoRoute() const;
   void startTimers();
@@ -315,6 +324,7 @@
   http::Request m_Incoming;
   http::Exchange &m_Caller;
   RequestMetadata m_Facts;
+  tenants::CallerIdentity m_Identity;
   std::shared_ptr<const serving::Catalogue> m_Catalogue;
   const serving::Route *m_Route = nullptr;     ///< In m_Catalogue.
   const serving::Service *m_Service = nullptr; ///< In m_Catalogue.
--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -39,7 +39,8 @@
   }
   if (!m_Route->isIdempotent() || !Assumed.canTryAnotherEndpoint() ||
       Assumed.sends() >= MaxSends ||
-      !m_State.budget(m_Service->m_Name).allows(now()) || isQuarantined())
+      !m_State.budget(m_Service->m_Name).allows(now()) || isQuarantined() ||
+      !identifyCaller().isAdmitted())
     return std::nullopt;
   auto List = candidates();
   std::erase_if(List, [&, Now = now()](const serving::Endpoint *Item) {
--- a/Source/Core/Host/RequestSessionWaits.cpp
+++ b/Source/Core/Host/RequestSessionWaits.cpp
@@ -60,7 +60,7 @@
   }
   m_Demands.adjustWaiting(m_Facts.m_Model, 1);
   m_Demands.requestModel(m_Service->m_Name, m_Facts.m_Model,
-                         m_Route->m_Priority, now() + WaitLimit);
+                         m_Identity.m_Priority, now() + WaitLimit);
   co_await m_State.m_Changed.wait(
       std::min<Duration>(RecheckInterval, WaitLimit));
   m_Demands.adjustWaiting(m_Facts.m_Model, -1);
--- a/Source/Core/Host/StoreFollower.cpp
+++ b/Source/Core/Host/StoreFollower.cpp
@@ -100,12 +100,24 @@
   m_State.m_Changed.notifyAll();
 }
 
+milliseconds StoreFollower::maxCatalogueWait() const {
+  const settings::Settings &Values = m_State.m_Settings;
+  const milliseconds Wait =
+      serving::catalogueWait(Values.get(CatalogueApplySetting));
+  const bool NeedsProof = m_State.m_Catalogue &&
+                          !m_State.m_Catalogue->m_Tenants.empty() &&
+                          Values.get(RevocationFailsClosedSetting);
+  return NeedsProof
+             ? std::min(Wait,
+                        serving::proofWait(Values.get(RevocationTimeSetting)))
+             : Wait;
+}
+
 Task<CatalogueBatch>
 StoreFollower::readCatalogue(std::optional<Cursor> Position) {
   if (!Position)
     co_return co_await m_State.m_Platform.m_Store->listCatalogue();
-  const milliseconds Wait = m_Queries.readWait(
-      serving::catalogueWait(m_State.m_Settings.get(CatalogueApplySetting)));
+  const milliseconds Wait = m_Queries.readWait(maxCatalogueWait());
   co_return co_await m_State.m_Platform.m_Store->followCatalogue(
       *Position, m_Reachable ? Wait : milliseconds(0));
 }
@@ -117,7 +129,8 @@
       const auto Confirmed =
           co_await m_Queries.confirm(FollowedLog::Catalogue, *Position);
       if (Confirmed) {
-        m_State.m_CatalogueConfirmedAt = *Confirmed;
+        if (!m_NewestIsUnreadable)
+          m_State.m_CatalogueConfirmedAt = *Confirmed;
         continue;
       }
     }
@@ -134,7 +147,11 @@
       Position.reset();
       continue;
     }
-    m_State.m_CatalogueConfirmedAt = SentAt;
+    // A record that cannot be read may revoke a key.
+    if (Batch.m_Newest || Batch.m_MalformedRecords > 0)
+      m_NewestIsUnreadable = !Batch.m_Newest;
+    if (!m_NewestIsUnreadable)
+      m_State.m_CatalogueConfirmedAt = SentAt;
     applyCatalogue(Batch.m_Newest);
     Position = Batch.m_Next;
     m_Queries.onRead(FollowedLog::Catalogue, *Position, SentAt);
--- a/Source/Core/Host/StoreFollower.h
+++ b/Source/Core/Host/StoreFollower.h
@@ -18,6 +18,8 @@
 
 private:
   Task<void> followCatalogue();
+  /// Longest wait of a read of the catalogue for a newer one.
+  milliseconds maxCatalogueWait() const;
   /// Reads the catalogues from \p Position on, or the newest one.
   Task<CatalogueBatch> readCatalogue(std::optional<Cursor> Position);
   Task<void> followEndpoints();
@@ -48,6 +50,8 @@
   StreamTracker &m_Streams;
   LogQueries &m_Queries;
   bool m_Reachable = true;
+  /// The newest record of the catalogue could not be decoded.
+  bool m_NewestIsUnreadable = false;
   AsyncCondition m_Regained; ///< The store answers again.
 };
 
