Add the core of quotas that all hosts of a zone keep together

Nothing bounded what a tenant uses over all hosts. A lessor in each availability zone grants parts of the zone's share to its hosts, within a sliding window and at the rate of a token bucket; each request of a host tells its whole use, so that a new lessor can go on. A host decides without a message while its grant lasts.

--- /dev/null
+++ b/Source/Core/Core/Quota/QuotaLimits.cpp
@@ -0,0 +1,48 @@
+#include "Core/Quota/QuotaLimits.h"
+
+namespace sff::quota {
+
+namespace {
+
+/// Parts of the tolerance. The rest covers grants that a new lessor does not
+/// know of.
+constexpr double ZoneShare = 0.5;
+constexpr double BurstShare = 0.25;
+constexpr double ReserveShare = 0.25;
+
+} // namespace
+
+ZoneBudget QuotaLimits::zoneBudget(std::size_t Zones) const {
+  const double Divisor = static_cast<double>(Zones);
+  return {(m_Quota + ZoneShare * m_Tolerance) / Divisor,
+          (m_Burst + BurstShare * m_Tolerance) / Divisor};
+}
+
+double QuotaLimits::hostReserve(std::size_t Hosts) const {
+  return ReserveShare * m_Tolerance / static_cast<double>(Hosts);
+}
+
+std::optional<QuotaLimits> limitsOf(const tenants::TenantQuota &Quota,
+                                    const QuotaTolerance &Tolerance) {
+  if (!Quota.isLimited())
+    return std::nullopt;
+  QuotaLimits Result;
+  Result.m_Quota =
+      Quota.m_RatePerSecond * toSeconds(Tolerance.m_Window) + Quota.m_Burst;
+  Result.m_Burst = Quota.m_Burst;
+  Result.m_Tolerance =
+      Tolerance.m_Overshoot * Result.m_Quota + Tolerance.m_Slack;
+  return Result;
+}
+
+double costOf(const tenants::TenantQuota &Quota,
+              std::optional<std::int64_t> PromptTokens,
+              std::optional<std::int64_t> OutputTokens) {
+  if (Quota.m_Unit == tenants::QuotaUnit::Requests)
+    return 1;
+  if (!PromptTokens || !OutputTokens)
+    return Quota.m_UncountedTokens;
+  return static_cast<double>(*PromptTokens + *OutputTokens);
+}
+
+} // namespace sff::quota
--- /dev/null
+++ b/Source/Core/Core/Quota/TenantAllowance.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Core/Quota/GrantMessages.h"
+#include "Core/Quota/QuotaLimits.h"
+#include "Core/Quota/SpendWindow.h"
+
+#include <optional>
+
+namespace sff::quota {
+
+/// What one host may use of a tenant's quota: what the lessor of its zone has
+/// granted, and a small reserve of its own. Decides without a message as long
+/// as the grant lasts.
+///
+/// What is held may be used until the grant expires, one window after it was
+/// requested; the lessor counts it as used until then. A request to the lessor
+/// gives back what the host does not expect to use.
+/// Thread safety: none.
+class TenantAllowance {
+public:
+  TenantAllowance(std::string Tenant, Duration Window);
+
+  /// Sets the limits in force, which may change with each catalogue, and the
+  /// number of hosts that share the reserve. Precondition: \p Hosts > 0.
+  void setLimits(const QuotaLimits &Limits, std::size_t Hosts, Instant Now);
+  /// Uses \p Cost for a request. Returns false if it does not fit.
+  bool tryTake(double Cost, Instant Now);
+  /// Gives back what was taken at \p TakenAt for a request that has not run.
+  void refund(double Cost, Instant TakenAt, Instant Now);
+
+  /// The request to the lessor. \p Needed is the cost of requests that wait for
+  /// the answer.
+  GrantRequest makeRequest(double Needed, Instant Now);
+  /// Applies the answer to the latest request; other answers are ignored.
+  void onGrant(const Grant &Answer, Instant Now);
+
+  /// Whether a request that does not fit is worth a request to the lessor,
+  /// which may just have rejected another one.
+  bool mayAsk(Instant Now) const { return Now >= m_RejectedUntil; }
+  /// Whether the lessor has to know of this host's use.
+  bool isActive(Instant Now) const;
+  double held(Instant Now) const;
+  /// Time since the latest answered request was made; nothing without one.
+  std::optional<Duration> grantAge(Instant Now) const;
+  /// When a request that did not fit should come again.
+  milliseconds retryAfter() const { return m_RetryAfter; }
+
+private:
+  /// Refills the reserve.
+  void refill(Instant Now);
+  /// What this host expects to use soon.
+  double expectedUse(Instant Now) const;
+
+  std::string m_Tenant;
+  Duration m_Window;
+  SpendWindow m_Spent;
+  SpendWindow m_Asked;      ///< Includes requests that did not fit.
+  double m_TypicalCost = 0; ///< Mean cost of recent requests.
+  double m_Held = 0;
+  Instant m_HeldUntil;
+  double m_ReserveCapacity = 0;
+  double m_Reserve = 0;
+  std::optional<Instant> m_RefilledAt;
+  std::int64_t m_Number = 0; ///< Of the latest request.
+  Instant m_RequestedAt;
+  bool m_IsAnswered = true;
+  double m_TakenSinceRequest = 0;
+  std::optional<Instant> m_GrantedAt;
+  milliseconds m_RetryAfter{0};
+  Instant m_RejectedUntil;
+};
+
+} // namespace sff::quota
