Keep tenants' quotas on all hosts by grants of a lessor in each zone

The holder of a zone's order lease is its lessor. Hosts report their use once a second while a tenant with a quota is active, and ask when they hold too little; a request that does not fit gets 429 with the time after which it is expected to fit. What is not run is given back. No call to the store is added.

--- a/Source/Core/Core/Quota/TenantAllowance.cpp
+++ b/Source/Core/Core/Quota/TenantAllowance.cpp
@@ -19,9 +19,10 @@
 
 } // namespace
 
-TenantAllowance::TenantAllowance(std::string Tenant, Duration Window)
+TenantAllowance::TenantAllowance(std::string Tenant, Duration Window,
+                                 std::int64_t LastNumber)
     : m_Tenant(std::move(Tenant)), m_Window(Window), m_Spent(Window),
-      m_Asked(Window), m_RetryAfter(DefaultRetryAfter) {}
+      m_Asked(Window), m_Number(LastNumber), m_RetryAfter(DefaultRetryAfter) {}
 
 void TenantAllowance::setLimits(const QuotaLimits &Limits, std::size_t Hosts,
                                 Instant Now) {
@@ -40,9 +41,12 @@
   m_RefilledAt = Now;
 }
 
-bool TenantAllowance::tryTake(double Cost, Instant Now) {
+void TenantAllowance::recordDemand(double Cost, Instant Now) {
   m_Asked.add(Cost, Now);
   m_TypicalCost += (Cost - m_TypicalCost) * CostWeight;
+}
+
+bool TenantAllowance::tryTake(double Cost, Instant Now) {
   if (held(Now) >= Cost) {
     m_Held -= Cost;
     m_TakenSinceRequest += Cost;
--- a/Source/Core/Core/Quota/TenantAllowance.h
+++ b/Source/Core/Core/Quota/TenantAllowance.h
@@ -18,11 +18,16 @@
 /// Thread safety: none.
 class TenantAllowance {
 public:
-  TenantAllowance(std::string Tenant, Duration Window);
+  /// Requests to the lessor are numbered from \p LastNumber on. An allowance
+  /// that replaces one of the same process must go on with higher numbers.
+  TenantAllowance(std::string Tenant, Duration Window,
+                  std::int64_t LastNumber = 0);
 
   /// Sets the limits in force, which may change with each catalogue, and the
   /// number of hosts that share the reserve. Precondition: \p Hosts > 0.
   void setLimits(const QuotaLimits &Limits, std::size_t Hosts, Instant Now);
+  /// Records that a request has come, whether it fits or not.
+  void recordDemand(double Cost, Instant Now);
   /// Uses \p Cost for a request. Returns false if it does not fit.
   bool tryTake(double Cost, Instant Now);
   /// Gives back what was taken at \p TakenAt for a request that has not run.
--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -78,7 +78,8 @@
       m_Swaps(m_State, m_OrderLeases, m_Notifier),
       m_Relay(m_State, Values.get(PeersSetting)),
       m_Demands(m_State, m_OrderLeases, m_Swaps, m_Relay),
-      m_Streams(m_State, m_OrderLeases), m_Queries(m_State, m_OrderLeases),
+      m_Streams(m_State, m_OrderLeases), m_Quotas(m_State, m_OrderLeases),
+      m_Queries(m_State, m_OrderLeases),
       m_Follower(m_State, m_Streams, m_Queries),
       m_Callers(m_Context, {},
                 [this](http::Request Incoming, http::Exchange &Caller) {
@@ -108,6 +109,7 @@
   m_Swaps.start();
   m_Demands.start();
   m_Streams.start();
+  m_Quotas.start();
   m_State.m_Links.start();
   m_State.spawn("follow_limits", followLimits());
   m_State.spawn("follow_crashes", m_State.m_Crashes.follow(m_Queries));
@@ -136,7 +138,7 @@
 Task<void> Host::serve(http::Request Incoming, http::Exchange &Caller,
                        RequestOrigin Origin) {
   const auto Session = std::make_shared<RequestSession>(
-      m_State, m_Demands, m_Streams, m_Sessions, m_Relay, Origin,
+      m_State, m_Demands, m_Streams, m_Quotas, m_Sessions, m_Relay, Origin,
       std::move(Incoming), Caller);
   m_ActiveSessions.insert(Session.get());
   const std::shared_ptr<void> Registered(
@@ -199,6 +201,9 @@
   } else if (Incoming.path() == LogQueryPath) {
     if (const auto Query = parseMessage<LogQuery>(Incoming))
       Answer = co_await m_Queries.onQuery(*Query);
+  } else if (Incoming.path() == QuotaPath) {
+    if (const auto Report = parseMessage<QuotaReport>(Incoming))
+      Answer = m_Quotas.onReport(*Report);
   } else if (Incoming.path() == StreamQueryPath) {
     if (const auto Query = parseMessage<StreamQuery>(Incoming))
       Answer = m_Streams.onQuery(*Query);
--- a/Source/Core/Host/Host.h
+++ b/Source/Core/Host/Host.h
@@ -56,6 +56,7 @@
   PeerRelay m_Relay;
   DemandRouter m_Demands;
   StreamTracker m_Streams;
+  QuotaService m_Quotas;
   LogQueries m_Queries;
   StoreFollower m_Follower;
   SessionAffinity m_Sessions;
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -92,6 +92,12 @@
       m_EndpointNotices(m_Set.counterFamily(
           "sff_host_endpoint_notices_total",
           "Notices of endpoints about themselves in their answers, by kind")),
+      m_Quotas(
+          m_Set.counterFamily("sff_host_quota_units_total",
+                              "Units of tenants' quotas by tenant and result")),
+      m_QuotaUsed(m_Set.gaugeFamily(
+          "sff_host_quota_used_units",
+          "Units that the hosts of a lessor use and hold, by tenant")),
       m_Endpoints(m_Set.gauge("sff_host_endpoints", "Known endpoints")),
       m_LimitedEndpoints(
           m_Set.gauge("sff_host_limited_endpoints",
@@ -233,6 +239,24 @@
   m_EndpointNotices.Add({{"kind", std::string(Kind)}}).Increment();
 }
 
+const std::string &HostMetrics::tenantLabel(const std::string &Tenant) {
+  static const std::string Other(OtherTenants);
+  if (m_Tenants.size() < MaxTenants)
+    m_Tenants.insert(Tenant);
+  return m_Tenants.contains(Tenant) ? Tenant : Other;
+}
+
+void HostMetrics::onQuota(const std::string &Tenant, std::string_view Result,
+                          double Units) {
+  m_Quotas
+      .Add({{"tenant", tenantLabel(Tenant)}, {"result", std::string(Result)}})
+      .Increment(Units);
+}
+
+void HostMetrics::setQuotaUsed(const std::string &Tenant, double Units) {
+  m_QuotaUsed.Add({{"tenant", tenantLabel(Tenant)}}).Set(Units);
+}
+
 void HostMetrics::setEndpoints(std::size_t Count) {
   m_Endpoints.Set(static_cast<double>(Count));
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -4,6 +4,7 @@
 #include "Net/Metrics/MetricSet.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -81,6 +82,12 @@
   void setLimitedEndpoints(std::size_t Count);
   /// Sets the number of endpoints that name a limit on rejections.
   void setRejectionLimitedEndpoints(std::size_t Count);
+  /// Counts units of a tenant's quota, by what became of their requests.
+  void onQuota(const std::string &Tenant, std::string_view Result,
+               double Units);
+  /// Sets what the hosts of the zones use and hold for which this host is the
+  /// lessor.
+  void setQuotaUsed(const std::string &Tenant, double Units);
   void setCatalogueVersion(std::int64_t Version);
   /// Sets the times since the store last confirmed the catalogue and the
   /// registrations.
@@ -91,6 +98,12 @@
 
 private:
   static constexpr std::size_t MaxSuspects = 20;
+  /// The first tenants get time series of their own.
+  static constexpr std::size_t MaxTenants = 32;
+  static constexpr const char *OtherTenants = "other";
+
+  /// The label of a tenant.
+  const std::string &tenantLabel(const std::string &Tenant);
 
   /// Sets the time series of \p Name. It exists while there are two crashes or
   /// more, if there are fewer than MaxSuspects others.
@@ -134,6 +147,9 @@
   prometheus::Family<prometheus::Counter> &m_StreamNotices;
   prometheus::Family<prometheus::Counter> &m_Removals;
   prometheus::Family<prometheus::Counter> &m_EndpointNotices;
+  prometheus::Family<prometheus::Counter> &m_Quotas;
+  prometheus::Family<prometheus::Gauge> &m_QuotaUsed;
+  std::set<std::string> m_Tenants; ///< Those that have time series.
   prometheus::Gauge &m_Endpoints;
   prometheus::Gauge &m_LimitedEndpoints;
   prometheus::Gauge &m_RejectionLimitedEndpoints;
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -30,6 +30,7 @@
 /// Retry-After for quarantined requests, which have crashed endpoints.
 constexpr milliseconds QuarantineRetryAfter{30000};
 constexpr int UnauthorizedStatus = 401;
+constexpr int TooManyRequestsStatus = 429;
 /// Longest part of a caller's text in a log line.
 constexpr std::size_t MaxLoggedBytes = 100;
 
@@ -57,11 +58,11 @@
 }
 
 RequestSession::RequestSession(HostState &State, DemandRouter &Demands,
-                               StreamTracker &Streams,
+                               StreamTracker &Streams, QuotaService &Quotas,
                                SessionAffinity &Sessions, PeerRelay &Relay,
                                RequestOrigin Origin, http::Request Incoming,
                                http::Exchange &Caller)
-    : m_State(State), m_Demands(Demands), m_Streams(Streams),
+    : m_State(State), m_Demands(Demands), m_Streams(Streams), m_Quotas(Quotas),
       m_Sessions(Sessions), m_Relay(Relay), m_Origin(Origin),
       m_Incoming(std::move(Incoming)), m_Caller(Caller), m_ArrivedAt(now()),
       m_AnswerMemory(State.m_AnswerMemory), m_Timer(State.m_Context),
@@ -82,12 +83,16 @@
   const bool IsAdmitted = co_await checkCaller();
   if (!IsAdmitted)
     co_return;
+  const bool FitsQuota = co_await takeQuota();
+  if (!FitsQuota)
+    co_return;
   m_History = serving::AttemptHistory(m_Route->m_MaxEndpointsPerRequest);
   startTimers();
   m_Fingerprint = std::to_string(
       hashOf(m_Incoming.m_Target + m_Facts.m_Model.str() + m_Incoming.m_Body));
   co_await serve();
   m_Ended = true;
+  returnQuota();
   m_Timer.cancel();
   m_SilenceTimer.cancel();
   m_Taken.reset();
@@ -133,6 +138,33 @@
   co_return false;
 }
 
+Task<bool> RequestSession::takeQuota() {
+  // The host that has passed the request on has counted it.
+  const bool IsCounted = m_Origin == RequestOrigin::Caller &&
+                         m_Identity.m_Kind == tenants::CallerKind::Tenant;
+  if (!IsCounted)
+    co_return true;
+  const QuotaDecision Decision = co_await m_Quotas.take(
+      m_Identity.m_Tenant, m_Facts.m_PromptTokens, m_Facts.m_OutputTokens);
+  m_QuotaUse = Decision.m_Use;
+  if (Decision.m_Fits)
+    co_return true;
+  logEvent("request.over_quota",
+           {{"tenant", m_Identity.m_Tenant},
+            {"cost", Decision.m_Cost},
+            {"held", Decision.m_Held},
+            {"grant_age_ms", Decision.m_GrantAge.count()},
+            {"retry_after_ms", Decision.m_RetryAfter.count()}});
+  co_await respondWithProblem(TooManyRequestsStatus, QuotaReason,
+                              Decision.m_RetryAfter);
+  co_return false;
+}
+
+void RequestSession::returnQuota() {
+  if (m_QuotaUse && !m_DispatchGuard.mayHaveBeenSent())
+    m_Quotas.refund(*m_QuotaUse);
+}
+
 void RequestSession::logNoRoute() const {
   std::string Prefix;
   std::string Service;
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -7,6 +7,7 @@
 #include "Host/Attempt.h"
 #include "Host/DemandRouter.h"
 #include "Host/PeerRelay.h"
+#include "Host/QuotaService.h"
 #include "Host/StreamTracker.h"
 #include "Net/Http/Server.h"
 
@@ -43,8 +44,9 @@
 public:
   /// Precondition: \p Caller outlives the call of run().
   RequestSession(HostState &State, DemandRouter &Demands,
-                 StreamTracker &Streams, SessionAffinity &Sessions,
-                 PeerRelay &Relay, RequestOrigin Origin, http::Request Incoming,
+                 StreamTracker &Streams, QuotaService &Quotas,
+                 SessionAffinity &Sessions, PeerRelay &Relay,
+                 RequestOrigin Origin, http::Request Incoming,
                  http::Exchange &Caller);
 
   Task<void> run();
@@ -75,6 +77,7 @@
   static constexpr std::string_view CutOffReason = "cut_off_from_endpoints";
   static constexpr std::string_view UnknownKeyReason = "unknown_key";
   static constexpr std::string_view UnprovenKeyReason = "unproven_key";
+  static constexpr std::string_view QuotaReason = "quota";
 
   using OpenStream = std::shared_ptr<http::ResponseStream>;
 
@@ -91,6 +94,11 @@
   /// Identifies the caller anew. Returns false, after the request has been
   /// ended, if it may not be sent.
   Task<bool> checkCaller();
+  /// Takes the cost of the request from its tenant's quota. Returns false,
+  /// after the request has been rejected, if it does not fit.
+  Task<bool> takeQuota();
+  /// Gives the cost back if the request has not run.
+  void returnQuota();
   /// Logs what the decision that no service takes the request is based on.
   void logNoRoute() const;
   void startTimers();
@@ -318,6 +326,7 @@
   HostState &m_State;
   DemandRouter &m_Demands;
   StreamTracker &m_Streams;
+  QuotaService &m_Quotas;
   SessionAffinity &m_Sessions;
   PeerRelay &m_Relay;
   RequestOrigin m_Origin;
@@ -325,6 +334,8 @@
   http::Exchange &m_Caller;
   RequestMetadata m_Facts;
   tenants::CallerIdentity m_Identity;
+  /// What the request has taken from the quota of its tenant.
+  std::optional<QuotaUse> m_QuotaUse;
   std::shared_ptr<const serving::Catalogue> m_Catalogue;
   const serving::Route *m_Route = nullptr;     ///< In m_Catalogue.
   const serving::Service *m_Service = nullptr; ///< In m_Catalogue.
--- a/Source/UnitTests/Core/Quota/QuotaProperties.cpp
+++ b/Source/UnitTests/Core/Quota/QuotaProperties.cpp
@@ -94,6 +94,7 @@
 
   bool serve(std::size_t Index, double Cost) {
     HostState &Host = m_Hosts[Index];
+    Host.m_Allowance.recordDemand(Cost, m_Now);
     if (Host.m_Allowance.tryTake(Cost, m_Now))
       return true;
     if (!Host.m_Allowance.mayAsk(m_Now))
--- a/Source/UnitTests/Core/Quota/QuotaTest.cpp
+++ b/Source/UnitTests/Core/Quota/QuotaTest.cpp
@@ -222,6 +222,7 @@
   Allowance.setLimits({1000, 0, 0}, 1, Start);
   Allowance.onGrant({"t", Allowance.makeRequest(30, Start).m_Number, 500, 0},
                     Start);
+  Allowance.recordDemand(10, Start);
   EXPECT_TRUE(Allowance.tryTake(10, Start));
   EXPECT_LT(Allowance.makeRequest(0, at(1)).m_Held, 20);
 }
