Check slow first answers at once and pass over full endpoints

Two faults of the choice of an endpoint:

- An endpoint whose first answer was slow got no other request for 10 s at low load, because the choice goes by the latency of that answer, which may include the setup of the connection.
On the code before, none of 40 requests went there, also after 8 ms against 1 ms.
The first answer is now checked by a second request at once, a faster second answer replaces it, and latencies are compared after an offset of 10 ms.
A rejection is no sample of the latency and no check.
- An endpoint that rejects requests as full without naming its load looked free: on the code before, it got all of 50 requests while another one had five.
It now counts as full until it reports its load or for about a service time.
Rejected requests no longer shorten the mean service time, by which reports lose weight.

--- a/Source/Core/Core/Routing/EndpointPicker.cpp
+++ b/Source/Core/Core/Routing/EndpointPicker.cpp
@@ -72,6 +72,12 @@
   m_OwnBusySeconds *= ServiceTimeDecay;
 }
 
+void LoadEstimator::onNotRun(const EndpointId &Endpoint, Instant Now) {
+  const auto Found = m_Entries.find(Endpoint);
+  if (Found != m_Entries.end() && Found->second.m_OwnRunning > 0)
+    addChange(Found->second, Now, -1);
+}
+
 void LoadEstimator::addChange(Entry &State, Instant Now, int Delta) {
   if (State.m_OwnRunning > 0)
     m_OwnBusySeconds += static_cast<double>(State.m_OwnRunning) *
--- a/Source/Core/Core/Routing/EndpointPicker.h
+++ b/Source/Core/Core/Routing/EndpointPicker.h
@@ -26,8 +26,13 @@
                 Duration Lag, Instant Now);
   void onDispatched(const EndpointId &Endpoint, Instant Now);
   void onFinished(const EndpointId &Endpoint, Instant Now);
+  /// Removes a request that the endpoint has not run. Its duration says nothing
+  /// of the service time.
+  void onNotRun(const EndpointId &Endpoint, Instant Now);
   /// Returns the estimated number of requests that are running at the endpoint.
   double estimate(const EndpointId &Endpoint, Instant Now) const;
+  /// Mean duration of this router's finished requests.
+  double meanServiceSeconds() const;
   void forget(const EndpointId &Endpoint);
 
 private:
@@ -44,7 +49,6 @@
     std::deque<std::pair<Instant, int>> m_Changes;
   };
   void addChange(Entry &State, Instant Now, int Delta);
-  double meanServiceSeconds() const;
 
   std::map<EndpointId, Entry> m_Entries;
   /// Total running time of this router's requests; decays with each finished
--- a/Source/Core/Core/Serving/EndpointChooser.cpp
+++ b/Source/Core/Core/Serving/EndpointChooser.cpp
@@ -17,6 +17,9 @@
 constexpr double FailurePenalty = 4;
 /// Latencies are penalized only above this multiple of the lowest latency.
 constexpr double LatencyToleranceFactor = 2;
+/// Added to all latencies before they are compared. Differences of a few
+/// milliseconds come from the scheduling of processes, not from load.
+constexpr milliseconds LatencyOffset{10};
 /// Load penalty for each further multiple, and its upper bound, as a fraction
 /// of the endpoint's slots.
 constexpr double LatencyPenalty = 0.2;
@@ -25,15 +28,53 @@
 /// trials of many slow endpoints cost the callers of a host with few requests.
 constexpr milliseconds TrialInterval{10000};
 
+/// Requests that wait at a full endpoint, as a multiple of its slots. Endpoints
+/// do not register the length of their queue; those known so far hold three
+/// requests for each slot, plain ones four.
+constexpr double QueuePerSlot = 3;
+/// Bounds of the time for which a rejection counts.
+constexpr milliseconds MinFullTime{100};
+constexpr milliseconds MaxFullTime{1000};
+
 bool wasTried(const Endpoint &Candidate, const ChoiceContext &Context) {
   return Context.m_Tried && Context.m_Tried->contains(Candidate.id());
 }
 
 } // namespace
 
+void EndpointChooser::onReport(const EndpointId &Id, std::int64_t Requests,
+                               Instant Now) {
+  m_Loads.onReport(Id, Requests, Duration::zero(), Now);
+  m_Full.erase(Id);
+}
+
+void EndpointChooser::onRejected(const Endpoint &Rejecting,
+                                 std::optional<std::int64_t> Requests,
+                                 Instant Now) {
+  const int Slots = std::max(1, Rejecting.m_Registration.m_Slots);
+  FullState Full;
+  Full.m_Load = Requests && *Requests >= Slots ? static_cast<double>(*Requests)
+                                               : Slots * (1 + QueuePerSlot);
+  const Duration ServiceTime = std::clamp<Duration>(
+      fromSeconds(m_Loads.meanServiceSeconds()), MinFullTime, MaxFullTime);
+  // Hosts that were rejected at the same time do not return at the same time.
+  std::uniform_real_distribution<double> Fraction(0.5, 1);
+  Full.m_Until = Now + std::chrono::duration_cast<Duration>(ServiceTime *
+                                                            Fraction(m_Random));
+  m_Full.insert_or_assign(Rejecting.id(), Full);
+}
+
+double EndpointChooser::estimatedLoad(const EndpointId &Id, Instant Now) const {
+  const double Load = std::max(0.0, m_Loads.estimate(Id, Now));
+  const auto Full = m_Full.find(Id);
+  return Full != m_Full.end() && Now < Full->second.m_Until
+             ? std::max(Load, Full->second.m_Load)
+             : Load;
+}
+
 double EndpointChooser::load(const Endpoint &Candidate, Instant Now) const {
   const double Slots = std::max(1, Candidate.m_Registration.m_Slots);
-  double Load = std::max(0.0, m_Loads.estimate(Candidate.id(), Now));
+  double Load = estimatedLoad(Candidate.id(), Now);
   if (Candidate.m_Registration.m_Zone != m_LocalZone)
     Load += CrossZonePenalty * Slots;
   return Load;
@@ -49,7 +90,8 @@
       std::max(0.0, FailureRate - LowestFailureRate - FailureTolerance);
   if (LowestLatency > Duration::zero()) {
     const double LatencyRatio =
-        toSeconds(m_Health.latency(Candidate.id())) / toSeconds(LowestLatency);
+        toSeconds(m_Health.latency(Candidate.id()) + LatencyOffset) /
+        toSeconds(LowestLatency + LatencyOffset);
     Load += Slots *
             std::clamp(LatencyPenalty * (LatencyRatio - LatencyToleranceFactor),
                        0.0, MaxLatencyPenalty);
@@ -81,8 +123,11 @@
     Candidate.m_Load = load(*Item, Now);
     const double Penalty = penalty(*Item, LowestFailureRate, LowestLatency);
     // An endpoint that is never chosen would never get another chance.
-    if (Penalty > 0 && Now >= m_NextTrialAt &&
-        m_Health.isOutdated(Item->id(), Now))
+    const bool IsTrial =
+        Penalty > 0 &&
+        (m_Health.isUnconfirmed(Item->id(), Now) ||
+         (Now >= m_NextTrialAt && m_Health.isOutdated(Item->id(), Now)));
+    if (IsTrial)
       Trials.insert(Item->id());
     else
       Candidate.m_Load += Penalty;
@@ -96,8 +141,11 @@
     return std::nullopt;
   const EndpointId &Id = List[*Chosen].m_Endpoint;
   if (Trials.contains(Id)) {
+    // The check of a first answer happens once for each endpoint and needs no
+    // limit.
+    if (!m_Health.isUnconfirmed(Id, Now))
+      m_NextTrialAt = Now + TrialInterval;
     m_Health.onTrial(Id, Now);
-    m_NextTrialAt = Now + TrialInterval;
   }
   return Id;
 }
@@ -120,6 +168,7 @@
 void EndpointChooser::forget(const EndpointId &Id) {
   m_Loads.forget(Id);
   m_Health.forget(Id);
+  m_Full.erase(Id);
 }
 
 } // namespace sff::serving
--- a/Source/Core/Core/Serving/EndpointChooser.h
+++ b/Source/Core/Core/Serving/EndpointChooser.h
@@ -4,6 +4,7 @@
 #include "Core/Serving/EndpointDirectory.h"
 #include "Core/Serving/EndpointHealth.h"
 
+#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -31,6 +32,17 @@
   routing::LoadEstimator &loads() { return m_Loads; }
   EndpointHealth &health() { return m_Health; }
 
+  /// Applies the number of requests that run or wait at the endpoint, which it
+  /// reports now.
+  void onReport(const EndpointId &Id, std::int64_t Requests, Instant Now);
+  /// Records that the endpoint rejected a request because it is full. It counts
+  /// as full until it reports its load, or for about the service time of a
+  /// request. \p Requests is the load that the rejection names, if any.
+  void onRejected(const Endpoint &Rejecting,
+                  std::optional<std::int64_t> Requests, Instant Now);
+  /// The estimated number of requests that run or wait at the endpoint.
+  double estimatedLoad(const EndpointId &Id, Instant Now) const;
+
   /// Chooses one of \p Candidates that has not been tried. Suspended endpoints
   /// are used only if there is no other.
   std::optional<EndpointId> choose(std::span<const Endpoint *const> Candidates,
@@ -47,10 +59,17 @@
   double penalty(const Endpoint &Candidate, double LowestFailureRate,
                  Duration LowestLatency) const;
 
+  /// An endpoint that has rejected a request for want of room.
+  struct FullState {
+    double m_Load = 0;
+    Instant m_Until;
+  };
+
   ZoneId m_LocalZone;
   std::mt19937_64 m_Random;
   routing::LoadEstimator m_Loads;
   EndpointHealth m_Health;
+  std::map<EndpointId, FullState> m_Full;
   Instant m_NextTrialAt;
 };
 
--- a/Source/Core/Core/Serving/EndpointHealth.cpp
+++ b/Source/Core/Core/Serving/EndpointHealth.cpp
@@ -54,14 +54,35 @@
 void EndpointHealth::onLatency(const EndpointId &Endpoint, Duration Latency,
                                Instant Now) {
   Entry &State = m_Entries[Endpoint];
-  const double Weight = State.m_Latency == Duration::zero()
-                            ? 1
-                            : weightOfNext(State.m_LatencyAt, State.m_TriedAt);
+  // A faster second answer replaces the first one, which may include the setup
+  // of the connection.
+  const bool IsReplaced =
+      State.m_LatencySamples == 0 ||
+      (State.m_LatencySamples == 1 && Latency < State.m_Latency);
+  const double Weight =
+      IsReplaced ? 1 : weightOfNext(State.m_LatencyAt, State.m_TriedAt);
+  State.m_LatencySamples = std::min(State.m_LatencySamples + 1, 2);
   const auto Difference = Latency - State.m_Latency;
   State.m_Latency += std::chrono::duration_cast<Duration>(Difference * Weight);
   State.m_LatencyAt = Now;
 }
 
+void EndpointHealth::onNotRun(const EndpointId &Endpoint) {
+  const auto Found = m_Entries.find(Endpoint);
+  if (Found != m_Entries.end())
+    Found->second.m_TriedAt = Instant();
+}
+
+bool EndpointHealth::isUnconfirmed(const EndpointId &Endpoint,
+                                   Instant Now) const {
+  const auto Found = m_Entries.find(Endpoint);
+  if (Found == m_Entries.end() || Found->second.m_LatencySamples != 1)
+    return false;
+  const Entry &State = Found->second;
+  return State.m_TriedAt < State.m_LatencyAt &&
+         Now - State.m_LatencyAt <= ObservationValidity;
+}
+
 bool EndpointHealth::isOutdated(const EndpointId &Endpoint, Instant Now) const {
   const auto Found = m_Entries.find(Endpoint);
   if (Found == m_Entries.end())
--- a/Source/Core/Core/Serving/EndpointHealth.h
+++ b/Source/Core/Core/Serving/EndpointHealth.h
@@ -31,6 +31,9 @@
   void onTrial(const EndpointId &Endpoint, Instant Now) {
     m_Entries[Endpoint].m_TriedAt = Now;
   }
+  /// Records that the endpoint did not run a request, which therefore was no
+  /// trial.
+  void onNotRun(const EndpointId &Endpoint);
   void forget(const EndpointId &Endpoint) { m_Entries.erase(Endpoint); }
   /// Drops what has been learned of all endpoints.
   void clear() { m_Entries.clear(); }
@@ -40,6 +43,10 @@
   /// Returns true if nothing has been learned of the endpoint lately and no
   /// trial is under way.
   bool isOutdated(const EndpointId &Endpoint, Instant Now) const;
+  /// Returns true while the latency of the endpoint is that of its first answer
+  /// only, which may include the setup of the connection, and no trial is under
+  /// way.
+  bool isUnconfirmed(const EndpointId &Endpoint, Instant Now) const;
   /// Returns the moving average of failed requests, between 0 and 1.
   double failureRate(const EndpointId &Endpoint) const;
   /// Returns the moving average of the latency, zero if unknown.
@@ -52,6 +59,7 @@
     int m_ConsecutiveFailures = 0;
     Instant m_SuspendedUntil;
     Duration m_Latency{0};
+    int m_LatencySamples = 0; ///< Counted up to 2.
     Instant m_ResultAt;
     Instant m_LatencyAt;
     Instant m_TriedAt;
--- a/Source/Core/Host/Attempt.cpp
+++ b/Source/Core/Host/Attempt.cpp
@@ -23,12 +23,18 @@
 }
 
 Attempt::~Attempt() {
-  m_State.m_Chooser.loads().onFinished(m_Endpoint, now());
+  routing::LoadEstimator &Loads = m_State.m_Chooser.loads();
+  if (m_NotRun)
+    Loads.onNotRun(m_Endpoint, now());
+  else
+    Loads.onFinished(m_Endpoint, now());
   m_State.m_RejectionLimits.onFinished(m_Endpoint);
   m_State.m_Crashes.onRequestEnded(m_Endpoint, m_Request);
 }
 
 void Attempt::onNotRun() {
+  m_NotRun = true;
+  m_State.m_Chooser.health().onNotRun(m_Endpoint);
   for (const PromptPartId &Part : std::exchange(m_TrialParts, {}))
     m_State.m_Crashes.onTrialNotRun(Part);
 }
--- a/Source/Core/Host/Attempt.h
+++ b/Source/Core/Host/Attempt.h
@@ -73,6 +73,7 @@
   Instant m_AnswerBegunAt;
   Instant m_LastProgressAt;
   bool m_Superseded = false;
+  bool m_NotRun = false; ///< The endpoint has not run the request.
 };
 
 } // namespace sff::host
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -392,7 +392,7 @@
 }
 
 std::shared_ptr<Attempt> RequestSession::startAttempt(const EndpointId &Id) {
-  const double Load = m_State.m_Chooser.loads().estimate(Id, now());
+  const double Load = m_State.m_Chooser.estimatedLoad(Id, now());
   auto Started = std::make_shared<Attempt>(
       m_State, Id,
       Attempt::Identity{m_Facts.m_Id, m_Fingerprint, m_Facts.m_PromptParts});
@@ -455,7 +455,6 @@
   // decoded; a backup goes on until then.
   m_Current->onProgress();
   m_State.m_Links.onData();
-  m_State.m_Chooser.health().onLatency(Id, now() - m_Current->sentAt(), now());
   co_return co_await onHead(Id, std::move(Answer));
 }
 
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -69,12 +69,19 @@
 void RequestSession::recordReports(const Attempt &Answered,
                                    const ResponseMetadata &Facts) {
   const EndpointId &Id = Answered.endpoint();
-  if (Facts.m_Load)
-    m_State.m_Chooser.loads().onReport(
-        Id, Facts.m_Load->m_Running + Facts.m_Load->m_Waiting, Duration::zero(),
-        now());
+  std::optional<std::int64_t> Load;
+  if (Facts.m_Load) {
+    Load = Facts.m_Load->m_Running + Facts.m_Load->m_Waiting;
+    m_State.m_Chooser.onReport(Id, *Load, now());
+  }
+  const serving::Endpoint *Endpoint = m_State.m_Endpoints.find(Id);
+  if (Facts.m_WasFull && Endpoint)
+    m_State.m_Chooser.onRejected(*Endpoint, Load, now());
   if (!Facts.isFromEndpoint())
     return;
+  // A rejection takes no time, however slow the endpoint is.
+  if (!Facts.m_NotRun && !Answered.isSuperseded())
+    m_State.m_Chooser.health().onLatency(Id, now() - Answered.sentAt(), now());
   m_State.onNotice(Id, Answered.registration(), Facts.m_Notice, "request",
                    m_Facts.m_Id.str());
   if (!m_State.m_Endpoints.find(Id))
--- a/Source/UnitTests/Core/Serving/EndpointChooserTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointChooserTest.cpp
@@ -167,5 +167,91 @@
   EXPECT_EQ(countChosen(m_Local2.id()), 50);
 }
 
+// Guards against an endpoint that its slow first answer takes out of use at low
+// load: the time includes the setup of the connection, and no other sample
+// corrects it while the endpoint is not chosen.
+TEST_F(EndpointChooserTest, SlowFirstAnswerIsCheckedAtOnce) {
+  m_Endpoints = {&m_Local, &m_Local2};
+  m_Chooser.health().onLatency(m_Local.id(), milliseconds(150), m_Now);
+  m_Chooser.health().onLatency(m_Local2.id(), milliseconds(1), m_Now);
+  EXPECT_EQ(countChosen(m_Local.id(), 40), 1);
+  m_Chooser.health().onLatency(m_Local.id(), milliseconds(1), m_Now);
+  EXPECT_GT(countChosen(m_Local.id(), 40), 10);
+}
+
+// Guards against the same if the endpoint rejects the request that was to check
+// its first answer: that is no sample.
+TEST_F(EndpointChooserTest, CheckOfTheFirstAnswerIsRepeatedAfterARejection) {
+  m_Endpoints = {&m_Local, &m_Local2};
+  m_Chooser.health().onLatency(m_Local.id(), milliseconds(150), m_Now);
+  m_Chooser.health().onLatency(m_Local2.id(), milliseconds(1), m_Now);
+  EXPECT_EQ(countChosen(m_Local.id(), 40), 1);
+  m_Chooser.health().onNotRun(m_Local.id());
+  EXPECT_EQ(countChosen(m_Local.id(), 40), 1);
+}
+
+// Guards against further checks of an endpoint that a second answer has
+// confirmed to be slow.
+TEST_F(EndpointChooserTest, SlowSecondAnswerEndsTheChecks) {
+  m_Endpoints = {&m_Local, &m_Local2};
+  m_Chooser.health().onLatency(m_Local2.id(), milliseconds(1), m_Now);
+  for (int Sample = 0; Sample < 2; ++Sample)
+    m_Chooser.health().onLatency(m_Local.id(), milliseconds(150), m_Now);
+  EXPECT_EQ(countChosen(m_Local.id(), 40), 0);
+}
+
+// Guards against avoiding an endpoint for a difference that callers do not
+// notice, for example 1.0 ms against 0.4 ms.
+TEST_F(EndpointChooserTest, LatenciesOfAFewMillisecondsAreNotCompared) {
+  m_Endpoints = {&m_Local, &m_Local2};
+  for (int Sample = 0; Sample < 3; ++Sample) {
+    m_Chooser.health().onLatency(m_Local.id(), milliseconds(8), m_Now);
+    m_Chooser.health().onLatency(m_Local2.id(), milliseconds(1), m_Now);
+  }
+  EXPECT_GT(countChosen(m_Local.id(), 40), 10);
+}
+
+// Guards against an endpoint that looks free because it rejects requests: the
+// rejection names no load, and the rejected request no longer counts there.
+TEST_F(EndpointChooserTest, EndpointThatRejectsAsFullIsPassedOver) {
+  for (int Count = 0; Count < Slots / 2; ++Count)
+    m_Chooser.loads().onDispatched(m_Local2.id(), m_Now);
+  m_Chooser.onRejected(m_Local, std::nullopt, m_Now);
+  EXPECT_GE(m_Chooser.estimatedLoad(m_Local.id(), m_Now), 2 * Slots);
+  EXPECT_EQ(countChosen(m_Local.id()), 0);
+}
+
+// Guards against an endpoint that stays out of use after a rejection.
+TEST_F(EndpointChooserTest, RejectionCountsUntilANewerReport) {
+  m_Chooser.onRejected(m_Local, std::nullopt, m_Now);
+  m_Chooser.onReport(m_Local.id(), 0, m_Now + milliseconds(20));
+  EXPECT_EQ(m_Chooser.estimatedLoad(m_Local.id(), m_Now + milliseconds(20)), 0);
+}
+
+// Guards against the same while no other answer of the endpoint arrives.
+TEST_F(EndpointChooserTest, RejectionCountsForAboutOneServiceTime) {
+  m_Chooser.onRejected(m_Local, std::nullopt, m_Now);
+  EXPECT_GT(m_Chooser.estimatedLoad(m_Local.id(), m_Now + milliseconds(50)), 0);
+  EXPECT_EQ(
+      m_Chooser.estimatedLoad(m_Local.id(), m_Now + std::chrono::seconds(1)),
+      0);
+}
+
+// Guards against rejections that shorten the assumed service time: the latest
+// report of an endpoint would count for a moment only.
+TEST_F(EndpointChooserTest, RejectionsDoNotShortenTheServiceTime) {
+  routing::LoadEstimator &Loads = m_Chooser.loads();
+  Loads.onReport(m_Local.id(), 2, Duration::zero(), m_Now);
+  Loads.onReport(m_Local.id(), 40, Duration::zero(), m_Now);
+  for (int Count = 0; Count < 50; ++Count) {
+    Loads.onDispatched(m_Local2.id(), m_Now);
+    Loads.onNotRun(m_Local2.id(), m_Now);
+  }
+  Loads.onDispatched(m_Local2.id(), m_Now);
+  Loads.onFinished(m_Local2.id(), m_Now + std::chrono::seconds(1));
+  EXPECT_GT(
+      Loads.estimate(m_Local.id(), m_Now + std::chrono::milliseconds(1100)), 6);
+}
+
 } // namespace
 } // namespace sff::serving
