Add replicas when hosts find the endpoints of a model full

Hosts now count sends to endpoints without a free slot and rejections for want of room, by model, and report them early: at most every 500 ms, only while there are any, and only to holders that they know, so that no call to the store is added. The first request after 10 s without any is reported after 250 ms. A report names its interval, so the holder knows the present rate, and the work of endpoints, from which the holder estimates their speeds. A holder starts its zone's share of all missing replicas at once, at endpoints with little work. Models under pressure, and all models in the first 700 ms of the demand unless half of the hosts have reported, are not evicted. New fields of a report have defaults.

--- a/Source/Core/Core/Serving/SwapPlanner.cpp
+++ b/Source/Core/Core/Serving/SwapPlanner.cpp
@@ -35,6 +35,8 @@
   for (const EvictionCandidate *Model : ByCost) {
     if (AvailableMb >= SizeMb)
       break;
+    if (Model->m_IsProtected)
+      continue;
     AvailableMb += Model->m_SizeMb;
     Plan.m_Evict.push_back(Model->m_Name);
     Plan.m_Cost += evictionCost(*Model);
@@ -89,10 +91,16 @@
 std::optional<SwapPlan> planSwap(double SizeMb,
                                  std::span<const SwapCandidate> Candidates) {
   std::optional<SwapPlan> Best;
+  double BestCost = 0;
   for (const SwapCandidate &Candidate : Candidates) {
     auto Plan = planForEndpoint(Candidate, SizeMb);
-    if (Plan && (!Best || Plan->m_Cost < Best->m_Cost))
-      Best = std::move(Plan);
+    if (!Plan)
+      continue;
+    const double Cost = Plan->m_Cost + Candidate.m_WorkSeconds;
+    if (Best && Cost >= BestCost)
+      continue;
+    Best = std::move(Plan);
+    BestCost = Cost;
   }
   return Best;
 }
--- a/Source/Core/Core/Serving/SwapPlanner.h
+++ b/Source/Core/Core/Serving/SwapPlanner.h
@@ -21,6 +21,8 @@
   /// Requests per second that one replica serves without significant queueing.
   double m_RatePerReplica = 1;
   bool m_InUse = false; ///< Had requests within the last second.
+  /// Must not be evicted: it lacks replicas, or its demand is not known yet.
+  bool m_IsProtected = false;
 };
 
 /// An endpoint that could load the model.
@@ -30,6 +32,9 @@
   std::vector<EvictionCandidate> m_LoadedModels;
   loading::WeightLocation m_Location = loading::WeightLocation::Remote;
   double m_LoadSeconds = 0;
+  /// Cost that stands for the work that the endpoint has already, in seconds.
+  /// Only makes other endpoints preferable.
+  double m_WorkSeconds = 0;
 };
 
 /// The steps required to load a model.
--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -20,6 +20,8 @@
 /// the rate of reports to a holder is bounded.
 constexpr milliseconds UsageReportInterval{1000};
 constexpr milliseconds UsageReportIntervalPerHost{50};
+/// The work of endpoints is reported for so long after the last pressure.
+constexpr milliseconds WorkReportTime{10000};
 constexpr milliseconds ReplicaCheckInterval{2000};
 /// A holder processes its queue a few milliseconds after a demand arrives, so
 /// the demand for a replica must stay queued for longer than that.
@@ -48,6 +50,35 @@
   ++m_Usage[Name.m_Model];
   if (!Name.m_Adapter.empty())
     ++m_Usage[Name.str()];
+  if (m_Pressure.onRequest(now()))
+    m_ReportDue.notifyAll();
+}
+
+void DemandRouter::onSent(const serving::ModelName &Name,
+                          const EndpointId &Endpoint) {
+  const serving::Endpoint *Known = m_State.m_Endpoints.find(Endpoint);
+  if (Name.m_Model.empty() || !Known || Known->m_Registration.m_Slots <= 0)
+    return;
+  if (m_State.m_Chooser.loads().estimate(Endpoint, now()) >
+      Known->m_Registration.m_Slots)
+    onFull(Name);
+}
+
+void DemandRouter::onFull(const serving::ModelName &Name) {
+  if (Name.m_Model.empty())
+    return;
+  m_LastPressureAt = now();
+  if (m_Pressure.onSign(Name.m_Model, now()))
+    m_ReportDue.notifyAll();
+}
+
+void DemandRouter::onCompleted(const std::string &Route,
+                               const EndpointId &Endpoint, Instant SentAt) {
+  // A request that waited for a slot says nothing of the endpoint's speed.
+  const serving::Endpoint *Known = m_State.m_Endpoints.find(Endpoint);
+  if (Known && m_State.m_Chooser.loads().estimate(Endpoint, now()) <=
+                   Known->m_Registration.m_Slots)
+    m_Work.onCompleted(Route, Endpoint, now() - SentAt);
 }
 
 void DemandRouter::adjustWaiting(const serving::ModelName &Name, int Change) {
@@ -253,25 +284,58 @@
   m_State.m_Changed.notifyAll();
 }
 
+Task<bool> DemandRouter::waitForReport(Instant LastReportAt) {
+  const Instant Regular =
+      LastReportAt +
+      std::max<Duration>(UsageReportInterval,
+                         UsageReportIntervalPerHost *
+                             static_cast<std::int64_t>(m_State.hosts()));
+  while (true) {
+    const auto Early = m_Pressure.reportDue(m_State.hosts());
+    const Instant Due = std::min(Regular, Early.value_or(Regular));
+    if (now() >= Due)
+      co_return Due < Regular;
+    if (Early)
+      co_await sleepFor(Due - now());
+    else
+      co_await m_ReportDue.wait(Due - now());
+  }
+}
+
+UsageReport DemandRouter::takeUsage(Instant LastReportAt) {
+  UsageReport Report;
+  Report.m_Host = HostId(m_OrderLeases.member());
+  Report.m_Requests = std::exchange(m_Usage, {});
+  Report.m_Crashes = m_State.m_Crashes.recentMessages();
+  Report.m_Pressure = m_Pressure.take(now());
+  Report.m_IntervalMs = toMilliseconds(now() - LastReportAt).count();
+  auto Work = m_Work.take();
+  if (m_LastPressureAt != Instant() &&
+      now() - m_LastPressureAt < WorkReportTime)
+    Report.m_Work = std::move(Work);
+  return Report;
+}
+
 Task<void> DemandRouter::reportUsage() {
+  Instant LastReportAt = now();
   while (true) {
-    co_await sleepFor(std::max<milliseconds>(
-        UsageReportInterval, UsageReportIntervalPerHost *
-                                 static_cast<std::int64_t>(m_State.hosts())));
-    UsageReport Report{HostId(m_OrderLeases.member()),
-                       std::exchange(m_Usage, {}),
-                       m_State.m_Crashes.recentMessages()};
+    const bool IsEarly = co_await waitForReport(LastReportAt);
+    const UsageReport Report = takeUsage(LastReportAt);
+    LastReportAt = now();
     std::set<ZoneId> Zones;
-    for (const auto &[Id, Known] : m_State.m_Endpoints.all())
-      if (!Known.inventory().m_Models.empty())
-        Zones.insert(Known.m_Registration.m_Zone);
+    for (const auto &[Id, Endpoint] : m_State.m_Endpoints.all())
+      if (!Endpoint.inventory().m_Models.empty())
+        Zones.insert(Endpoint.m_Registration.m_Zone);
     for (const ZoneId &Zone : Zones)
-      m_State.spawn("send_usage", sendUsage(Zone, Report));
+      m_State.spawn("send_usage", sendUsage(Zone, Report, IsEarly));
   }
 }
 
-Task<void> DemandRouter::sendUsage(ZoneId Zone, UsageReport Report) {
-  const auto Holder = co_await m_OrderLeases.findHolder(Zone);
+Task<void> DemandRouter::sendUsage(ZoneId Zone, UsageReport Report,
+                                   bool IsEarly) {
+  std::optional<std::string> Holder = m_OrderLeases.knownHolder(Zone);
+  if (!Holder && !IsEarly)
+    Holder = co_await m_OrderLeases.findHolder(Zone);
   if (!Holder)
     co_return;
   std::optional<UsageResponse> Answer;
--- a/Source/Core/Host/DemandRouter.h
+++ b/Source/Core/Host/DemandRouter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Core/Serving/DemandPressure.h"
+#include "Core/Serving/EndpointSpeeds.h"
 #include "Host/PeerRelay.h"
 #include "Host/SwapService.h"
 
@@ -31,6 +33,14 @@
   /// Called when an endpoint has responded that it lacks the model or adapter.
   void onModelMissing(const serving::ModelName &Name,
                       const EndpointId &Endpoint);
+  /// Called when a request is sent to \p Endpoint.
+  void onSent(const serving::ModelName &Name, const EndpointId &Endpoint);
+  /// Called when an endpoint has had no room for a request.
+  void onFull(const serving::ModelName &Name);
+  /// Called when a request that was sent to \p Endpoint has got its complete
+  /// answer.
+  void onCompleted(const std::string &Route, const EndpointId &Endpoint,
+                   Instant SentAt);
   /// Adds \p Change to the number of requests that wait for the model.
   void adjustWaiting(const serving::ModelName &Name, int Change);
 
@@ -62,7 +72,13 @@
                                          Instant Until);
   void setExpectedReadyAt(const std::string &Model, Instant ReadyAt);
   Task<void> reportUsage();
-  Task<void> sendUsage(ZoneId Zone, UsageReport Report);
+  /// Waits until a report is due: at the end of the regular interval, or sooner
+  /// while there is pressure. Returns whether it is sent sooner.
+  Task<bool> waitForReport(Instant LastReportAt);
+  UsageReport takeUsage(Instant LastReportAt);
+  /// Sends a report. An early one is not sent to a zone whose holder is not
+  /// known, since a query to the store costs a call.
+  Task<void> sendUsage(ZoneId Zone, UsageReport Report, bool IsEarly);
   /// Demands for models that this host's callers use often and that have no
   /// replica in the host's zone.
   std::vector<ModelDemand> missingReplicas() const;
@@ -82,6 +98,10 @@
   std::map<std::string, Instant, std::less<>> m_ReadyAt;
   /// Requests since the last usage report.
   std::map<std::string, double> m_Usage;
+  serving::PressureSigns m_Pressure;
+  AsyncCondition m_ReportDue; ///< An early report has become due.
+  serving::WorkMeter m_Work;
+  Instant m_LastPressureAt;
   std::map<ZoneId, std::int64_t> m_HostsByZone;
 };
 
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -16,6 +16,12 @@
                               "Requests of callers by outcome and reason")),
       m_Orders(m_Set.counterFamily("sff_host_orders_total",
                                    "Orders to endpoints by result")),
+      m_WantedReplicas(
+          m_Set.gauge("sff_host_replicas_wanted",
+                      "Replicas that the models with too few of them need")),
+      m_HeldReplicas(
+          m_Set.gauge("sff_host_replicas_held",
+                      "Replicas that the models with too few of them have")),
       m_StoreCalls(
           m_Set.counterFamily("sff_host_store_calls_total",
                               "Calls to the store by call and result")),
@@ -202,6 +208,11 @@
   m_Orders.Add({{"result", std::string(Result)}}).Increment();
 }
 
+void HostMetrics::setOverloadedReplicas(int Wanted, int Held) {
+  m_WantedReplicas.Set(Wanted);
+  m_HeldReplicas.Set(Held);
+}
+
 void HostMetrics::onStoreCall(std::string_view Call, bool Answered) {
   m_StoreCalls
       .Add({{"call", std::string(Call)}, {"answered", Answered ? "yes" : "no"}})
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -60,6 +60,9 @@
   /// that it exceeds.
   void onAnswerTooLong(std::string_view Limit);
   void onOrder(std::string_view Result);
+  /// Sets the replicas of the models that have too few, as far as this host
+  /// gives orders.
+  void setOverloadedReplicas(int Wanted, int Held);
   void onSwap(Duration Taken) { observe(m_Swaps, Taken); }
   void onStoreCall(std::string_view Call, bool Answered);
   /// Counts a restore of the store from an older copy.
@@ -105,6 +108,8 @@
   metrics::MetricSet m_Set;
   prometheus::Family<prometheus::Counter> &m_Requests;
   prometheus::Family<prometheus::Counter> &m_Orders;
+  prometheus::Gauge &m_WantedReplicas;
+  prometheus::Gauge &m_HeldReplicas;
   prometheus::Family<prometheus::Counter> &m_StoreCalls;
   prometheus::Counter &m_StoreRestores;
   prometheus::Family<prometheus::Counter> &m_LogQueries;
--- a/Source/Core/Host/PeerMessages.h
+++ b/Source/Core/Host/PeerMessages.h
@@ -3,6 +3,7 @@
 #include "Common/Codec/Fields.h"
 #include "Common/Identity/Ids.h"
 #include "Core/Serving/EndpointDirectory.h"
+#include "Core/Serving/EndpointSpeeds.h"
 #include "Host/CrashMessage.h"
 
 #include <nlohmann/json.hpp>
@@ -104,12 +105,22 @@
   HostId m_Host;
   std::map<std::string, double> m_Requests;
   std::vector<CrashMessage> m_Crashes;
+  /// Sends to endpoints without a free slot, and rejections for want of room,
+  /// by model since the last report.
+  std::map<std::string, double> m_Pressure;
+  /// Time since the last report; 0 if it is not known.
+  std::int64_t m_IntervalMs = 0;
+  /// Work of endpoints, sent while the host sees pressure.
+  std::map<EndpointId, serving::EndpointWork> m_Work;
 
   static constexpr auto describe() {
     using codec::field;
     return std::make_tuple(field("host", &UsageReport::m_Host),
                            field("requests", &UsageReport::m_Requests),
-                           field("crashes", &UsageReport::m_Crashes));
+                           field("crashes", &UsageReport::m_Crashes),
+                           field("pressure", &UsageReport::m_Pressure),
+                           field("interval_ms", &UsageReport::m_IntervalMs),
+                           field("work", &UsageReport::m_Work));
   }
 };
 
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -383,6 +383,7 @@
   if (m_History.sends() > 0)
     m_State.m_Metrics.onRetry();
   m_Current = startAttempt(Id);
+  m_Demands.onSent(m_Facts.m_Model, Id);
   m_State.m_SendRates.add(m_Service->m_Name, 1, now());
   const auto Watch = watchCurrent();
   http::OpenResult Result = co_await open(m_Current, *Remote);
@@ -585,6 +586,8 @@
   }
   if (Facts.m_ModelNotLoaded)
     m_Demands.onModelMissing(m_Facts.m_Model, Id);
+  if (Facts.m_WasFull)
+    m_Demands.onFull(m_Facts.m_Model);
   logEvent("request.not_run", {{"endpoint", Id},
                                {"status", Status},
                                {"other_endpoint", Facts.m_AddressReused},
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -318,6 +318,10 @@
   m_State.m_Crashes.onSuccess(m_Fingerprint);
   m_State.m_Crashes.onCompleted(m_Facts.m_PromptParts,
                                 m_Current->answerBegunAt());
+  // The rest of a stream takes less time than a whole one.
+  if (m_Service->m_Engine && !isTakenUp() && m_History.sends() <= 1)
+    m_Demands.onCompleted(m_Route->m_Name, m_Current->endpoint(),
+                          m_Current->sentAt());
 }
 
 void RequestSession::recordPossibleLoss(const EndpointId &Id) {
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -74,11 +74,22 @@
 UsageResponse SwapService::onUsage(const UsageReport &Report) {
   seedDemandFromReplicas();
   m_Fleet.onReport(Report.m_Host, now());
+  if (!Report.m_Requests.empty())
+    m_Knowledge.onReport(Report.m_Host, now());
+  m_Pressure.onReport(
+      {Report.m_Host, Report.m_Pressure, Report.m_Requests,
+       milliseconds(std::max<std::int64_t>(0, Report.m_IntervalMs))},
+      now());
+  for (const auto &[Endpoint, Work] : Report.m_Work)
+    if (m_State.m_Endpoints.find(Endpoint))
+      m_Speeds.add(Endpoint, Work, now());
   for (const auto &[Model, Requests] : Report.m_Requests) {
     m_Demand.add(Model, Requests, now());
     m_RecentDemand.add(Model, Requests, now());
   }
   m_State.m_Crashes.onMessages(Report.m_Crashes);
+  if (!Report.m_Pressure.empty())
+    schedulePending();
   return {static_cast<std::int64_t>(m_Fleet.count(now())),
           m_State.m_Crashes.recentMessages(),
           m_Fleet.sample(MaxNamedPeers, m_Random)};
@@ -126,6 +137,7 @@
   const Instant Until = now() + milliseconds(Demand.m_WaitMs);
   const Instant Planned = now() + PlanningTime;
   seedDemandFromReplicas();
+  m_Knowledge.onDemand(now());
   const serving::DemandKey Key{
       Demand.m_Zone, Demand.m_Service, {Demand.m_Model, Demand.m_Adapter}};
   const auto Waiting =
@@ -292,6 +304,11 @@
   return Found == m_Replicas.end() ? 0 : std::max(0, Found->second - 1);
 }
 
+bool SwapService::isProtected(std::string_view Model) const {
+  return !m_Knowledge.isKnown(m_Fleet.count(now()), now()) ||
+         m_Pressure.mustKeepReplicas(Model, now());
+}
+
 bool SwapService::isInUse(const std::string &Model) const {
   const auto Loaded = m_LoadedAt.find(Model);
   const Instant LoadedAt =
@@ -317,7 +334,7 @@
     Result.m_LoadedModels.push_back(
         {Item.m_Name, Size, m_Demand.rate(Item.m_Name, now()),
          otherReplicas(Item.m_Name), serving::sustainableRate(Engine.m_Slots),
-         isInUse(Item.m_Name)});
+         isInUse(Item.m_Name), isProtected(Item.m_Name)});
   }
   return Result;
 }
@@ -337,6 +354,8 @@
     if (Candidate.m_Location == loading::WeightLocation::Remote &&
         !Request.m_MayLoadRemote)
       continue;
+    if (Request.m_WorkSeconds)
+      Candidate.m_WorkSeconds = Request.m_WorkSeconds(Item->id());
     List.push_back(std::move(Candidate));
   }
   const auto Plan = serving::planSwap(Model.m_WeightMb, List);
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "Core/Loading/LoadScheduler.h"
+#include "Core/Serving/DemandPressure.h"
 #include "Core/Serving/DemandQueue.h"
+#include "Core/Serving/EndpointSpeeds.h"
 #include "Core/Serving/EngineLoad.h"
 #include "Core/Serving/FleetSize.h"
 #include "Core/Serving/SwapPlanner.h"
@@ -63,6 +65,15 @@
     double m_MaxEvictionCostSeconds = 0;
     /// Whether the endpoint may load it; all may when empty.
     std::function<bool(const EndpointId &)> m_IsEligible = {};
+    /// Cost of the work that the endpoint has already, in seconds; none when
+    /// empty.
+    std::function<double(const EndpointId &)> m_WorkSeconds = {};
+  };
+
+  /// Replicas of the models that have too few.
+  struct ReplicaCounts {
+    int m_Wanted = 0;
+    int m_Held = 0;
   };
 
   std::vector<const serving::Endpoint *>
@@ -102,10 +113,12 @@
   void replicateOverloadedModels();
   void replicateOverloadedModelsOf(const std::string &Service,
                                    const serving::EngineSpec &Engine,
-                                   std::span<const ZoneId> Zones);
+                                   std::span<const ZoneId> Zones,
+                                   ReplicaCounts &Counts);
   /// Starts a replica of the model in the zone if it is the zone's turn or the
-  /// model is saturated.
-  void tryReplicate(const serving::Overload &Item,
+  /// model is saturated. Starts the zone's share of all replicas that are
+  /// missing if hosts find its endpoints full.
+  void tryReplicate(const serving::Overload &Overloaded,
                     const serving::EngineLoad &Load,
                     const serving::DemandKey &Key,
                     const serving::EngineSpec &Engine);
@@ -118,6 +131,17 @@
                                      const EndpointId &Id,
                                      const serving::EngineSpec &Engine,
                                      const serving::ModelSpec &Model) const;
+  /// Starts one replica. Returns whether an endpoint can load it.
+  bool startReplica(const serving::Overload &Overloaded,
+                    const serving::EngineLoad &Load,
+                    const serving::DemandKey &Key,
+                    const serving::EngineSpec &Engine);
+  /// Number of endpoints that load the model by orders of this host.
+  int loadsOf(const std::string &Model) const;
+  /// Whether the model must not be evicted now.
+  bool isProtected(std::string_view Model) const;
+  /// Requests per second of the model, of the last seconds.
+  double recentRate(std::string_view Model) const;
   /// Whether requests of the model may be running.
   bool isInUse(const std::string &Model) const;
   int otherReplicas(std::string_view Model) const;
@@ -184,9 +208,11 @@
   serving::DemandRates m_Demand; ///< Request rates over all hosts that report.
   /// Like m_Demand over a short window, to detect sudden increases.
   serving::DemandRates m_RecentDemand;
-  serving::FleetSize m_Fleet;
-  std::mt19937_64 m_Random{
-      std::random_device{}()}; ///< The hosts that report usage to this holder.
+  serving::DemandPressure m_Pressure;
+  serving::DemandKnowledge m_Knowledge;
+  serving::EndpointSpeeds m_Speeds;
+  serving::FleetSize m_Fleet; ///< The hosts that report usage to this holder.
+  std::mt19937_64 m_Random{std::random_device{}()};
   Instant m_OverloadsCheckedAt;
   bool m_DemandSeeded = false;
   bool m_RemoteLoadRunning = false;
--- a/Source/Core/Host/SwapServiceReplicas.cpp
+++ b/Source/Core/Host/SwapServiceReplicas.cpp
@@ -19,6 +19,9 @@
 /// turn, and may load from the weight store, which is better used for this
 /// model than for a rarely used one.
 constexpr double SaturatedUtilization = 1;
+/// Waiting time, in seconds, that stands for the work of an endpoint that is
+/// fully utilized, when the endpoint of a replica is chosen.
+constexpr double FullEndpointCostSeconds = 5;
 
 } // namespace
 
@@ -40,9 +43,11 @@
       Zones.emplace_back(Zone);
   if (Zones.empty())
     return;
+  ReplicaCounts Counts;
   for (const auto &[Name, Service] : Catalogue->m_Services)
     if (Service.m_Engine)
-      replicateOverloadedModelsOf(Name, *Service.m_Engine, Zones);
+      replicateOverloadedModelsOf(Name, *Service.m_Engine, Zones, Counts);
+  m_State.m_Metrics.setOverloadedReplicas(Counts.m_Wanted, Counts.m_Held);
 }
 
 std::vector<serving::EndpointPlacement>
@@ -72,43 +77,88 @@
 
 void SwapService::replicateOverloadedModelsOf(const std::string &Service,
                                               const serving::EngineSpec &Engine,
-                                              std::span<const ZoneId> Zones) {
+                                              std::span<const ZoneId> Zones,
+                                              ReplicaCounts &Counts) {
   const auto Placements = placementsOf(Service);
   const serving::EngineLoad Load(
-      Placements,
-      [this](std::string_view Model) {
-        return m_RecentDemand.rate(Model, now());
-      },
-      serving::sustainableRate(Engine.m_Slots));
+      Placements, [this](std::string_view Model) { return recentRate(Model); },
+      serving::sustainableRate(Engine.m_Slots),
+      {[this](const EndpointId &Id) { return m_Speeds.speed(Id, now()); },
+       [this](std::string_view Model) {
+         return m_Pressure.isUnderPressure(Model, now());
+       }});
   const auto Overloads = Load.overloads();
+  for (const serving::Overload &Overloaded : Overloads) {
+    Counts.m_Held += Overloaded.m_Replicas;
+    Counts.m_Wanted += Overloaded.m_Replicas + Overloaded.m_MissingReplicas;
+  }
   for (const ZoneId &Zone : Zones)
-    for (const serving::Overload &Item : Overloads)
-      tryReplicate(Item, Load, {Zone, Service, {Item.m_Model, {}}}, Engine);
+    for (const serving::Overload &Overloaded : Overloads)
+      tryReplicate(Overloaded, Load, {Zone, Service, {Overloaded.m_Model, {}}},
+                   Engine);
 }
 
-void SwapService::tryReplicate(const serving::Overload &Item,
+void SwapService::tryReplicate(const serving::Overload &Overloaded,
                                const serving::EngineLoad &Load,
                                const serving::DemandKey &Key,
                                const serving::EngineSpec &Engine) {
-  const serving::ModelSpec *Model = Engine.find(Item.m_Model);
-  const bool Saturated = Item.m_Utilization > SaturatedUtilization;
-  const bool ZoneMayReplicate = Saturated || isTurnOf(Key.m_Zone, Item.m_Model);
-  if (!Model || !ZoneMayReplicate || loadingUntil(Item.m_Model))
+  const std::string &Model = Overloaded.m_Model;
+  const bool Saturated = Overloaded.m_Utilization > SaturatedUtilization;
+  if (!Saturated && !isTurnOf(Key.m_Zone, Model))
     return;
+  int Missing = 1;
+  if (Overloaded.m_IsUnderPressure)
+    Missing = serving::zoneShare(Overloaded.m_MissingReplicas,
+                                 m_State.m_Settings.get(ZonesSetting).size());
+  while (loadsOf(Model) < Missing &&
+         startReplica(Overloaded, Load, Key, Engine))
+    ;
+}
+
+bool SwapService::startReplica(const serving::Overload &Overloaded,
+                               const serving::EngineLoad &Load,
+                               const serving::DemandKey &Key,
+                               const serving::EngineSpec &Engine) {
+  const serving::ModelSpec *Model = Engine.find(Overloaded.m_Model);
+  if (!Model)
+    return false;
   SwapRequest Request;
   Request.m_Key = Key;
-  Request.m_MayLoadRemote = Saturated || Item.m_AtRisk;
+  Request.m_MayLoadRemote =
+      Overloaded.m_Utilization > SaturatedUtilization || Overloaded.m_AtRisk;
   Request.m_Replica = true;
-  Request.m_MaxEvictionCostSeconds = Item.m_SavedWaitSeconds;
-  Request.m_IsEligible = [&Load, &Item](const EndpointId &Id) {
-    return Load.reducesLoadOf(Id, Item);
+  Request.m_MaxEvictionCostSeconds = Overloaded.m_SavedWaitSeconds;
+  Request.m_IsEligible = [&Load, &Overloaded](const EndpointId &Id) {
+    return Load.reducesLoadOf(Id, Overloaded);
   };
-  if (startSwap(Request, Engine, *Model))
-    log::entry(LogCategory, "model.overloaded", Item.m_Model,
-               {{"utilization", Item.m_Utilization},
-                {"at_risk", Item.m_AtRisk},
-                {"relief_s", Item.m_SavedWaitSeconds},
-                {"zone", Key.m_Zone}});
+  if (Overloaded.m_IsUnderPressure)
+    Request.m_WorkSeconds = [&Load](const EndpointId &Id) {
+      return FullEndpointCostSeconds * Load.utilization(Id);
+    };
+  if (!startSwap(Request, Engine, *Model))
+    return false;
+  log::entry(LogCategory, "model.overloaded", Overloaded.m_Model,
+             {{"utilization", Overloaded.m_Utilization},
+              {"at_risk", Overloaded.m_AtRisk},
+              {"under_pressure", Overloaded.m_IsUnderPressure},
+              {"replicas", Overloaded.m_Replicas},
+              {"missing", Overloaded.m_MissingReplicas},
+              {"requests_per_s", recentRate(Overloaded.m_Model)},
+              {"relief_s", Overloaded.m_SavedWaitSeconds},
+              {"zone", Key.m_Zone}});
+  return true;
+}
+
+int SwapService::loadsOf(const std::string &Model) const {
+  return static_cast<int>(
+      std::ranges::count_if(m_ManagedEndpoints, [&Model](const auto &Entry) {
+        return Entry.second.m_Busy && Entry.second.m_Loading == Model;
+      }));
+}
+
+double SwapService::recentRate(std::string_view Model) const {
+  return std::max(m_RecentDemand.rate(Model, now()),
+                  m_Pressure.rate(Model, now()));
 }
 
 } // namespace sff::host
--- a/Source/UnitTests/Core/Serving/EngineLoadTest.cpp
+++ b/Source/UnitTests/Core/Serving/EngineLoadTest.cpp
@@ -104,5 +104,42 @@
   EXPECT_LT(Found.back().m_SavedWaitSeconds, 2);
 }
 
+/// Requests per second of the model "a", which hosts find full.
+std::vector<Overload> overloadsUnderPressure(double Rate, double Speed) {
+  const std::vector<EndpointPlacement> Placements = {
+      {First, {"a"}, true, false}, {Second, {"a"}, true, false}};
+  const EngineLoad Load(Placements, [Rate](std::string_view) { return Rate; },
+                        Capacity,
+                        {[Speed](const EndpointId &) { return Speed; },
+                         [](std::string_view) { return true; }});
+  return Load.overloads();
+}
+
+// Guards against one replica at a time for a model that needs several.
+TEST(EngineLoadTest, AllMissingReplicasAreKnownAtOnce) {
+  const auto Found = overloadsUnderPressure(100, 1);
+  ASSERT_EQ(Found.size(), 1U);
+  EXPECT_TRUE(Found.front().m_IsUnderPressure);
+  EXPECT_GT(Found.front().m_Utilization, 1);
+  EXPECT_EQ(Found.front().m_Replicas, 2);
+  EXPECT_EQ(Found.front().m_MissingReplicas, 3);
+  EXPECT_EQ(zoneShare(Found.front().m_MissingReplicas, 2), 2);
+  EXPECT_EQ(zoneShare(1, 3), 1);
+}
+
+// Guards against slow endpoints that count as much as usual ones, so that their
+// models get no further replica.
+TEST(EngineLoadTest, SlowEndpointsServeLess) {
+  EXPECT_TRUE(overloadsUnderPressure(25, 1).empty());
+  const auto Slow = overloadsUnderPressure(25, 0.5);
+  ASSERT_EQ(Slow.size(), 1U);
+  EXPECT_GT(Slow.front().m_Utilization, 0.7);
+}
+
+// Guards against replicas on all endpoints while a backlog is worked off.
+TEST(EngineLoadTest, PressureWithRoomElsewhereIsNoOverload) {
+  EXPECT_TRUE(overloadsUnderPressure(20, 1).empty());
+}
+
 } // namespace
 } // namespace sff::serving
--- a/Source/UnitTests/Core/Serving/SwapPlannerTest.cpp
+++ b/Source/UnitTests/Core/Serving/SwapPlannerTest.cpp
@@ -86,5 +86,33 @@
   }
 }
 
+// Guards against the eviction of the most popular model for a rarely used one
+// while nothing was known of its demand.
+TEST(SwapPlannerTest, ProtectedModelsAreNotEvicted) {
+  std::vector<SwapCandidate> List = {
+      makeCandidate("e1", {makeHeld("popular", 0, 0), makeHeld("b", 1, 0),
+                           makeHeld("c", 1, 0)})};
+  List.front().m_LoadedModels[0].m_IsProtected = true;
+  const auto Plan = planSwap(ModelMb, List);
+  ASSERT_TRUE(Plan);
+  EXPECT_NE(Plan->m_Evict.front(), "popular");
+  for (EvictionCandidate &Model : List.front().m_LoadedModels)
+    Model.m_IsProtected = true;
+  EXPECT_FALSE(planSwap(ModelMb, List));
+}
+
+// Guards against a replica beside other popular models while an endpoint has
+// little work.
+TEST(SwapPlannerTest, EndpointWithLittleWorkIsPreferred) {
+  std::vector<SwapCandidate> List = {
+      makeCandidate("busy", {makeHeld("a", 0, 0)}),
+      makeCandidate("idle", {makeHeld("b", 0, 0)})};
+  List.front().m_WorkSeconds = 3;
+  const auto Plan = planSwap(ModelMb, List);
+  ASSERT_TRUE(Plan);
+  EXPECT_EQ(Plan->m_Endpoint, EndpointId("idle"));
+  EXPECT_DOUBLE_EQ(Plan->m_Cost, 1);
+}
+
 } // namespace
 } // namespace sff::serving
