Share most of a quota over all zones

Seven tenths of a quota now have one lessor, the holder of the zone that a hash of the tenant picks; each zone keeps a tenth for the time in which it is cut off.

--- a/Source/Core/Core/Quota/QuotaLedger.cpp
+++ b/Source/Core/Core/Quota/QuotaLedger.cpp
@@ -23,7 +23,7 @@
   });
 }
 
-void QuotaLedger::refill(TenantUse &Use, const ZoneBudget &Budget,
+void QuotaLedger::refill(TenantUse &Use, const QuotaBudget &Budget,
                          Instant Now) const {
   const Instant Since = std::max(Use.m_RefilledAt, m_BegunAt);
   const double Windows = toSeconds(Now - Since) / toSeconds(m_Window);
@@ -50,7 +50,7 @@
 }
 
 milliseconds QuotaLedger::waitFor(double Needed, double Used, double Bucket,
-                                  const ZoneBudget &Budget) const {
+                                  const QuotaBudget &Budget) const {
   const double PerWindow = Budget.m_Window - Budget.m_AtOnce;
   if (PerWindow <= 0)
     return toMilliseconds(m_Window);
@@ -65,7 +65,7 @@
 }
 
 Grant QuotaLedger::onRequest(const HostId &Host, const GrantRequest &Request,
-                             const ZoneBudget &Budget, Instant Now) {
+                             const QuotaBudget &Budget, Instant Now) {
   TenantUse &Tenant = m_Tenants[Request.m_Tenant];
   expire(Tenant, Now);
   refill(Tenant, Budget, Now);
--- a/Source/Core/Core/Quota/QuotaLedger.h
+++ b/Source/Core/Core/Quota/QuotaLedger.h
@@ -11,15 +11,15 @@
 
 namespace sff::quota {
 
-/// The books of the lessor of an availability zone: what its hosts have used of
-/// the tenants' quotas, and what they hold. What is used and held together
-/// stays within the budget of the zone for each window.
+/// The books of a lessor: what its hosts have used of the tenants' quotas, and
+/// what they hold. What is used and held together stays within the budget of
+/// the lessor for each window.
 ///
 /// A token bucket spreads the grants over the window, so that a tenant above
 /// its quota does not use it up at once and then get nothing for the rest.
 ///
-/// Each request of a host tells its whole use, so a new lessor knows the use of
-/// the zone once its hosts have reported. Until then it grants no more than
+/// Each request of a host tells its whole use, so a new lessor knows the use
+/// once its hosts have reported. Until then it grants no more than
 /// what they hold. Its bucket is empty at first, because it does not learn of
 /// the use of hosts that have ended with its predecessor.
 /// Thread safety: none.
@@ -35,12 +35,12 @@
     m_Tenants.clear();
     m_BegunAt = Now;
   }
-  /// Answers the request of a host process. \p Budget is what the hosts of the
-  /// zone may use of the tenant's quota in a window.
+  /// Answers the request of a host process. \p Budget is what the lessor may
+  /// grant of the tenant's quota.
   /// Precondition: begin() has been called.
   Grant onRequest(const HostId &Host, const GrantRequest &Request,
-                  const ZoneBudget &Budget, Instant Now);
-  /// What the hosts of the zone have used in the last window, and hold.
+                  const QuotaBudget &Budget, Instant Now);
+  /// What the hosts have used in the last window, and hold.
   double used(const std::string &Tenant, Instant Now);
   /// Hosts that have used the tenant's quota in the last window.
   std::size_t hosts(const std::string &Tenant) const;
@@ -62,13 +62,13 @@
 
   /// Counts what has expired as used: the host may have used it just before.
   void expire(TenantUse &Use, Instant Now) const;
-  void refill(TenantUse &Use, const ZoneBudget &Budget, Instant Now) const;
+  void refill(TenantUse &Use, const QuotaBudget &Budget, Instant Now) const;
   static double sum(const TenantUse &Use, Instant Now);
   /// How much of \p Free a host gets that asks for \p Wanted more.
   static double share(double Wanted, double Needed, double Free);
   /// The time after which \p Needed is expected to fit.
   milliseconds waitFor(double Needed, double Used, double Bucket,
-                       const ZoneBudget &Budget) const;
+                       const QuotaBudget &Budget) const;
 
   Duration m_Window;
   std::map<std::string, TenantUse, std::less<>> m_Tenants;
--- a/Source/Core/Core/Quota/QuotaLimits.cpp
+++ b/Source/Core/Core/Quota/QuotaLimits.cpp
@@ -6,16 +6,24 @@
 
 /// Parts of the tolerance. The rest covers grants that a new lessor does not
 /// know of.
-constexpr double ZoneShare = 0.5;
+constexpr double BudgetShare = 0.5;
 constexpr double BurstShare = 0.25;
 constexpr double ReserveShare = 0.25;
+/// Part of the quota that the zones share.
+constexpr double SharedShare = 0.7;
 
 } // namespace
 
-ZoneBudget QuotaLimits::zoneBudget(std::size_t Zones) const {
-  const double Divisor = static_cast<double>(Zones);
-  return {(m_Quota + ZoneShare * m_Tolerance) / Divisor,
-          (m_Burst + BurstShare * m_Tolerance) / Divisor};
+QuotaBudget QuotaLimits::total() const {
+  return {m_Quota + BudgetShare * m_Tolerance,
+          m_Burst + BurstShare * m_Tolerance};
+}
+
+QuotaBudget QuotaLimits::budget(QuotaPart Part, std::size_t Zones) const {
+  const double Share = Part == QuotaPart::Shared
+                           ? SharedShare
+                           : (1 - SharedShare) / static_cast<double>(Zones);
+  return {Share * total().m_Window, Share * total().m_AtOnce};
 }
 
 double QuotaLimits::hostReserve(std::size_t Hosts) const {
--- a/Source/Core/Core/Quota/QuotaLimits.h
+++ b/Source/Core/Core/Quota/QuotaLimits.h
@@ -3,6 +3,8 @@
 #include "Common/Time/Instant.h"
 #include "Core/Tenants/Tenant.h"
 
+#include <nlohmann/json.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -16,8 +18,21 @@
   double m_Slack = 0;     ///< Units, beside the overshoot.
 };
 
-/// What the hosts of one availability zone may use of a tenant's quota.
-struct ZoneBudget {
+/// The parts of a tenant's quota, each with a lessor of its own.
+enum class QuotaPart {
+  /// Most of the quota, for the hosts of all availability zones. Demand may be
+  /// spread over the zones in any way.
+  Shared,
+  /// A smaller part for the hosts of one zone, which remains when the zone is
+  /// cut off from the lessor of the shared part.
+  Zone
+};
+
+NLOHMANN_JSON_SERIALIZE_ENUM(QuotaPart, {{QuotaPart::Shared, "shared"},
+                                         {QuotaPart::Zone, "zone"}})
+
+/// What one lessor may grant.
+struct QuotaBudget {
   double m_Window = 0; ///< In any window.
   /// What may be granted at once. The rest is granted evenly over the window.
   double m_AtOnce = 0;
@@ -31,10 +46,11 @@
   /// Units beyond the quota that are tolerated.
   double m_Tolerance = 0;
 
-  /// The part of one availability zone, which its hosts share by themselves.
-  /// A part of the tolerance is added, because demand is spread unevenly over
-  /// the zones. Precondition: \p Zones > 0.
-  ZoneBudget zoneBudget(std::size_t Zones) const;
+  /// What all lessors may grant together: the quota and a half of the
+  /// tolerance.
+  QuotaBudget total() const;
+  /// What the lessor of \p Part may grant. Precondition: \p Zones > 0.
+  QuotaBudget budget(QuotaPart Part, std::size_t Zones) const;
   /// What a host may use in a window beside what it was granted, so that one
   /// that reaches no lessor serves small requests. Precondition: \p Hosts > 0.
   double hostReserve(std::size_t Hosts) const;
--- a/Source/Core/Core/Quota/TenantAllowance.cpp
+++ b/Source/Core/Core/Quota/TenantAllowance.cpp
@@ -24,11 +24,10 @@
     : m_Tenant(std::move(Tenant)), m_Window(Window), m_Spent(Window),
       m_Asked(Window), m_Number(LastNumber), m_RetryAfter(DefaultRetryAfter) {}
 
-void TenantAllowance::setLimits(const QuotaLimits &Limits, std::size_t Hosts,
-                                Instant Now) {
+void TenantAllowance::setReserve(double PerWindow, Instant Now) {
   refill(Now);
   // A full bucket and its refill in a window make up the reserve.
-  m_ReserveCapacity = Limits.hostReserve(Hosts) / 2;
+  m_ReserveCapacity = PerWindow / 2;
   m_Reserve = std::min(m_Reserve, m_ReserveCapacity);
 }
 
--- a/Source/Core/Core/Quota/TenantAllowance.h
+++ b/Source/Core/Core/Quota/TenantAllowance.h
@@ -8,9 +8,9 @@
 
 namespace sff::quota {
 
-/// What one host may use of a tenant's quota: what the lessor of its zone has
-/// granted, and a small reserve of its own. Decides without a message as long
-/// as the grant lasts.
+/// What one host may use of a part of a tenant's quota: what the lessor of the
+/// part has granted, and a small reserve of its own. Decides without a message
+/// as long as the grant lasts.
 ///
 /// What is held may be used until the grant expires, one window after it was
 /// requested; the lessor counts it as used until then. A request to the lessor
@@ -23,9 +23,9 @@
   TenantAllowance(std::string Tenant, Duration Window,
                   std::int64_t LastNumber = 0);
 
-  /// Sets the limits in force, which may change with each catalogue, and the
-  /// number of hosts that share the reserve. Precondition: \p Hosts > 0.
-  void setLimits(const QuotaLimits &Limits, std::size_t Hosts, Instant Now);
+  /// Sets what this host may use in a window beside what it is granted, which
+  /// may change with each catalogue.
+  void setReserve(double PerWindow, Instant Now);
   /// Records that a request has come, whether it fits or not.
   void recordDemand(double Cost, Instant Now);
   /// Uses \p Cost for a request. Returns false if it does not fit.
--- a/Source/Core/Host/QuotaService.h
+++ b/Source/Core/Host/QuotaService.h
@@ -1,20 +1,19 @@
 #pragma once
 
 #include "Core/Quota/QuotaLedger.h"
-#include "Core/Quota/TenantAllowance.h"
-#include "Host/HostState.h"
-#include "Host/OrderLeases.h"
-#include "Host/QuotaMessages.h"
+#include "Host/QuotaChannel.h"
 
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sff::host {
 
 /// What a request has taken from a tenant's quota.
 struct QuotaUse {
   std::string m_Tenant;
+  quota::QuotaPart m_Part = quota::QuotaPart::Shared;
   double m_Cost = 0; ///< In the unit of the quota.
   Instant m_TakenAt;
 };
@@ -31,54 +30,48 @@
 };
 
 /// Keeps the quotas of tenants together with the other hosts. The holder of the
-/// order lease of an availability zone is the lessor of that zone: it grants
-/// parts of the zone's share to the hosts, which report their use. A request
-/// waits for an answer of the lessor only if this host holds too little, and
-/// only for a moment. Nothing is sent while no tenant with a quota is active.
-/// Thread safety: use from the host's io_context only.
+/// order lease of an availability zone is the lessor of the zone's part of each
+/// quota, and of the shared part of the tenants that are assigned to the zone
+/// by a hash of their names. A request takes from the shared part, and from
+/// that of its own zone if the shared one has too little or its lessor cannot
+/// be reached. Nothing is sent while no tenant with a quota is active. Thread
+/// safety: use from the host's io_context only.
 class QuotaService {
 public:
   /// Precondition: both arguments outlive the run of the io_context.
   QuotaService(HostState &State, OrderLeases &Leases);
 
   void start();
-  /// Takes the cost of a request from the quota of its tenant.
+  /// Takes the cost of a request from the quota of its tenant. Waits for an
+  /// answer of a lessor only if this host holds too little, and only for a
+  /// moment.
   Task<QuotaDecision> take(std::string Tenant,
                            std::optional<std::int64_t> PromptTokens,
                            std::optional<std::int64_t> OutputTokens);
   /// Gives back what a request has taken that has not run.
   void refund(const QuotaUse &Use);
-  /// Handles the report of a host of a zone for which this host is the lessor.
+  /// Handles the report of a host to the holder of a zone.
   QuotaResponse onReport(const QuotaReport &Report);
 
 private:
+  using LedgerKey = std::pair<ZoneId, quota::QuotaPart>;
+
   /// The limits of a tenant in the newest catalogue.
   std::optional<quota::QuotaLimits> limitsOf(const std::string &Tenant) const;
-  /// The allowance of a tenant with its limits in force; null if it has none.
-  quota::TenantAllowance *allowance(const std::string &Tenant);
-  /// Asks the lessor while requests wait for more than this host holds.
-  Task<void> ask();
-  Task<void> reportPeriodically();
-  /// Sends a report of the tenants that are active, and applies the answer.
-  Task<void> report();
-  QuotaReport makeReport();
-  /// The answer of the lessor at \p Lessor, or nothing.
-  Task<std::optional<QuotaResponse>> send(std::string Lessor,
-                                          QuotaReport Report);
-  /// Begins the books of the zones for which this host has become the lessor.
+  /// The channel to the lessor of a part of the tenant's quota.
+  QuotaChannel &channel(const std::string &Tenant, quota::QuotaPart Part);
+  Task<void> reportPeriodically(QuotaChannel &Reporting);
+  /// Begins the books of the zones whose holder this host has become.
   void followLeases();
+  Task<void> followLeasesPeriodically();
 
   HostState &m_State;
   OrderLeases &m_Leases;
-  http::Client m_Peers;
   quota::QuotaTolerance m_Tolerance;
-  std::map<std::string, quota::TenantAllowance> m_Allowances;
-  /// Cost of the requests that wait for the lessor, by tenant.
-  std::map<std::string, double> m_Needed;
-  bool m_IsAsking = false;
-  timers::AsyncCondition m_Answered;
-  Instant m_SilentUntil; ///< The lessor gave no answer.
-  std::map<ZoneId, quota::QuotaLedger> m_Ledgers;
+  std::vector<ZoneId> m_Zones; ///< In an order that is the same on all hosts.
+  QuotaChannel m_OwnZone;
+  std::map<ZoneId, QuotaChannel> m_Shared; ///< By the zone of the lessor.
+  std::map<LedgerKey, quota::QuotaLedger> m_Ledgers;
 };
 
 } // namespace sff::host
--- a/Source/UnitTests/Core/Quota/QuotaProperties.cpp
+++ b/Source/UnitTests/Core/Quota/QuotaProperties.cpp
@@ -73,7 +73,8 @@
 
   TenantAllowance makeAllowance() {
     TenantAllowance Result("t", Window);
-    Result.setLimits(m_Limits, std::max<std::size_t>(m_Hosts.size(), 1), m_Now);
+    Result.setReserve(
+        m_Limits.hostReserve(std::max<std::size_t>(m_Hosts.size(), 1)), m_Now);
     return Result;
   }
   bool happens(double Chance) {
@@ -120,7 +121,7 @@
 
   Grant handle(std::size_t Index, int Process, const GrantRequest &Request) {
     const HostId Id(std::to_string(Index) + "/" + std::to_string(Process));
-    return m_Ledger.onRequest(Id, Request, m_Limits.zoneBudget(1), m_Now);
+    return m_Ledger.onRequest(Id, Request, m_Limits.total(), m_Now);
   }
 
   void deliver() {
--- a/Source/UnitTests/Core/Quota/QuotaTest.cpp
+++ b/Source/UnitTests/Core/Quota/QuotaTest.cpp
@@ -23,7 +23,7 @@
   return Result;
 }
 
-constexpr ZoneBudget Budget{300, 105};
+constexpr QuotaBudget Budget{300, 105};
 
 /// A ledger whose hosts have had time to report.
 QuotaLedger settledLedger() {
@@ -179,7 +179,6 @@
 // a grant that is used after its end.
 TEST(TenantAllowanceTest, GrantLastsForAWindow) {
   TenantAllowance Allowance("t", Window);
-  Allowance.setLimits({1000, 0, 0}, 1, Start);
   EXPECT_FALSE(Allowance.tryTake(10, Start));
   const GrantRequest Request = Allowance.makeRequest(10, Start);
   EXPECT_EQ(Request.m_Needed, 10);
@@ -192,7 +191,6 @@
 // Guards against an answer that is applied twice, or to another request.
 TEST(TenantAllowanceTest, OnlyTheAnswerToTheLatestRequestCounts) {
   TenantAllowance Allowance("t", Window);
-  Allowance.setLimits({1000, 0, 0}, 1, Start);
   const GrantRequest First = Allowance.makeRequest(10, Start);
   const GrantRequest Second = Allowance.makeRequest(10, Start);
   Allowance.onGrant({"t", First.m_Number, 10, 0}, Start);
@@ -207,7 +205,6 @@
 // grants again.
 TEST(TenantAllowanceTest, UseSinceTheRequestComesOutOfTheAnswer) {
   TenantAllowance Allowance("t", Window);
-  Allowance.setLimits({1000, 0, 0}, 1, Start);
   Allowance.onGrant({"t", Allowance.makeRequest(30, Start).m_Number, 30, 0},
                     Start);
   const GrantRequest Request = Allowance.makeRequest(30, at(1));
@@ -219,7 +216,6 @@
 // Guards against a host that keeps what other hosts need.
 TEST(TenantAllowanceTest, HostGivesBackWhatItDoesNotExpectToUse) {
   TenantAllowance Allowance("t", Window);
-  Allowance.setLimits({1000, 0, 0}, 1, Start);
   Allowance.onGrant({"t", Allowance.makeRequest(30, Start).m_Number, 500, 0},
                     Start);
   Allowance.recordDemand(10, Start);
@@ -233,7 +229,7 @@
   constexpr std::size_t Hosts = 10;
   const QuotaLimits Limits{1000, 0, 800};
   TenantAllowance Allowance("t", Window);
-  Allowance.setLimits(Limits, Hosts, Start - Window);
+  Allowance.setReserve(Limits.hostReserve(Hosts), Start - Window);
   double Used = 0;
   for (int Step = 0; Step < 80; ++Step)
     Used += Allowance.tryTake(1, at(Step * 0.1)) ? 1 : 0;
@@ -252,6 +248,10 @@
   ASSERT_TRUE(Limits);
   EXPECT_DOUBLE_EQ(Limits->m_Quota, 850);
   EXPECT_DOUBLE_EQ(Limits->m_Tolerance, 115);
+  double Parts = Limits->budget(QuotaPart::Shared, 3).m_Window;
+  for (int Zone = 0; Zone < 3; ++Zone)
+    Parts += Limits->budget(QuotaPart::Zone, 3).m_Window;
+  EXPECT_NEAR(Parts, Limits->total().m_Window, 1e-6);
   Quota.m_RatePerSecond = 0;
   EXPECT_FALSE(limitsOf(Quota, {Window, 0.1, 30}));
 }
