Choose endpoints by expected time and reported speed

The choice compared loads only.

SpeedEstimator keeps it with its age and corrects it by the time to first byte of the endpoint's answers. - The mean of the reported load weights reports by the time between them, and fades to that of the others without reports. - request.dispatched has the inputs, sff_host_first_byte_ratio compares expected and seen times.

--- a/Source/Core/Core/Routing/EndpointPicker.cpp
+++ b/Source/Core/Core/Routing/EndpointPicker.cpp
@@ -51,10 +51,11 @@
   State.m_OtherRouters = static_cast<double>(
       std::max<std::int64_t>(0, RunningRequests - OwnAtReport));
   State.m_OtherRoutersMean =
-      State.m_HasReport ? State.m_OtherRoutersMean +
-                              ReportSmoothingFactor * (State.m_OtherRouters -
-                                                       State.m_OtherRoutersMean)
-                        : State.m_OtherRouters;
+      State.m_HasReport
+          ? State.m_OtherRoutersMean +
+                weightOfReport(ReportMadeAt - State.m_ReportMadeAt) *
+                    (State.m_OtherRouters - State.m_OtherRoutersMean)
+          : State.m_OtherRouters;
   State.m_ReportMadeAt = ReportMadeAt;
   State.m_HasReport = true;
 }
@@ -97,18 +98,44 @@
              : m_OwnBusySeconds / m_OwnFinished;
 }
 
-double LoadEstimator::estimate(const EndpointId &Endpoint, Instant Now) const {
-  const auto Found = m_Entries.find(Endpoint);
-  if (Found == m_Entries.end())
-    return 0;
-  const Entry &State = Found->second;
+double LoadEstimator::weightOfReport(Duration Elapsed) const {
+  if (!m_MeanTimeConstant)
+    return ReportSmoothingFactor;
+  return std::max(
+      ReportSmoothingFactor,
+      1 - std::exp(-toSeconds(Elapsed) / toSeconds(*m_MeanTimeConstant)));
+}
+
+double LoadEstimator::otherRouters(const Entry &State, Instant Now) const {
   const double Age = Seconds(Now - State.m_ReportMadeAt).count();
   const double ReportConfidence =
       std::exp(-ReportDecayRate * std::max(0.0, Age) / meanServiceSeconds());
-  return static_cast<double>(State.m_OwnRunning) + State.m_OtherRoutersMean +
+  return State.m_OtherRoutersMean +
          (State.m_OtherRouters - State.m_OtherRoutersMean) * ReportConfidence;
 }
 
+double LoadEstimator::otherRouters(const EndpointId &Endpoint,
+                                   Instant Now) const {
+  const auto Found = m_Entries.find(Endpoint);
+  return Found == m_Entries.end() ? 0 : otherRouters(Found->second, Now);
+}
+
+double LoadEstimator::estimate(const EndpointId &Endpoint, Instant Now) const {
+  const auto Found = m_Entries.find(Endpoint);
+  if (Found == m_Entries.end())
+    return 0;
+  return static_cast<double>(Found->second.m_OwnRunning) +
+         otherRouters(Found->second, Now);
+}
+
+std::optional<Duration> LoadEstimator::reportAge(const EndpointId &Endpoint,
+                                                 Instant Now) const {
+  const auto Found = m_Entries.find(Endpoint);
+  if (Found == m_Entries.end() || !Found->second.m_HasReport)
+    return std::nullopt;
+  return Now - Found->second.m_ReportMadeAt;
+}
+
 void LoadEstimator::forget(const EndpointId &Endpoint) {
   m_Entries.erase(Endpoint);
 }
--- a/Source/Core/Core/Routing/EndpointPicker.h
+++ b/Source/Core/Core/Routing/EndpointPicker.h
@@ -20,12 +20,24 @@
 /// duration of a request. Thread safety: none.
 class LoadEstimator {
 public:
+  LoadEstimator() = default;
+  /// Weights each report in the long-term mean by the time since the one
+  /// before, not equally: reports that are seconds apart are few.
+  explicit LoadEstimator(Duration MeanTimeConstant)
+      : m_MeanTimeConstant(MeanTimeConstant) {}
+
   /// Applies a report that the endpoint made \p Lag ago and this router reads
   /// now.
   void onReport(const EndpointId &Endpoint, std::int64_t RunningRequests,
                 Duration Lag, Instant Now);
   void onDispatched(const EndpointId &Endpoint, Instant Now);
   void onFinished(const EndpointId &Endpoint, Instant Now);
+  /// Returns how many of these are other routers' requests.
+  double otherRouters(const EndpointId &Endpoint, Instant Now) const;
+  /// Returns the time since the endpoint made its latest report, if there is
+  /// one.
+  std::optional<Duration> reportAge(const EndpointId &Endpoint,
+                                    Instant Now) const;
   /// Removes a request that the endpoint has not run. Its duration says nothing
   /// of the service time.
   void onNotRun(const EndpointId &Endpoint, Instant Now);
@@ -49,7 +61,11 @@
     std::deque<std::pair<Instant, int>> m_Changes;
   };
   void addChange(Entry &State, Instant Now, int Delta);
+  /// Weight in the mean of a report that was made \p Elapsed after another.
+  double weightOfReport(Duration Elapsed) const;
+  double otherRouters(const Entry &State, Instant Now) const;
 
+  std::optional<Duration> m_MeanTimeConstant;
   std::map<EndpointId, Entry> m_Entries;
   /// Total running time of this router's requests; decays with each finished
   /// request.
--- a/Source/Core/Host/Attempt.h
+++ b/Source/Core/Host/Attempt.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sff::host {
@@ -46,6 +47,11 @@
     return m_Canceller;
   }
 
+  /// Why the endpoint was chosen, until the first byte is compared with it.
+  void setChoice(serving::Choice Made) { m_Choice = std::move(Made); }
+  std::optional<serving::Choice> takeChoice() {
+    return std::exchange(m_Choice, std::nullopt);
+  }
   void onProgress() { m_LastProgressAt = now(); }
   void onAnswerBegun() { m_AnswerBegunAt = now(); }
   /// Called when the endpoint has not run the request, so that another request
@@ -72,6 +78,7 @@
   Instant m_SentAt;
   Instant m_AnswerBegunAt;
   Instant m_LastProgressAt;
+  std::optional<serving::Choice> m_Choice;
   bool m_Superseded = false;
   bool m_NotRun = false; ///< The endpoint has not run the request.
 };
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -8,6 +8,10 @@
   return {0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 3, 5, 10, 20};
 }
 
+prometheus::Histogram::BucketBoundaries ratioBuckets() {
+  return {0.25, 0.5, 0.75, 1, 1.5, 2, 4, 8};
+}
+
 } // namespace
 
 HostMetrics::HostMetrics()
@@ -29,6 +33,12 @@
                             "Time from a request to the end of its answer")),
       m_FirstByte(histogram("sff_host_first_byte_seconds",
                             "Time from a request to the head of its answer")),
+      m_FirstByteRatios(
+          m_Set
+              .histogramFamily("sff_host_first_byte_ratio",
+                               "Time from a send to the first byte, relative "
+                               "to the time expected by the choice")
+              .Add({}, ratioBuckets())),
       m_Swaps(histogram("sff_host_swap_seconds",
                         "Time from the plan of a load to its end")),
       m_Retries(m_Set.counter("sff_host_retries_total",
@@ -117,6 +127,11 @@
   Target.Observe(toSeconds(Taken));
 }
 
+void HostMetrics::onExpectedFirstByte(Duration Taken, Duration Expected) {
+  if (Expected > Duration::zero())
+    m_FirstByteRatios.Observe(toSeconds(Taken) / toSeconds(Expected));
+}
+
 void HostMetrics::onOutcome(std::string_view Outcome, std::string_view Reason,
                             Duration Taken) {
   m_Requests
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -22,6 +22,9 @@
   void onOutcome(std::string_view Outcome, std::string_view Reason,
                  Duration Taken);
   void onFirstByte(Duration Taken) { observe(m_FirstByte, Taken); }
+  /// Records how long the first byte of an answer took, relative to the time
+  /// that was expected when its endpoint was chosen.
+  void onExpectedFirstByte(Duration Taken, Duration Expected);
   void onRetry() { m_Retries.Increment(); }
   /// Counts a request whose connection was lost before a complete answer.
   void onLostRequest() { m_LostRequests.Increment(); }
@@ -110,6 +113,7 @@
   prometheus::Family<prometheus::Counter> &m_LogQueries;
   prometheus::Histogram &m_Durations;
   prometheus::Histogram &m_FirstByte;
+  prometheus::Histogram &m_FirstByteRatios;
   prometheus::Histogram &m_Swaps;
   prometheus::Counter &m_Retries;
   prometheus::Counter &m_Resumes;
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -77,6 +77,8 @@
 struct ReportedLoad {
   std::int64_t m_Running = 0;
   std::int64_t m_Waiting = 0;
+  /// How long work takes now, 1 meaning as usual, if the endpoint says so.
+  std::optional<double> m_WorkTime;
 };
 
 /// What an answer says of its endpoint, whatever the request was.
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -308,8 +308,7 @@
     co_return co_await waitForModel();
   if (List.empty())
     co_return co_await waitForRate();
-  serving::ChoiceContext Context;
-  Context.m_Tried = &m_History.excluded();
+  serving::ChoiceContext Context = choiceContext(m_History.excluded());
   Context.m_AffinityEndpoint = m_Sessions.find(m_Facts.m_Session);
   Context.m_AffinityTokens = m_Facts.m_SessionTokens;
   const auto Chosen = m_State.m_Chooser.choose(List, Context, now());
@@ -335,6 +334,15 @@
   co_return co_await attempt(*Chosen);
 }
 
+serving::ChoiceContext
+RequestSession::choiceContext(const std::set<EndpointId> &Tried) const {
+  serving::ChoiceContext Context;
+  Context.m_Tried = &Tried;
+  Context.m_PromptTokens = m_Facts.m_PromptTokens.value_or(0);
+  Context.m_Kind = m_Route->m_PathPrefix;
+  return Context;
+}
+
 http::ClientOptions RequestSession::callOptions() const {
   http::ClientOptions Options;
   Options.m_ConnectTimeout =
@@ -392,21 +400,33 @@
 }
 
 std::shared_ptr<Attempt> RequestSession::startAttempt(const EndpointId &Id) {
-  const double Load = m_State.m_Chooser.estimatedLoad(Id, now());
+  const serving::Choice &Made = m_State.m_Chooser.lastChoice();
+  const auto OrNull = [](const std::optional<Duration> &Time) {
+    return Time ? nlohmann::json(toMilliseconds(*Time).count())
+                : nlohmann::json();
+  };
   auto Started = std::make_shared<Attempt>(
       m_State, Id,
       Attempt::Identity{m_Facts.m_Id, m_Fingerprint, m_Facts.m_PromptParts});
-  logEvent("request.dispatched",
-           {{"endpoint", Id},
-            {"software", Started->softwareVersion()},
-            {"send", m_History.sends() + 1},
-            {"backup", m_Current != nullptr},
-            {"load", Load},
-            {"left_ms", toMilliseconds(remainingTime()).count()},
-            {"catalogue", m_Catalogue->m_Version},
-            {"prefix", m_Route->m_PathPrefix},
-            {"catalogue_age_ms", m_State.catalogueAge().count()},
-            {"endpoints_age_ms", m_State.endpointsAge().count()}});
+  logEvent(
+      "request.dispatched",
+      {{"endpoint", Id},
+       {"software", Started->softwareVersion()},
+       {"send", m_History.sends() + 1},
+       {"backup", m_Current != nullptr},
+       {"load", Made.m_Load},
+       {"speed", 1 / Made.m_Slowness},
+       {"speed_age_ms", OrNull(Made.m_SlownessAge)},
+       {"expected_ms", toMilliseconds(Made.m_ExpectedTime).count()},
+       {"expected_first_byte_ms", OrNull(Made.m_ExpectedFirstByte)},
+       {"runner_up", Made.m_RunnerUp ? Made.m_RunnerUp->str() : std::string()},
+       {"runner_up_ms", toMilliseconds(Made.m_RunnerUpTime).count()},
+       {"left_ms", toMilliseconds(remainingTime()).count()},
+       {"catalogue", m_Catalogue->m_Version},
+       {"prefix", m_Route->m_PathPrefix},
+       {"catalogue_age_ms", m_State.catalogueAge().count()},
+       {"endpoints_age_ms", m_State.endpointsAge().count()}});
+  Started->setChoice(Made);
   return Started;
 }
 
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -139,6 +139,7 @@
   /// Waits for room at the holders, or refuses the request if others that came
   /// before will take what becomes free while its caller waits.
   Task<Step> waitForRoom();
+  serving::ChoiceContext choiceContext(const std::set<EndpointId> &Tried) const;
   Task<Step> attempt(EndpointId Id);
   Task<Step> onOpenFailed(EndpointId Id, http::TransportFailure Failure);
   /// Begins to count the request as running at the endpoint.
@@ -163,6 +164,8 @@
   void recordRefusal(Attempt &Refused, const ResponseMetadata &Facts,
                      int Status);
   Task<Step> onHead(EndpointId Id, OpenStream Answer);
+  /// Compares the time to the first byte of an answer with the expected one.
+  void recordFirstByte(Attempt &Answered, int Status);
   Task<Step> forwardBuffered(EndpointId Id, OpenStream Answer);
   /// Whether \p Size bytes of an answer, of which at most \p Limit are allowed,
   /// may be held until more of it has arrived. The answers of all requests
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -73,9 +73,12 @@
   if (Facts.m_Load) {
     Load = Facts.m_Load->m_Running + Facts.m_Load->m_Waiting;
     m_State.m_Chooser.onReport(Id, *Load, now());
+    if (Facts.m_Load->m_WorkTime)
+      m_State.m_Chooser.speeds().onReport(Id, *Facts.m_Load->m_WorkTime, now());
   }
   const serving::Endpoint *Endpoint = m_State.m_Endpoints.find(Id);
-  if (Facts.m_WasFull && Endpoint)
+  // An endpoint that names a time without requests is not full after it.
+  if (Facts.m_WasFull && Endpoint && !Facts.m_Notice.m_RetryAfter)
     m_State.m_Chooser.onRejected(*Endpoint, Load, now());
   if (!Facts.isFromEndpoint())
     return;
@@ -90,6 +93,17 @@
   recordCapacity(Answered, Facts);
 }
 
+void RequestSession::recordFirstByte(Attempt &Answered, int Status) {
+  const auto Made = Answered.takeChoice();
+  if (!Made || !isSuccess(Status))
+    return;
+  const Duration Taken = now() - Answered.sentAt();
+  m_State.m_Chooser.speeds().onAnswer(Answered.endpoint(), Made->m_Work, Taken,
+                                      now());
+  if (Made->m_ExpectedFirstByte)
+    m_State.m_Metrics.onExpectedFirstByte(Taken, *Made->m_ExpectedFirstByte);
+}
+
 void RequestSession::recordRateLimit(const Attempt &Answered,
                                      const ResponseMetadata &Facts) {
   const EndpointId &Id = Answered.endpoint();
@@ -140,6 +154,7 @@
 Task<RequestSession::Step> RequestSession::forwardBuffered(EndpointId Id,
                                                            OpenStream Answer) {
   const int Status = Answer->head().m_Status;
+  recordFirstByte(*m_Current, Status);
   std::string Body;
   while (true) {
     auto Next = co_await Answer->read();
@@ -261,6 +276,7 @@
       co_return StreamResult::EndpointFailed;
     if (Chunk.empty() && !checkStreamEnd(Id, Answer->head()))
       co_return StreamResult::EndpointFailed;
+    recordFirstByte(*m_Current, Answer->head().m_Status);
     if (!m_HeadSent) {
       logEvent(
           "request.streaming",
--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -47,9 +47,8 @@
     return Assumed.isExcluded(Item->id()) ||
            m_State.m_Chooser.health().isSuspended(Item->id(), Now);
   });
-  serving::ChoiceContext Context;
-  Context.m_Tried = &Assumed.excluded();
-  return m_State.m_Chooser.choose(List, Context, now());
+  return m_State.m_Chooser.choose(List, choiceContext(Assumed.excluded()),
+                                  now());
 }
 
 bool RequestSession::mustLeave() {
