--- a/Source/UnitTests/Host/FakeStore.h
+++ b/Source/UnitTests/Host/FakeStore.h
@@ -14,6 +14,8 @@
   bool m_IsDown = false;       ///< Reads are refused at once.
   int m_AnsweredReads = 0;
   int m_CatalogueReads = 0;
+  /// The answer to each join; none when empty.
+  std::optional<GroupMembership> m_Membership;
 
   void onRestored(std::function<void()>) override {}
   void cancelPendingCalls() override {}
@@ -39,7 +41,7 @@
   }
   Task<std::optional<GroupMembership>> join(ZoneId, std::string, milliseconds,
                                             serving::FencingToken) override {
-    co_return std::nullopt;
+    co_return m_Membership;
   }
   Task<void> leave(ZoneId, std::string) override { co_return; }
   Task<std::optional<std::string>> findHolder(ZoneId) override {
