--- a/Source/Core/Core/Admission/AdmissionQueue.cpp
+++ b/Source/Core/Core/Admission/AdmissionQueue.cpp
@@ -1,8 +1,9 @@
 #include "Core/Admission/AdmissionQueue.h"
 
+#include "Core/Admission/DueOrder.h"
+
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
 namespace sff::admission {
 namespace {
@@ -57,9 +58,10 @@
 
 bool AdmissionQueue::RunsBefore::operator()(const Waiting &Left,
                                             const Waiting &Right) const {
-  return std::tie(Left.m_Class, Left.m_Deadline, Left.m_Arrival,
-                  Left.m_Request) < std::tie(Right.m_Class, Right.m_Deadline,
-                                             Right.m_Arrival, Right.m_Request);
+  if (Left.m_Class != Right.m_Class)
+    return Left.m_Class < Right.m_Class;
+  return dueOrder(Left.m_Deadline, Left.m_Arrival, Left.m_Request) <
+         dueOrder(Right.m_Deadline, Right.m_Arrival, Right.m_Request);
 }
 
 std::optional<Refusal> AdmissionQueue::offer(const Waiting &Item,
--- /dev/null
+++ b/Source/Core/Core/Admission/EndpointRoomTracker.cpp
@@ -0,0 +1,74 @@
+#include "Core/Admission/EndpointRoomTracker.h"
+
+#include <algorithm>
+
+namespace sff::admission {
+
+namespace {
+
+/// Time without a request to an endpoint after its first rejection, and the
+/// longest one after several.
+constexpr milliseconds MinPause{60};
+constexpr milliseconds MaxPause{480};
+/// A pause is at most longer by this factor.
+constexpr double MaxPauseSpread = 1.5;
+/// An older report does not show that an endpoint is full: most requests that
+/// it counted have ended.
+constexpr milliseconds MaxReportAge{1000};
+/// Time between two requests to an endpoint that was full by its last report,
+/// when that report is outdated.
+constexpr milliseconds ProbeInterval{100};
+
+} // namespace
+
+void EndpointRoomTracker::onReport(const EndpointId &Id, Instant Now) {
+  m_Endpoints[Id].m_ReportedAt = Now;
+}
+
+void EndpointRoomTracker::onRejected(const EndpointId &Id, Instant Now) {
+  Evidence &Known = m_Endpoints[Id];
+  // Rejections of requests that were sent together are one piece of evidence.
+  if (Now < Known.m_PausedUntil)
+    return;
+  Known.m_Pause = std::clamp<Duration>(2 * Known.m_Pause, MinPause, MaxPause);
+  std::uniform_real_distribution<double> Spread(1, MaxPauseSpread);
+  Known.m_PausedUntil =
+      Now + fromSeconds(toSeconds(Known.m_Pause) * Spread(m_Random));
+}
+
+void EndpointRoomTracker::onAccepted(const EndpointId &Id) {
+  const auto Found = m_Endpoints.find(Id);
+  if (Found == m_Endpoints.end())
+    return;
+  Found->second.m_Pause = Duration::zero();
+  Found->second.m_PausedUntil = Instant();
+}
+
+void EndpointRoomTracker::onSent(const EndpointId &Id, Instant Now) {
+  m_Endpoints[Id].m_SentAt = Now;
+}
+
+EndpointRoom EndpointRoomTracker::room(const EndpointId &Id,
+                                       double EstimatedLoad, int Slots,
+                                       Instant Now) const {
+  EndpointRoom Result;
+  Result.m_Slots = std::max(Slots, 1);
+  const auto Found = m_Endpoints.find(Id);
+  if (Found == m_Endpoints.end())
+    return Result;
+  const Evidence &Known = Found->second;
+  Result.m_ClosedUntil = Known.m_PausedUntil;
+  if (Known.m_ReportedAt == Instant())
+    return Result;
+  if (Now - Known.m_ReportedAt <= MaxReportAge || EstimatedLoad < Slots) {
+    Result.m_Load = std::max(EstimatedLoad, 0.0);
+    return Result;
+  }
+  // One free slot for each interval.
+  Result.m_Load = Result.m_Slots - 1;
+  Result.m_ClosedUntil =
+      std::max(Result.m_ClosedUntil, Known.m_SentAt + ProbeInterval);
+  return Result;
+}
+
+} // namespace sff::admission
--- /dev/null
+++ b/Source/Core/Core/Admission/EndpointRoomTracker.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "Common/Identity/Ids.h"
+#include "Common/Time/Instant.h"
+
+#include <map>
+#include <random>
+
+namespace sff::admission {
+
+/// What is known of the room at an endpoint.
+struct EndpointRoom {
+  /// Requests that run or wait there, as far as that limits further ones.
+  double m_Load = 0;
+  double m_Slots = 1;
+  /// No request is sent there before.
+  Instant m_ClosedUntil;
+};
+
+/// Judges whether endpoints have room, by the reports in their answers and by
+/// their rejections. A host with few requests sees an endpoint seldom, so that
+/// an endpoint counts as full only while there is recent evidence: without any
+/// it is open, and with an outdated report it gets one request at a time.
+/// Thread safety: none.
+class EndpointRoomTracker {
+public:
+  explicit EndpointRoomTracker(std::uint64_t Seed) : m_Random(Seed) {}
+
+  /// Records that an answer of the endpoint named its load.
+  void onReport(const EndpointId &Id, Instant Now);
+  /// Records that the endpoint rejected a request for want of room. It gets no
+  /// request for a time that doubles with each further rejection, and differs
+  /// between hosts so that they do not return together.
+  void onRejected(const EndpointId &Id, Instant Now);
+  void onAccepted(const EndpointId &Id);
+  void onSent(const EndpointId &Id, Instant Now);
+  void forget(const EndpointId &Id) { m_Endpoints.erase(Id); }
+
+  /// \p EstimatedLoad is the number of requests that run or wait at the
+  /// endpoint, as this host estimates it.
+  EndpointRoom room(const EndpointId &Id, double EstimatedLoad, int Slots,
+                    Instant Now) const;
+
+private:
+  struct Evidence {
+    Instant m_ReportedAt;
+    Instant m_SentAt;
+    Instant m_PausedUntil;
+    Duration m_Pause{0};
+  };
+
+  std::map<EndpointId, Evidence> m_Endpoints;
+  std::mt19937_64 m_Random;
+};
+
+} // namespace sff::admission
