Send requests in the order of one queue per service

A request without room slept 50 ms and polled in no order, and a full endpoint was found out by rejections, each paid from the retry budget until the caller got 503 retry_budget or refused_by_endpoints.

RequestSession asks the dispatch queue before each choice of an endpoint and chooses among the endpoints with room. Waiting requests are woken in their order when a request ends or an answer reports load. A request whose retry the budget does not allow waits for half of its time instead of failing at once.

--- a/Source/Core/Core/Admission/DispatchQueue.cpp
+++ b/Source/Core/Core/Admission/DispatchQueue.cpp
@@ -247,7 +247,8 @@
     if (Position == Known.end())
       Position = Known.emplace(Id, Capacity.m_RoomOf(Id)).first;
     const EndpointRoom &Room = Position->second;
-    if (Now >= Room.m_ClosedUntil && Room.m_Load < UsablePart * Room.m_Slots)
+    if (Now >= Room.m_ClosedUntil &&
+        Room.m_Load < std::min(UsablePart * Room.m_Slots, Room.m_MaxLoad))
       Found.emplace_back(Room.m_Load / Room.m_Slots, Id);
   }
   std::ranges::sort(Found);
@@ -315,13 +316,21 @@
   }
   const DispatchRequest &Request = Current.m_Request;
   predict(Result, Order, *Own, Capacity, Now);
+  Result.m_LacksRetry = Request.m_IsRetry && !Capacity.m_MayRetry;
   if (Now >= latestStart(Request))
     return reject(Place, std::move(Result), TooLate, Now);
-  if (!Current.m_IsAccepted && Result.m_ExpectedStart > latestStart(Request))
+  const Duration Useful = Request.m_Deadline - Request.m_Arrival;
+  // Half of the time is left to return in: the budget says nothing of when it
+  // allows a send.
+  if (Result.m_LacksRetry && Now >= Request.m_Arrival + Useful / 2)
+    return reject(Place, std::move(Result), WaitsForRetry, Now);
+  // One that waits is given up only if those that came later delay it by far.
+  const Duration Tolerance =
+      Current.m_IsAccepted ? Useful / 2 : Duration::zero();
+  if (Result.m_ExpectedStart > latestStart(Request) + Tolerance)
     return reject(Place, std::move(Result), NotInTime, Now);
   Current.m_IsAccepted = true;
-  Result.m_Reason =
-      Request.m_IsRetry && !Capacity.m_MayRetry ? WaitsForRetry : WaitsForRoom;
+  Result.m_Reason = Result.m_LacksRetry ? WaitsForRetry : WaitsForRoom;
   return Result;
 }
 
--- a/Source/Core/Core/Admission/DispatchQueue.h
+++ b/Source/Core/Core/Admission/DispatchQueue.h
@@ -57,6 +57,8 @@
   milliseconds m_RetryAfter{0};
   /// Why the request waits or is rejected.
   std::string_view m_Reason;
+  /// The retry budget keeps it from being sent.
+  bool m_LacksRetry = false;
 };
 
 /// The requests of one service that wait at this host, in the order in which
--- a/Source/Core/Core/Admission/EndpointRoomTracker.cpp
+++ b/Source/Core/Core/Admission/EndpointRoomTracker.cpp
@@ -15,18 +15,30 @@
 /// An older report does not show that an endpoint is full: most requests that
 /// it counted have ended.
 constexpr milliseconds MaxReportAge{1000};
+/// The load at which an endpoint has rejected a request is used for this long.
+/// It may have more slots since.
+constexpr milliseconds MaxRejectionAge{5000};
 /// Time between two requests to an endpoint that was full by its last report,
 /// when that report is outdated.
 constexpr milliseconds ProbeInterval{100};
 
 } // namespace
 
-void EndpointRoomTracker::onReport(const EndpointId &Id, Instant Now) {
-  m_Endpoints[Id].m_ReportedAt = Now;
+void EndpointRoomTracker::onReport(const EndpointId &Id, std::int64_t Load,
+                                   Instant Now) {
+  Evidence &Known = m_Endpoints[Id];
+  Known.m_ReportedAt = Now;
+  if (Known.m_FullAt && Load > *Known.m_FullAt)
+    Known.m_FullAt.reset();
 }
 
-void EndpointRoomTracker::onRejected(const EndpointId &Id, Instant Now) {
+void EndpointRoomTracker::onRejected(const EndpointId &Id,
+                                     std::optional<std::int64_t> Load,
+                                     Instant Now) {
   Evidence &Known = m_Endpoints[Id];
+  Known.m_RejectedAt = Now;
+  // An endpoint takes at least one request at a time.
+  Known.m_FullAt = Load && *Load > 0 ? Load : std::nullopt;
   // Rejections of requests that were sent together are one piece of evidence.
   if (Now < Known.m_PausedUntil)
     return;
@@ -58,14 +70,17 @@
     return Result;
   const Evidence &Known = Found->second;
   Result.m_ClosedUntil = Known.m_PausedUntil;
+  if (Known.m_FullAt && Now - Known.m_RejectedAt <= MaxRejectionAge)
+    Result.m_MaxLoad = static_cast<double>(*Known.m_FullAt);
   if (Known.m_ReportedAt == Instant())
     return Result;
-  if (Now - Known.m_ReportedAt <= MaxReportAge || EstimatedLoad < Slots) {
+  const double MaxLoad = std::min(Result.m_Slots, Result.m_MaxLoad);
+  if (Now - Known.m_ReportedAt <= MaxReportAge || EstimatedLoad < MaxLoad) {
     Result.m_Load = std::max(EstimatedLoad, 0.0);
     return Result;
   }
   // One free slot for each interval.
-  Result.m_Load = Result.m_Slots - 1;
+  Result.m_Load = MaxLoad - 1;
   Result.m_ClosedUntil =
       std::max(Result.m_ClosedUntil, Known.m_SentAt + ProbeInterval);
   return Result;
--- a/Source/Core/Core/Admission/EndpointRoomTracker.h
+++ b/Source/Core/Core/Admission/EndpointRoomTracker.h
@@ -3,7 +3,9 @@
 #include "Common/Identity/Ids.h"
 #include "Common/Time/Instant.h"
 
+#include <limits>
 #include <map>
+#include <optional>
 #include <random>
 
 namespace sff::admission {
@@ -14,7 +16,9 @@
   double m_Load = 0;
   double m_Slots = 1;
   /// No request is sent there before.
-  Instant m_ClosedUntil;
+  Instant m_ClosedUntil = {};
+  /// The endpoint rejects requests from this load on.
+  double m_MaxLoad = std::numeric_limits<double>::infinity();
 };
 
 /// Judges whether endpoints have room, by the reports in their answers and by
@@ -27,11 +31,13 @@
   explicit EndpointRoomTracker(std::uint64_t Seed) : m_Random(Seed) {}
 
   /// Records that an answer of the endpoint named its load.
-  void onReport(const EndpointId &Id, Instant Now);
+  void onReport(const EndpointId &Id, std::int64_t Load, Instant Now);
   /// Records that the endpoint rejected a request for want of room. It gets no
   /// request for a time that doubles with each further rejection, and differs
-  /// between hosts so that they do not return together.
-  void onRejected(const EndpointId &Id, Instant Now);
+  /// between hosts so that they do not return together. \p Load is the load
+  /// that the rejection named.
+  void onRejected(const EndpointId &Id, std::optional<std::int64_t> Load,
+                  Instant Now);
   void onAccepted(const EndpointId &Id);
   void onSent(const EndpointId &Id, Instant Now);
   void forget(const EndpointId &Id) { m_Endpoints.erase(Id); }
@@ -47,6 +53,9 @@
     Instant m_SentAt;
     Instant m_PausedUntil;
     Duration m_Pause{0};
+    /// Load at the latest rejection.
+    std::optional<std::int64_t> m_FullAt;
+    Instant m_RejectedAt;
   };
 
   std::map<EndpointId, Evidence> m_Endpoints;
--- a/Source/Core/Host/Attempt.cpp
+++ b/Source/Core/Host/Attempt.cpp
@@ -9,6 +9,7 @@
       m_LastProgressAt(m_SentAt) {
   m_State.m_Chooser.loads().onDispatched(m_Endpoint, m_SentAt);
   m_State.m_RateLimits.onSent(m_Endpoint, m_SentAt);
+  m_State.m_Admission.onSent(m_Endpoint, m_SentAt);
   m_State.m_Links.onRequestSent(m_Endpoint);
   m_TrialParts = m_State.m_Crashes.onSending(Request.m_Parts);
   const serving::Endpoint *Known = m_State.m_Endpoints.find(m_Endpoint);
@@ -26,6 +27,7 @@
   m_State.m_Chooser.loads().onFinished(m_Endpoint, now());
   m_State.m_RejectionLimits.onFinished(m_Endpoint);
   m_State.m_Crashes.onRequestEnded(m_Endpoint, m_Request);
+  m_State.m_Admission.onFinished(m_Endpoint, now());
 }
 
 void Attempt::onNotRun() {
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -14,6 +14,12 @@
     : m_Requests(
           m_Set.counterFamily("sff_host_requests_total",
                               "Requests of callers by outcome and reason")),
+      m_Admissions(m_Set.counterFamily(
+          "sff_host_admissions_total",
+          "Decisions of the queue for slots, by outcome and reason")),
+      m_AdmissionWaits(
+          histogram("sff_host_admission_wait_seconds",
+                    "Time in the queue of requests that were sent")),
       m_Orders(m_Set.counterFamily("sff_host_orders_total",
                                    "Orders to endpoints by result")),
       m_StoreCalls(
@@ -146,6 +152,15 @@
   m_Isolated.Set(IsIsolated ? 1 : 0);
 }
 
+void HostMetrics::onAdmission(std::string_view Outcome, std::string_view Reason,
+                              Duration Waited) {
+  m_Admissions
+      .Add({{"outcome", std::string(Outcome)}, {"reason", std::string(Reason)}})
+      .Increment();
+  if (Reason.empty())
+    observe(m_AdmissionWaits, Waited);
+}
+
 void HostMetrics::onSilence(std::string_view Reaction) {
   m_Silences.Add({{"reaction", std::string(Reaction)}}).Increment();
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -59,6 +59,10 @@
   /// Counts an answer that is given up because it is too long, by the limit
   /// that it exceeds.
   void onAnswerTooLong(std::string_view Limit);
+  /// Counts a decision of the queue on a request that ends its wait, and
+  /// records how long it has waited. \p Reason is empty if it is sent.
+  void onAdmission(std::string_view Outcome, std::string_view Reason,
+                   Duration Waited);
   void onOrder(std::string_view Result);
   void onSwap(Duration Taken) { observe(m_Swaps, Taken); }
   void onStoreCall(std::string_view Call, bool Answered);
@@ -104,6 +108,8 @@
 
   metrics::MetricSet m_Set;
   prometheus::Family<prometheus::Counter> &m_Requests;
+  prometheus::Family<prometheus::Counter> &m_Admissions;
+  prometheus::Histogram &m_AdmissionWaits;
   prometheus::Family<prometheus::Counter> &m_Orders;
   prometheus::Family<prometheus::Counter> &m_StoreCalls;
   prometheus::Counter &m_StoreRestores;
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr milliseconds SendRateTimeConstant{1000};
 /// Several times the delay of a connection between availability zones.
 constexpr milliseconds ConnectTimeout{300};
 
@@ -39,7 +38,10 @@
       m_Chooser(m_Zone, std::random_device{}()),
       m_RateLimits(std::random_device{}()),
       m_RejectionLimits(std::random_device{}()),
-      m_SendRates(SendRateTimeConstant),
+      m_Admission(m_Endpoints, m_Chooser, m_RejectionLimits,
+                  [this](const std::string &Service) {
+                    return budget(Service).allows(now());
+                  }),
       m_Crashes(m_Platform.m_Store, m_Metrics),
       m_OwnDemand(serving::DemandRates::DefaultTimeConstant) {
   m_RateLimits.setHosts(m_Hosts);
@@ -143,6 +145,7 @@
   m_Chooser.forget(Id);
   m_RateLimits.forget(Id);
   m_RejectionLimits.forget(Id);
+  m_Admission.forget(Id);
   m_Metrics.setLimitedEndpoints(m_RateLimits.limitedEndpoints());
   m_Metrics.setRejectionLimitedEndpoints(m_RejectionLimits.limitedEndpoints());
 }
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -10,6 +10,7 @@
 #include "Core/Serving/FleetSize.h"
 #include "Core/Serving/RejectionLimits.h"
 #include "Core/Serving/SharedRetryBudget.h"
+#include "Host/AdmissionControl.h"
 #include "Host/CrashTracker.h"
 #include "Host/HostMetrics.h"
 #include "Host/HostSettings.h"
@@ -118,10 +119,7 @@
   serving::RejectionLimits m_RejectionLimits;
   /// Requests that wait until the rates of a service's endpoints allow them.
   std::map<std::string, std::size_t> m_WaitingForRates;
-  /// Requests that wait for room at endpoints that must not reject many.
-  std::map<std::string, std::size_t> m_WaitingForRoom;
-  /// Sends to each service, of the last second or so.
-  serving::DemandRates m_SendRates;
+  AdmissionControl m_Admission;
   CrashTracker m_Crashes;
   /// Request rates of models at this host.
   serving::DemandRates m_OwnDemand;
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -65,7 +65,7 @@
       m_Sessions(Sessions), m_Relay(Relay), m_Origin(Origin),
       m_Incoming(std::move(Incoming)), m_Caller(Caller), m_ArrivedAt(now()),
       m_AnswerMemory(State.m_AnswerMemory), m_Timer(State.m_Context),
-      m_SilenceTimer(State.m_Context) {}
+      m_SilenceTimer(State.m_Context), m_Place(State.m_Admission) {}
 
 Task<void> RequestSession::run() {
   m_Facts = m_State.m_Platform.m_WireFormat->decode(m_Incoming);
@@ -91,6 +91,7 @@
   m_Timer.cancel();
   m_SilenceTimer.cancel();
   m_Taken.reset();
+  m_Place.leave();
   cancelAttempts();
 }
 
@@ -197,6 +198,7 @@
       Active->cancel();
   if (m_RelayCanceller)
     m_RelayCanceller->cancel();
+  m_Place.wake();
 }
 
 Task<void> RequestSession::serve() {
@@ -292,7 +294,7 @@
   }
   if (mustPassOn())
     co_return co_await passOn();
-  const auto List = candidates();
+  auto List = candidates();
   const bool NeedsModel =
       m_Service->m_Engine && !m_Facts.m_Model.m_Model.empty();
   if (List.empty() && m_StreamVersion && holders().empty()) {
@@ -308,6 +310,8 @@
     co_return co_await waitForModel();
   if (List.empty())
     co_return co_await waitForRate();
+  if (const auto Next = co_await awaitTurn(List))
+    co_return *Next;
   serving::ChoiceContext Context;
   Context.m_Tried = &m_History.excluded();
   Context.m_AffinityEndpoint = m_Sessions.find(m_Facts.m_Session);
@@ -383,7 +387,6 @@
   if (m_History.sends() > 0)
     m_State.m_Metrics.onRetry();
   m_Current = startAttempt(Id);
-  m_State.m_SendRates.add(m_Service->m_Name, 1, now());
   const auto Watch = watchCurrent();
   http::OpenResult Result = co_await open(m_Current, *Remote);
   if (auto *Failure = std::get_if<http::TransportFailure>(&Result))
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -136,9 +136,19 @@
   /// Whether a holder is left out only because it might reject the request and
   /// must not reject many.
   bool mustAwaitRoom() const;
-  /// Waits for room at the holders, or refuses the request if others that came
-  /// before will take what becomes free while its caller waits.
+  /// Until when the caller waits for the beginning of an answer, or for the
+  /// next event of a stream.
+  Instant answerDeadline() const;
+  admission::DispatchRequest
+  dispatchRequest(std::span<const serving::Endpoint *const> List) const;
+  /// Asks the queue whether the request may be sent to one of \p List, and
+  /// removes the endpoints without room from it. Returns nothing if it may.
+  Task<std::optional<Step>>
+  awaitTurn(std::vector<const serving::Endpoint *> &List);
+  /// Waits for a rejection limit of the holders to allow the request.
   Task<Step> waitForRoom();
+  /// Waits as the queue has decided, or rejects the request.
+  Task<Step> waitInQueue(admission::Decision Made, Duration MaxWait);
   Task<Step> attempt(EndpointId Id);
   Task<Step> onOpenFailed(EndpointId Id, http::TransportFailure Failure);
   /// Begins to count the request as running at the endpoint.
@@ -255,6 +265,7 @@
   serving::CallResult resultOf(const http::TransportFailure &Failure) const;
   /// Records what an answer of an endpoint says of it.
   void recordReports(const Attempt &Answered, const ResponseMetadata &Facts);
+  void recordRoom(const Attempt &Answered, const ResponseMetadata &Facts);
   void recordRateLimit(const Attempt &Answered, const ResponseMetadata &Facts);
   /// Records what an answer says of the room at its endpoint.
   void recordCapacity(const Attempt &Answered, const ResponseMetadata &Facts);
@@ -363,6 +374,8 @@
   bool m_IsDelivering = false;
   /// The body of the response that has begun ends with the connection.
   bool m_CallerReadsToEnd = false;
+  QueuePlace m_Place;
+  Instant m_LastEventAt;     ///< When the caller took the latest events.
   bool m_WaitLogged = false; ///< The wait for the model is logged only once.
   streaming::CompleteEventBuffer m_Events;
   /// The software version at which the stream began. Set once its first event
--- a/Source/Core/Host/RequestSessionAnswers.cpp
+++ b/Source/Core/Host/RequestSessionAnswers.cpp
@@ -73,6 +73,7 @@
     m_State.m_Chooser.loads().onReport(
         Id, Facts.m_Load->m_Running + Facts.m_Load->m_Waiting, Duration::zero(),
         now());
+  recordRoom(Answered, Facts);
   if (!Facts.isFromEndpoint())
     return;
   m_State.onNotice(Id, Answered.registration(), Facts.m_Notice, "request",
@@ -83,6 +84,26 @@
   recordCapacity(Answered, Facts);
 }
 
+void RequestSession::recordRoom(const Attempt &Answered,
+                                const ResponseMetadata &Facts) {
+  const EndpointId &Id = Answered.endpoint();
+  AdmissionControl &Admission = m_State.m_Admission;
+  std::optional<std::int64_t> Load;
+  if (Facts.m_Load)
+    Load = Facts.m_Load->m_Running + Facts.m_Load->m_Waiting;
+  if (Load && !Facts.m_WasFull)
+    Admission.onReport(Id, *Load, now());
+  const bool LacksRoom = Facts.m_WasFull && !Facts.m_AddressReused &&
+                         !Facts.m_ModelNotLoaded &&
+                         !Facts.m_Notice.m_RetryAfter;
+  if (LacksRoom)
+    Admission.onRejected(Id, Load, now());
+  else if (!Facts.m_NotRun)
+    Admission.onAccepted(
+        Id, admission::workOf(m_Facts.m_PromptTokens, m_Facts.m_OutputTokens),
+        now() - Answered.sentAt(), now());
+}
+
 void RequestSession::recordRateLimit(const Attempt &Answered,
                                      const ResponseMetadata &Facts) {
   const EndpointId &Id = Answered.endpoint();
@@ -270,6 +291,7 @@
       m_IsDelivering = false;
       if (!Written)
         co_return StreamResult::CallerGone;
+      m_LastEventAt = now();
     }
     if (Chunk.empty())
       co_return StreamResult::Complete;
--- a/Source/UnitTests/Core/Admission/DispatchQueueTest.cpp
+++ b/Source/UnitTests/Core/Admission/DispatchQueueTest.cpp
@@ -172,11 +172,11 @@
   const Instant Now{std::chrono::hours(1)};
   EndpointRoomTracker Rooms(1);
   EXPECT_LT(Rooms.room(Id, 100, 16, Now).m_Load, 1);
-  Rooms.onReport(Id, Now);
+  Rooms.onReport(Id, 20, Now);
   EXPECT_EQ(Rooms.room(Id, 20, 16, Now).m_Load, 20);
   EXPECT_LT(Rooms.room(Id, 20, 16, Now + milliseconds(1100)).m_Load, 16);
   for (int Count = 0; Count < 10; ++Count)
-    Rooms.onRejected(Id, Now + milliseconds(1000 * Count));
+    Rooms.onRejected(Id, {}, Now + milliseconds(1000 * Count));
   const Instant Latest = Now + milliseconds(9000);
   EXPECT_GT(Rooms.room(Id, 1, 16, Latest).m_ClosedUntil, Latest);
   EXPECT_LE(Rooms.room(Id, 1, 16, Latest).m_ClosedUntil,
@@ -185,5 +185,18 @@
   EXPECT_LE(Rooms.room(Id, 1, 16, Latest).m_ClosedUntil, Latest);
 }
 
+// Guards against further requests to an endpoint that rejects them below its
+// slots, and against a limit that is kept for good.
+TEST(EndpointRoomTrackerTest, LoadOfARejectionIsALimitForATime) {
+  const EndpointId Id("e1");
+  const Instant Now{std::chrono::hours(1)};
+  EndpointRoomTracker Rooms(1);
+  Rooms.onRejected(Id, 6, Now);
+  EXPECT_EQ(Rooms.room(Id, 5, 16, Now).m_MaxLoad, 6);
+  EXPECT_GT(Rooms.room(Id, 5, 16, Now + milliseconds(5100)).m_MaxLoad, 16);
+  Rooms.onReport(Id, 7, Now);
+  EXPECT_GT(Rooms.room(Id, 5, 16, Now).m_MaxLoad, 16);
+}
+
 } // namespace
 } // namespace sff::admission
