--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -66,7 +66,7 @@
       m_Sessions(Sessions), m_Relay(Relay), m_Origin(Origin),
       m_Incoming(std::move(Incoming)), m_Caller(Caller), m_ArrivedAt(now()),
       m_AnswerMemory(State.m_AnswerMemory), m_Timer(State.m_Context),
-      m_SilenceTimer(State.m_Context) {}
+      m_SilenceTimer(State.m_Context), m_Place(State.m_Admission) {}
 
 Task<void> RequestSession::run() {
   m_Facts = m_State.m_Platform.m_WireFormat->decode(m_Incoming);
@@ -96,6 +96,7 @@
   m_Timer.cancel();
   m_SilenceTimer.cancel();
   m_Taken.reset();
+  m_Place.leave();
   cancelAttempts();
 }
 
@@ -229,6 +230,7 @@
       Active->cancel();
   if (m_RelayCanceller)
     m_RelayCanceller->cancel();
+  m_Place.wake();
 }
 
 Task<void> RequestSession::serve() {
@@ -324,7 +326,7 @@
   }
   if (mustPassOn())
     co_return co_await passOn();
-  const auto List = candidates();
+  auto List = candidates();
   const bool NeedsModel =
       m_Service->m_Engine && !m_Facts.m_Model.m_Model.empty();
   if (List.empty() && m_StreamVersion && holders().empty()) {
@@ -340,6 +342,8 @@
     co_return co_await waitForModel();
   if (List.empty())
     co_return co_await waitForRate();
+  if (const auto Next = co_await awaitTurn(List))
+    co_return *Next;
   serving::ChoiceContext Context = choiceContext(m_History.excluded());
   Context.m_AffinityEndpoint = m_Sessions.find(m_Facts.m_Session);
   Context.m_AffinityTokens = m_Facts.m_SessionTokens;
@@ -424,7 +428,6 @@
     m_State.m_Metrics.onRetry();
   m_Current = startAttempt(Id);
   m_Demands.onSent(m_Facts.m_Model, Id);
-  m_State.m_SendRates.add(m_Service->m_Name, 1, now());
   const auto Watch = watchCurrent();
   http::OpenResult Result = co_await open(m_Current, *Remote);
   if (auto *Failure = std::get_if<http::TransportFailure>(&Result))
