--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -16,8 +16,6 @@
 /// A model with a request or load within this time is assumed to have running
 /// requests.
 constexpr milliseconds InUseWindow{1000};
-/// Covers the interval of usage reports and the duration of a request.
-constexpr milliseconds PossibleUseWindow{5000};
 /// Events within this time are handled by one pass over the demand queue, whose
 /// cost grows with its length.
 constexpr milliseconds PlanningDelay{5};
@@ -311,19 +309,12 @@
          m_Pressure.mustKeepReplicas(Model, now());
 }
 
-Instant SwapService::lastUse(const std::string &Model) const {
+bool SwapService::isInUse(const std::string &Model) const {
   const auto Loaded = m_LoadedAt.find(Model);
   const Instant LoadedAt =
       Loaded == m_LoadedAt.end() ? Instant() : Loaded->second;
-  return std::max(LoadedAt, m_Demand.lastRequest(Model));
-}
-
-bool SwapService::isInUse(const std::string &Model) const {
-  return now() - lastUse(Model) < InUseWindow;
-}
-
-bool SwapService::mayBeInUse(const std::string &Model) const {
-  return now() - lastUse(Model) < PossibleUseWindow;
+  const Instant Latest = std::max(LoadedAt, m_Demand.lastRequest(Model));
+  return now() - Latest < InUseWindow;
 }
 
 serving::SwapCandidate
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -6,7 +6,6 @@
 #include "Core/Serving/EndpointSpeeds.h"
 #include "Core/Serving/EngineLoad.h"
 #include "Core/Serving/FleetSize.h"
-#include "Core/Serving/OrderPacing.h"
 #include "Core/Serving/SwapPlanner.h"
 #include "Host/InventoryNotifier.h"
 #include "Host/OrderLeases.h"
@@ -143,12 +142,8 @@
   bool isProtected(std::string_view Model) const;
   /// Requests per second of the model, of the last seconds.
   double recentRate(std::string_view Model) const;
-  /// Time of the latest request of the model, or of its load.
-  Instant lastUse(const std::string &Model) const;
   /// Whether requests of the model may be running.
   bool isInUse(const std::string &Model) const;
-  /// The same, also for requests that were reported later or take long.
-  bool mayBeInUse(const std::string &Model) const;
   int otherReplicas(std::string_view Model) const;
 
   Task<void> runSwap(Target Destination, std::string Model,
@@ -174,11 +169,9 @@
   /// Reads the endpoint's report unless it is already known. False when it
   /// cannot be read or an order is being executed.
   Task<bool> ensureReport(Target Destination);
-  /// Waits until the endpoint is expected to accept another order: for the
-  /// usual time of an unload, or until its report shows that it is idle. False
-  /// if that is not so by \p Deadline, or the report does not match this host's
-  /// orders.
-  Task<bool> awaitReadiness(Target Destination, Instant Deadline);
+  /// Whether the endpoint's report shows as many accepted orders as this host
+  /// knows of. The latest order may be missing from the report.
+  Task<bool> orderCountsMatch(Target Destination);
   /// Sends an order and, if it is accepted, increments the expected order
   /// count.
   Task<OrderStatus> sendCountedOrder(Target Destination, OrderKind Kind,
@@ -186,16 +179,14 @@
   Task<OrderStatus> send(Target Destination, OrderKind Kind,
                          serving::ModelName Name);
   /// Repeats a load order until the endpoint responds that it holds the model
-  /// or adapter. The first repeat is sent after \p Expected, further ones when
-  /// the endpoint's report shows that it is idle.
+  /// or adapter. The first repeat is sent after \p Expected.
   Task<bool> waitUntilHeld(Target Destination, serving::ModelName Name,
                            Duration Expected);
-  /// Waits until the endpoint reports that it executes no order.
-  Task<void> awaitIdle(Target Destination, Duration Pause, Instant Deadline);
-  /// Sends an order when the endpoint is expected to accept it, and again if it
-  /// responds with a conflict nevertheless.
-  Task<OrderStatus> orderWhenReady(Target Destination, OrderKind Kind,
-                                   serving::ModelName Name, Duration Limit);
+  /// Sends an order and repeats it while the endpoint responds with a conflict,
+  /// for example because it executes the previous one.
+  Task<OrderStatus> orderAndRetryConflicts(Target Destination, OrderKind Kind,
+                                           serving::ModelName Name,
+                                           Duration Limit);
   void publish(const EndpointId &Id, const serving::ModelName &Name, bool Held);
   /// Applies the effect of this host's order to the stored report.
   void updateReport(const EndpointId &Id, const serving::ModelName &Name,
@@ -220,7 +211,6 @@
   serving::DemandPressure m_Pressure;
   serving::DemandKnowledge m_Knowledge;
   serving::EndpointSpeeds m_Speeds;
-  serving::OrderPacing m_Pacing;
   serving::FleetSize m_Fleet; ///< The hosts that report usage to this holder.
   std::mt19937_64 m_Random{std::random_device{}()};
   Instant m_OverloadsCheckedAt;
--- a/Source/Core/Host/SwapServiceOrders.cpp
+++ b/Source/Core/Host/SwapServiceOrders.cpp
@@ -8,9 +8,12 @@
 
 constexpr auto LogCategory = log::Category::Loading;
 
-/// Shortest interval at which the report is read to find out whether a load
-/// that takes longer than expected has ended.
-constexpr milliseconds MinLoadPollInterval{40};
+/// Interval at which an order is repeated to find out whether it has been
+/// executed. Repeating it is faster than reading the report, which lags by a
+/// hundred milliseconds.
+constexpr milliseconds OrderPollInterval{40};
+/// Number of repeats after which the endpoint's report is read again.
+constexpr int PollsPerReport = 4;
 /// Delay of the first poll after the expected end of a load. Short because
 /// endpoints keep closely to the expected time.
 constexpr milliseconds LoadPollSlack{8};
@@ -25,8 +28,6 @@
 /// Longest wait for an order to be accepted, for example while requests still
 /// run on the evicted model.
 constexpr milliseconds MaxEvictionTime{5000};
-/// The same for an adapter.
-constexpr milliseconds MaxAdapterWait{1000};
 
 std::string_view toString(OrderStatus Status) {
   switch (Status) {
@@ -104,7 +105,7 @@
   for (const std::string &Victim : Plan->m_Evict) {
     const serving::ModelName Name{Victim, {}};
     publish(Destination.m_Id, Name, false);
-    const OrderStatus Unloaded = co_await orderWhenReady(
+    const OrderStatus Unloaded = co_await orderAndRetryConflicts(
         Destination, OrderKind::Unload, Name, MaxEvictionTime);
     if (!isDone(Unloaded))
       co_return false;
@@ -113,7 +114,7 @@
   // The endpoint accepts the load only after the eviction has finished, so that
   // its memory is never overcommitted.
   const serving::ModelName Name{Model, {}};
-  const OrderStatus Loaded = co_await orderWhenReady(
+  const OrderStatus Loaded = co_await orderAndRetryConflicts(
       Destination, OrderKind::Load, Name, MaxEvictionTime);
   if (!isDone(Loaded))
     co_return false;
@@ -155,29 +156,12 @@
   co_return std::move(Answer.m_Report);
 }
 
-Task<bool> SwapService::awaitReadiness(Target Destination, Instant Deadline) {
-  const EndpointId &Id = Destination.m_Id;
-  if (const Instant ReadyAt = m_Pacing.readyAt(Id); now() < ReadyAt)
-    co_await sleepFor(ReadyAt - now());
-  for (int Attempt = 1; m_Pacing.needsReport(Id); ++Attempt) {
-    if (Attempt > 1)
-      co_await sleepFor(serving::OrderPacing::reportDelay(Attempt - 1));
-    const auto Report = co_await fetchReport(Destination);
-    auto &Expected = m_ManagedEndpoints[Id].m_Report;
-    if (!Report || !Expected || now() >= Deadline)
-      break;
-    const auto Readiness = serving::OrderPacing::readiness(
-        {Report->m_OrderRunning, Report->m_AcceptedOrders},
-        Expected->m_AcceptedOrders);
-    if (Readiness == serving::OrderReadiness::Ready)
-      co_return true;
-    if (Readiness == serving::OrderReadiness::OtherOrders)
-      break;
-  }
-  if (!m_Pacing.needsReport(Id))
-    co_return true;
-  m_ManagedEndpoints[Id].m_Report.reset();
-  co_return false;
+Task<bool> SwapService::orderCountsMatch(Target Destination) {
+  const auto Report = co_await fetchReport(Destination);
+  const ManagedEndpoint &Known = m_ManagedEndpoints[Destination.m_Id];
+  co_return Report &&Known.m_Report &&
+      Report->m_AcceptedOrders <= Known.m_Report->m_AcceptedOrders &&
+      Report->m_AcceptedOrders + 1 >= Known.m_Report->m_AcceptedOrders;
 }
 
 Task<OrderStatus> SwapService::sendCountedOrder(Target Destination,
@@ -187,10 +171,6 @@
   auto &Report = m_ManagedEndpoints[Destination.m_Id].m_Report;
   if (Status == OrderStatus::Accepted && Report)
     ++Report->m_AcceptedOrders;
-  m_Pacing.onNextOrder(Destination.m_Id, Status != OrderStatus::Conflict);
-  if (Status == OrderStatus::Accepted && Kind == OrderKind::Unload)
-    m_Pacing.onUnloadAccepted(Destination.m_Id, !Name.m_Adapter.empty(),
-                              mayBeInUse(Name.m_Model), now());
   co_return Status;
 }
 
@@ -224,19 +204,26 @@
   co_return Status;
 }
 
-Task<OrderStatus> SwapService::orderWhenReady(Target Destination,
-                                              OrderKind Kind,
-                                              serving::ModelName Name,
-                                              Duration Limit) {
+Task<OrderStatus> SwapService::orderAndRetryConflicts(Target Destination,
+                                                      OrderKind Kind,
+                                                      serving::ModelName Name,
+                                                      Duration Limit) {
   const Instant Deadline = now() + Limit;
-  while (true) {
-    const bool IsReady = co_await awaitReadiness(Destination, Deadline);
-    if (!IsReady)
-      co_return OrderStatus::Unknown;
+  for (int Attempt = 1;; ++Attempt) {
     const OrderStatus Status =
         co_await sendCountedOrder(Destination, Kind, Name);
     if (Status != OrderStatus::Conflict || now() >= Deadline)
       co_return Status;
+    co_await sleepFor(OrderPollInterval);
+    // Either another order is being executed, or the endpoint has accepted
+    // orders that this host does not know of.
+    if (Attempt % PollsPerReport == 0) {
+      const bool CountsMatch = co_await orderCountsMatch(Destination);
+      if (!CountsMatch) {
+        m_ManagedEndpoints[Destination.m_Id].m_Report.reset();
+        co_return OrderStatus::Unknown;
+      }
+    }
   }
 }
 
@@ -246,7 +233,7 @@
   const Instant Deadline =
       now() + LoadTimeoutFactor * Expected + LoadTimeoutSlack;
   // Poll less often the longer the load takes.
-  const Duration Pause = std::max<Duration>(MinLoadPollInterval, Expected / 20);
+  const Duration Pause = std::max<Duration>(OrderPollInterval, Expected / 20);
   co_await sleepFor(Expected + LoadPollSlack);
   while (now() < Deadline) {
     const OrderStatus Status =
@@ -257,24 +244,9 @@
     // conflict. It does not count as another order.
     if (Status != OrderStatus::Accepted && Status != OrderStatus::Conflict)
       co_return false;
-    co_await awaitIdle(Destination, Pause, Deadline);
-  }
-  co_return false;
-}
-
-Task<void> SwapService::awaitIdle(Target Destination, Duration Pause,
-                                  Instant Deadline) {
-  while (now() < Deadline) {
     co_await sleepFor(Pause);
-    const auto Report = co_await fetchReport(Destination);
-    const ManagedEndpoint &Known = m_ManagedEndpoints[Destination.m_Id];
-    // Without the reports an order tells whether the load has ended.
-    if (!Report || !Known.m_Report)
-      co_return;
-    if (!Report->m_OrderRunning &&
-        Report->m_AcceptedOrders >= Known.m_Report->m_AcceptedOrders)
-      co_return;
   }
+  co_return false;
 }
 
 Task<void> SwapService::runAdapter(Target Destination, serving::ModelName Name,
@@ -306,8 +278,8 @@
     if (!Evicted)
       co_return false;
   }
-  const OrderStatus Loaded = co_await orderWhenReady(
-      Destination, OrderKind::Load, Name, MaxAdapterWait);
+  const OrderStatus Loaded =
+      co_await sendCountedOrder(Destination, OrderKind::Load, Name);
   if (!isDone(Loaded))
     co_return false;
   const bool Held = co_await waitUntilHeld(Destination, Name, AdapterLoadTime);
@@ -332,8 +304,8 @@
     co_return false;
   const serving::ModelName Victim = *Oldest;
   publish(Destination.m_Id, Victim, false);
-  const OrderStatus Unloaded = co_await orderWhenReady(
-      Destination, OrderKind::Unload, Victim, MaxAdapterWait);
+  const OrderStatus Unloaded =
+      co_await sendCountedOrder(Destination, OrderKind::Unload, Victim);
   if (!isDone(Unloaded))
     co_return false;
   updateReport(Destination.m_Id, Victim, false);
@@ -344,7 +316,6 @@
   ManagedEndpoint &Known = m_ManagedEndpoints[Id];
   Known.m_Busy = false;
   Known.m_Loading.clear();
-  m_Pacing.forget(Id);
   if (!Done) {
     Known.m_Report.reset();
     Known.m_BackoffUntil = now() + FailureBackoff;
--- a/Source/UnitTests/Host/FakeStore.h
+++ b/Source/UnitTests/Host/FakeStore.h
@@ -14,8 +14,6 @@
   bool m_IsDown = false;       ///< Reads are refused at once.
   int m_AnsweredReads = 0;
   int m_CatalogueReads = 0;
-  /// The answer to each join; none when empty.
-  std::optional<GroupMembership> m_Membership;
 
   void onRestored(std::function<void()>) override {}
   void cancelPendingCalls() override {}
@@ -41,7 +39,7 @@
   }
   Task<std::optional<GroupMembership>> join(ZoneId, std::string, milliseconds,
                                             serving::FencingToken) override {
-    co_return m_Membership;
+    co_return std::nullopt;
   }
   Task<void> leave(ZoneId, std::string) override { co_return; }
   Task<std::optional<std::string>> findHolder(ZoneId) override {
