Average the loads of the local zone and of others apart

In a trial, hosts of a zone with more requests than the others sent nothing to other zones: without reports from there, the endpoints were assumed to be as loaded as the local ones.

--- a/Source/Core/Core/Serving/EndpointChooser.cpp
+++ b/Source/Core/Core/Serving/EndpointChooser.cpp
@@ -156,21 +156,33 @@
     return Age ? std::exp(-std::max(0.0, toSeconds(*Age)) / LoadFadeSeconds)
                : 0.0;
   };
-  double Weights = 0;
-  double Utilization = 0;
+  // Of the endpoints of the local zone, and of the others: a busy zone says
+  // nothing of zones from which no reports come.
+  struct Average {
+    double m_Weights = 0;
+    double m_Sum = 0;
+    double value() const { return m_Weights > 0 ? m_Sum / m_Weights : 0; }
+  };
+  Average OfLocal;
+  Average OfOthers;
+  const auto IsLocal = [this](const Candidate &Target) {
+    return Target.m_Endpoint->m_Registration.m_Zone == m_LocalZone;
+  };
   for (Candidate &Target : List) {
     Target.m_Slots = slotsOf(*Target.m_Endpoint);
     Target.m_OtherHosts = m_Loads.otherRouters(Target.m_Endpoint->id(), Now);
     const double Weight = Freshness(Target);
-    Weights += Weight;
-    Utilization += Weight * Target.m_OtherHosts / Target.m_Slots;
+    Average &Utilization = IsLocal(Target) ? OfLocal : OfOthers;
+    Utilization.m_Weights += Weight;
+    Utilization.m_Sum += Weight * Target.m_OtherHosts / Target.m_Slots;
   }
-  if (Weights > 0)
-    Utilization /= Weights;
+  const Average OfAll{OfLocal.m_Weights + OfOthers.m_Weights,
+                      OfLocal.m_Sum + OfOthers.m_Sum};
   for (Candidate &Target : List) {
     const EndpointId &Id = Target.m_Endpoint->id();
     const double Own = m_Loads.estimate(Id, Now) - Target.m_OtherHosts;
-    const double Usual = Utilization * Target.m_Slots;
+    const double OfZone = (IsLocal(Target) ? OfLocal : OfOthers).value();
+    const double Usual = std::min(OfZone, OfAll.value()) * Target.m_Slots;
     Target.m_OtherHosts =
         Usual + (Target.m_OtherHosts - Usual) * Freshness(Target);
     Target.m_Load = std::max(Own + Target.m_OtherHosts, fullLoad(Id, Now));
--- a/Source/Core/Core/Serving/EndpointChooser.h
+++ b/Source/Core/Core/Serving/EndpointChooser.h
@@ -94,7 +94,8 @@
   std::optional<EndpointId> pick(std::span<const Endpoint *const> Eligible,
                                  const ChoiceContext &Context, Instant Now);
   /// Sets the loads. Reports lose weight with age: an endpoint without a recent
-  /// one is assumed to be as loaded as the others.
+  /// one is assumed to be as loaded as those on its side of the border of the
+  /// local zone, and no more than all.
   void estimateLoads(std::span<Candidate> List, Instant Now) const;
   void estimateTime(Candidate &Target, const ChoiceContext &Context,
                     double Penalty, Instant Now) const;
--- a/Source/UnitTests/Core/Serving/EndpointChoiceSimulationTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointChoiceSimulationTest.cpp
@@ -84,6 +84,10 @@
     schedule(Seconds, std::move(Action));
   }
 
+  /// Sends this share of the requests of the other zones to hosts of the first
+  /// one instead.
+  void moveToFirstZone(double Share) { m_MovedShare = Share; }
+
   double lateShare() const { return double(m_Late) / std::max(1, m_Requests); }
   int rejections() const { return m_Rejections; }
   /// Sends to the busiest endpoint, relative to the mean.
@@ -129,7 +133,10 @@
   void arrive() {
     schedule(m_Now - std::log(1 - random()) / m_Rate, [this] { arrive(); });
     ++m_Requests;
-    send({static_cast<int>(m_Random() % m_Hosts.size()), m_Now, {}});
+    int Host = static_cast<int>(m_Random() % m_Hosts.size());
+    if (m_MovedShare > 0 && random() < m_MovedShare)
+      Host -= Host % m_Zones;
+    send({Host, m_Now, {}});
   }
 
   void send(Sent Request) {
@@ -219,6 +226,7 @@
   }
 
   double m_Rate;
+  double m_MovedShare = 0;
   int m_Zones;
   std::vector<SimulatedEndpoint> m_Endpoints;
   std::vector<std::unique_ptr<EndpointChooser>> m_Hosts;
@@ -336,6 +344,17 @@
   EXPECT_LT(Load.lateShare(), 0.02);
 }
 
+// Guards against a busy zone whose hosts take the endpoints of the others to be
+// as busy, because they get no reports of them.
+TEST(EndpointChoiceSimulationTest, OneZoneGetsMoreRequests) {
+  Simulation Load(Hosts, Endpoints, 345, 3);
+  Load.moveToFirstZone(0.33);
+  Load.run(20);
+  std::cout << "late " << Load.lateShare() << ", busiest "
+            << Load.imbalance(5, 20) << "\n";
+  EXPECT_LT(Load.lateShare(), 0.005);
+}
+
 // Guards against trust in an endpoint that reports to be fast and is slow.
 TEST(EndpointChoiceSimulationTest, FalseSpeedReport) {
   Simulation Load(Hosts, Endpoints, 350);
