--- /dev/null
+++ b/Source/Core/Core/Serving/ConnectionLimits.cpp
@@ -0,0 +1,32 @@
+#include "Core/Serving/ConnectionLimits.h"
+
+#include <algorithm>
+
+namespace sff::serving {
+
+namespace {
+
+/// The balancer and a collector of metrics use one connection each, besides
+/// those that they have given up.
+constexpr std::size_t MaxInternalConnections = 8;
+/// Memory of an idle connection: its session, coroutine, timer and buffer.
+constexpr std::size_t IdleConnectionBytes = 10 * 1024;
+
+} // namespace
+
+ConnectionLimits divideDescriptors(std::size_t MaxDescriptors) {
+  ConnectionLimits Result;
+  const std::size_t Internal =
+      std::clamp<std::size_t>(MaxDescriptors / 25, 1, MaxInternalConnections);
+  Result.m_Callers = std::max<std::size_t>(1, MaxDescriptors * 2 / 5);
+  Result.m_Peers = std::max<std::size_t>(1, MaxDescriptors / 8);
+  Result.m_Readiness = Internal;
+  Result.m_Metrics = Internal;
+  return Result;
+}
+
+std::size_t connectionsWithin(std::size_t MemoryBytes) {
+  return std::max<std::size_t>(1, MemoryBytes / 8 / IdleConnectionBytes);
+}
+
+} // namespace sff::serving
