Bound the memory and descriptors that clients of a host take

Clients with stalled bodies, many header fields or many connections could fill the memory and the descriptors of a host. With process.memory_mb the server asks one budget before it reads each part of a request, counts answers that wait to be read, evicts stalled clients, rejects requests without memory with 503, answers what the head alone decides before the body, allows 256 header fields, and 4 KB of body for readiness and metrics. With process.max_descriptors each listener has a limit and replaces connections without progress. Without the settings nothing changes.

--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -7,6 +7,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include <csignal>
+#include <malloc.h>
 #include <sstream>
 
 namespace sff::host {
@@ -61,6 +62,15 @@
   return Result;
 }
 
+/// Lets the allocator return large blocks to the system when they are freed. By
+/// default it keeps them from the second one on, so that the process would
+/// occupy more than its requests hold.
+void returnFreedMemory() {
+  constexpr int LargeBlockBytes = 64 * 1024;
+  mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, LargeBlockBytes);
+}
+
 http::Address addressOf(const settings::Settings &Values,
                         const Setting<std::string> &Name) {
   return *http::Address::parse(Values.get(Name));
@@ -79,25 +89,31 @@
       m_Relay(m_State, Values.get(PeersSetting)),
       m_Demands(m_State, m_OrderLeases, m_Swaps, m_Relay),
       m_Streams(m_State, m_OrderLeases), m_Queries(m_State, m_OrderLeases),
-      m_Follower(m_State, m_Streams, m_Queries),
-      m_Callers(m_Context, {},
+      m_Follower(m_State, m_Streams, m_Queries), m_Guard(m_State),
+      m_Callers(m_Context, m_Guard.limitCallers({}),
                 [this](http::Request Incoming, http::Exchange &Caller) {
                   return handleCaller(std::move(Incoming), Caller);
                 }),
-      m_Readiness(m_Context, internalLimits(),
+      m_Readiness(m_Context, m_Guard.limitReadiness(internalLimits()),
                   [this](http::Request Incoming, http::Exchange &Caller) {
                     return handleReadiness(std::move(Incoming), Caller);
                   }),
-      m_Peers(m_Context, internalLimits(),
+      m_Peers(m_Context, m_Guard.limitPeers(internalLimits()),
               [this](http::Request Incoming, http::Exchange &Caller) {
                 return handlePeer(std::move(Incoming), Caller);
               }),
-      m_Metrics(m_Context, internalLimits(),
+      m_Metrics(m_Context, m_Guard.limitMetrics(internalLimits()),
                 [this](http::Request Incoming, http::Exchange &Caller) {
                   return handleMetrics(std::move(Incoming), Caller);
                 }),
       m_Signals(m_Context, SIGTERM, SIGINT, SIGHUP) {
   std::signal(SIGPIPE, SIG_IGN);
+  m_Callers.setGuards(m_Guard.callerGuards());
+  m_Peers.setGuards(m_Guard.peerGuards());
+  m_Readiness.setGuards(m_Guard.internalGuards());
+  m_Metrics.setGuards(m_Guard.internalGuards());
+  if (memoryOf(Values) > 0)
+    returnFreedMemory();
 }
 
 void Host::run() {
@@ -224,7 +240,8 @@
     if (!m_State.m_Catalogue || m_State.m_Catalogue->m_Version == Applied)
       continue;
     Applied = m_State.m_Catalogue->m_Version;
-    m_Callers.setLimits(callerLimits(m_State.m_Catalogue->m_Limits));
+    m_Callers.setLimits(
+        m_Guard.limitCallers(callerLimits(m_State.m_Catalogue->m_Limits)));
   }
 }
 
--- a/Source/Core/Host/Host.h
+++ b/Source/Core/Host/Host.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Host/ClientGuard.h"
 #include "Host/DemandRouter.h"
 #include "Host/RequestSession.h"
 #include "Host/StoreFollower.h"
@@ -59,6 +60,7 @@
   LogQueries m_Queries;
   StoreFollower m_Follower;
   SessionAffinity m_Sessions;
+  ClientGuard m_Guard;
   http::Server m_Callers;
   http::Server m_Readiness;
   http::Server m_Peers;
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -65,6 +65,10 @@
           "sff_host_answers_too_long_total",
           "Answers that were given up because too much of them had to be held, "
           "by the limit: that of one answer, or that of all together")),
+      m_ClientRejections(m_Set.counterFamily(
+          "sff_host_client_rejections_total",
+          "Requests and connections that were rejected before they were "
+          "handled, by cause")),
       m_Crashes(m_Set.counterFamily(
           "sff_host_crashes_total",
           "Endpoint crashes attributed to a request, by source")),
@@ -163,6 +167,10 @@
   m_AnswersTooLong.Add({{"limit", std::string(Limit)}}).Increment();
 }
 
+void HostMetrics::onClientRejected(std::string_view Cause) {
+  m_ClientRejections.Add({{"cause", std::string(Cause)}}).Increment();
+}
+
 void HostMetrics::onCrash(std::string_view Source) {
   m_Crashes.Add({{"source", std::string(Source)}}).Increment();
 }
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -59,6 +59,8 @@
   /// Counts an answer that is given up because it is too long, by the limit
   /// that it exceeds.
   void onAnswerTooLong(std::string_view Limit);
+  /// Counts a request or connection that the server has rejected itself.
+  void onClientRejected(std::string_view Cause);
   void onOrder(std::string_view Result);
   void onSwap(Duration Taken) { observe(m_Swaps, Taken); }
   void onStoreCall(std::string_view Call, bool Answered);
@@ -123,6 +125,7 @@
   prometheus::Family<prometheus::Counter> &m_Answers;
   prometheus::Family<prometheus::Counter> &m_AnswerEnds;
   prometheus::Family<prometheus::Counter> &m_AnswersTooLong;
+  prometheus::Family<prometheus::Counter> &m_ClientRejections;
   prometheus::Family<prometheus::Counter> &m_Crashes;
   prometheus::Family<prometheus::Gauge> &m_SuspectCrashes;
   std::map<std::string, prometheus::Gauge *> m_Suspects; ///< By fingerprint.
--- a/Source/Core/Host/HostSettings.h
+++ b/Source/Core/Host/HostSettings.h
@@ -219,6 +219,12 @@
     .m_Range = {0, 1e9},
     .m_Doc = "Descriptors that this process may open; 0 if that is not known."};
 
+/// Returns the memory of this host in bytes; 0 if it is not known.
+inline std::size_t memoryOf(const settings::Settings &Values) {
+  constexpr std::size_t BytesPerMegabyte = 1024 * 1024;
+  return static_cast<std::size_t>(Values.get(MemorySetting)) * BytesPerMegabyte;
+}
+
 /// The schema of all settings of sff-host.
 /// Thread safety: any thread.
 const settings::Schema &hostSchema();
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -19,6 +19,14 @@
           fromSeconds(Values.get(RetryWindowSetting))};
 }
 
+/// Returns the most memory for answers that are held. A string that grows takes
+/// up to three times its size for a moment.
+std::size_t answerCapacity(std::size_t MemoryBytes) {
+  /// An eighth of the memory of the smallest hosts.
+  constexpr std::size_t Default = 20UL * 1024 * 1024;
+  return MemoryBytes > 0 ? std::min(Default, MemoryBytes / 8) : Default;
+}
+
 } // namespace
 
 Instant bootTime() {
@@ -34,6 +42,8 @@
     : m_Context(Context), m_Settings(Values), m_Identity(std::move(Identity)),
       m_Zone(m_Identity.m_Zone), m_Platform(std::move(Adapter)),
       m_Http(Context.get_executor()),
+      m_AnswerMemory(answerCapacity(memoryOf(Values))),
+      m_ClientMemory(memoryOf(Values) / 4),
       m_Links(Context, m_Http, *m_Platform.m_Health, m_Endpoints, m_Catalogue,
               m_Metrics),
       m_Chooser(m_Zone, std::random_device{}()),
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -3,6 +3,7 @@
 #include "Common/Logging/Log.h"
 #include "Common/Time/Clock.h"
 #include "Core/Serving/ByteBudget.h"
+#include "Core/Serving/ClientMemory.h"
 #include "Core/Serving/DemandRates.h"
 #include "Core/Serving/EndpointBackoff.h"
 #include "Core/Serving/EndpointChooser.h"
@@ -90,7 +91,9 @@
   Platform m_Platform;
   http::Client m_Http; ///< Connections to endpoints.
   /// Memory of the answers that are held until more of them has arrived.
-  serving::ByteBudget m_AnswerMemory{MaxHeldAnswerBytes};
+  serving::ByteBudget m_AnswerMemory;
+  /// Memory of the requests and connections of all clients.
+  serving::ClientMemory m_ClientMemory;
   HostMetrics m_Metrics;
   /// Notified when the catalogue, the endpoints or their inventories change.
   AsyncCondition m_Changed;
@@ -127,10 +130,6 @@
   serving::DemandRates m_OwnDemand;
 
 private:
-  /// An eighth of the memory of the smallest hosts. A string that grows takes
-  /// up to three times its size for a moment.
-  static constexpr std::size_t MaxHeldAnswerBytes = 20 * 1024 * 1024;
-
   /// Takes an endpoint out of use that leaves. Returns true if it was in use.
   bool onLeaving(const EndpointId &Id,
                  const serving::RegistrationVersion &Asked);
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -82,6 +82,10 @@
   const bool IsAdmitted = co_await checkCaller();
   if (!IsAdmitted)
     co_return;
+  if (m_Incoming.m_BodyUnread) {
+    co_await refuse(BodyUnreadReason, DefaultRetryAfter);
+    co_return;
+  }
   m_History = serving::AttemptHistory(m_Route->m_MaxEndpointsPerRequest);
   startTimers();
   m_Fingerprint = std::to_string(
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -72,6 +72,7 @@
   /// Reasons of refusals that concern this host only.
   static constexpr std::string_view NoCatalogueReason = "no_catalogue";
   static constexpr std::string_view NoRouteReason = "no_route";
+  static constexpr std::string_view BodyUnreadReason = "body_unread";
   static constexpr std::string_view CutOffReason = "cut_off_from_endpoints";
   static constexpr std::string_view UnknownKeyReason = "unknown_key";
   static constexpr std::string_view UnprovenKeyReason = "unproven_key";
--- a/Source/Core/Net/Http/Message.h
+++ b/Source/Core/Net/Http/Message.h
@@ -47,6 +47,9 @@
   std::string m_Target = "/";
   Headers m_Headers;
   std::string m_Body;
+  /// A server has not read the body, because the request will be rejected.
+  /// Such a request must not be run.
+  bool m_BodyUnread = false;
 
   /// Returns the target without its query string.
   std::string_view path() const;
--- a/Source/Core/Net/Http/Server.h
+++ b/Source/Core/Net/Http/Server.h
@@ -2,6 +2,7 @@
 
 #include "Common/Time/Instant.h"
 #include "Net/Http/Message.h"
+#include "Net/Http/ServerGuards.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -84,6 +85,8 @@
   /// Replaces the limits for connections and requests that start later.
   /// Call from the server's io_context only.
   void setLimits(const ServerLimits &Limits);
+  /// Sets how this server protects its process. Call before listen().
+  void setGuards(ServerGuards Guards);
   /// Makes every further response ask the caller to close its connection. New
   /// connections are still accepted.
   void beginDrain();
