Return the share of a rejected request before its input is discarded

A request that was rejected by its head kept its share of the memory for up to 500 ms while the rest of its input was discarded. The share is now that of the buffer alone.

--- a/Source/Core/Net/Http/ServerSession.cpp
+++ b/Source/Core/Net/Http/ServerSession.cpp
@@ -408,6 +408,8 @@
 asio::awaitable<void> ServerSession::discardInput() {
   m_Buffer.clear();
   m_Buffer.shrink_to_fit();
+  m_RequestBytes = 0;
+  m_Memory.resize(InitialReadBytes);
   m_Memory.awaitClient(true, steady_clock::now());
   error_code Error;
   m_Stream.expires_after(DiscardTime);
