Reject numbers that a field of a message cannot hold

A number out of range in a message of another host or a record was cast by the JSON library: undefined behaviour for 4e39 in an integer field, another value for -1 in an unsigned one. readField() now checks integers, durations, enumerations, optional values and the elements of lists and maps before the conversion, and throws as for a wrong type. Fractions within the range are cut as before.

The fuzz target and the old programs' tests are not run.

--- a/Source/Core/Common/Codec/Fields.h
+++ b/Source/Core/Common/Codec/Fields.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Common/Codec/NumberRange.h"
+
 #include <nlohmann/json.hpp>
 
 #include <chrono>
@@ -34,8 +36,8 @@
 
 /// Converts structs that satisfy `Described`. Unknown keys are ignored and
 /// missing keys keep the member's default value, so that hosts that run
-/// adjacent releases can exchange messages. A value of the wrong type throws
-/// `nlohmann::json::exception`.
+/// adjacent releases can exchange messages. A value of the wrong type, or a
+/// number that its member cannot hold, throws `nlohmann::json::exception`.
 template <sff::codec::Described T> struct adl_serializer<T, void> {
   static void to_json(json &Out, const T &Value) {
     Out = json::object();
@@ -59,8 +61,11 @@
 private:
   template <typename Member>
   static void readField(const json &In, const char *Key, Member &Out) {
-    if (auto It = In.find(Key); It != In.end())
-      Out = It->template get<Member>();
+    const auto It = In.find(Key);
+    if (It == In.end())
+      return;
+    sff::codec::checkRange<Member>(*It);
+    Out = It->template get<Member>();
   }
 };
 
