--- a/Source/UnitTests/Net/Http/ServerGuardTest.cpp
+++ b/Source/UnitTests/Net/Http/ServerGuardTest.cpp
@@ -95,6 +95,22 @@
   EXPECT_NE(Answers.find("third"), std::string::npos);
 }
 
+// Guards against the rejection of a client that pauses, as on a link that loses
+// packets, while there is memory for all.
+TEST_F(GuardedServerTest, PauseWithinABodyIsAllowed) {
+  start(1024 * Kilobyte);
+  tcp::socket Socket = connect();
+  const std::string Head = "POST /a HTTP/1.1\r\nHost: a\r\n"
+                           "Connection: close\r\nContent-Length: 100000\r\n"
+                           "\r\n";
+  const std::string Half(50000, 'x');
+  boost::asio::write(Socket, boost::asio::buffer(Head + Half));
+  std::this_thread::sleep_for(serving::ClientMemory::StallTime +
+                              milliseconds(200));
+  boost::asio::write(Socket, boost::asio::buffer(Half));
+  EXPECT_TRUE(readToEnd(Socket).starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a body that is read, or waited for, although the head says
 // that the request is rejected.
 TEST_F(GuardedServerTest, RejectionByHeadComesBeforeTheBody) {
