--- a/Source/Core/Core/Serving/OrderLease.h
+++ b/Source/Core/Core/Serving/OrderLease.h
@@ -46,6 +46,10 @@
   /// Returns true if this host holds the lease, even if it still has to wait
   /// for the previous holder's term.
   bool holds() const { return m_Token.has_value(); }
+  /// Returns true if no other host can hold the lease at \p Now.
+  bool holdsAlone(Instant Now) const {
+    return m_Token.has_value() && isRenewalCurrent(Now);
+  }
 
 private:
   bool isRenewalCurrent(Instant Now) const;
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -67,6 +67,8 @@
   /// records how long it has waited. \p Reason is empty if it is sent.
   void onAdmission(std::string_view Outcome, std::string_view Reason,
                    Duration Waited);
+  /// Counts a request or connection that the server has rejected itself.
+  void onClientRejected(std::string_view Cause);
   void onOrder(std::string_view Result);
   /// Sets the replicas of the models that have too few, as far as this host
   /// gives orders.
@@ -151,6 +153,7 @@
   prometheus::Family<prometheus::Counter> &m_Answers;
   prometheus::Family<prometheus::Counter> &m_AnswerEnds;
   prometheus::Family<prometheus::Counter> &m_AnswersTooLong;
+  prometheus::Family<prometheus::Counter> &m_ClientRejections;
   prometheus::Family<prometheus::Counter> &m_Crashes;
   prometheus::Family<prometheus::Gauge> &m_SuspectCrashes;
   std::map<std::string, prometheus::Gauge *> m_Suspects; ///< By fingerprint.
--- a/Source/Core/Host/OrderLeases.cpp
+++ b/Source/Core/Host/OrderLeases.cpp
@@ -158,6 +158,11 @@
   co_return *Answer;
 }
 
+bool OrderLeases::isHolder(const ZoneId &Zone) const {
+  const auto Found = m_Leases.find(Zone);
+  return Found != m_Leases.end() && Found->second.holdsAlone(bootTime());
+}
+
 void OrderLeases::invalidateHolder(const ZoneId &Zone) {
   if (const auto Found = m_Holders.find(Zone); Found != m_Holders.end())
     Found->second.m_Member.clear();
--- a/Source/Core/Host/OrderLeases.h
+++ b/Source/Core/Host/OrderLeases.h
@@ -25,6 +25,9 @@
   /// The fencing token for an order that is sent now, or nothing when this host
   /// does not hold the lease.
   std::optional<serving::FencingToken> tokenForOrder(const ZoneId &Zone) const;
+  /// Whether this host is the only holder of the lease. It may still have to
+  /// wait before it sends orders.
+  bool isHolder(const ZoneId &Zone) const;
   void onTokenRejected(const ZoneId &Zone, serving::FencingToken Token);
 
   /// The peer address of the holder, or nothing when it is not known. Queries
--- a/Source/Core/Host/QuotaChannel.cpp
+++ b/Source/Core/Host/QuotaChannel.cpp
@@ -14,6 +14,10 @@
 /// Time without requests to a lessor that gave no answer.
 constexpr milliseconds SilencePause{500};
 
+/// Shortest time between two looks for another holder. Each may be a call to
+/// the store.
+constexpr milliseconds LookupInterval{3000};
+
 } // namespace
 
 QuotaChannel::QuotaChannel(HostState &State, OrderLeases &Leases, ZoneId Zone,
@@ -109,15 +113,22 @@
       if (const auto Found = m_Allowances.find(Grant.m_Tenant);
           Found != m_Allowances.end())
         Found->second.onGrant(Grant, bootTime());
-  const bool HasAnswer = Answer && Answer->m_IsLessor;
-  if (!HasAnswer && !Report.m_Requests.empty()) {
+  const bool IsGranted = Answer && Answer->m_IsLessor;
+  if (!IsGranted && !Report.m_Requests.empty()) {
     m_SilentUntil = bootTime() + SilencePause;
-    m_Leases.invalidateHolder(m_Zone);
+    lookUpHolder();
   }
   m_AnsweredReports = m_Reports;
   m_Answered.notifyAll();
 }
 
+void QuotaChannel::lookUpHolder() {
+  if (bootTime() < m_NextLookupAt)
+    return;
+  m_NextLookupAt = bootTime() + LookupInterval;
+  m_Leases.invalidateHolder(m_Zone);
+}
+
 Task<std::optional<QuotaResponse>> QuotaChannel::send(std::string Lessor,
                                                       QuotaReport Report) {
   if (Lessor == m_Leases.member())
--- a/Source/Core/Host/QuotaChannel.h
+++ b/Source/Core/Host/QuotaChannel.h
@@ -46,6 +46,9 @@
   QuotaReport makeReport();
   /// Sends a report and applies the answer.
   Task<void> exchange();
+  /// Lets the holder of the zone be looked up again, if that was not done a
+  /// short time ago.
+  void lookUpHolder();
   Task<std::optional<QuotaResponse>> send(std::string Lessor,
                                           QuotaReport Report);
 
@@ -64,6 +67,7 @@
   std::int64_t m_AnsweredReports = 0; ///< The latest that has ended.
   timers::AsyncCondition m_Answered;
   Instant m_SilentUntil; ///< The lessor gave no answer.
+  Instant m_NextLookupAt;
 };
 
 } // namespace sff::host
--- a/Source/Core/Host/QuotaService.cpp
+++ b/Source/Core/Host/QuotaService.cpp
@@ -129,7 +129,7 @@
 
 void QuotaService::followLeases() {
   for (const ZoneId &Zone : m_Zones) {
-    const bool IsLessor = m_Leases.tokenForOrder(Zone).has_value();
+    const bool IsLessor = m_Leases.isHolder(Zone);
     for (const QuotaPart Part : {QuotaPart::Shared, QuotaPart::Zone}) {
       const LedgerKey Key(Zone, Part);
       if (!IsLessor) {
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -83,6 +83,10 @@
   const bool IsAdmitted = co_await checkCaller();
   if (!IsAdmitted)
     co_return;
+  if (m_Incoming.m_BodyUnread) {
+    co_await refuse(BodyUnreadReason, DefaultRetryAfter);
+    co_return;
+  }
   const bool FitsQuota = co_await takeQuota();
   if (!FitsQuota)
     co_return;
