Send no order to an endpoint whose report says that it leaves

The answer to the read of a report may say that the endpoint leaves. The holder noted that, failed the waiting requests, and still sent the order. The holder now ends the swap instead.

--- a/Source/Core/Host/SwapServiceOrders.cpp
+++ b/Source/Core/Host/SwapServiceOrders.cpp
@@ -143,6 +143,9 @@
   auto Report = co_await fetchReport(Destination);
   if (!Report || Report->m_OrderRunning)
     co_return false;
+  // The answer may have said that the endpoint leaves.
+  if (!m_State.isInUse(Destination.m_Id))
+    co_return false;
   m_ManagedEndpoints[Destination.m_Id].m_Report = std::move(Report);
   co_return true;
 }
