--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -52,7 +52,7 @@
                   [this](const std::string &Service) {
                     return budget(Service).allows(now());
                   }),
-      m_Crashes(m_Platform.m_Store, m_Metrics),
+      m_Crashes(m_Platform.m_Store, m_StoreStatus, m_Metrics),
       m_OwnDemand(serving::DemandRates::DefaultTimeConstant) {
   m_RateLimits.setHosts(m_Hosts);
   m_RejectionLimits.setHosts(m_Hosts);
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -17,6 +17,7 @@
 #include "Host/HostSettings.h"
 #include "Host/LinkMonitor.h"
 #include "Host/Ports.h"
+#include "Host/StoreStatus.h"
 #include "Net/Http/Client.h"
 #include "Net/Timers/AsyncCondition.h"
 
@@ -96,6 +97,7 @@
   /// Memory of the requests and connections of all clients.
   serving::ClientMemory m_ClientMemory;
   HostMetrics m_Metrics;
+  StoreStatus m_StoreStatus;
   /// Notified when the catalogue, the endpoints or their inventories change.
   AsyncCondition m_Changed;
   std::shared_ptr<const serving::Catalogue> m_Catalogue;
