Keep deferred requests from endpoints that are full by the service's average

A host sees a single endpoint seldom, so without a recent report deferred requests were sent to endpoints that others had filled. They now take such an endpoint to be as full as the average of the service's reports of the last 3 s. The room of endpoints is tracked for each service.

Passed: Dispatch*, EndpointRoomTracker* and Admission* of policy_tests (19) and limit_tests (6). HostStreamVersionTest.RefusedRecordOfVersionsIsWrittenAgain failed in one run during which sff-host was linked anew; not traced yet.

--- a/Source/Core/Core/Admission/DispatchQueue.cpp
+++ b/Source/Core/Core/Admission/DispatchQueue.cpp
@@ -247,8 +247,11 @@
     if (Position == Known.end())
       Position = Known.emplace(Id, Capacity.m_RoomOf(Id)).first;
     const EndpointRoom &Room = Position->second;
+    const double Load = Current.m_MayUseReserve
+                            ? Room.m_Load
+                            : std::max(Room.m_Load, Room.m_TypicalLoad);
     if (Now >= Room.m_ClosedUntil &&
-        Room.m_Load < std::min(UsablePart * Room.m_Slots, Room.m_MaxLoad))
+        Load < std::min(UsablePart * Room.m_Slots, Room.m_MaxLoad))
       Found.emplace_back(Room.m_Load / Room.m_Slots, Id);
   }
   std::ranges::sort(Found);
--- a/Source/Core/Core/Admission/EndpointRoomTracker.cpp
+++ b/Source/Core/Core/Admission/EndpointRoomTracker.cpp
@@ -18,6 +18,10 @@
 /// The load at which an endpoint has rejected a request is used for this long.
 /// It may have more slots since.
 constexpr milliseconds MaxRejectionAge{5000};
+/// Reports of the endpoints of a service show their typical load for this long.
+constexpr milliseconds MaxFillAge{3000};
+/// Weight of the latest report in the typical load.
+constexpr double FillWeight = 0.2;
 /// Time between two requests to an endpoint that was full by its last report,
 /// when that report is outdated.
 constexpr milliseconds ProbeInterval{100};
@@ -25,7 +29,8 @@
 } // namespace
 
 void EndpointRoomTracker::onReport(const EndpointId &Id, std::int64_t Load,
-                                   Instant Now) {
+                                   int Slots, Instant Now) {
+  recordFill(Load, Slots, Now);
   Evidence &Known = m_Endpoints[Id];
   Known.m_ReportedAt = Now;
   if (Known.m_FullAt && Load > *Known.m_FullAt)
@@ -34,7 +39,9 @@
 
 void EndpointRoomTracker::onRejected(const EndpointId &Id,
                                      std::optional<std::int64_t> Load,
-                                     Instant Now) {
+                                     int Slots, Instant Now) {
+  if (Load)
+    recordFill(*Load, Slots, Now);
   Evidence &Known = m_Endpoints[Id];
   Known.m_RejectedAt = Now;
   // An endpoint takes at least one request at a time.
@@ -48,6 +55,15 @@
       Now + fromSeconds(toSeconds(Known.m_Pause) * Spread(m_Random));
 }
 
+void EndpointRoomTracker::recordFill(std::int64_t Load, int Slots,
+                                     Instant Now) {
+  const double Fill = static_cast<double>(Load) / std::max(Slots, 1);
+  const bool IsOutdated = Now - m_FillReportedAt > MaxFillAge;
+  m_TypicalFill =
+      IsOutdated ? Fill : m_TypicalFill + FillWeight * (Fill - m_TypicalFill);
+  m_FillReportedAt = Now;
+}
+
 void EndpointRoomTracker::onAccepted(const EndpointId &Id) {
   const auto Found = m_Endpoints.find(Id);
   if (Found == m_Endpoints.end())
@@ -65,6 +81,8 @@
                                        Instant Now) const {
   EndpointRoom Result;
   Result.m_Slots = std::max(Slots, 1);
+  if (Now - m_FillReportedAt <= MaxFillAge)
+    Result.m_TypicalLoad = m_TypicalFill * Result.m_Slots;
   const auto Found = m_Endpoints.find(Id);
   if (Found == m_Endpoints.end())
     return Result;
@@ -77,6 +95,8 @@
   const double MaxLoad = std::min(Result.m_Slots, Result.m_MaxLoad);
   if (Now - Known.m_ReportedAt <= MaxReportAge || EstimatedLoad < MaxLoad) {
     Result.m_Load = std::max(EstimatedLoad, 0.0);
+    if (Now - Known.m_ReportedAt <= MaxReportAge)
+      Result.m_TypicalLoad = 0;
     return Result;
   }
   // One free slot for each interval.
--- a/Source/Core/Core/Admission/EndpointRoomTracker.h
+++ b/Source/Core/Core/Admission/EndpointRoomTracker.h
@@ -15,29 +15,33 @@
   /// Requests that run or wait there, as far as that limits further ones.
   double m_Load = 0;
   double m_Slots = 1;
+  /// The load that the endpoints of the service have lately; for requests that
+  /// leave slots to others. Less than m_Load if the endpoint itself is known.
+  double m_TypicalLoad = 0;
   /// No request is sent there before.
   Instant m_ClosedUntil = {};
   /// The endpoint rejects requests from this load on.
   double m_MaxLoad = std::numeric_limits<double>::infinity();
 };
 
-/// Judges whether endpoints have room, by the reports in their answers and by
-/// their rejections. A host with few requests sees an endpoint seldom, so that
-/// an endpoint counts as full only while there is recent evidence: without any
-/// it is open, and with an outdated report it gets one request at a time.
-/// Thread safety: none.
+/// Judges whether the endpoints of a service have room, by the reports in their
+/// answers and by their rejections. A host with few requests sees an endpoint
+/// seldom, so that an endpoint counts as full only while there is recent
+/// evidence: without any it is open, and with an outdated report it gets one
+/// request at a time. Thread safety: none.
 class EndpointRoomTracker {
 public:
   explicit EndpointRoomTracker(std::uint64_t Seed) : m_Random(Seed) {}
 
   /// Records that an answer of the endpoint named its load.
-  void onReport(const EndpointId &Id, std::int64_t Load, Instant Now);
+  void onReport(const EndpointId &Id, std::int64_t Load, int Slots,
+                Instant Now);
   /// Records that the endpoint rejected a request for want of room. It gets no
   /// request for a time that doubles with each further rejection, and differs
   /// between hosts so that they do not return together. \p Load is the load
   /// that the rejection named.
   void onRejected(const EndpointId &Id, std::optional<std::int64_t> Load,
-                  Instant Now);
+                  int Slots, Instant Now);
   void onAccepted(const EndpointId &Id);
   void onSent(const EndpointId &Id, Instant Now);
   void forget(const EndpointId &Id) { m_Endpoints.erase(Id); }
@@ -48,6 +52,8 @@
                     Instant Now) const;
 
 private:
+  void recordFill(std::int64_t Load, int Slots, Instant Now);
+
   struct Evidence {
     Instant m_ReportedAt;
     Instant m_SentAt;
@@ -60,6 +66,9 @@
 
   std::map<EndpointId, Evidence> m_Endpoints;
   std::mt19937_64 m_Random;
+  /// Moving average of the load per slot in all reports and rejections.
+  double m_TypicalFill = 0;
+  Instant m_FillReportedAt;
 };
 
 } // namespace sff::admission
--- a/Source/Core/Host/AdmissionControl.cpp
+++ b/Source/Core/Host/AdmissionControl.cpp
@@ -25,33 +25,48 @@
                                    const serving::RejectionLimits &Limits,
                                    MayRetry Budget)
     : m_Endpoints(Endpoints), m_Chooser(Chooser), m_Limits(Limits),
-      m_MayRetry(std::move(Budget)), m_Rooms(std::random_device{}()),
-      m_Starts(StartRateTimeConstant) {}
+      m_MayRetry(std::move(Budget)), m_Starts(StartRateTimeConstant) {}
+
+AdmissionControl::Line *AdmissionControl::lineOf(const EndpointId &Id) {
+  const serving::Endpoint *Asked = m_Endpoints.find(Id);
+  return Asked ? &m_Lines[Asked->m_Registration.m_Service] : nullptr;
+}
 
 void AdmissionControl::onSent(const EndpointId &Id, Instant Now) {
-  m_Rooms.onSent(Id, Now);
+  if (Line *Used = lineOf(Id))
+    Used->m_Rooms.onSent(Id, Now);
 }
 
 void AdmissionControl::onReport(const EndpointId &Id, std::int64_t Load,
                                 Instant Now) {
-  m_Rooms.onReport(Id, Load, Now);
+  if (Line *Used = lineOf(Id))
+    Used->m_Rooms.onReport(Id, Load,
+                           m_Endpoints.find(Id)->m_Registration.m_Slots, Now);
 }
 
 void AdmissionControl::onRejected(const EndpointId &Id,
                                   std::optional<std::int64_t> Load,
                                   Instant Now) {
-  m_Rooms.onRejected(Id, Load, Now);
+  if (Line *Used = lineOf(Id))
+    Used->m_Rooms.onRejected(Id, Load,
+                             m_Endpoints.find(Id)->m_Registration.m_Slots, Now);
+}
+
+void AdmissionControl::forget(const EndpointId &Id) {
+  for (auto &[Service, Used] : m_Lines)
+    Used.m_Rooms.forget(Id);
 }
 
 void AdmissionControl::onAccepted(const EndpointId &Id, double Work,
                                   Duration FirstByte, Instant Now) {
-  m_Rooms.onAccepted(Id);
   const serving::Endpoint *Accepting = m_Endpoints.find(Id);
   if (!Accepting)
     return;
   const std::string &Service = Accepting->m_Registration.m_Service;
   m_Starts.add(Service, 1, Now);
-  m_Lines[Service].m_Queue.onFirstByte(Work, FirstByte);
+  Line &Used = m_Lines[Service];
+  Used.m_Rooms.onAccepted(Id);
+  Used.m_Queue.onFirstByte(Work, FirstByte);
   wake(Service, Now);
 }
 
@@ -77,10 +92,16 @@
     return {};
   // The limit itself decides whether a request may be sent; requests ask for it
   // one after another, in the order of the queue.
-  if (m_Limits.limitOf(*Asked, Now))
-    return {.m_Load = 0.5, .m_Slots = 1, .m_ClosedUntil = {}};
-  return m_Rooms.room(Id, m_Chooser.loads().estimate(Id, Now),
-                      Asked->m_Registration.m_Slots, Now);
+  if (m_Limits.limitOf(*Asked, Now)) {
+    admission::EndpointRoom OneAtATime;
+    OneAtATime.m_Load = 0.5;
+    return OneAtATime;
+  }
+  const auto Found = m_Lines.find(Asked->m_Registration.m_Service);
+  if (Found == m_Lines.end())
+    return {};
+  return Found->second.m_Rooms.room(Id, m_Chooser.loads().estimate(Id, Now),
+                                    Asked->m_Registration.m_Slots, Now);
 }
 
 admission::DispatchCapacity
--- a/Source/Core/Host/AdmissionControl.h
+++ b/Source/Core/Host/AdmissionControl.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 namespace sff::host {
@@ -39,7 +40,7 @@
                   Instant Now);
   /// Records that a request of this host at the endpoint has ended.
   void onFinished(const EndpointId &Id, Instant Now);
-  void forget(const EndpointId &Id) { m_Rooms.forget(Id); }
+  void forget(const EndpointId &Id);
 
   std::size_t waiting(const std::string &Service) const;
   double startsPerSecond(const std::string &Service, Instant Now) const;
@@ -48,12 +49,15 @@
   friend class QueuePlace;
 
   struct Line {
+    admission::EndpointRoomTracker m_Rooms{std::random_device{}()};
     admission::DispatchQueue m_Queue;
     std::map<admission::DispatchQueue::Ticket,
              std::shared_ptr<timers::AsyncCondition>>
         m_Sleeping;
   };
 
+  /// The line of the endpoint's service; null if the endpoint is not known.
+  Line *lineOf(const EndpointId &Id);
   admission::DispatchCapacity capacity(const std::string &Service,
                                        Instant Now) const;
   admission::EndpointRoom roomOf(const EndpointId &Id, Instant Now) const;
@@ -64,7 +68,6 @@
   serving::EndpointChooser &m_Chooser;
   const serving::RejectionLimits &m_Limits;
   MayRetry m_MayRetry;
-  admission::EndpointRoomTracker m_Rooms;
   /// Requests that endpoints have begun to answer, by service.
   serving::DemandRates m_Starts;
   std::map<std::string, Line> m_Lines; ///< By service.
--- a/Source/UnitTests/Core/Admission/DispatchQueueTest.cpp
+++ b/Source/UnitTests/Core/Admission/DispatchQueueTest.cpp
@@ -172,11 +172,11 @@
   const Instant Now{std::chrono::hours(1)};
   EndpointRoomTracker Rooms(1);
   EXPECT_LT(Rooms.room(Id, 100, 16, Now).m_Load, 1);
-  Rooms.onReport(Id, 20, Now);
+  Rooms.onReport(Id, 20, 16, Now);
   EXPECT_EQ(Rooms.room(Id, 20, 16, Now).m_Load, 20);
   EXPECT_LT(Rooms.room(Id, 20, 16, Now + milliseconds(1100)).m_Load, 16);
   for (int Count = 0; Count < 10; ++Count)
-    Rooms.onRejected(Id, {}, Now + milliseconds(1000 * Count));
+    Rooms.onRejected(Id, {}, 16, Now + milliseconds(1000 * Count));
   const Instant Latest = Now + milliseconds(9000);
   EXPECT_GT(Rooms.room(Id, 1, 16, Latest).m_ClosedUntil, Latest);
   EXPECT_LE(Rooms.room(Id, 1, 16, Latest).m_ClosedUntil,
@@ -191,12 +191,27 @@
   const EndpointId Id("e1");
   const Instant Now{std::chrono::hours(1)};
   EndpointRoomTracker Rooms(1);
-  Rooms.onRejected(Id, 6, Now);
+  Rooms.onRejected(Id, 6, 16, Now);
   EXPECT_EQ(Rooms.room(Id, 5, 16, Now).m_MaxLoad, 6);
   EXPECT_GT(Rooms.room(Id, 5, 16, Now + milliseconds(5100)).m_MaxLoad, 16);
-  Rooms.onReport(Id, 7, Now);
+  Rooms.onReport(Id, 7, 16, Now);
   EXPECT_GT(Rooms.room(Id, 5, 16, Now).m_MaxLoad, 16);
 }
 
+// Guards against deferred requests that fill the endpoints of which a host with
+// few requests knows nothing, while the others report that they are full.
+TEST(EndpointRoomTrackerTest, LoadOfTheOthersIsTypicalForATime) {
+  const Instant Now{std::chrono::hours(1)};
+  EndpointRoomTracker Rooms(1);
+  const EndpointId Unknown("e2");
+  EXPECT_EQ(Rooms.room(Unknown, 0, 16, Now).m_TypicalLoad, 0);
+  Rooms.onReport(EndpointId("e1"), 24, 16, Now);
+  EXPECT_EQ(Rooms.room(Unknown, 0, 16, Now).m_TypicalLoad, 24);
+  EXPECT_EQ(Rooms.room(Unknown, 0, 16, Now).m_Load, 0);
+  EXPECT_EQ(Rooms.room(EndpointId("e1"), 2, 16, Now).m_TypicalLoad, 0);
+  EXPECT_EQ(Rooms.room(Unknown, 0, 16, Now + milliseconds(3100)).m_TypicalLoad,
+            0);
+}
+
 } // namespace
 } // namespace sff::admission
