--- a/Source/Core/Core/Admission/DispatchQueue.cpp
+++ b/Source/Core/Core/Admission/DispatchQueue.cpp
@@ -25,7 +25,7 @@
 /// A request at the end of its time is promoted this long before its latest
 /// start, so that it need not find a free slot at that very moment.
 constexpr milliseconds PromotionLead{300};
-/// Part of the starts that may go to promoted requests, and how many may be
+/// Share of the starts that may go to promoted requests, and how many may be
 /// saved up.
 constexpr double PromotedShare = 0.25;
 constexpr double MaxPromotions = 2;
@@ -48,7 +48,7 @@
 constexpr milliseconds MinRetryAfter{100};
 /// Callers honour a time of up to this part of what they have left.
 constexpr int PatienceDivisor = 3;
-/// Part of the starts that is promised to callers who return. The rest serves
+/// Share of the starts that is promised to callers who return. The rest serves
 /// those that come first in the meantime.
 constexpr double ReservableShare = 0.6;
 constexpr std::size_t MaxReturning = 1000;
@@ -161,22 +161,22 @@
   const auto Found = m_Ranks.find(Rank);
   if (Found == m_Ranks.end())
     return 1;
-  const RankRecord &Known = Found->second;
-  return (Known.m_Served + 1) / (Known.m_Served + Known.m_Rejected + 1);
+  const RankRecord &Record = Found->second;
+  return (Record.m_Served + 1) / (Record.m_Served + Record.m_Rejected + 1);
 }
 
 bool DispatchQueue::mayPromote(std::int64_t Rank) const {
   if (m_Promotions < 1)
     return false;
-  for (const auto &[Higher, Known] : m_Ranks)
+  for (const auto &[Higher, Record] : m_Ranks)
     if (Higher < Rank && servedShare(Higher) < servedShare(Rank))
       return false;
   return true;
 }
 
 bool DispatchQueue::hasHigherRank(std::int64_t Rank, Instant Now) const {
-  return std::ranges::any_of(m_Ranks, [&](const auto &Known) {
-    return Known.first < Rank && Now - Known.second.m_SeenAt <= RankMemory;
+  return std::ranges::any_of(m_Ranks, [&](const auto &Seen) {
+    return Seen.first < Rank && Now - Seen.second.m_SeenAt <= RankMemory;
   });
 }
 
@@ -233,7 +233,7 @@
 
 std::vector<EndpointId>
 DispatchQueue::findRoom(const Standing &Current,
-                        const DispatchCapacity &Capacity, Loads &Known,
+                        const DispatchCapacity &Capacity, Loads &Rooms,
                         Instant Now) const {
   const DispatchRequest &Request = Current.m_Entry->m_Request;
   std::vector<std::pair<double, EndpointId>> Found;
@@ -243,9 +243,9 @@
                                 ? 1 + m_Limits.m_EarlyShare
                                 : 1 - m_Limits.m_ReservedShare;
   for (const EndpointId &Id : Request.m_Candidates) {
-    auto Position = Known.find(Id);
-    if (Position == Known.end())
-      Position = Known.emplace(Id, Capacity.m_RoomOf(Id)).first;
+    auto Position = Rooms.find(Id);
+    if (Position == Rooms.end())
+      Position = Rooms.emplace(Id, Capacity.m_RoomOf(Id)).first;
     const EndpointRoom &Room = Position->second;
     const double Load = Current.m_MayUseReserve
                             ? Room.m_Load
@@ -299,17 +299,17 @@
   Decision Result;
   m_StartsPerSecond = std::max(Capacity.m_StartsPerSecond, MinStartsPerSecond);
   const auto Order = order(Now);
-  Loads Known;
+  Loads Rooms;
   const Standing *Own = nullptr;
   for (const Standing &Other : Order) {
-    auto Room = findRoom(Other, Capacity, Known, Now);
+    auto Room = findRoom(Other, Capacity, Rooms, Now);
     if (Other.m_Ticket == Place) {
       Own = &Other;
       Result.m_Endpoints = std::move(Room);
       break;
     }
     if (!Room.empty())
-      Known.at(Room.front()).m_Load += 1;
+      Rooms.at(Room.front()).m_Load += 1;
   }
   if (Current.m_IsDisplaced)
     return reject(Place, std::move(Result), Displaced, Now);
@@ -380,19 +380,19 @@
 }
 
 void DispatchQueue::record(std::int64_t Rank, bool IsServed) {
-  RankRecord &Known = m_Ranks[Rank];
-  Known.m_Served = Known.m_Served * RecordDecay + (IsServed ? 1 : 0);
-  Known.m_Rejected = Known.m_Rejected * RecordDecay + (IsServed ? 0 : 1);
+  RankRecord &Record = m_Ranks[Rank];
+  Record.m_Served = Record.m_Served * RecordDecay + (IsServed ? 1 : 0);
+  Record.m_Rejected = Record.m_Rejected * RecordDecay + (IsServed ? 0 : 1);
 }
 
 std::vector<DispatchQueue::Ticket>
 DispatchQueue::ready(const DispatchCapacity &Capacity, Instant Now) {
   std::vector<Ticket> Result;
-  Loads Known;
+  Loads Rooms;
   for (const Standing &Current : order(Now)) {
-    const auto Room = findRoom(Current, Capacity, Known, Now);
+    const auto Room = findRoom(Current, Capacity, Rooms, Now);
     if (!Room.empty())
-      Known.at(Room.front()).m_Load += 1;
+      Rooms.at(Room.front()).m_Load += 1;
     const bool Ends = Current.m_Entry->m_IsDisplaced ||
                       Now >= latestStart(Current.m_Entry->m_Request);
     if (!Room.empty() || Ends)
--- a/Source/Core/Core/Admission/DispatchQueue.h
+++ b/Source/Core/Core/Admission/DispatchQueue.h
@@ -85,10 +85,10 @@
 
   struct Limits {
     std::size_t m_MaxWaiting = 512;
-    /// Part of the slots by which an endpoint may be overfilled. Its own queue
+    /// Share of the slots by which an endpoint may be overfilled. Its own queue
     /// starts the next request without the delay of a message.
     double m_EarlyShare = 0.25;
-    /// Part of the slots that is kept for higher priorities.
+    /// Share of the slots that is kept for higher priorities.
     double m_ReservedShare = 0.125;
   };
 
@@ -164,7 +164,7 @@
   /// relative load first. Looks up unknown loads in \p Capacity.
   std::vector<EndpointId> findRoom(const Standing &Current,
                                    const DispatchCapacity &Capacity,
-                                   Loads &Known, Instant Now) const;
+                                   Loads &Rooms, Instant Now) const;
   Instant nextOpening(const DispatchRequest &Request,
                       const DispatchCapacity &Capacity, Instant Now) const;
   void predict(Decision &Result, const std::vector<Standing> &Order,
--- a/Source/Core/Core/Admission/EndpointRoomTracker.cpp
+++ b/Source/Core/Core/Admission/EndpointRoomTracker.cpp
@@ -31,10 +31,10 @@
 void EndpointRoomTracker::onReport(const EndpointId &Id, std::int64_t Load,
                                    int Slots, Instant Now) {
   recordFill(Load, Slots, Now);
-  Evidence &Known = m_Endpoints[Id];
-  Known.m_ReportedAt = Now;
-  if (Known.m_FullAt && Load > *Known.m_FullAt)
-    Known.m_FullAt.reset();
+  Evidence &Latest = m_Endpoints[Id];
+  Latest.m_ReportedAt = Now;
+  if (Latest.m_FullAt && Load > *Latest.m_FullAt)
+    Latest.m_FullAt.reset();
 }
 
 void EndpointRoomTracker::onRejected(const EndpointId &Id,
@@ -42,17 +42,17 @@
                                      int Slots, Instant Now) {
   if (Load)
     recordFill(*Load, Slots, Now);
-  Evidence &Known = m_Endpoints[Id];
-  Known.m_RejectedAt = Now;
+  Evidence &Latest = m_Endpoints[Id];
+  Latest.m_RejectedAt = Now;
   // An endpoint takes at least one request at a time.
-  Known.m_FullAt = Load && *Load > 0 ? Load : std::nullopt;
+  Latest.m_FullAt = Load && *Load > 0 ? Load : std::nullopt;
   // Rejections of requests that were sent together are one piece of evidence.
-  if (Now < Known.m_PausedUntil)
+  if (Now < Latest.m_PausedUntil)
     return;
-  Known.m_Pause = std::clamp<Duration>(2 * Known.m_Pause, MinPause, MaxPause);
+  Latest.m_Pause = std::clamp<Duration>(2 * Latest.m_Pause, MinPause, MaxPause);
   std::uniform_real_distribution<double> Spread(1, MaxPauseSpread);
-  Known.m_PausedUntil =
-      Now + fromSeconds(toSeconds(Known.m_Pause) * Spread(m_Random));
+  Latest.m_PausedUntil =
+      Now + fromSeconds(toSeconds(Latest.m_Pause) * Spread(m_Random));
 }
 
 void EndpointRoomTracker::recordFill(std::int64_t Load, int Slots,
@@ -86,23 +86,23 @@
   const auto Found = m_Endpoints.find(Id);
   if (Found == m_Endpoints.end())
     return Result;
-  const Evidence &Known = Found->second;
-  Result.m_ClosedUntil = Known.m_PausedUntil;
-  if (Known.m_FullAt && Now - Known.m_RejectedAt <= MaxRejectionAge)
-    Result.m_MaxLoad = static_cast<double>(*Known.m_FullAt);
-  if (Known.m_ReportedAt == Instant())
+  const Evidence &Latest = Found->second;
+  Result.m_ClosedUntil = Latest.m_PausedUntil;
+  if (Latest.m_FullAt && Now - Latest.m_RejectedAt <= MaxRejectionAge)
+    Result.m_MaxLoad = static_cast<double>(*Latest.m_FullAt);
+  if (Latest.m_ReportedAt == Instant())
     return Result;
   const double MaxLoad = std::min(Result.m_Slots, Result.m_MaxLoad);
-  if (Now - Known.m_ReportedAt <= MaxReportAge || EstimatedLoad < MaxLoad) {
+  if (Now - Latest.m_ReportedAt <= MaxReportAge || EstimatedLoad < MaxLoad) {
     Result.m_Load = std::max(EstimatedLoad, 0.0);
-    if (Now - Known.m_ReportedAt <= MaxReportAge)
+    if (Now - Latest.m_ReportedAt <= MaxReportAge)
       Result.m_TypicalLoad = 0;
     return Result;
   }
   // One free slot for each interval.
   Result.m_Load = MaxLoad - 1;
   Result.m_ClosedUntil =
-      std::max(Result.m_ClosedUntil, Known.m_SentAt + ProbeInterval);
+      std::max(Result.m_ClosedUntil, Latest.m_SentAt + ProbeInterval);
   return Result;
 }
 
--- a/Source/Core/Core/Quota/QuotaLedger.cpp
+++ b/Source/Core/Core/Quota/QuotaLedger.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Part of what is free that one host may hold for requests that have not come
+/// Share of what is free that one host may hold for requests that have not come
 /// yet. The rest is left to hosts whose demand rises.
 constexpr double MaxShareAhead = 0.1;
 constexpr milliseconds MinRetryAfter{200};
--- a/Source/Core/Core/Quota/QuotaLimits.cpp
+++ b/Source/Core/Core/Quota/QuotaLimits.cpp
@@ -9,7 +9,7 @@
 constexpr double BudgetShare = 0.5;
 constexpr double BurstShare = 0.25;
 constexpr double ReserveShare = 0.25;
-/// Part of the quota that the zones share.
+/// Share of the quota that the zones share.
 constexpr double SharedShare = 0.7;
 
 } // namespace
@@ -19,8 +19,8 @@
           m_Burst + BurstShare * m_Tolerance};
 }
 
-QuotaBudget QuotaLimits::budget(QuotaPart Part, std::size_t Zones) const {
-  const double Share = Part == QuotaPart::Shared
+QuotaBudget QuotaLimits::budget(QuotaScope Scope, std::size_t Zones) const {
+  const double Share = Scope == QuotaScope::Shared
                            ? SharedShare
                            : (1 - SharedShare) / static_cast<double>(Zones);
   return {Share * total().m_Window, Share * total().m_AtOnce};
--- a/Source/Core/Core/Quota/QuotaLimits.h
+++ b/Source/Core/Core/Quota/QuotaLimits.h
@@ -14,12 +14,12 @@
 /// By how much all hosts together may exceed a tenant's quota in a window.
 struct QuotaTolerance {
   Duration m_Window{std::chrono::seconds(8)};
-  double m_Overshoot = 0; ///< Part of the quota of a window.
+  double m_Overshoot = 0; ///< Share of the quota of a window.
   double m_Slack = 0;     ///< Units, beside the overshoot.
 };
 
 /// The parts of a tenant's quota, each with a lessor of its own.
-enum class QuotaPart {
+enum class QuotaScope {
   /// Most of the quota, for the hosts of all availability zones. Demand may be
   /// spread over the zones in any way.
   Shared,
@@ -28,8 +28,8 @@
   Zone
 };
 
-NLOHMANN_JSON_SERIALIZE_ENUM(QuotaPart, {{QuotaPart::Shared, "shared"},
-                                         {QuotaPart::Zone, "zone"}})
+NLOHMANN_JSON_SERIALIZE_ENUM(QuotaScope, {{QuotaScope::Shared, "shared"},
+                                          {QuotaScope::Zone, "zone"}})
 
 /// What one lessor may grant.
 struct QuotaBudget {
@@ -49,8 +49,8 @@
   /// What all lessors may grant together: the quota and a half of the
   /// tolerance.
   QuotaBudget total() const;
-  /// What the lessor of \p Part may grant. Precondition: \p Zones > 0.
-  QuotaBudget budget(QuotaPart Part, std::size_t Zones) const;
+  /// What the lessor of \p Scope may grant. Precondition: \p Zones > 0.
+  QuotaBudget budget(QuotaScope Scope, std::size_t Zones) const;
   /// What a host may use in a window beside what it was granted, so that one
   /// that reaches no lessor serves small requests. Precondition: \p Hosts > 0.
   double hostReserve(std::size_t Hosts) const;
--- a/Source/Core/Core/Serving/EndpointChooser.cpp
+++ b/Source/Core/Core/Serving/EndpointChooser.cpp
@@ -25,7 +25,7 @@
 /// Endpoints whose times differ by less than that of this many requests count
 /// as equal.
 constexpr double TieRequests = 0.25;
-/// Part of the mean service time within which the requests that other hosts
+/// Fraction of the mean service time within which the requests that other hosts
 /// send do not appear in the reports yet.
 constexpr double ReportDelay = 0.25;
 /// Weighting of reports of the load by age.
--- a/Source/Core/Core/Serving/EngineLoad.h
+++ b/Source/Core/Core/Serving/EngineLoad.h
@@ -89,7 +89,7 @@
     bool m_IsUnderPressure = false;
 
     double ratePerReplica() const;
-    /// Part of the capacity that the model's requests need.
+    /// Fraction of the capacity that the model's requests need.
     double utilization() const;
   };
 
--- a/Source/Core/Core/Serving/StoreReadTimes.cpp
+++ b/Source/Core/Core/Serving/StoreReadTimes.cpp
@@ -15,7 +15,7 @@
 /// EndpointDirectory::ExpiryGracePeriod leaves a second for this and a read.
 constexpr milliseconds MaxIntervalAfterOutage{800};
 constexpr double CatalogueShare = 0.75;
-/// Part of the longest age of a proof that one read may wait. Just before a
+/// Fraction of the longest age of a proof that one read may wait. Just before a
 /// read is answered, the proof is two waits old.
 constexpr double ProofShare = 0.25;
 /// Bounded because a dead connection is noticed only by the next read.
--- a/Source/Core/Host/DemandRouter.cpp
+++ b/Source/Core/Host/DemandRouter.cpp
@@ -56,11 +56,11 @@
 
 void DemandRouter::onSent(const serving::ModelName &Name,
                           const EndpointId &Endpoint) {
-  const serving::Endpoint *Known = m_State.m_Endpoints.find(Endpoint);
-  if (Name.m_Model.empty() || !Known || Known->m_Registration.m_Slots <= 0)
+  const serving::Endpoint *Target = m_State.m_Endpoints.find(Endpoint);
+  if (Name.m_Model.empty() || !Target || Target->m_Registration.m_Slots <= 0)
     return;
   if (m_State.m_Chooser.loads().estimate(Endpoint, now()) >
-      Known->m_Registration.m_Slots)
+      Target->m_Registration.m_Slots)
     onFull(Name);
 }
 
@@ -75,9 +75,9 @@
 void DemandRouter::onCompleted(const std::string &Route,
                                const EndpointId &Endpoint, Instant SentAt) {
   // A request that waited for a slot says nothing of the endpoint's speed.
-  const serving::Endpoint *Known = m_State.m_Endpoints.find(Endpoint);
-  if (Known && m_State.m_Chooser.loads().estimate(Endpoint, now()) <=
-                   Known->m_Registration.m_Slots)
+  const serving::Endpoint *Target = m_State.m_Endpoints.find(Endpoint);
+  if (Target && m_State.m_Chooser.loads().estimate(Endpoint, now()) <=
+                    Target->m_Registration.m_Slots)
     m_Work.onCompleted(Route, Endpoint, now() - SentAt);
 }
 
--- a/Source/Core/Host/HostSettings.h
+++ b/Source/Core/Host/HostSettings.h
@@ -191,8 +191,9 @@
     .m_Default = 0.0,
     .m_Unit = "",
     .m_Range = {0, 10},
-    .m_Doc = "Part of a tenant's quota by which all hosts together may exceed "
-             "it in a window."};
+    .m_Doc =
+        "Fraction of a tenant's quota by which all hosts together may exceed "
+        "it in a window."};
 
 inline const Setting<double> QuotaSlackSetting{
     .m_Section = "quota",
--- a/Source/Core/Host/QuotaChannel.cpp
+++ b/Source/Core/Host/QuotaChannel.cpp
@@ -21,9 +21,9 @@
 } // namespace
 
 QuotaChannel::QuotaChannel(HostState &State, OrderLeases &Leases, ZoneId Zone,
-                           quota::QuotaPart Part, Duration Window,
+                           quota::QuotaScope Scope, Duration Window,
                            Handler HandleLocally)
-    : m_State(State), m_Leases(Leases), m_Zone(std::move(Zone)), m_Part(Part),
+    : m_State(State), m_Leases(Leases), m_Zone(std::move(Zone)), m_Scope(Scope),
       m_Window(Window), m_HandleLocally(std::move(HandleLocally)),
       m_Peers(State.m_Context.get_executor()) {}
 
@@ -87,7 +87,7 @@
 QuotaReport QuotaChannel::makeReport() {
   QuotaReport Result;
   Result.m_Zone = m_Zone;
-  Result.m_Part = m_Part;
+  Result.m_Scope = m_Scope;
   Result.m_Process =
       HostId(m_Leases.member() + "/" + m_State.m_Identity.m_Incarnation);
   const auto Needed = std::exchange(m_Needed, {});
--- a/Source/Core/Host/QuotaChannel.h
+++ b/Source/Core/Host/QuotaChannel.h
@@ -23,7 +23,7 @@
   /// this host is that holder. Precondition: \p State and \p Leases outlive the
   /// run of the io_context.
   QuotaChannel(HostState &State, OrderLeases &Leases, ZoneId Zone,
-               quota::QuotaPart Part, Duration Window, Handler HandleLocally);
+               quota::QuotaScope Scope, Duration Window, Handler HandleLocally);
   // Its coroutines refer to it.
   QuotaChannel(const QuotaChannel &) = delete;
   QuotaChannel &operator=(const QuotaChannel &) = delete;
@@ -55,7 +55,7 @@
   HostState &m_State;
   OrderLeases &m_Leases;
   ZoneId m_Zone;
-  quota::QuotaPart m_Part;
+  quota::QuotaScope m_Scope;
   Duration m_Window;
   Handler m_HandleLocally;
   http::Client m_Peers;
--- a/Source/Core/Host/QuotaMessages.h
+++ b/Source/Core/Host/QuotaMessages.h
@@ -17,14 +17,14 @@
 /// that are assigned to the zone.
 struct QuotaReport {
   ZoneId m_Zone;
-  quota::QuotaPart m_Part = quota::QuotaPart::Zone;
+  quota::QuotaScope m_Scope = quota::QuotaScope::Zone;
   HostId m_Process; ///< The host and its incarnation: use ends with a process.
   std::vector<quota::GrantRequest> m_Requests;
 
   static constexpr auto describe() {
     using codec::field;
     return std::make_tuple(field("zone", &QuotaReport::m_Zone),
-                           field("part", &QuotaReport::m_Part),
+                           field("scope", &QuotaReport::m_Scope),
                            field("process", &QuotaReport::m_Process),
                            field("requests", &QuotaReport::m_Requests));
   }
--- a/Source/Core/Host/QuotaService.cpp
+++ b/Source/Core/Host/QuotaService.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-using quota::QuotaPart;
+using quota::QuotaScope;
 
 constexpr auto LogCategory = log::Category::Routing;
 
@@ -40,11 +40,11 @@
     : m_State(State), m_Leases(Leases),
       m_Tolerance(toleranceOf(State.m_Settings)), m_Zones(zonesOf(State)),
       m_OwnZone(
-          State, Leases, State.m_Zone, QuotaPart::Zone, m_Tolerance.m_Window,
+          State, Leases, State.m_Zone, QuotaScope::Zone, m_Tolerance.m_Window,
           [this](const QuotaReport &Report) { return onReport(Report); }) {
   for (const ZoneId &Zone : m_Zones)
     m_Shared.try_emplace(
-        Zone, State, Leases, Zone, QuotaPart::Shared, m_Tolerance.m_Window,
+        Zone, State, Leases, Zone, QuotaScope::Shared, m_Tolerance.m_Window,
         [this](const QuotaReport &Report) { return onReport(Report); });
 }
 
@@ -64,8 +64,9 @@
   return Owner ? quota::limitsOf(Owner->m_Quota, m_Tolerance) : std::nullopt;
 }
 
-QuotaChannel &QuotaService::channel(const std::string &Tenant, QuotaPart Part) {
-  if (Part == QuotaPart::Zone)
+QuotaChannel &QuotaService::channel(const std::string &Tenant,
+                                    QuotaScope Scope) {
+  if (Scope == QuotaScope::Zone)
     return m_OwnZone;
   return m_Shared.at(
       m_Zones[std::hash<std::string>()(Tenant) % m_Zones.size()]);
@@ -82,10 +83,10 @@
       quota::costOf(m_State.m_Catalogue->m_Tenants.findByName(Tenant)->m_Quota,
                     PromptTokens, OutputTokens);
   m_State.m_Metrics.onQuota(Tenant, "requested", Result.m_Cost);
-  QuotaPart Part = QuotaPart::Shared;
-  Result.m_Fits = co_await channel(Tenant, Part).take(Tenant, Result.m_Cost);
+  QuotaScope Scope = QuotaScope::Shared;
+  Result.m_Fits = co_await channel(Tenant, Scope).take(Tenant, Result.m_Cost);
   if (!Result.m_Fits) {
-    Part = QuotaPart::Zone;
+    Scope = QuotaScope::Zone;
     m_OwnZone.allowance(Tenant).setReserve(Limits->hostReserve(m_State.hosts()),
                                            bootTime());
     Result.m_Fits = co_await m_OwnZone.take(Tenant, Result.m_Cost);
@@ -93,18 +94,19 @@
   m_State.m_Metrics.onQuota(Tenant, Result.m_Fits ? "admitted" : "rejected",
                             Result.m_Cost);
   const quota::TenantAllowance &Shared =
-      channel(Tenant, QuotaPart::Shared).allowance(Tenant);
+      channel(Tenant, QuotaScope::Shared).allowance(Tenant);
   Result.m_Held = Shared.held(bootTime());
   Result.m_RetryAfter = Shared.retryAfter();
   if (const auto Age = Shared.grantAge(bootTime()))
     Result.m_GrantAge = toMilliseconds(*Age);
   if (Result.m_Fits)
-    Result.m_Use = QuotaUse{std::move(Tenant), Part, Result.m_Cost, bootTime()};
+    Result.m_Use =
+        QuotaUse{std::move(Tenant), Scope, Result.m_Cost, bootTime()};
   co_return Result;
 }
 
 void QuotaService::refund(const QuotaUse &Use) {
-  channel(Use.m_Tenant, Use.m_Part)
+  channel(Use.m_Tenant, Use.m_Scope)
       .refund(Use.m_Tenant, Use.m_Cost, Use.m_TakenAt);
   m_State.m_Metrics.onQuota(Use.m_Tenant, "refunded", Use.m_Cost);
 }
@@ -130,8 +132,8 @@
 void QuotaService::followLeases() {
   for (const ZoneId &Zone : m_Zones) {
     const bool IsLessor = m_Leases.isHolder(Zone);
-    for (const QuotaPart Part : {QuotaPart::Shared, QuotaPart::Zone}) {
-      const LedgerKey Key(Zone, Part);
+    for (const QuotaScope Scope : {QuotaScope::Shared, QuotaScope::Zone}) {
+      const LedgerKey Key(Zone, Scope);
       if (!IsLessor) {
         m_Ledgers.erase(Key);
         continue;
@@ -141,7 +143,8 @@
       if (!IsNew)
         continue;
       Entry->second.begin(bootTime());
-      log::info(LogCategory, "quota.lessor", {{"zone", Zone}, {"part", Part}});
+      log::info(LogCategory, "quota.lessor",
+                {{"zone", Zone}, {"scope", Scope}});
     }
   }
 }
@@ -149,18 +152,18 @@
 QuotaResponse QuotaService::onReport(const QuotaReport &Report) {
   QuotaResponse Result;
   followLeases();
-  const auto Ledger = m_Ledgers.find({Report.m_Zone, Report.m_Part});
+  const auto Ledger = m_Ledgers.find({Report.m_Zone, Report.m_Scope});
   if (Ledger == m_Ledgers.end())
     return Result;
   Result.m_IsLessor = true;
   for (const quota::GrantRequest &Request : Report.m_Requests) {
     const auto Limits = limitsOf(Request.m_Tenant);
     const quota::QuotaBudget Budget =
-        Limits ? Limits->budget(Report.m_Part, m_Zones.size())
+        Limits ? Limits->budget(Report.m_Scope, m_Zones.size())
                : quota::QuotaBudget();
     Result.m_Grants.push_back(Ledger->second.onRequest(
         Report.m_Process, Request, Budget, bootTime()));
-    if (Report.m_Part == QuotaPart::Shared)
+    if (Report.m_Scope == QuotaScope::Shared)
       m_State.m_Metrics.setQuotaUsed(
           Request.m_Tenant, Ledger->second.used(Request.m_Tenant, bootTime()));
   }
--- a/Source/Core/Host/QuotaService.h
+++ b/Source/Core/Host/QuotaService.h
@@ -13,7 +13,7 @@
 /// What a request has taken from a tenant's quota.
 struct QuotaUse {
   std::string m_Tenant;
-  quota::QuotaPart m_Part = quota::QuotaPart::Shared;
+  quota::QuotaScope m_Scope = quota::QuotaScope::Shared;
   double m_Cost = 0; ///< In the unit of the quota.
   Instant m_TakenAt;
 };
@@ -54,12 +54,12 @@
   QuotaResponse onReport(const QuotaReport &Report);
 
 private:
-  using LedgerKey = std::pair<ZoneId, quota::QuotaPart>;
+  using LedgerKey = std::pair<ZoneId, quota::QuotaScope>;
 
   /// The limits of a tenant in the newest catalogue.
   std::optional<quota::QuotaLimits> limitsOf(const std::string &Tenant) const;
   /// The channel to the lessor of a part of the tenant's quota.
-  QuotaChannel &channel(const std::string &Tenant, quota::QuotaPart Part);
+  QuotaChannel &channel(const std::string &Tenant, quota::QuotaScope Scope);
   Task<void> reportPeriodically(QuotaChannel &Reporting);
   /// Begins the books of the zones whose holder this host has become.
   void followLeases();
--- a/Source/UnitTests/Core/Admission/DispatchSimulation.cpp
+++ b/Source/UnitTests/Core/Admission/DispatchSimulation.cpp
@@ -9,7 +9,7 @@
 
 constexpr Instant Start{std::chrono::hours(1)};
 constexpr milliseconds Step{10};
-/// Part of the work after which an answer begins.
+/// Fraction of the work after which an answer begins.
 constexpr double FirstByteShare = 0.3;
 /// Cost of a lost request by its priority.
 constexpr std::array<double, 3> RankWeights = {4, 2, 1};
--- a/Source/UnitTests/Core/Quota/QuotaTest.cpp
+++ b/Source/UnitTests/Core/Quota/QuotaTest.cpp
@@ -248,9 +248,9 @@
   ASSERT_TRUE(Limits);
   EXPECT_DOUBLE_EQ(Limits->m_Quota, 850);
   EXPECT_DOUBLE_EQ(Limits->m_Tolerance, 115);
-  double Parts = Limits->budget(QuotaPart::Shared, 3).m_Window;
+  double Parts = Limits->budget(QuotaScope::Shared, 3).m_Window;
   for (int Zone = 0; Zone < 3; ++Zone)
-    Parts += Limits->budget(QuotaPart::Zone, 3).m_Window;
+    Parts += Limits->budget(QuotaScope::Zone, 3).m_Window;
   EXPECT_NEAR(Parts, Limits->total().m_Window, 1e-6);
   Quota.m_RatePerSecond = 0;
   EXPECT_FALSE(limitsOf(Quota, {Window, 0.1, 30}));
--- a/Source/UnitTests/Core/Serving/EndpointChoiceSimulationTest.cpp
+++ b/Source/UnitTests/Core/Serving/EndpointChoiceSimulationTest.cpp
@@ -18,7 +18,7 @@
 constexpr int Slots = 24;
 constexpr int Capacity = 4 * Slots; ///< Running and waiting.
 constexpr double ServiceSeconds = 0.25;
-/// Part of the service time up to the first byte.
+/// Fraction of the service time up to the first byte.
 constexpr double FirstBytePart = 0.2;
 constexpr double LateSeconds = 0.4;
 
--- a/Source/UnitTests/Host/StoreFollowerTest.cpp
+++ b/Source/UnitTests/Host/StoreFollowerTest.cpp
@@ -1,32 +1,20 @@
 #include "Host/FakeStore.h"
+#include "Host/HostTestSettings.h"
 
 #include "Core/Serving/StoreReadTimes.h"
 #include "Host/StoreFollower.h"
 
 #include <gtest/gtest.h>
 
-#include <boost/leaf/handle_errors.hpp>
-
 namespace sff::host {
 namespace {
 
-settings::Settings makeSettings() {
-  const nlohmann::json Document = {
-      {"process", {{"host", "h1"}, {"zone", "zone-a"}, {"zones", {"zone-a"}}}},
-      {"listen",
-       {{"callers", "127.0.0.1:1"},
-        {"readiness", "127.0.0.1:2"},
-        {"peers", "127.0.0.1:3"},
-        {"metrics", "127.0.0.1:4"}}},
-      {"store", {{"address", "127.0.0.1:5"}}}};
-  return hostSchema().check(Document, "test").value();
-}
-
 class StoreFollowerTest : public testing::Test {
 protected:
   StoreFollowerTest()
       : m_Store(std::make_shared<FakeStore>()),
-        m_State(m_Context, makeSettings(), {"sff-host", "h1", "zone-a", "i"},
+        m_State(m_Context, makeTestSettings(),
+                {"sff-host", "h1", "zone-a", "i"},
                 {nullptr, m_Store, nullptr,
                  std::make_shared<FakeHealthChecker>(), nullptr}),
         m_Leases(m_State, "127.0.0.1:3"), m_Streams(m_State, m_Leases),
