--- a/Source/Core/Core/Serving/Catalogue.cpp
+++ b/Source/Core/Core/Serving/Catalogue.cpp
@@ -68,8 +68,8 @@
                                 RoutePriority);
   }
   std::ranges::sort(m_Priorities);
-  const auto Repeated = std::ranges::unique(m_Priorities);
-  m_Priorities.erase(Repeated.begin(), Repeated.end());
+  m_Priorities.erase(std::unique(m_Priorities.begin(), m_Priorities.end()),
+                     m_Priorities.end());
 }
 
 std::int64_t Catalogue::priorityRank(std::optional<std::int64_t> TenantPriority,
