--- a/Source/UnitTests/Core/Serving/ClientMemoryTest.cpp
+++ b/Source/UnitTests/Core/Serving/ClientMemoryTest.cpp
@@ -93,6 +93,7 @@
   const auto Steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
       rc::gen::pair(rc::gen::inRange(0, 8),
                     rc::gen::inRange(0, static_cast<int>(Capacity))));
+  Shares.reserve(8);
   for (int Number = 0; Number < 8; ++Number)
     Shares.push_back(std::make_unique<Share>(Budget, [] {}));
   for (const auto &[Index, Size] : Steps) {
--- a/Source/UnitTests/Core/Tenants/CallerIdentityTest.cpp
+++ b/Source/UnitTests/Core/Tenants/CallerIdentityTest.cpp
@@ -92,8 +92,10 @@
 
 // Guards against ranks beyond what endpoints accept.
 TEST(CallerIdentityTest, RanksStayInTheRangeOfEndpoints) {
+  constexpr int Count = 20;
   std::vector<Tenant> Tenants;
-  for (int Priority = 0; Priority < 20; ++Priority)
+  Tenants.reserve(Count);
+  for (int Priority = 0; Priority < Count; ++Priority)
     Tenants.push_back(
         makeTenant("t", "k" + std::to_string(Priority), Priority));
   const auto Catalogue = makeCatalogue(std::move(Tenants));
