Mend what a first reader of the change stumbled on

A request that came while a lessor gave no answer waited out its limit; a displaced request got the shortest Retry-After; the gauge of used quota showed the latest of several tenants as one; a lessor now answers only for tenants that are assigned to its zone. Comments say what the code does.

--- a/Source/Core/Core/Admission/DispatchQueue.cpp
+++ b/Source/Core/Core/Admission/DispatchQueue.cpp
@@ -311,8 +311,10 @@
     if (!Room.empty())
       Rooms.at(Room.front()).m_Load += 1;
   }
-  if (Current.m_IsDisplaced)
+  if (Current.m_IsDisplaced) {
+    predict(Result, Order, *Own, Capacity, Now);
     return reject(Place, std::move(Result), Displaced, Now);
+  }
   if (!Result.m_Endpoints.empty()) {
     Result.m_Verdict = Verdict::Send;
     return Result;
--- a/Source/Core/Core/Admission/DispatchQueue.h
+++ b/Source/Core/Core/Admission/DispatchQueue.h
@@ -20,6 +20,7 @@
 
 /// A request that competes for the slots of endpoints.
 struct DispatchRequest {
+  /// The same for all attempts of one request of a caller; need not be unique.
   RequestId m_Request;
   std::int64_t m_Rank = 0; ///< Priority; 0 is the highest.
   Instant m_Arrival;
@@ -70,7 +71,8 @@
 ///    sent soon, by priority.
 /// 3. Requests that can meet their target latency, by priority. Those whose
 ///    caller has returned after a rejection come first among equals, then those
-///    with the least slack, where a request with more work has more.
+///    with the earliest target latency plus expected time to the first byte, so
+///    that short requests come first among equals.
 /// 4. Requests that have missed their target latency, by priority, together
 ///    with those of lower priorities that still have half of their target left,
 ///    or are served more often.
@@ -138,6 +140,8 @@
     Ticket m_Ticket = 0;
     StandingClass m_Class = Promoted;
     bool m_MayUseReserve = true;
+    /// Target or deadline plus the expected time to the first byte: a sort key,
+    /// not a limit.
     Instant m_Due;
 
     bool operator<(const Standing &Other) const;
--- a/Source/Core/Core/Admission/EndpointRoomTracker.h
+++ b/Source/Core/Core/Admission/EndpointRoomTracker.h
@@ -15,8 +15,9 @@
   /// Requests that run or wait there, as far as that limits further ones.
   double m_Load = 0;
   double m_Slots = 1;
-  /// The load that the endpoints of the service have lately; for requests that
-  /// leave slots to others. Less than m_Load if the endpoint itself is known.
+  /// Average load of the service's endpoints, scaled to m_Slots, for requests
+  /// that leave slots to others; 0 if this endpoint has reported lately or no
+  /// endpoint has.
   double m_TypicalLoad = 0;
   /// No request is sent there before.
   Instant m_ClosedUntil = {};
--- a/Source/Core/Core/Quota/GrantMessages.h
+++ b/Source/Core/Core/Quota/GrantMessages.h
@@ -8,7 +8,8 @@
 
 namespace sff::quota {
 
-/// What a host tells the lessor of its availability zone about one tenant.
+/// What a host tells a lessor, which grants a part of the tenants' quotas to
+/// hosts, about one tenant. Amounts are in the unit of the quota.
 struct GrantRequest {
   std::string m_Tenant;
   /// Rises with each request of the host for the tenant.
--- a/Source/Core/Core/Quota/QuotaLedger.cpp
+++ b/Source/Core/Core/Quota/QuotaLedger.cpp
@@ -74,7 +74,7 @@
   Result.m_Tenant = Request.m_Tenant;
   Result.m_Number = Request.m_Number;
   Result.m_Amount = Use.m_Held;
-  // A copy, or one that has been overtaken, does not change the books.
+  // A copy, or one that has been overtaken, does not change the records.
   if (Request.m_Number <= Use.m_Number)
     return Result;
   Use.m_Number = Request.m_Number;
--- a/Source/Core/Core/Quota/QuotaLedger.h
+++ b/Source/Core/Core/Quota/QuotaLedger.h
@@ -11,9 +11,9 @@
 
 namespace sff::quota {
 
-/// The books of a lessor: what its hosts have used of the tenants' quotas, and
-/// what they hold. What is used and held together stays within the budget of
-/// the lessor for each window.
+/// The records of a lessor: what its hosts have used of the tenants' quotas,
+/// and what they hold. What is used and held together stays within the budget
+/// of the lessor for each window.
 ///
 /// A token bucket spreads the grants over the window, so that a tenant above
 /// its quota does not use it up at once and then get nothing for the rest.
@@ -42,7 +42,8 @@
                   const QuotaBudget &Budget, Instant Now);
   /// What the hosts have used in the last window, and hold.
   double used(const std::string &Tenant, Instant Now);
-  /// Hosts that have used the tenant's quota in the last window.
+  /// Hosts with use or grants that had not expired at the latest call of
+  /// onRequest() or used().
   std::size_t hosts(const std::string &Tenant) const;
 
 private:
--- a/Source/Core/Core/Quota/QuotaLimits.cpp
+++ b/Source/Core/Core/Quota/QuotaLimits.cpp
@@ -4,8 +4,9 @@
 
 namespace {
 
-/// Parts of the tolerance. The rest covers grants that a new lessor does not
-/// know of.
+/// Shares of the tolerance: what lessors may grant, the part of that which they
+/// may grant at once, and what hosts may use without a grant. The remaining
+/// quarter covers grants that a new lessor does not know of.
 constexpr double BudgetShare = 0.5;
 constexpr double BurstShare = 0.25;
 constexpr double ReserveShare = 0.25;
--- a/Source/Core/Core/Quota/TenantAllowance.h
+++ b/Source/Core/Core/Quota/TenantAllowance.h
@@ -30,7 +30,9 @@
   void recordDemand(double Cost, Instant Now);
   /// Uses \p Cost for a request. Returns false if it does not fit.
   bool tryTake(double Cost, Instant Now);
-  /// Gives back what was taken at \p TakenAt for a request that has not run.
+  /// Takes \p Cost, taken at \p TakenAt for a request that has not run, out of
+  /// the use that is reported. The host may use it again once it is granted
+  /// anew.
   void refund(double Cost, Instant TakenAt, Instant Now);
 
   /// The request to the lessor. \p Needed is the cost of requests that wait for
--- a/Source/Core/Core/Serving/DemandPressure.cpp
+++ b/Source/Core/Core/Serving/DemandPressure.cpp
@@ -14,8 +14,8 @@
 /// The holders have forgotten the short-term demand after this time without a
 /// request.
 constexpr milliseconds QuietTime{10000};
-/// Added to the minimum interval of early reports for each host, so that a
-/// holder gets at most 200 of them in a second.
+/// Interval of early reports for each host where that is above the minimum, so
+/// that a holder gets at most 200 of them in a second.
 constexpr milliseconds MinIntervalPerHost{5};
 constexpr milliseconds SignWindow{1000};
 /// A single send to a full endpoint may follow an outdated load estimate.
--- a/Source/Core/Core/Tenants/Tenant.h
+++ b/Source/Core/Core/Tenants/Tenant.h
@@ -45,7 +45,7 @@
 
   TenantIndex() = default;
   explicit TenantIndex(std::vector<Tenant> Tenants);
-  // The index points into the list.
+  // Not copied by accident: it holds all keys.
   TenantIndex(const TenantIndex &) = delete;
   TenantIndex &operator=(const TenantIndex &) = delete;
   TenantIndex(TenantIndex &&) = default;
--- a/Source/Core/Host/ClientGuard.h
+++ b/Source/Core/Host/ClientGuard.h
@@ -8,11 +8,11 @@
 
 namespace sff::host {
 
-/// Protects a host from clients that misbehave: divides its memory and its
-/// descriptors among the listeners, rejects requests before their bodies are
-/// read, and reports what was rejected. Does nothing for a resource that the
-/// settings do not name.
-/// Thread safety: use from the host's io_context only.
+/// Protects a host from clients that misbehave: bounds the memory that all
+/// connections share, divides the descriptors among the listeners, rejects
+/// requests before their bodies are read, and reports what was rejected. Does
+/// nothing for a resource that the settings do not name. Thread safety: use
+/// from the host's io_context only.
 class ClientGuard {
 public:
   /// Precondition: \p State outlives the object.
@@ -32,11 +32,13 @@
 private:
   http::ServerGuards commonGuards();
   /// Whether a caller's request with this head is rejected whatever its body
-  /// holds: it has no route, or its caller is not admitted.
+  /// holds: the host stops or has no catalogue, there is no route, or the
+  /// caller is not admitted.
   bool isRejected(const http::Request &Head) const;
+  /// Counts a rejection. Logs at most once in LogInterval, so the last ones may
+  /// stay unlogged until the next.
   void onRejection(http::RejectionCause Cause);
-  /// Logs the number of rejections since the last line, at most once in
-  /// LogInterval.
+  /// Logs the number of rejections by cause since the last line.
   void logRejections();
   void limitInternalBody(http::ServerLimits &Limits) const;
 
--- a/Source/Core/Host/HostMetrics.cpp
+++ b/Source/Core/Host/HostMetrics.cpp
@@ -303,7 +303,9 @@
 }
 
 void HostMetrics::setQuotaUsed(const std::string &Tenant, double Units) {
-  m_QuotaUsed.Add({{"tenant", tenantLabel(Tenant)}}).Set(Units);
+  // A gauge of several tenants would show only the latest.
+  if (const std::string &Label = tenantLabel(Tenant); Label == Tenant)
+    m_QuotaUsed.Add({{"tenant", Label}}).Set(Units);
 }
 
 void HostMetrics::setEndpoints(std::size_t Count) {
--- a/Source/Core/Host/HostMetrics.h
+++ b/Source/Core/Host/HostMetrics.h
@@ -98,7 +98,7 @@
   void onQuota(const std::string &Tenant, std::string_view Result,
                double Units);
   /// Sets what the hosts of the zones use and hold for which this host is the
-  /// lessor.
+  /// lessor, as of the latest report.
   void setQuotaUsed(const std::string &Tenant, double Units);
   void setCatalogueVersion(std::int64_t Version);
   /// Sets the times since the store last confirmed the catalogue and the
--- a/Source/Core/Host/QuotaChannel.cpp
+++ b/Source/Core/Host/QuotaChannel.cpp
@@ -65,8 +65,12 @@
 Task<void> QuotaChannel::ask() {
   while (!m_Needed.empty()) {
     co_await exchange();
-    if (bootTime() < m_SilentUntil)
-      m_Needed.clear();
+    if (bootTime() >= m_SilentUntil || m_Needed.empty())
+      continue;
+    // Requests that came meanwhile get no report of their own.
+    m_Needed.clear();
+    m_AnsweredReports = ++m_Reports;
+    m_Answered.notifyAll();
   }
   m_IsAsking = false;
 }
--- a/Source/Core/Host/QuotaService.cpp
+++ b/Source/Core/Host/QuotaService.cpp
@@ -64,12 +64,15 @@
   return Owner ? quota::limitsOf(Owner->m_Quota, m_Tolerance) : std::nullopt;
 }
 
+const ZoneId &QuotaService::sharedZoneOf(const std::string &Tenant) const {
+  return m_Zones[std::hash<std::string>()(Tenant) % m_Zones.size()];
+}
+
 QuotaChannel &QuotaService::channel(const std::string &Tenant,
                                     QuotaScope Scope) {
   if (Scope == QuotaScope::Zone)
     return m_OwnZone;
-  return m_Shared.at(
-      m_Zones[std::hash<std::string>()(Tenant) % m_Zones.size()]);
+  return m_Shared.at(sharedZoneOf(Tenant));
 }
 
 Task<QuotaDecision>
@@ -157,6 +160,10 @@
     return Result;
   Result.m_IsLessor = true;
   for (const quota::GrantRequest &Request : Report.m_Requests) {
+    // A host with other zones in its settings may ask another lessor.
+    if (Report.m_Scope == QuotaScope::Shared &&
+        sharedZoneOf(Request.m_Tenant) != Report.m_Zone)
+      continue;
     const auto Limits = limitsOf(Request.m_Tenant);
     const quota::QuotaBudget Budget =
         Limits ? Limits->budget(Report.m_Scope, m_Zones.size())
--- a/Source/Core/Host/QuotaService.h
+++ b/Source/Core/Host/QuotaService.h
@@ -23,10 +23,12 @@
   bool m_Fits = true;
   std::optional<QuotaUse> m_Use; ///< Nothing if the tenant has no quota.
   double m_Cost = 0;
-  double m_Held = 0; ///< What this host may still use.
-  /// Time since the lessor was last asked with success; negative if never.
+  /// Units of the shared part that this host may still use.
+  double m_Held = 0;
+  /// Time since the latest answered request to the lessor of the shared part;
+  /// negative if there was none.
   milliseconds m_GrantAge{-1};
-  milliseconds m_RetryAfter{0};
+  milliseconds m_RetryAfter{0}; ///< As the lessor of the shared part named it.
 };
 
 /// Keeps the quotas of tenants together with the other hosts. The holder of the
@@ -58,10 +60,13 @@
 
   /// The limits of a tenant in the newest catalogue.
   std::optional<quota::QuotaLimits> limitsOf(const std::string &Tenant) const;
+  /// The zone whose holder is the lessor of the shared part of the tenant's
+  /// quota. The same on all hosts with the same zones.
+  const ZoneId &sharedZoneOf(const std::string &Tenant) const;
   /// The channel to the lessor of a part of the tenant's quota.
   QuotaChannel &channel(const std::string &Tenant, quota::QuotaScope Scope);
   Task<void> reportPeriodically(QuotaChannel &Reporting);
-  /// Begins the books of the zones whose holder this host has become.
+  /// Begins the records of the zones whose holder this host has become.
   void followLeases();
   Task<void> followLeasesPeriodically();
 
