Identify callers in one place and drop an unused method

The server's check of a head and the session built the same revocation policy and asked the same question; HostState::identifyCaller() serves both. QuotaLedger::hosts() had no caller.

--- a/Source/Core/Core/Quota/QuotaLedger.cpp
+++ b/Source/Core/Core/Quota/QuotaLedger.cpp
@@ -107,9 +107,4 @@
   return sum(Found->second, Now);
 }
 
-std::size_t QuotaLedger::hosts(const std::string &Tenant) const {
-  const auto Found = m_Tenants.find(Tenant);
-  return Found == m_Tenants.end() ? 0 : Found->second.m_Hosts.size();
-}
-
 } // namespace sff::quota
--- a/Source/Core/Core/Quota/QuotaLedger.h
+++ b/Source/Core/Core/Quota/QuotaLedger.h
@@ -42,9 +42,6 @@
                   const QuotaBudget &Budget, Instant Now);
   /// What the hosts have used in the last window, and hold.
   double used(const std::string &Tenant, Instant Now);
-  /// Hosts with use or grants that had not expired at the latest call of
-  /// onRequest() or used().
-  std::size_t hosts(const std::string &Tenant) const;
 
 private:
   struct HostUse {
--- a/Source/Core/Host/ClientGuard.cpp
+++ b/Source/Core/Host/ClientGuard.cpp
@@ -1,7 +1,6 @@
 #include "Host/ClientGuard.h"
 
 #include "Common/Time/Clock.h"
-#include "Core/Tenants/CallerIdentity.h"
 
 #include <algorithm>
 
@@ -95,13 +94,8 @@
       Current.findRoute(Head.m_Headers.view("Host"), Head.path());
   if (!Route)
     return true;
-  const tenants::RevocationPolicy Policy{
-      m_State.m_Settings.get(RevocationFailsClosedSetting),
-      m_State.m_Settings.get(RevocationTimeSetting)};
   const RequestMetadata Facts = m_State.m_Platform.m_WireFormat->decode(Head);
-  return !tenants::identifyCaller(Current, *Route, Facts.m_ApiKey, Policy,
-                                  m_State.catalogueProofAge())
-              .isAdmitted();
+  return !m_State.identifyCaller(*Route, Facts.m_ApiKey).isAdmitted();
 }
 
 void ClientGuard::onRejection(http::RejectionCause Cause) {
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -199,6 +199,15 @@
   return bootTime() - *m_CatalogueConfirmedAt;
 }
 
+tenants::CallerIdentity HostState::identifyCaller(const serving::Route &Route,
+                                                  std::string_view Key) const {
+  const tenants::RevocationPolicy Policy{
+      m_Settings.get(RevocationFailsClosedSetting),
+      m_Settings.get(RevocationTimeSetting)};
+  return tenants::identifyCaller(*m_Catalogue, Route, Key, Policy,
+                                 catalogueProofAge());
+}
+
 milliseconds HostState::ageOf(const std::optional<Instant> &ConfirmedAt) {
   return ConfirmedAt ? toMilliseconds(bootTime() - *ConfirmedAt)
                      : milliseconds(0);
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -11,6 +11,7 @@
 #include "Core/Serving/FleetSize.h"
 #include "Core/Serving/RejectionLimits.h"
 #include "Core/Serving/SharedRetryBudget.h"
+#include "Core/Tenants/CallerIdentity.h"
 #include "Host/AdmissionControl.h"
 #include "Host/CrashTracker.h"
 #include "Host/HostMetrics.h"
@@ -60,6 +61,10 @@
   std::optional<Duration> catalogueProofAge() const;
   /// The same for the registrations.
   milliseconds endpointsAge() const { return ageOf(m_EndpointsConfirmedAt); }
+  /// Identifies the caller of a request on \p Route by \p Key and the newest
+  /// catalogue that this host knows. Precondition: it knows one.
+  tenants::CallerIdentity identifyCaller(const serving::Route &Route,
+                                         std::string_view Key) const;
   /// Takes an endpoint out of use because another one answered at the address
   /// of its registration \p Version, unless a later one is known.
   void onAddressReused(const EndpointId &Id,
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -117,12 +117,7 @@
 }
 
 tenants::CallerIdentity RequestSession::identifyCaller() const {
-  const tenants::RevocationPolicy Policy{
-      m_State.m_Settings.get(RevocationFailsClosedSetting),
-      m_State.m_Settings.get(RevocationTimeSetting)};
-  return tenants::identifyCaller(*m_State.m_Catalogue, *m_Route,
-                                 m_Facts.m_ApiKey, Policy,
-                                 m_State.catalogueProofAge());
+  return m_State.identifyCaller(*m_Route, m_Facts.m_ApiKey);
 }
 
 Task<bool> RequestSession::checkCaller() {
