Split the HTTP client's connection and its pool off

The token that redirects errors stood in client and server; both use RedirectTo.h. Behaviour is unchanged.

--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -1,29 +1,23 @@
 #include "Net/Http/Client.h"
 
+#include "Net/Http/ConnectionPool.h"
 #include "Net/Http/Framing.h"
+#include "Net/Http/RedirectTo.h"
 #include "Net/Timers/AsyncCondition.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
 #include <charconv>
-#include <map>
-
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 
 namespace sff::http {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
-using asio::ip::tcp;
 using boost::system::error_code;
 
 namespace {
@@ -32,39 +26,6 @@
 /// HTTP/1.0 as Beast numbers versions.
 constexpr unsigned BeastHttp10 = 10;
 
-auto redirectTo(error_code &Error) {
-  return asio::redirect_error(asio::use_awaitable, Error);
-}
-
-TransportFailure makeFailure(FailureStage Stage, error_code Error) {
-  return {Stage, Error == beast::error::timeout, Error.message()};
-}
-
-/// Most bytes that are received and not yet parsed. Bounds what the parser
-/// waits for, such as the end of a chunk header or of a trailer.
-constexpr std::size_t MaxUnparsedBytes = 128 * 1024;
-
-struct Connection {
-  explicit Connection(asio::any_io_executor Executor)
-      : m_Stream(Executor), m_Buffer(MaxUnparsedBytes) {}
-  beast::tcp_stream m_Stream;
-  beast::flat_buffer m_Buffer;
-  Instant m_OpenedAt; ///< When it was established.
-  Instant m_IdleSince;
-  /// Keep-alive timeout that the endpoint announced.
-  milliseconds m_KeepAlive = milliseconds::max();
-  bool m_Reused = false;
-  /// Number of calls completed on this connection. Lets a late cancellation of
-  /// a completed call leave the connection open for the next call.
-  std::uint64_t m_CompletedCalls = 0;
-  /// The request has been written completely.
-  bool m_RequestWritten = false;
-};
-
-/// TCP_USER_TIMEOUT: the kernel closes a connection whose peer acknowledges no
-/// data for this long, for example because of a network partition.
-constexpr unsigned TcpUserTimeoutMs = 3000;
-
 /// The endpoint may respond to a request of at least this size before the
 /// request is written completely, so such a request is written concurrently
 /// with the wait for the response.
@@ -85,23 +46,6 @@
 /// timeout.
 constexpr int MaxBodyTimeFactor = 4;
 
-/// Makes every close of the socket a reset. After an orderly close the kernel
-/// goes on delivering a request that a partition holds up, so it would reach
-/// its endpoint after the call was given up.
-void resetOnClose(tcp::socket &Socket) {
-  error_code Ignored;
-  Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
-}
-
-void configureSocket(tcp::socket &Socket) {
-  using UserTimeout =
-      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-  error_code Ignored;
-  resetOnClose(Socket);
-  Socket.set_option(tcp::no_delay(true), Ignored);
-  Socket.set_option(UserTimeout(TcpUserTimeoutMs), Ignored);
-}
-
 /// Parses `Keep-Alive: timeout=N`. The result is one second shorter than
 /// announced, because the endpoint starts its idle timer earlier.
 milliseconds parseKeepAliveTimeout(std::string_view Value) {
@@ -118,9 +62,8 @@
   return milliseconds(std::max<std::int64_t>(Seconds - 1, 0) * 1000);
 }
 
-bhttp::request<bhttp::string_body> makeMessage(const Address &Remote,
-                                               Request Message) {
-  bhttp::request<bhttp::string_body> Result;
+OutgoingMessage makeMessage(const Address &Remote, Request Message) {
+  OutgoingMessage Result;
   Result.version(11);
   Result.method_string(Message.m_Method);
   Result.target(Message.m_Target);
@@ -134,112 +77,11 @@
   return Result;
 }
 
-} // namespace
-
-class Client::Impl : public std::enable_shared_from_this<Client::Impl> {
-public:
-  explicit Impl(asio::any_io_executor Executor)
-      : m_Executor(std::move(Executor)) {}
-
-  using AcquireResult =
-      std::variant<std::shared_ptr<Connection>, TransportFailure>;
-
-  asio::awaitable<AcquireResult> acquire(Address Remote,
-                                         ClientOptions Options) {
-    if (!Options.m_ForceNewConnection)
-      if (auto PooledConnection = popIdle(Remote, Options.m_MaxIdleTime))
-        co_return PooledConnection;
-    auto NewConnection = std::make_shared<Connection>(m_Executor);
-    error_code Error;
-    NewConnection->m_Stream.expires_after(Options.m_ConnectTimeout);
-    const tcp::endpoint RemoteEndpoint(
-        asio::ip::make_address(Remote.m_Host, Error), Remote.m_Port);
-    if (!Error)
-      co_await NewConnection->m_Stream.async_connect(RemoteEndpoint,
-                                                     redirectTo(Error));
-    if (Error)
-      co_return makeFailure(FailureStage::Connect, Error);
-    NewConnection->m_OpenedAt = std::chrono::steady_clock::now();
-    configureSocket(NewConnection->m_Stream.socket());
-    auto &All = m_All[Remote];
-    std::erase_if(All, [](const auto &Weak) { return Weak.expired(); });
-    All.push_back(NewConnection);
-    co_return NewConnection;
-  }
-
-  void release(const Address &Remote,
-               std::shared_ptr<Connection> ActiveConnection) {
-    ActiveConnection->m_Reused = true;
-    ++ActiveConnection->m_CompletedCalls;
-    ActiveConnection->m_IdleSince = std::chrono::steady_clock::now();
-    auto &Pool = m_Idle[Remote];
-    if (Pool.size() < MaxIdlePerAddress)
-      Pool.push_back(std::move(ActiveConnection));
-  }
-
-  static bool isUsable(Connection &Idle) {
-    char Byte = 0;
-    error_code Error;
-    Idle.m_Stream.socket().non_blocking(true, Error);
-    Idle.m_Stream.socket().receive(asio::buffer(&Byte, 1),
-                                   tcp::socket::message_peek, Error);
-    return Error == asio::error::would_block;
-  }
-
-  bool hasOpenConnection(const Address &Remote, Instant Before) const {
-    const auto Found = m_All.find(Remote);
-    return Found != m_All.end() &&
-           std::ranges::any_of(Found->second, [Before](const auto &Weak) {
-             const auto Open = Weak.lock();
-             return Open && Open->m_OpenedAt < Before && isUsable(*Open);
-           });
-  }
-
-  void dropIdle(const Address &Remote) { m_Idle.erase(Remote); }
-
-  void closeIdle(milliseconds MaxIdle) {
-    const Instant Now = std::chrono::steady_clock::now();
-    for (auto &[Remote, Pool] : m_Idle)
-      std::erase_if(Pool, [&](const auto &Idle) {
-        return Now - Idle->m_IdleSince >= std::min(MaxIdle, Idle->m_KeepAlive);
-      });
-    std::erase_if(m_Idle, [](const auto &Item) { return Item.second.empty(); });
-    std::erase_if(m_All, [](const auto &Item) {
-      return std::ranges::all_of(
-          Item.second, [](const auto &Weak) { return Weak.expired(); });
-    });
-  }
-
-private:
-  static constexpr std::size_t MaxIdlePerAddress = 32;
-
-  std::shared_ptr<Connection> popIdle(const Address &Remote,
-                                      milliseconds MaxIdle) {
-    auto &Pool = m_Idle[Remote];
-    const Instant Now = std::chrono::steady_clock::now();
-    while (!Pool.empty()) {
-      auto Candidate = std::move(Pool.back());
-      Pool.pop_back();
-      const auto IdleLimit = std::min(MaxIdle, Candidate->m_KeepAlive);
-      if (Now - Candidate->m_IdleSince < IdleLimit && isUsable(*Candidate))
-        return Candidate;
-    }
-    return nullptr;
-  }
-
-  asio::any_io_executor m_Executor;
-  std::map<Address, std::vector<std::shared_ptr<Connection>>> m_Idle;
-  /// The connections in use and the idle ones.
-  std::map<Address, std::vector<std::weak_ptr<Connection>>> m_All;
-};
-
-namespace {
-
 /// A response in progress. Keeps the client's pool alive, so that the
 /// connection can be returned to it.
-template <typename Owner> class ResponseStreamImpl : public ResponseStream {
+class ResponseStreamImpl : public ResponseStream {
 public:
-  ResponseStreamImpl(std::shared_ptr<Owner> Pool, Address Remote,
+  ResponseStreamImpl(std::shared_ptr<ConnectionPool> Pool, Address Remote,
                      std::shared_ptr<Connection> ActiveConnection,
                      std::string RequestMethod, ClientOptions Options)
       : m_Pool(std::move(Pool)), m_Remote(std::move(Remote)),
@@ -422,7 +264,7 @@
     m_Pool->release(m_Remote, std::move(m_Connection));
   }
 
-  std::shared_ptr<Owner> m_Pool;
+  std::shared_ptr<ConnectionPool> m_Pool;
   Address m_Remote;
   std::shared_ptr<Connection> m_Connection;
   std::string m_RequestMethod;
@@ -436,30 +278,14 @@
 } // namespace
 
 Client::Client(asio::any_io_executor Executor)
-    : m_Impl(std::make_shared<Impl>(std::move(Executor))) {}
+    : m_Pool(std::make_shared<ConnectionPool>(std::move(Executor))) {}
 Client::~Client() = default;
 
 bool Client::hasOpenConnection(const Address &Remote, Instant Before) {
-  return m_Impl->hasOpenConnection(Remote, Before);
+  return m_Pool->hasOpenConnection(Remote, Before);
 }
-void Client::dropIdle(const Address &Remote) { m_Impl->dropIdle(Remote); }
-void Client::closeIdle(milliseconds MaxIdle) { m_Impl->closeIdle(MaxIdle); }
-
-namespace {
-
-using Message = bhttp::request<bhttp::string_body>;
-
-asio::awaitable<error_code>
-writeRequest(std::shared_ptr<Connection> ActiveConnection,
-             std::shared_ptr<Message> Outgoing) {
-  error_code Error;
-  co_await bhttp::async_write(ActiveConnection->m_Stream, *Outgoing,
-                              redirectTo(Error));
-  ActiveConnection->m_RequestWritten = !Error;
-  co_return Error;
-}
-
-} // namespace
+void Client::dropIdle(const Address &Remote) { m_Pool->dropIdle(Remote); }
+void Client::closeIdle(milliseconds MaxIdle) { m_Pool->closeIdle(MaxIdle); }
 
 void CallCanceller::cancel() {
   m_Cancelled = true;
@@ -469,9 +295,9 @@
 
 asio::awaitable<OpenResult> Client::open(Address Remote, Request Outgoing,
                                          ClientOptions Options) {
-  auto Pool = m_Impl;
+  auto Pool = m_Pool;
   const auto Canceller = Options.m_Canceller;
-  Impl::AcquireResult ConnectionResult =
+  ConnectionPool::AcquireResult ConnectionResult =
       co_await Pool->acquire(Remote, Options);
   if (auto *Failure = std::get_if<TransportFailure>(&ConnectionResult))
     co_return std::move(*Failure);
@@ -492,24 +318,24 @@
       if (OpenConnection && OpenConnection->m_CompletedCalls == CompletedCalls)
         OpenConnection->m_Stream.socket().close(Ignored);
     };
-  auto OutgoingMessage =
-      std::make_shared<Message>(makeMessage(Remote, std::move(Outgoing)));
+  const auto Message = std::make_shared<OutgoingMessage>(
+      makeMessage(Remote, std::move(Outgoing)));
   ActiveConnection->m_RequestWritten = false;
-  if (OutgoingMessage->body().size() < LargeRequestBytes) {
+  if (Message->body().size() < LargeRequestBytes) {
     ActiveConnection->m_Stream.expires_after(Options.m_WriteTimeout);
     const error_code Error =
-        co_await writeRequest(ActiveConnection, OutgoingMessage);
+        co_await Connection::write(ActiveConnection, Message);
     if (Error)
       co_return makeFailure(FailureStage::Write, Error);
   } else {
     ActiveConnection->m_Stream.expires_after(Options.m_ReadTimeout);
     asio::co_spawn(ActiveConnection->m_Stream.get_executor(),
-                   writeRequest(ActiveConnection, OutgoingMessage),
+                   Connection::write(ActiveConnection, Message),
                    asio::detached);
   }
-  auto Stream = std::make_shared<ResponseStreamImpl<Impl>>(
+  auto Stream = std::make_shared<ResponseStreamImpl>(
       std::move(Pool), Remote, std::move(ActiveConnection),
-      std::string(OutgoingMessage->method_string()), std::move(Options));
+      std::string(Message->method_string()), std::move(Options));
   if (auto Failure = co_await Stream->readHeader())
     co_return std::move(*Failure);
   co_return Stream;
@@ -520,15 +346,16 @@
   ClientOptions Options;
   Options.m_ConnectTimeout = Timeout;
   Options.m_ForceNewConnection = true;
-  auto Pool = m_Impl;
-  Impl::AcquireResult Connected = co_await Pool->acquire(Remote, Options);
+  auto Pool = m_Pool;
+  ConnectionPool::AcquireResult Connected =
+      co_await Pool->acquire(Remote, Options);
   if (auto *Failure = std::get_if<TransportFailure>(&Connected))
     co_return std::move(*Failure);
   auto NewConnection =
       std::get<std::shared_ptr<Connection>>(std::move(Connected));
   NewConnection->m_Stream.expires_never();
   co_await timers::sleepFor(ConnectSettleTime);
-  if (!Impl::isUsable(*NewConnection))
+  if (!NewConnection->isUsable())
     co_return TransportFailure{FailureStage::Connect, false,
                                "closed after it was accepted"};
   Pool->release(Remote, std::move(NewConnection));
--- a/Source/Core/Net/Http/Client.h
+++ b/Source/Core/Net/Http/Client.h
@@ -98,6 +98,8 @@
 using OpenResult =
     std::variant<std::shared_ptr<ResponseStream>, TransportFailure>;
 
+class ConnectionPool;
+
 /// HTTP/1.1 client with a pool of keep-alive connections per address.
 /// Thread safety: all calls from the given executor, which must not run
 /// handlers concurrently.
@@ -133,8 +135,7 @@
   void closeIdle(milliseconds MaxIdle);
 
 private:
-  class Impl;
-  std::shared_ptr<Impl> m_Impl;
+  std::shared_ptr<ConnectionPool> m_Pool;
 };
 
 } // namespace sff::http
--- a/Source/Core/Net/Http/ServerSession.h
+++ b/Source/Core/Net/Http/ServerSession.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "Net/Http/Framing.h"
+#include "Net/Http/RedirectTo.h"
 #include "Net/Http/Server.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -203,9 +202,4 @@
   bool m_DiscardsInput = false;
 };
 
-/// The completion token of an operation that reports its error in \p Error.
-inline auto redirectTo(boost::system::error_code &Error) {
-  return boost::asio::redirect_error(boost::asio::use_awaitable, Error);
-}
-
 } // namespace sff::http
