Refuse answers whose status is none

What callers saw: an endpoint in trouble answered with status 000, and the caller got that with the endpoint's seal, as its answer. The same for 001, 099, 600, 700 and 999, with a length, in chunks, without both, and after an interim answer; and when such an answer came from the address of another host.

Cause: Beast accepts any three digits, and nothing behind it looked at the number. Readers drew conclusions from it, too: a 000 to an order counted as a rejection, though the order may have been accepted; one to the question who has ended an answer counted as the proof.

Change: http::Client, through which the answers of endpoints, hosts, the store and probes are read, refuses a final status outside 100 to 599 (RFC 9110, 15) as an answer that is none. A request that may run twice goes to another endpoint, any other gets 502; an order counts as unknown.

The store and messages of hosts were not misread: they take a 200 alone.

--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -178,7 +178,8 @@
                                "too many interim answers"};
   }
 
-  /// Fails if the bytes behind the header cannot be read as its body.
+  /// Fails if the header is none of an answer, or the bytes behind it cannot be
+  /// read as its body.
   std::optional<TransportFailure> checkHeader() {
     std::string_view Fault;
     const auto Version = m_Parser->get().version() == BeastHttp10
@@ -190,6 +191,8 @@
       Fault = describe(*Unreadable);
     if (switchesProtocols(m_Head.m_Status))
       Fault = "the endpoint switches to another protocol";
+    if (!isStatusCode(m_Head.m_Status))
+      Fault = "the status is no status code";
     if (Fault.empty())
       return std::nullopt;
     close();
--- a/Source/Core/Net/Http/Framing.cpp
+++ b/Source/Core/Net/Http/Framing.cpp
@@ -13,6 +13,8 @@
 constexpr std::string_view ContentLengthField = "Content-Length";
 constexpr std::string_view ChunkedCoding = "chunked";
 
+constexpr int MinStatus = 100;
+constexpr int MaxStatus = 599;
 constexpr int SwitchingProtocolsStatus = 101;
 constexpr int NoContentStatus = 204;
 constexpr int NotModifiedStatus = 304;
@@ -110,6 +112,10 @@
   return framingOf(Fields, Version, BodyEnd::Connection);
 }
 
+bool isStatusCode(int Status) {
+  return Status >= MinStatus && Status <= MaxStatus;
+}
+
 bool isInterim(int Status) {
   return Status >= 100 && Status < 200 && !switchesProtocols(Status);
 }
--- a/Source/Core/Net/Http/Framing.h
+++ b/Source/Core/Net/Http/Framing.h
@@ -39,6 +39,10 @@
 Framing responseFraming(const Headers &Fields, HttpVersion Version, int Status,
                         std::string_view RequestMethod);
 
+/// Whether \p Status is in the range of status codes (RFC 9110, 15). The parser
+/// accepts any three digits.
+bool isStatusCode(int Status);
+
 /// Whether an answer with \p Status precedes the final one.
 bool isInterim(int Status);
 
--- a/Source/UnitTests/Net/Http/ClientFramingTest.cpp
+++ b/Source/UnitTests/Net/Http/ClientFramingTest.cpp
@@ -1,62 +1,24 @@
 #include "Net/Http/Client.h"
+#include "Net/Http/ScriptedServer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
-#include <thread>
-
 namespace sff::http {
 namespace {
 
-using boost::asio::ip::tcp;
-using boost::system::error_code;
+using test::Delivery;
+using test::ScriptedServer;
 
 const std::string Sized = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-/// Accepts one connection and answers each request on it with the next of the
-/// given texts, on its own thread. Then keeps the connection open until the
-/// client closes it.
-class ScriptedServer {
-public:
-  explicit ScriptedServer(std::vector<std::string> Answers)
-      : m_Acceptor(m_Context, {boost::asio::ip::address_v4::loopback(), 0}),
-        m_Thread([this, Answers = std::move(Answers)] { serve(Answers); }) {}
-  ~ScriptedServer() { m_Thread.join(); }
-
-  Address address() const {
-    return {"127.0.0.1", m_Acceptor.local_endpoint().port()};
-  }
-
-private:
-  void serve(const std::vector<std::string> &Answers) {
-    tcp::socket Socket = m_Acceptor.accept();
-    boost::asio::streambuf Received;
-    error_code Error;
-    for (const std::string &Answer : Answers) {
-      const std::size_t Bytes =
-          boost::asio::read_until(Socket, Received, "\r\n\r\n", Error);
-      Received.consume(Bytes);
-      boost::asio::write(Socket, boost::asio::buffer(Answer), Error);
-    }
-    while (!Error)
-      boost::asio::read_until(Socket, Received, "\r\n\r\n", Error);
-  }
-
-  boost::asio::io_context m_Context;
-  tcp::acceptor m_Acceptor;
-  std::thread m_Thread;
-};
-
 /// Sends requests one after the other and returns the results.
 std::vector<SendResult> exchange(const std::vector<std::string> &Answers,
-                                 const std::string &Method = "GET") {
-  ScriptedServer Endpoint(Answers);
+                                 const std::string &Method = "GET",
+                                 Delivery How = Delivery::Whole) {
+  ScriptedServer Endpoint(Answers, How);
   boost::asio::io_context Context;
   Client Caller(Context.get_executor());
   std::vector<SendResult> Results;
@@ -84,6 +46,14 @@
   EXPECT_EQ(Answer->m_Body, Body);
 }
 
+/// Expects that the client has refused an answer by what it says, and has not
+/// waited for more of it.
+void expectRefused(const SendResult &Result) {
+  const auto *Failure = std::get_if<TransportFailure>(&Result);
+  ASSERT_TRUE(Failure);
+  EXPECT_FALSE(Failure->m_TimedOut) << Failure->m_Detail;
+}
+
 // Guards against an interim answer that counts as the answer to the request:
 // its caller got an error, and the final answer was left on the connection.
 TEST(ClientFramingTest, InterimAnswersAreSkipped) {
@@ -142,6 +112,37 @@
       std::holds_alternative<TransportFailure>(exchange({Chunks10}).front()));
 }
 
+// Guards against bytes that are no status code and are passed on as one: an
+// endpoint in trouble answers with 000.
+TEST(ClientFramingTest, StatusOutsideTheValidRangeIsAFailure) {
+  const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  for (const std::string Status :
+       {"000", "001", "099", "600", "700", "999", "1000", "20", "2x0", "-20"})
+    for (const std::string &Before : {std::string(), Interim})
+      for (const std::string Body :
+           {"Content-Length: 0\r\n\r\n", "Content-Length: 2\r\n\r\nok",
+            "Transfer-Encoding: chunked\r\n\r\n"
+            "2\r\nok\r\n0\r\n\r\n"}) {
+        SCOPED_TRACE(Before + Status + " " + Body);
+        const std::string Answer =
+            Before + "HTTP/1.1 " + Status + " Answer\r\n" + Body;
+        expectRefused(exchange({Answer}).front());
+      }
+}
+
+// Guards against a check of the status that refuses valid codes which are not
+// registered.
+TEST(ClientFramingTest, UnregisteredStatusIsAnAnswer) {
+  for (const int Status : {200, 299, 418, 499, 500, 599}) {
+    SCOPED_TRACE(Status);
+    const auto Results = exchange({"HTTP/1.1 " + std::to_string(Status) +
+                                   " Answer\r\nContent-Length: 0\r\n\r\n"});
+    const auto *Answer = std::get_if<Response>(&Results.front());
+    ASSERT_TRUE(Answer);
+    EXPECT_EQ(Answer->m_Status, Status);
+  }
+}
+
 // Guards against fields behind a body that count as fields of the head.
 TEST(ClientFramingTest, TrailerIsNoPartOfTheHead) {
   const auto Results =
