Close connections that have ended with their answer

Cause: after an answer without a length, which ends with its connection, the client put that connection into its pool.

The client now closes such a connection with the answer.

--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -246,11 +246,11 @@
     co_return true;
   }
 
-  /// A connection must not be reused if it has received bytes beyond the
-  /// response or if the request was not written completely.
+  /// A connection must not be reused if it has ended, if it has received bytes
+  /// beyond the response or if the request was not written completely.
   bool isReusable() const {
-    return m_Parser->get().keep_alive() && m_Connection->m_RequestWritten &&
-           m_Connection->m_Buffer.size() == 0;
+    return !m_Head.m_EndsWithConnection && m_Parser->get().keep_alive() &&
+           m_Connection->m_RequestWritten && m_Connection->m_Buffer.size() == 0;
   }
 
   void releaseConnection() {
