Find the reset of a connection that the write of a request has met

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer, plain bodies and event streams alike.

Cause: a request of 16 KiB or more is written beside the wait for its answer, and the result of that write was dropped. The kernel reports a reset to the first call that asks, here the write; the read that follows sees an orderly end, and that is the end of an answer without a length. Bodies that fit into the buffers of the kernel hide the fault: the write has finished before the reset.

Change: the connection keeps the state of the write. An answer without a length is complete only if the request was written completely; while the write is in progress, the reader waits for its end. An endpoint that resets its connection has the write fail; one that only ends its own direction and reads the request has it succeed, and its answer is passed on as before. Answers with a length or a last chunk say themselves where they end and do not wait.

HostBrokenAnswerTest.OrderlyEndAfterALongRequestIsPassedOn and MarkedAnswerToAnUnreadRequestIsPassedOn passed before and pass.

--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -108,9 +108,7 @@
         break;
       startParser();
     }
-    close();
-    co_return TransportFailure{FailureStage::Read, false,
-                               "the answer belongs to another request"};
+    co_return fail("the answer belongs to another request");
   }
 
   const Response &head() const override { return m_Head; }
@@ -138,6 +136,9 @@
         co_return Data;
       }
     }
+    if (m_Head.m_EndsWithConnection)
+      if (auto Failure = co_await checkConnectionEnd())
+        co_return std::move(*Failure);
     releaseConnection();
     co_return std::string();
   }
@@ -158,6 +159,26 @@
     m_Parser->skip(m_RequestMethod == "HEAD");
   }
 
+  /// Fails if the end of the connection, which a read has reported as an
+  /// orderly one, is not known to be that of the response. The kernel reports a
+  /// reset only once: if the write of the request gets it, the read does not.
+  asio::awaitable<std::optional<TransportFailure>> checkConnectionEnd() {
+    const WriteState RequestWrite =
+        co_await m_Connection->waitForWrite(m_Options.m_ReadTimeout);
+    if (RequestWrite == WriteState::Complete)
+      co_return std::nullopt;
+    const bool TimedOut = RequestWrite == WriteState::InProgress;
+    co_return fail("the request was not taken before the connection ended",
+                   TimedOut);
+  }
+
+  /// Closes the connection. Returns the failure of a response that cannot be
+  /// used.
+  TransportFailure fail(std::string_view Detail, bool TimedOut = false) {
+    close();
+    return {FailureStage::Read, TimedOut, std::string(Detail)};
+  }
+
   /// Reads the header of a final response and skips interim ones before it.
   asio::awaitable<std::optional<TransportFailure>> readFinalHeader() {
     for (int Interim = 0; Interim <= MaxInterimResponses; ++Interim) {
@@ -173,9 +194,7 @@
         co_return checkHeader();
       startParser();
     }
-    close();
-    co_return TransportFailure{FailureStage::Read, false,
-                               "too many interim answers"};
+    co_return fail("too many interim answers");
   }
 
   /// Fails if the header is none of an answer, or the bytes behind it cannot be
@@ -195,8 +214,7 @@
       Fault = "the status is no status code";
     if (Fault.empty())
       return std::nullopt;
-    close();
-    return TransportFailure{FailureStage::Read, false, std::string(Fault)};
+    return fail(Fault);
   }
 
   void storeHeader() {
@@ -250,7 +268,8 @@
   /// beyond the response or if the request was not written completely.
   bool isReusable() const {
     return !m_Head.m_EndsWithConnection && m_Parser->get().keep_alive() &&
-           m_Connection->m_RequestWritten && m_Connection->m_Buffer.size() == 0;
+           m_Connection->m_RequestWrite == WriteState::Complete &&
+           m_Connection->m_Buffer.size() == 0;
   }
 
   void releaseConnection() {
@@ -323,7 +342,7 @@
     };
   const auto Message = std::make_shared<OutgoingMessage>(
       makeMessage(Remote, std::move(Outgoing)));
-  ActiveConnection->m_RequestWritten = false;
+  ActiveConnection->m_RequestWrite = WriteState::InProgress;
   if (Message->body().size() < LargeRequestBytes) {
     ActiveConnection->m_Stream.expires_after(Options.m_WriteTimeout);
     const error_code Error =
--- a/Source/Core/Net/Http/Connection.cpp
+++ b/Source/Core/Net/Http/Connection.cpp
@@ -62,8 +62,15 @@
                   std::shared_ptr<OutgoingMessage> Message) {
   error_code Error;
   co_await bhttp::async_write(Self->m_Stream, *Message, redirectTo(Error));
-  Self->m_RequestWritten = !Error;
+  Self->m_RequestWrite = Error ? WriteState::Failed : WriteState::Complete;
+  Self->m_WriteEnded.notifyAll();
   co_return Error;
 }
 
+asio::awaitable<WriteState> Connection::waitForWrite(milliseconds Timeout) {
+  if (m_RequestWrite == WriteState::InProgress)
+    co_await m_WriteEnded.wait(Timeout);
+  co_return m_RequestWrite;
+}
+
 } // namespace sff::http
--- a/Source/Core/Net/Http/Connection.h
+++ b/Source/Core/Net/Http/Connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Common/Time/Instant.h"
+#include "Net/Timers/AsyncCondition.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -16,6 +17,9 @@
 using OutgoingMessage =
     boost::beast::http::request<boost::beast::http::string_body>;
 
+/// How far the request of a call has been written.
+enum class WriteState { InProgress, Complete, Failed };
+
 /// A connection of a client to an endpoint, which serves one call at a time.
 /// Thread safety: use from the client's executor only.
 struct Connection {
@@ -26,10 +30,13 @@
   void configure();
   /// Returns whether the connection is open and has no data to read.
   bool isUsable();
-  /// Writes a request and keeps \p Self alive until it is written.
+  /// Writes a request, keeps \p Self alive until then, and sets m_RequestWrite.
   static boost::asio::awaitable<boost::system::error_code>
   write(std::shared_ptr<Connection> Self,
         std::shared_ptr<OutgoingMessage> Message);
+  /// Waits up to \p Timeout for the end of the write, if it is in progress.
+  /// Returns the state of the write.
+  boost::asio::awaitable<WriteState> waitForWrite(milliseconds Timeout);
 
   boost::beast::tcp_stream m_Stream;
   boost::beast::flat_buffer m_Buffer;
@@ -41,8 +48,10 @@
   /// Number of calls completed on this connection. Lets a late cancellation of
   /// a completed call leave the connection open for the next call.
   std::uint64_t m_CompletedCalls = 0;
-  /// The request has been written completely.
-  bool m_RequestWritten = false;
+  WriteState m_RequestWrite = WriteState::Complete;
+
+private:
+  timers::AsyncCondition m_WriteEnded;
 };
 
 } // namespace sff::http
