Find the reset of a connection that another call has looked at

Nobody has reported it.

Change: the connection keeps the error that a peek has met, and an answer without a length on such a connection is broken off. An end of the data is not kept: the kernel reports it to each call.

--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -165,6 +165,8 @@
   asio::awaitable<std::optional<TransportFailure>> checkConnectionEnd() {
     const WriteState RequestWrite =
         co_await m_Connection->waitForWrite(m_Options.m_ReadTimeout);
+    if (m_Connection->m_Fault)
+      co_return fail(m_Connection->m_Fault.message());
     if (RequestWrite == WriteState::Complete)
       co_return std::nullopt;
     const bool TimedOut = RequestWrite == WriteState::InProgress;
--- a/Source/Core/Net/Http/Connection.cpp
+++ b/Source/Core/Net/Http/Connection.cpp
@@ -54,7 +54,12 @@
   m_Stream.socket().non_blocking(true, Error);
   m_Stream.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
                             Error);
-  return Error == asio::error::would_block;
+  if (Error == asio::error::would_block)
+    return true;
+  // An end of the data is reported to each call.
+  if (Error != asio::error::eof)
+    m_Fault = Error;
+  return false;
 }
 
 asio::awaitable<error_code>
--- a/Source/Core/Net/Http/Connection.h
+++ b/Source/Core/Net/Http/Connection.h
@@ -49,6 +49,9 @@
   /// a completed call leave the connection open for the next call.
   std::uint64_t m_CompletedCalls = 0;
   WriteState m_RequestWrite = WriteState::Complete;
+  /// The error that isUsable() has met, if any. The kernel reports a reset only
+  /// once; a later read sees an orderly end.
+  boost::system::error_code m_Fault;
 
 private:
   timers::AsyncCondition m_WriteEnded;
--- a/Source/UnitTests/Net/Http/ClientResetTest.cpp
+++ b/Source/UnitTests/Net/Http/ClientResetTest.cpp
@@ -118,6 +118,43 @@
                     milliseconds(100), true}),
     [](const auto &Info) { return Info.param.m_Name; });
 
+// Guards against the same where another call has looked at the connection
+// between its reset and the read of the answer.
+TEST(ClientResetTest, ResetThatAnotherCallHasSeenIsNoEnd) {
+  boost::asio::io_context Context;
+  tcp::acceptor Acceptor(Context, {boost::asio::ip::address_v4::loopback(), 0});
+  const Address Remote{"127.0.0.1", Acceptor.local_endpoint().port()};
+  Client Caller(Context.get_executor());
+  const Request Question;
+  const ClientOptions Options;
+  std::string FirstPart;
+  std::optional<std::variant<std::string, TransportFailure>> End;
+  boost::asio::co_spawn(
+      Context,
+      [&]() -> boost::asio::awaitable<void> {
+        const OpenResult Opened =
+            co_await Caller.open(Remote, Question, Options);
+        const auto &Answer = std::get<std::shared_ptr<ResponseStream>>(Opened);
+        FirstPart = std::get<std::string>(co_await Answer->read());
+        End = co_await Answer->read();
+      },
+      boost::asio::detached);
+  Context.run_for(milliseconds(50));
+  tcp::socket Socket = Acceptor.accept();
+  boost::asio::streambuf Received;
+  boost::asio::read_until(Socket, Received, HeadEnd);
+  boost::asio::write(Socket, boost::asio::buffer(UnframedHead + PartOfBody));
+  while (FirstPart.empty())
+    Context.run_one();
+  Context.poll();
+  resetConnection(Socket);
+  EXPECT_FALSE(
+      Caller.hasOpenConnection(Remote, std::chrono::steady_clock::now()));
+  Context.run();
+  ASSERT_TRUE(End);
+  EXPECT_TRUE(std::holds_alternative<TransportFailure>(*End));
+}
+
 // Guards against a connection that stays open after its endpoint has ended it:
 // it can't be used again, and an endpoint that waits for the close keeps it.
 TEST(ClientResetTest, ConnectionThatHasEndedIsClosed) {
