--- a/Source/Core/Net/Http/Client.cpp
+++ b/Source/Core/Net/Http/Client.cpp
@@ -23,8 +23,6 @@
 namespace {
 
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
-/// HTTP/1.0 as Beast numbers versions.
-constexpr unsigned BeastHttp10 = 10;
 
 /// The endpoint may respond to a request of at least this size before the
 /// request is written completely, so such a request is written concurrently
@@ -238,11 +236,9 @@
   /// read as its body.
   std::optional<TransportFailure> checkHeader() {
     std::string_view Fault;
-    const auto Version = m_Parser->get().version() == BeastHttp10
-                             ? HttpVersion::Http10
-                             : HttpVersion::Http11;
-    const Framing Body = responseFraming(m_Head.m_Headers, Version,
-                                         m_Head.m_Status, m_RequestMethod);
+    const Framing Body =
+        responseFraming(m_Head.m_Headers, versionOf(m_Parser->get().version()),
+                        m_Head.m_Status, m_RequestMethod);
     if (const auto *Unreadable = std::get_if<FramingFault>(&Body))
       Fault = describe(*Unreadable);
     if (switchesProtocols(m_Head.m_Status))
--- a/Source/Core/Net/Http/Framing.cpp
+++ b/Source/Core/Net/Http/Framing.cpp
@@ -97,6 +97,11 @@
 
 } // namespace
 
+HttpVersion versionOf(unsigned Number) {
+  constexpr unsigned BeastHttp10 = 10;
+  return Number == BeastHttp10 ? HttpVersion::Http10 : HttpVersion::Http11;
+}
+
 Framing requestFraming(const Headers &Fields, HttpVersion Version) {
   return framingOf(Fields, Version, BodyEnd::Head);
 }
--- a/Source/Core/Net/Http/Framing.h
+++ b/Source/Core/Net/Http/Framing.h
@@ -26,6 +26,9 @@
 
 enum class HttpVersion { Http10, Http11 };
 
+/// Returns the version that Beast gives as \p Number.
+HttpVersion versionOf(unsigned Number);
+
 /// Returns what the head of a request says of its body (RFC 9112, 6.3).
 /// Stricter than the parser, which ignores unknown transfer codings and codings
 /// of HTTP/1.0: what the head of an accepted request says can be understood in
--- a/Source/Core/Net/Http/ServerSession.cpp
+++ b/Source/Core/Net/Http/ServerSession.cpp
@@ -50,12 +50,6 @@
 constexpr std::size_t MaxDiscardedBytes = 256 * 1024;
 constexpr milliseconds DiscardTime{500};
 
-HttpVersion versionOf(const RequestHead &Message) {
-  constexpr unsigned BeastHttp10 = 10;
-  return Message.version() == BeastHttp10 ? HttpVersion::Http10
-                                          : HttpVersion::Http11;
-}
-
 Request convertHead(const RequestHead &Message) {
   Request Result;
   Result.m_Method = std::string(Message.method_string());
@@ -348,7 +342,7 @@
       BaseRequestBytes + static_cast<std::size_t>(Fields) * FieldBytes;
   if (!co_await awaitMemory(heldBytes(Parser)))
     co_return co_await rejectForMemory();
-  m_Version = versionOf(Parser.get());
+  m_Version = versionOf(Parser.get().version());
   // Callers of HTTP/1.0 expect a close unless they are told otherwise.
   m_KeepAlive = m_Version != HttpVersion::Http10 && Parser.get().keep_alive();
   Request Incoming = convertHead(Parser.get());
