--- a/Source/Core/Net/Http/Framing.h
+++ b/Source/Core/Net/Http/Framing.h
@@ -27,6 +27,7 @@
 enum class HttpVersion { Http10, Http11 };
 
 /// Returns the version that Beast gives as \p Number.
+/// Thread safety: reentrant.
 HttpVersion versionOf(unsigned Number);
 
 /// Returns what the head of a request says of its body (RFC 9112, 6.3).
@@ -44,13 +45,15 @@
 
 /// Whether a line of a head begins with a blank. The parser joins such a line
 /// to the one before it (obs-fold; RFC 9112, 5.2). To the sender it may be a
-/// field of its own, and one that says where the body ends. Precondition: \p
-/// Received begins with a line of the head. What stands behind the head is not
-/// looked at. Thread safety: reentrant.
+/// field of its own, and one that says where the body ends. What stands behind
+/// the head in \p Received is not looked at.
+/// Precondition: \p Received begins with a line of the head.
+/// Thread safety: reentrant.
 bool hasFoldedLine(std::string_view Received);
 
 /// Whether \p Status is in the range of status codes (RFC 9110, 15). The parser
 /// accepts any three digits.
+/// Thread safety: reentrant.
 bool isStatusCode(int Status);
 
 /// Whether an answer with \p Status precedes the final one.
