--- a/Source/UnitTests/Net/Http/ClientFramingTest.cpp
+++ b/Source/UnitTests/Net/Http/ClientFramingTest.cpp
@@ -14,6 +14,13 @@
 
 const std::string Sized = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+std::string concat(std::initializer_list<std::string_view> Pieces) {
+  std::string Text;
+  for (const std::string_view Piece : Pieces)
+    Text.append(Piece);
+  return Text;
+}
+
 /// Sends requests one after the other and returns the results.
 std::vector<SendResult> exchange(const std::vector<std::string> &Answers,
                                  const std::string &Method = "GET",
@@ -123,9 +130,9 @@
            {"Content-Length: 0\r\n\r\n", "Content-Length: 2\r\n\r\nok",
             "Transfer-Encoding: chunked\r\n\r\n"
             "2\r\nok\r\n0\r\n\r\n"}) {
-        SCOPED_TRACE(Before + Status + " " + Body);
+        SCOPED_TRACE(concat({Before, Status, " ", Body}));
         const std::string Answer =
-            Before + "HTTP/1.1 " + Status + " Answer\r\n" + Body;
+            concat({Before, "HTTP/1.1 ", Status, " Answer\r\n", Body});
         expectRefused(exchange({Answer}).front());
       }
 }
@@ -160,14 +167,10 @@
       "X-Added",
       "X-Added\r: 1",
       "\vX-Added: 1",
-      "X\x01"
-      "Added: 1",
-      "X\x1f"
-      "Added: 1",
-      "X\x7f"
-      "Added: 1",
-      "X\x80"
-      "Added: 1",
+      "X\x01-Added: 1",
+      "X\x1f-Added: 1",
+      "X\x7f-Added: 1",
+      "X\x80-Added: 1",
       "Content Length: 2",
       "Content-Length : 2",
       "Content-\x01Length: 2",
@@ -193,14 +196,13 @@
   for (const std::string &Line : linesWithBadNames()) {
     SCOPED_TRACE(shorten(Line));
     const std::string Field = Line + "\r\n";
-    for (const std::string &Answer : {
-             Head + Field + Length + "\r\nok",
-             Head + "X-First: 1\r\n" + Field + Length + "\r\nok",
-             Head + Length + Field + "\r\nok",
-             Head + Length + "X-First: 1\r\n" + Field + "\r\nok",
-             "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + Field + "\r\n" +
-                 Sized,
-         })
+    for (const std::string &Answer :
+         {concat({Head, Field, Length, "\r\nok"}),
+          concat({Head, "X-First: 1\r\n", Field, Length, "\r\nok"}),
+          concat({Head, Length, Field, "\r\nok"}),
+          concat({Head, Length, "X-First: 1\r\n", Field, "\r\nok"}),
+          concat({"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n", Field, "\r\n",
+                  Sized})})
       expectRefused(exchange({Answer}).front());
   }
 }
@@ -210,8 +212,9 @@
   for (const std::string Line :
        {" Content-Length: 2", "\tX-Added: 1", "X Added: 1", "X-Added : 1"}) {
     SCOPED_TRACE(Line);
-    const std::string Answer = "HTTP/1.1 200 OK\r\nX-First: 1\r\n" + Line +
-                               "\r\nContent-Length: 2\r\n\r\nok";
+    const std::string Answer =
+        concat({"HTTP/1.1 200 OK\r\nX-First: 1\r\n", Line,
+                "\r\nContent-Length: 2\r\n\r\nok"});
     expectRefused(exchange({Answer}, "GET", Delivery::ByteByByte).front());
   }
 }
@@ -223,7 +226,7 @@
   for (const std::string Line : {" X-Added: 1", "X Added: 1", "X-Added : 1",
                                  "X\x01-Added: 1", ": 1", "X-Added"}) {
     SCOPED_TRACE(Line);
-    expectRefused(exchange({Body + Line + "\r\n\r\n"}).front());
+    expectRefused(exchange({concat({Body, Line, "\r\n\r\n"})}).front());
   }
 }
 
