--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -24,9 +25,15 @@
 
 
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A free port below those that outgoing connections take."""
+    while True:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Record:
