--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -3,6 +3,7 @@
 addresses are loopback addresses with free ports.
 """
 import base64
+import copy
 import json
 import os
 import random
@@ -57,6 +58,8 @@
         self._changed = threading.Condition()
         self._logs = {}  # topic -> [(key or None, record bytes)]
         self._groups = {}  # group -> [generation, {member: end of its time}, owner]
+        self.era = None  # Of the header Store-Era, where a store has it.
+        self.away = False
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -72,15 +75,22 @@
                 self.send_response(status)
                 self.send_header("Content-Type", kind)
                 self.send_header("Content-Length", str(len(body)))
+                if store.era is not None:
+                    self.send_header("Store-Era", str(store.era))
                 self.end_headers()
                 self.wfile.write(body)
 
             def handle_call(self):
+                era = store.era
                 url = urlsplit(self.path)
                 query = {k: v[0] for k, v in parse_qs(url.query).items()}
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                answer = None if store.away else store.call(url.path, query, body)
+                if store.away or store.era != era:
+                    self.close_connection = True
+                    return
                 try:
-                    self.reply(*store.call(url.path, query, body))
+                    self.reply(*answer)
                 except (BrokenPipeError, ConnectionResetError):
                     self.close_connection = True
 
@@ -106,6 +116,24 @@
             self._logs.setdefault(topic, []).append((key, content))
             self._changed.notify_all()
 
+    def copy(self):
+        """A copy from which the store may come back."""
+        with self._changed:
+            return copy.deepcopy((self._logs, self._groups))
+
+    def leave(self):
+        with self._changed:
+            self.away = True
+            self._changed.notify_all()
+
+    def come_back(self, held):
+        """Ends the time away. With a copy, the store holds only what is in it."""
+        with self._changed:
+            if held is not None:
+                self._logs, self._groups = held
+                self.era += 1
+            self.away = False
+
     def call(self, path, query, body):
         if path == "/log-newest":
             return self._newest(query)
@@ -143,7 +171,7 @@
             log = self._logs.setdefault(query["topic"], [])
             if start > len(log):
                 return 410, {"first": 0}
-            while len(log) <= start and time.monotonic() < end:
+            while len(log) <= start and time.monotonic() < end and not self.away:
                 self._changed.wait(max(0.0, end - time.monotonic()))
             data = struct.pack(">QQ", len(log), 0)
             for _, content in log[start:start + 500]:
@@ -203,10 +231,11 @@
     """One process of the project's host, with the settings that the deploy
     template makes of a small deployment."""
 
-    def __init__(self, store, name, zone, zones, folder):
+    def __init__(self, store, name, zone, zones, folder, ports=None):
         if not os.path.exists(HOST_PROGRAM):
             raise RuntimeError("the host is not built: " + HOST_PROGRAM)
-        self.ports = {k: free_port() for k in ("callers", "readiness", "peers", "metrics")}
+        kinds = ("callers", "readiness", "peers", "metrics")
+        self.ports = ports or {k: free_port() for k in kinds}
         listen = {k: "127.0.0.1:%d" % p for k, p in self.ports.items()}
         settings = {
             "process": {"host": name, "zone": zone, "zones": zones,
