--- a/Source/Core/Core/Serving/Catalogue.cpp
+++ b/Source/Core/Core/Serving/Catalogue.cpp
@@ -1,6 +1,7 @@
 #include "Core/Serving/Catalogue.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace sff::serving {
 
@@ -39,6 +40,25 @@
   return m_ServiceShares.back().m_Service;
 }
 
+bool ModelSpec::hasAdapter(std::string_view Adapter) const {
+  if (!m_AdapterCount)
+    return true;
+  if (!Adapter.starts_with(m_AdapterPrefix))
+    return false;
+  const std::string_view Digits = Adapter.substr(m_AdapterPrefix.size());
+  std::int64_t Number = 0;
+  const auto [End, Error] =
+      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Number);
+  // Other spellings of a number are other names.
+  return Error == std::errc() && End == Digits.data() + Digits.size() &&
+         Digits.front() != '0' && Number >= 1 && Number <= *m_AdapterCount;
+}
+
+bool EngineSpec::knows(const ModelName &Name) const {
+  const ModelSpec *Model = find(Name.m_Model);
+  return Model && (Name.m_Adapter.empty() || Model->hasAdapter(Name.m_Adapter));
+}
+
 const ModelSpec *EngineSpec::find(std::string_view Model) const {
   const auto Found = m_Models.find(Model);
   return Found == m_Models.end() ? nullptr : &Found->second;
@@ -110,6 +130,13 @@
   return Engine ? Engine->find(Model) : nullptr;
 }
 
+bool Catalogue::knows(const ModelName &Name) const {
+  return std::ranges::any_of(m_Services, [&Name](const auto &Item) {
+    const auto &Engine = Item.second.m_Engine;
+    return Engine && Engine->knows(Name);
+  });
+}
+
 ModelName ModelName::parse(std::string_view Text) {
   const auto Slash = Text.find('/');
   if (Slash == std::string_view::npos)
--- a/Source/Core/Core/Serving/Catalogue.h
+++ b/Source/Core/Core/Serving/Catalogue.h
@@ -54,10 +54,28 @@
   std::string m_Name;
   double m_WeightMb = 0;
   double m_AdapterMb = 0;
+  /// The adapters are named by this prefix and the numbers from 1 on.
+  std::string m_AdapterPrefix;
+  /// Number of adapters; if the configuration does not say it, the model may
+  /// have an adapter of any name.
+  std::optional<std::int64_t> m_AdapterCount;
   double m_RemoteLoadSeconds = 0; ///< Load time from the weight store.
   double m_DiskLoadSeconds = 0;
   /// Load time from the endpoint's host memory.
   double m_MemoryLoadSeconds = 0;
+
+  /// Returns whether \p Adapter can be one of this model.
+  bool hasAdapter(std::string_view Adapter) const;
+};
+
+/// A parsed "model/adapter" name. The adapter is empty for the model itself.
+struct ModelName {
+  std::string m_Model;
+  std::string m_Adapter;
+
+  static ModelName parse(std::string_view Text);
+  std::string str() const;
+  friend auto operator<=>(const ModelName &, const ModelName &) = default;
 };
 
 /// Settings shared by all endpoints of a service that runs models.
@@ -69,6 +87,10 @@
   std::map<std::string, ModelSpec, std::less<>> m_Models;
 
   const ModelSpec *find(std::string_view Model) const;
+  /// Returns whether the configuration has the model and, if \p Name has one,
+  /// the adapter. Callers choose names, so that only names for which this holds
+  /// may be kept longer than a request.
+  bool knows(const ModelName &Name) const;
 };
 
 struct Service {
@@ -104,6 +126,8 @@
   /// Returns a model of such a service, or nullptr.
   const ModelSpec *findModel(std::string_view ServiceName,
                              std::string_view Model) const;
+  /// Returns whether a service has the model and, if named, the adapter.
+  bool knows(const ModelName &Name) const;
   /// The priority of a request by that of its tenant, if it has one, and that
   /// of its route: 0 is the highest, HighestRank the lowest. The tenant's
   /// priority comes first. Without tenants it is the priority of the route.
@@ -127,14 +151,4 @@
   std::vector<PriorityPair> m_Priorities;
 };
 
-/// A parsed "model/adapter" name. The adapter is empty for the model itself.
-struct ModelName {
-  std::string m_Model;
-  std::string m_Adapter;
-
-  static ModelName parse(std::string_view Text);
-  std::string str() const;
-  friend auto operator<=>(const ModelName &, const ModelName &) = default;
-};
-
 } // namespace sff::serving
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -236,7 +236,7 @@
   // The host that sends the request to an endpoint counts it.
   if (!mustPassOn()) {
     m_State.budget(m_Service->m_Name).onRequest(now());
-    if (!m_Facts.m_Model.m_Model.empty())
+    if (m_Service->m_Engine && m_Service->m_Engine->knows(m_Facts.m_Model))
       m_Demands.onRequest(m_Facts.m_Model);
   }
   if (isTakenUp()) {
--- a/Source/Core/Host/RequestSessionWaits.cpp
+++ b/Source/Core/Host/RequestSessionWaits.cpp
@@ -28,7 +28,7 @@
   const bool AnyEndpoint =
       !m_State.m_Endpoints.serving(m_Service->m_Name).empty();
   // Orders are JSON, so no endpoint can be told to load another name.
-  const bool Known = m_Service->m_Engine->find(m_Facts.m_Model.m_Model) &&
+  const bool Known = m_Service->m_Engine->knows(m_Facts.m_Model) &&
                      codec::isUtf8(m_Facts.m_Model.m_Adapter);
   if (!AnyEndpoint || !Known) {
     co_await endWithFailure(Known ? "no_endpoint" : "unknown_model");
--- a/Source/Core/Host/SwapService.cpp
+++ b/Source/Core/Host/SwapService.cpp
@@ -71,8 +71,19 @@
   m_Notifier.publish({Id, Name.m_Model, Name.m_Adapter, Held}, m_Fleet.hosts());
 }
 
-UsageResponse SwapService::onUsage(const UsageReport &Report) {
+void SwapService::removeUnknownNames(
+    std::map<std::string, double> &ByName) const {
+  const auto Catalogue = m_State.m_Catalogue;
+  std::erase_if(ByName, [&Catalogue](const auto &Item) {
+    return !Catalogue ||
+           !Catalogue->knows(serving::ModelName::parse(Item.first));
+  });
+}
+
+UsageResponse SwapService::onUsage(UsageReport Report) {
   seedDemandFromReplicas();
+  removeUnknownNames(Report.m_Requests);
+  removeUnknownNames(Report.m_Pressure);
   m_Fleet.onReport(Report.m_Host, now());
   if (!Report.m_Requests.empty())
     m_Knowledge.onReport(Report.m_Host, now());
@@ -177,7 +188,8 @@
   const serving::ModelSpec *Model =
       Catalogue ? Catalogue->findModel(Key.m_Service, Key.m_Name.m_Model)
                 : nullptr;
-  if (!Model)
+  if (!Model || (!Key.m_Name.m_Adapter.empty() &&
+                 !Model->hasAdapter(Key.m_Name.m_Adapter)))
     return DemandResponse{DemandStatus::Impossible, {}, 0};
   if (!Demand.m_WantsEstimate)
     return std::nullopt;
--- a/Source/Core/Host/SwapService.h
+++ b/Source/Core/Host/SwapService.h
@@ -31,7 +31,7 @@
   Task<DemandResponse> handleDemand(ModelDemand Demand);
   /// Records the usage of one host. Returns the number of reporting hosts and
   /// the merged crash counts.
-  UsageResponse onUsage(const UsageReport &Report);
+  UsageResponse onUsage(UsageReport Report);
 
 private:
   /// Maximum age of an endpoint's report. A report read sooner than this after
@@ -76,6 +76,9 @@
     int m_Held = 0;
   };
 
+  /// Removes models and adapters that the configuration does not have. Callers
+  /// choose names, and other hosts may pass on whatever they were sent.
+  void removeUnknownNames(std::map<std::string, double> &ByName) const;
   std::vector<const serving::Endpoint *>
   endpointsOf(const serving::DemandKey &Key) const;
   std::optional<EndpointId> findHolding(const serving::DemandKey &Key) const;
--- a/Source/UnitTests/Core/Serving/CatalogueTest.cpp
+++ b/Source/UnitTests/Core/Serving/CatalogueTest.cpp
@@ -46,5 +46,28 @@
   EXPECT_FALSE(Config.isIdempotent());
 }
 
+// Guards against names that a caller has made up and that count as known.
+TEST(CatalogueTest, OnlyConfiguredModelsAndAdaptersAreKnown) {
+  EngineSpec Engine;
+  for (const char *Name : {"m1", "m2", "m3"})
+    Engine.m_Models[Name].m_AdapterPrefix = "a";
+  Engine.m_Models["m1"].m_AdapterCount = 12;
+  Engine.m_Models["m3"].m_AdapterCount = 0;
+  Catalogue Config;
+  Config.m_Services["plain"] = {};
+  Config.m_Services["engine"].m_Engine = Engine;
+  const auto Knows = [&Config](const char *Name) {
+    return Config.knows(ModelName::parse(Name));
+  };
+  for (const char *Known :
+       {"m1", "m1/a1", "m1/a9", "m1/a10", "m1/a12", "m2/any", "m3", "m3/"})
+    EXPECT_TRUE(Knows(Known)) << Known;
+  for (const char *Unknown :
+       {"", "/", "/a1", "m4", "M1", "m1/a", "m1/a0", "m1/a01", "m1/a13",
+        "m1/a-1", "m1/a+1", "m1/a1 ", "m1/b1", "m1/1", "m1/a1/a1",
+        "m1/a18446744073709551617", "m3/a1"})
+    EXPECT_FALSE(Knows(Unknown)) << Unknown;
+}
+
 } // namespace
 } // namespace sff::serving
