Keep no log lines in the host's memory, and cut long names in them

Cause: the log keeps the last 20,000 lines for the timeline tool, which asks the old programs only; ids and models of callers stood in them at any length. Lines on their way to the output had them, too.

--- a/Source/Core/Common/Logging/Log.cpp
+++ b/Source/Core/Common/Logging/Log.cpp
@@ -25,6 +25,25 @@
 /// thread wake-up per line.
 constexpr std::chrono::milliseconds FlushInterval{200};
 
+/// Longest name of a request or an entry, and longest text of a field, in
+/// bytes. Lines wait in memory to be written.
+constexpr std::size_t MaxNameBytes = 200;
+constexpr std::size_t MaxTextBytes = 2000;
+
+std::string cutText(std::string_view Text, std::size_t MaxBytes) {
+  if (Text.size() <= MaxBytes)
+    return std::string(Text);
+  return std::string(Text.substr(0, MaxBytes)) + "...";
+}
+
+nlohmann::json cutTexts(nlohmann::json Fields) {
+  for (nlohmann::json &Value : Fields)
+    if (const auto *Text = Value.get_ptr<const std::string *>();
+        Text && Text->size() > MaxTextBytes)
+      Value = cutText(*Text, MaxTextBytes);
+  return Fields;
+}
+
 /// Writes lines to standard output on a dedicated thread, so that a slow reader
 /// of the output does not block the logging threads.
 /// Thread safety: any thread.
@@ -145,7 +164,7 @@
   return Value == Level::Warning ? google::GLOG_WARNING : google::GLOG_INFO;
 }
 
-timeline::Event makeEvent(const Line &Item) {
+timeline::Event makeEvent(Line Item) {
   const ProcessIdentity &Identity = loggerState().m_Identity;
   return {loggerState().m_Clock.tick(),
           Identity.m_Host,
@@ -154,9 +173,9 @@
           Identity.m_Incarnation,
           std::string(toString(Item.m_Category)),
           std::string(Item.m_Event),
-          std::string(Item.m_Request),
-          std::string(Item.m_Entry),
-          Item.m_Fields};
+          cutText(Item.m_Request, MaxNameBytes),
+          cutText(Item.m_Entry, MaxNameBytes),
+          cutTexts(std::move(Item.m_Fields))};
 }
 
 } // namespace
@@ -224,11 +243,12 @@
   LoggerState &Logger = loggerState();
   if (!Logger.m_Initialized || Item.m_Level < Logger.m_MinimumLevel)
     return;
-  timeline::Event RecordedEvent = makeEvent(Item);
+  const Level LineLevel = Item.m_Level;
+  timeline::Event RecordedEvent = makeEvent(std::move(Item));
   nlohmann::json Output = RecordedEvent;
-  Output["level"] = levelName(Item.m_Level);
+  Output["level"] = levelName(LineLevel);
   const std::string Text = codec::toJsonText(Output);
-  google::LogMessage(__FILE__, __LINE__, toSeverity(Item.m_Level),
+  google::LogMessage(__FILE__, __LINE__, toSeverity(LineLevel),
                      Logger.m_Sink.get(), false)
           .stream()
       << Text;
--- a/Source/Core/Common/Logging/Log.h
+++ b/Source/Core/Common/Logging/Log.h
@@ -63,7 +63,8 @@
 /// Thread safety: one thread.
 void flush();
 
-/// Writes one JSON line and records it as a timeline event.
+/// Writes one JSON line and records it as a timeline event. Cuts texts that are
+/// very long: callers choose the names of requests and entries.
 /// Thread safety: any thread, after initialize(). Earlier lines are dropped, so
 /// that library tests need no logging setup.
 void write(Line Item);
--- a/Source/Core/Common/Process/Program.cpp
+++ b/Source/Core/Common/Process/Program.cpp
@@ -64,7 +64,8 @@
 runWithSettings(const settings::Settings &Values, const char *Name,
                 const settings::Schema &Schema,
                 const CommandLineOptions &Options,
-                const std::function<ExitCode(const Context &)> &ProgramMain) {
+                const std::function<ExitCode(const Context &)> &ProgramMain,
+                std::size_t EventCapacity) {
   if (Options.m_Print)
     std::cout << Schema.toPrintableJson(Values) << "\n";
   if (Options.m_CheckOnly)
@@ -76,7 +77,7 @@
       {Name, Values.get(HostSetting), Values.get(ZoneSetting), makeRandomId()},
       Options.m_SettingsPath};
   log::initialize(ProgramContext.m_Identity,
-                  parseLevel(Values.get(LogLevelSetting)));
+                  parseLevel(Values.get(LogLevelSetting)), EventCapacity);
   log::info(log::Category::Process, "process.started",
             {{"version", SFF_VERSION}});
   const ExitCode Result = ProgramMain(ProgramContext);
@@ -89,7 +90,8 @@
 
 int run(int ArgumentCount, const char *const *Arguments, const char *Name,
         const char *Description, const settings::Schema &Schema,
-        const std::function<ExitCode(const Context &)> &ProgramMain) {
+        const std::function<ExitCode(const Context &)> &ProgramMain,
+        std::size_t EventCapacity) {
   CLI::App App{Description, Name};
   CommandLineOptions Options;
   App.set_version_flag("--version", SFF_VERSION);
@@ -107,8 +109,8 @@
   return boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<int> {
         BOOST_LEAF_AUTO(Values, Schema.load(Options.m_SettingsPath));
-        return toInt(
-            runWithSettings(Values, Name, Schema, Options, ProgramMain));
+        return toInt(runWithSettings(Values, Name, Schema, Options, ProgramMain,
+                                     EventCapacity));
       },
       [](const findings::FindingList &Findings) {
         std::cerr << Findings;
--- a/Source/Core/Common/Process/Program.h
+++ b/Source/Core/Common/Process/Program.h
@@ -32,12 +32,15 @@
 
 /// Runs a long-running program: parses `--settings`, `--check`,
 /// `--print-settings` and `--version`, validates the settings, starts logging
-/// and calls \p ProgramMain. Returns the process exit code.
+/// and calls \p ProgramMain. Returns the process exit code. \p EventCapacity
+/// bounds the timeline events that are kept in memory; a program that answers
+/// no questions for them keeps none.
 ///
 /// Precondition: called once from main(). No port is opened before
 /// \p ProgramMain runs.
 int run(int ArgumentCount, const char *const *Arguments, const char *Name,
         const char *Description, const settings::Schema &Schema,
-        const std::function<ExitCode(const Context &)> &ProgramMain);
+        const std::function<ExitCode(const Context &)> &ProgramMain,
+        std::size_t EventCapacity = log::DefaultEventCapacity);
 
 } // namespace sff::process
--- a/Source/Core/Common/Timeline/EventRecorder.h
+++ b/Source/Core/Common/Timeline/EventRecorder.h
@@ -42,7 +42,7 @@
 /// Thread safety: all methods may be called from any thread.
 class EventRecorder {
 public:
-  /// Keeps up to \p Capacity events. Precondition: \p Capacity is at least 1.
+  /// Keeps up to \p Capacity events, none if it is 0.
   explicit EventRecorder(std::size_t Capacity) : m_Events(Capacity) {}
 
   void record(Event Item);
