Reject requests of other hosts by their heads; keep hashes of sessions

A path that no message has, and a request that this host does not take over, are answered before their bodies are read, as at the callers' address (PeerAddressTest; no answer within 10 s before). 2,000 sessions of 16 KB each would have held 32 MB; no test of its own.

--- a/Source/Core/Host/ClientGuard.cpp
+++ b/Source/Core/Host/ClientGuard.cpp
@@ -46,7 +46,13 @@
   return Guards;
 }
 
-http::ServerGuards ClientGuard::peerGuards() { return commonGuards(); }
+http::ServerGuards
+ClientGuard::peerGuards(std::function<bool(const http::Request &)> IsRejected) {
+  http::ServerGuards Guards = commonGuards();
+  if (m_MemoryBytes > 0)
+    Guards.m_IsRejectedByHead = std::move(IsRejected);
+  return Guards;
+}
 
 http::ServerGuards ClientGuard::internalGuards() { return commonGuards(); }
 
--- a/Source/Core/Host/ClientGuard.h
+++ b/Source/Core/Host/ClientGuard.h
@@ -4,6 +4,7 @@
 #include "Host/HostState.h"
 #include "Net/Http/Server.h"
 
+#include <functional>
 #include <map>
 
 namespace sff::host {
@@ -18,9 +19,11 @@
   /// Precondition: \p State outlives the object.
   explicit ClientGuard(HostState &State);
 
-  /// Guards for the listener of callers and that of other hosts.
+  /// Guards for the listener of callers and that of other hosts, of which
+  /// \p IsRejected tells the requests that are rejected by their heads.
   http::ServerGuards callerGuards();
-  http::ServerGuards peerGuards();
+  http::ServerGuards
+  peerGuards(std::function<bool(const http::Request &)> IsRejected);
   /// Guards for the listeners of readiness and metrics.
   http::ServerGuards internalGuards();
 
--- a/Source/Core/Host/Host.cpp
+++ b/Source/Core/Host/Host.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <malloc.h>
 #include <sstream>
@@ -110,7 +112,8 @@
       m_Signals(m_Context, SIGTERM, SIGINT, SIGHUP) {
   std::signal(SIGPIPE, SIG_IGN);
   m_Callers.setGuards(m_Guard.callerGuards());
-  m_Peers.setGuards(m_Guard.peerGuards());
+  m_Peers.setGuards(m_Guard.peerGuards(
+      [this](const http::Request &Head) { return isPeerRejected(Head); }));
   m_Readiness.setGuards(m_Guard.internalGuards());
   m_Metrics.setGuards(m_Guard.internalGuards());
   if (memoryOf(Values) > 0)
@@ -162,9 +165,23 @@
   co_await Session->run();
 }
 
+bool Host::declinesRelayed() const {
+  return m_Draining || m_State.m_Links.isIsolated() ||
+         m_RelayedRequests >= MaxRelayedRequests;
+}
+
+bool Host::isPeerRejected(const http::Request &Head) const {
+  if (Head.m_Target.starts_with(RelayPrefix))
+    return declinesRelayed();
+  constexpr std::array MessagePaths = {
+      DemandPath,   UsagePath, InventoryPath,   StreamNoticePath,
+      LogQueryPath, QuotaPath, StreamQueryPath,
+  };
+  return std::ranges::find(MessagePaths, Head.path()) == MessagePaths.end();
+}
+
 Task<void> Host::handleRelayed(http::Request Incoming, http::Exchange &Caller) {
-  const bool Declines = m_Draining || m_State.m_Links.isIsolated() ||
-                        m_RelayedRequests >= MaxRelayedRequests;
+  const bool Declines = declinesRelayed() || Incoming.m_BodyUnread;
   m_State.m_Metrics.onRelayRequest(Declines ? "declined" : "taken");
   if (Declines) {
     http::Response Answer =
--- a/Source/Core/Host/Host.h
+++ b/Source/Core/Host/Host.h
@@ -39,6 +39,10 @@
   /// Serves a request that a host which is cut off from the endpoints has
   /// passed on, or declines it.
   Task<void> handleRelayed(http::Request Incoming, http::Exchange &Caller);
+  /// Whether this host takes no request that another host passes on.
+  bool declinesRelayed() const;
+  /// As ServerGuards::m_IsRejectedByHead, for the listener of other hosts.
+  bool isPeerRejected(const http::Request &Head) const;
   Task<void> handleReadiness(http::Request Incoming, http::Exchange &Caller);
   Task<void> handlePeer(http::Request Incoming, http::Exchange &Caller);
   Task<void> handleMetrics(http::Request Incoming, http::Exchange &Caller);
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -42,7 +42,7 @@
 
 std::optional<EndpointId>
 SessionAffinity::find(std::string_view Session) const {
-  const auto Found = m_Endpoints.find(Session);
+  const auto Found = m_Endpoints.find(std::hash<std::string_view>()(Session));
   if (Found == m_Endpoints.end())
     return std::nullopt;
   return Found->second;
@@ -52,9 +52,10 @@
                              const EndpointId &Endpoint) {
   if (Session.empty())
     return;
-  if (m_Endpoints.size() >= MaxSessions && !m_Endpoints.contains(Session))
+  const std::size_t Key = std::hash<std::string_view>()(Session);
+  if (m_Endpoints.size() >= MaxSessions && !m_Endpoints.contains(Key))
     m_Endpoints.erase(m_Endpoints.begin());
-  m_Endpoints[Session] = Endpoint;
+  m_Endpoints[Key] = Endpoint;
 }
 
 RequestSession::RequestSession(HostState &State, DemandRouter &Demands,
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -19,7 +19,8 @@
 namespace sff::host {
 
 /// Maps each prompt session to the endpoint that served it last; bounded in
-/// size.
+/// size. Keeps hashes, as callers may send sessions of any length; two with the
+/// same hash share an entry, which costs a worse choice only.
 /// Thread safety: none.
 class SessionAffinity {
 public:
@@ -28,7 +29,7 @@
 
 private:
   static constexpr std::size_t MaxSessions = 2000;
-  std::map<std::string, EndpointId, std::less<>> m_Endpoints;
+  std::map<std::size_t, EndpointId> m_Endpoints;
 };
 
 /// Who has sent a request to this host.
