Notice a client that closes after it has sent its next request

Cause: the bytes of the next request ended the only wait for a close, and hid it from the read that looks for it; endpoints worked on for nobody (GONE). The connection is asked every 200 ms while such bytes wait. CloseBehindTheNextRequestIsNoticed failed before.

--- a/Source/Core/Net/Http/Server.h
+++ b/Source/Core/Net/Http/Server.h
@@ -54,8 +54,8 @@
   /// Returns true when the caller has closed the connection.
   virtual bool isCallerDisconnected() = 0;
   /// Calls \p OnDisconnect once if the caller closes the connection before the
-  /// response has ended. If the caller sends its next request before that,
-  /// later disconnects are not detected.
+  /// response has ended. If the caller sends its next request before that, a
+  /// disconnect is detected some tenths of a second later.
   virtual void onCallerDisconnect(std::function<void()> OnDisconnect) = 0;
   /// Returns true once sending of the status line has begun.
   virtual bool started() const = 0;
--- a/Source/Core/Net/Http/ServerSession.cpp
+++ b/Source/Core/Net/Http/ServerSession.cpp
@@ -68,7 +68,9 @@
     : m_Stream(std::move(Socket)), m_State(std::move(State)),
       m_ConnectionCounter(m_State->m_OpenConnections),
       m_ConnectionNumber(++m_State->m_Accepted),
-      m_ReadTimer(m_Stream.get_executor()), m_Memory(m_State->memory(), [this] {
+      m_ReadTimer(m_Stream.get_executor()),
+      m_DisconnectTimer(m_Stream.get_executor()),
+      m_Memory(m_State->memory(), [this] {
         m_IsEvicted = true;
         m_State->m_Guards.report(RejectionCause::Stalled);
         if (m_IsWriting)
@@ -367,8 +369,7 @@
   m_Memory.awaitClient(false, steady_clock::now());
   ++m_RequestSequence;
   co_await handleRequest(std::move(Incoming));
-  ++m_RequestSequence;
-  m_OnDisconnect = nullptr;
+  endRequest();
   m_RequestBytes = 0;
   m_HasServed = true;
   co_return m_Finished &&shouldKeepAlive();
@@ -382,9 +383,14 @@
   m_Memory.awaitClient(false, steady_clock::now());
   ++m_RequestSequence;
   co_await handleRequest(std::move(Incoming));
+  endRequest();
+  co_return false;
+void ServerSession::endRequest() {
   ++m_RequestSequence;
   m_OnDisconnect = nullptr;
-  co_return false;
+  m_DisconnectTimer.cancel();
+}
+
 }
 
 bool ServerSession::isRejectedByHead(const RequestParser &Parser,
--- a/Source/Core/Net/Http/ServerSession.h
+++ b/Source/Core/Net/Http/ServerSession.h
@@ -170,6 +170,12 @@
   boost::asio::awaitable<void> handleRequest(Request Incoming);
   void releaseBuffer();
 
+  /// Calls m_OnDisconnect if the caller has closed the connection, and checks
+  /// again later if it has only sent more. \p Request is the value of
+  /// m_RequestSequence for which it was set.
+  void checkDisconnect(std::uint64_t Request);
+  /// Ends what was started for the request that was handled.
+  void endRequest();
   boost::beast::tcp_stream m_Stream;
   std::shared_ptr<ServerState> m_State;
   ScopedCounter m_ConnectionCounter;
@@ -177,6 +183,7 @@
   boost::asio::steady_timer m_ReadTimer;
   boost::beast::flat_buffer m_Buffer;
   serving::ClientMemory::Share m_Memory;
+  boost::asio::steady_timer m_DisconnectTimer;
   std::function<void()> m_OnDisconnect;
   /// Incremented before and after each request is handled, so that callbacks of
   /// the read timer and of the disconnect wait detect that they are stale.
--- a/Source/Core/Net/Http/ServerSessionAnswers.cpp
+++ b/Source/Core/Net/Http/ServerSessionAnswers.cpp
@@ -1,6 +1,7 @@
 #include "Net/Http/ServerSession.h"
 
 #include <algorithm>
+#include <poll.h>
 #include <utility>
 
 namespace sff::http {
@@ -17,6 +18,8 @@
 /// Slowest rate at which a client may read an answer after the write timeout.
 /// A link of 10 Mbit/s that 70 clients share is faster.
 constexpr std::size_t MinAnswerBytesPerSecond = 16 * 1024;
+/// Bounds how late a close behind the next request is noticed.
+constexpr milliseconds DisconnectPollInterval{200};
 
 template <typename Body>
 void copyStatusAndHeaders(const Response &From, bhttp::response<Body> &To) {
@@ -160,25 +163,37 @@
 bool ServerSession::isCallerDisconnected() {
   if (!m_Stream.socket().is_open())
     return true;
-  char Byte = 0;
-  error_code Error;
-  m_Stream.socket().non_blocking(true, Error);
-  m_Stream.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
-                            Error);
-  return Error && Error != asio::error::would_block;
+  // A read would find the bytes that were sent before the close.
+  pollfd Events{};
+  Events.fd = m_Stream.socket().native_handle();
+  Events.events = POLLRDHUP;
+  return poll(&Events, 1, 0) > 0;
 }
 
 void ServerSession::onCallerDisconnect(std::function<void()> OnDisconnect) {
   m_OnDisconnect = std::move(OnDisconnect);
-  m_Stream.socket().async_wait(
-      tcp::socket::wait_read, [Self = shared_from_this(),
-                               Request = m_RequestSequence](error_code Error) {
-        if (Error || Request != Self->m_RequestSequence ||
-            !Self->m_OnDisconnect)
-          return;
-        auto NotifyDisconnect = std::exchange(Self->m_OnDisconnect, nullptr);
-        if (Self->isCallerDisconnected())
-          NotifyDisconnect();
+  m_Stream.socket().async_wait(tcp::socket::wait_read,
+                               [Self = shared_from_this(),
+                                Request = m_RequestSequence](error_code Error) {
+                                 if (!Error)
+                                   Self->checkDisconnect(Request);
+                               });
+}
+
+void ServerSession::checkDisconnect(std::uint64_t Request) {
+  if (Request != m_RequestSequence || !m_OnDisconnect)
+    return;
+  if (isCallerDisconnected()) {
+    std::exchange(m_OnDisconnect, nullptr)();
+    return;
+  }
+  // The caller has sent its next request, which is read after the answer to
+  // this one; until then the socket stays readable.
+  m_DisconnectTimer.expires_after(DisconnectPollInterval);
+  m_DisconnectTimer.async_wait(
+      [Self = shared_from_this(), Request](error_code Error) {
+        if (!Error)
+          Self->checkDisconnect(Request);
       });
 }
 
--- a/Source/UnitTests/Net/Http/ServerGuardTest.cpp
+++ b/Source/UnitTests/Net/Http/ServerGuardTest.cpp
@@ -1,4 +1,5 @@
 #include "Net/Http/Server.h"
+#include "Net/Timers/AsyncCondition.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -45,12 +46,21 @@
 
   boost::asio::awaitable<void> answer(Request Incoming, Exchange &Caller) {
     ++m_Handled;
+    if (Incoming.path() == "/wait")
+      co_await awaitDisconnect(Caller);
     Response Answer;
     Answer.m_Status = Incoming.m_BodyUnread ? 404 : 200;
     Answer.m_Body = std::move(Incoming.m_Body);
     co_await Caller.respond(std::move(Answer));
   }
 
+  /// Waits until the caller has left, for two seconds at most.
+  boost::asio::awaitable<void> awaitDisconnect(Exchange &Caller) {
+    Caller.onCallerDisconnect([this] { m_HasNoticedDisconnect = true; });
+    for (int Wait = 0; Wait < 100 && !m_HasNoticedDisconnect; ++Wait)
+      co_await timers::sleepFor(milliseconds(20));
+  }
+
   tcp::socket connect() {
     tcp::socket Socket(m_ClientContext);
     Socket.connect({boost::asio::ip::address_v4::loopback(), m_Server->port()});
@@ -71,6 +81,7 @@
   std::optional<Server> m_Server;
   std::thread m_Thread;
   std::atomic<int> m_Handled{0};
+  std::atomic<bool> m_HasNoticedDisconnect{false};
 };
 
 // Guards against a reader within a memory limit that parses what comes in
@@ -139,5 +150,38 @@
   EXPECT_EQ(m_Handled, 0);
 }
 
+// Guards against work that goes on for a client which has closed its connection
+// after it had sent another request: the bytes of that one hid the close.
+TEST_F(GuardedServerTest, CloseBehindTheNextRequestIsNoticed) {
+  start(1024 * Kilobyte);
+  const std::string Message =
+      "POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+      "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  {
+    tcp::socket Socket = connect();
+    boost::asio::write(Socket, boost::asio::buffer(Message.substr(0, 60)));
+    std::this_thread::sleep_for(milliseconds(100));
+    boost::asio::write(Socket, boost::asio::buffer(Message.substr(60)));
+    std::this_thread::sleep_for(milliseconds(300));
+    EXPECT_FALSE(m_HasNoticedDisconnect);
+  }
+  std::this_thread::sleep_for(milliseconds(500));
+  EXPECT_TRUE(m_HasNoticedDisconnect);
+}
+
+// Guards against a client that is taken for gone because it has sent its next
+// request.
+TEST_F(GuardedServerTest, NextRequestIsNoDisconnect) {
+  start(1024 * Kilobyte);
+  tcp::socket Socket = connect();
+  const std::string Message =
+      "POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+      "POST /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Content-Length: 5\r\n\r\nsecnd";
+  boost::asio::write(Socket, boost::asio::buffer(Message));
+  EXPECT_NE(readToEnd(Socket).find("secnd"), std::string::npos);
+  EXPECT_FALSE(m_HasNoticedDisconnect);
+}
+
 } // namespace
 } // namespace sff::http
