Confirm the end of a long answer by a later heartbeat of its process

Where no report names the start, and the request was sent 1 s ago or more, a further heartbeat of the same start or the notice that it leaves is waited for, within the time of the proof. Ruled out: any wait for short answers; nobody ends and starts again within 1 s. Price: sound answers of 1 s and more without a length, while no heartbeat is seen.

--- a/Source/Core/Core/Serving/AnswerEnd.cpp
+++ b/Source/Core/Core/Serving/AnswerEnd.cpp
@@ -17,6 +17,8 @@
                               isOther(Evidence.m_Asked, Evidence.m_Registered);
   if (IsOtherProcess)
     return AnswerEnd::OtherInstance;
+  if (Evidence.needsLaterSign() && !Evidence.m_HasLaterSign)
+    return AnswerEnd::NotKnown;
   if (Evidence.m_Owner == AddressOwner::Same)
     return AnswerEnd::Confirmed;
   if (Evidence.m_Owner == AddressOwner::Unknown)
--- a/Source/Core/Core/Serving/AnswerEnd.h
+++ b/Source/Core/Core/Serving/AnswerEnd.h
@@ -28,6 +28,26 @@
   std::optional<Incarnation> m_Registered;
   /// A connection from before the end of the answer is still open.
   bool m_HasOlderConnection = false;
+  /// The process that the request was sent to was registered when the answer
+  /// ended. One that leaves is not.
+  bool m_WasRegistered = false;
+  /// Time from the send of the request, at which its process was there, until
+  /// the address answered for it. A process that ended meanwhile may have been
+  /// started again if this is long.
+  Duration m_UnseenTime{0};
+  /// After the end of the answer, the process that the request was sent to has
+  /// shown something that a later one would not: a further heartbeat, or that
+  /// it leaves.
+  bool m_HasLaterSign = false;
+
+  /// Within this time no endpoint ends and starts again.
+  static constexpr milliseconds MinRestartTime{1000};
+  /// Whether the answer to the question may come from a later process with the
+  /// same id.
+  bool needsLaterSign() const {
+    return m_Owner == AddressOwner::Same && m_WasRegistered && !m_Answering &&
+           m_UnseenTime >= MinRestartTime;
+  }
 };
 
 /// What is known of the end of an answer that ended with its connection.
--- a/Source/Core/Host/RequestSession.h
+++ b/Source/Core/Host/RequestSession.h
@@ -207,6 +207,13 @@
   /// Precondition: the address of \p Answered is known.
   Task<serving::AnswerEndEvidence>
   gatherEndEvidence(std::shared_ptr<Attempt> Answered, Instant EndedAt);
+  /// How long the proof of an end may take.
+  milliseconds proofTime() const;
+  /// Waits for a later heartbeat of the process whose registration \p Before
+  /// is. Returns false if none comes by \p Until, or another process is
+  /// registered.
+  Task<bool> awaitHeartbeat(EndpointId Id, serving::RegistrationVersion Before,
+                            Instant Until);
   /// Asks who is at the address that the request was sent to. An endpoint that
   /// leaves may serve there after its registration is gone.
   Task<IdentityAnswer> identify(std::shared_ptr<Attempt> Answered);
--- a/Source/Core/Host/RequestSessionEnds.cpp
+++ b/Source/Core/Host/RequestSessionEnds.cpp
@@ -12,6 +12,9 @@
 /// A proof gets this time also if the caller's is over: without it, an answer
 /// that the endpoint has completed would be thrown away.
 constexpr milliseconds MinProofTime{200};
+/// Interval at which the registration is compared while a further heartbeat is
+/// awaited.
+constexpr milliseconds SignPollInterval{50};
 /// Time in which the ends of the connections of a crashed endpoint arrive,
 /// after the first of them.
 constexpr milliseconds EndSettleTime{200};
@@ -49,6 +52,8 @@
             {"registered_started_at_ms", Start(Evidence.m_Registered)},
             {"registrations_age_ms", m_State.endpointsAge().count()},
             {"older_connection", Evidence.m_HasOlderConnection},
+            {"unseen_ms", toMilliseconds(Evidence.m_UnseenTime).count()},
+            {"later_sign", Evidence.m_HasLaterSign},
             {"took_ms", toMilliseconds(now() - EndedAt).count()}});
   co_return End == serving::AnswerEnd::Confirmed;
 }
@@ -58,8 +63,7 @@
   const EndpointId &Id = Answered->endpoint();
   const http::Address Remote = *Answered->address();
   EndpointIdentifier &Identities = *m_State.m_Platform.m_Identities;
-  const milliseconds Limit =
-      std::clamp(toMilliseconds(remainingTime()), MinProofTime, MaxProofTime);
+  const milliseconds Limit = proofTime();
   const auto Ask = [&](IdentityQuestion Question) {
     return Identities.identify(m_State.m_Http, Remote, Id, Question,
                                m_Service->m_HealthPath, Limit);
@@ -82,14 +86,44 @@
   co_return Identity;
 }
 
+milliseconds RequestSession::proofTime() const {
+  return std::clamp(toMilliseconds(remainingTime()), MinProofTime,
+                    MaxProofTime);
+}
+
+Task<bool> RequestSession::awaitHeartbeat(EndpointId Id,
+                                          serving::RegistrationVersion Before,
+                                          Instant Until) {
+  while (true) {
+    const auto Registered = m_State.registrationOf(Id);
+    if (Registered.m_StartedAtMs != Before.m_StartedAtMs)
+      co_return false;
+    if (Registered.m_Heartbeat > Before.m_Heartbeat)
+      co_return true;
+    if (now() >= Until)
+      co_return false;
+    co_await sleepFor(std::min<Duration>(SignPollInterval, Until - now()));
+  }
+}
+
 Task<serving::AnswerEndEvidence>
 RequestSession::gatherEndEvidence(std::shared_ptr<Attempt> Answered,
                                   Instant EndedAt) {
+  const Instant ProofEnd = EndedAt + proofTime();
+  const serving::RegistrationVersion AtEnd =
+      m_State.registrationOf(Answered->endpoint());
   const IdentityAnswer Identity = co_await identify(Answered);
   serving::AnswerEndEvidence Evidence;
   Evidence.m_Owner = Identity.m_Owner;
   Evidence.m_Asked = processOf(Answered->registration());
   Evidence.m_Answering = Identity.m_Process;
+  Evidence.m_WasRegistered =
+      Evidence.m_Asked && processOf(AtEnd) == Evidence.m_Asked;
+  Evidence.m_UnseenTime = now() - Answered->sentAt();
+  Evidence.m_HasLaterSign = Identity.m_Notice.m_IsLeaving;
+  if (Evidence.needsLaterSign() && !Evidence.m_HasLaterSign)
+    Evidence.m_HasLaterSign =
+        co_await awaitHeartbeat(Answered->endpoint(), AtEnd, ProofEnd);
   Evidence.m_Registered =
       processOf(m_State.registrationOf(Answered->endpoint()));
   if (Evidence.m_Owner != serving::AddressOwner::Nobody)
--- a/Source/UnitTests/Core/Serving/AnswerEndTest.cpp
+++ b/Source/UnitTests/Core/Serving/AnswerEndTest.cpp
@@ -77,5 +77,29 @@
   EXPECT_EQ(judgeAnswerEnd(Found), AnswerEnd::NotKnown);
 }
 
+// Guards against an endpoint that ends and starts again under its id while a
+// cut holds the end of its answer up, and that confirms this end (review/6):
+// its registration is still that of the process before.
+TEST(AnswerEndTest, EndAfterALongTimeNeedsASignOfTheSameProcess) {
+  AnswerEndEvidence Found = evidence(AddressOwner::Same);
+  Found.m_WasRegistered = true;
+  Found.m_UnseenTime =
+      AnswerEndEvidence::MinRestartTime - std::chrono::milliseconds(1);
+  EXPECT_EQ(judgeAnswerEnd(Found), AnswerEnd::Confirmed);
+  Found.m_UnseenTime = AnswerEndEvidence::MinRestartTime;
+  EXPECT_TRUE(Found.needsLaterSign());
+  EXPECT_EQ(judgeAnswerEnd(Found), AnswerEnd::NotKnown);
+  Found.m_HasLaterSign = true;
+  EXPECT_EQ(judgeAnswerEnd(Found), AnswerEnd::Confirmed);
+  Found.m_HasLaterSign = false;
+  // A report that names the start is proof enough.
+  Found.m_Answering = Asked;
+  EXPECT_EQ(judgeAnswerEnd(Found), AnswerEnd::Confirmed);
+  // An endpoint that leaves has no registration that could show its heartbeat.
+  Found.m_Answering.reset();
+  Found.m_WasRegistered = false;
+  EXPECT_EQ(judgeAnswerEnd(Found), AnswerEnd::Confirmed);
+}
+
 } // namespace
 } // namespace sff::serving
