Do not take the versions of a restored store's copy for all there were

Hosts that live through a restore write all that they know again, and confirm the records with the store's era; a host that starts trusts them only if they are confirmed in this era, or never were. Else the history is unknown for the life of a stream. Price: streams of a sole version are refused, too, if all hosts were killed.

--- a/Source/Core/Core/Serving/SoftwareVersions.cpp
+++ b/Source/Core/Core/Serving/SoftwareVersions.cpp
@@ -65,11 +65,15 @@
   m_WithHistory.clear();
 }
 
-void SoftwareVersions::applyRecords(const std::vector<ServiceVersion> &Records,
-                                    Instant Now) {
+void SoftwareVersions::onStoreRestored() {
   for (auto &[Service, List] : m_Services)
     for (auto &[Version, Seen] : List)
       Seen.m_IsRecorded = false;
+}
+
+void SoftwareVersions::applyRecords(const std::vector<ServiceVersion> &Records,
+                                    bool AreComplete, Instant Now) {
+  onStoreRestored();
   m_WithHistory.clear();
   for (const ServiceVersion &Record : Records) {
     Presence &Seen = m_Services[Record.m_Service]
@@ -77,7 +81,8 @@
                          .first->second;
     Seen.m_LastSeen = Now;
     Seen.m_IsRecorded = true;
-    m_WithHistory.insert(Record.m_Service);
+    if (AreComplete)
+      m_WithHistory.insert(Record.m_Service);
   }
 }
 
--- a/Source/Core/Core/Serving/SoftwareVersions.h
+++ b/Source/Core/Core/Serving/SoftwareVersions.h
@@ -58,8 +58,13 @@
   /// Called with all records of the store, which were read until \p Now. A
   /// recorded version may have begun streams until then: when its last endpoint
   /// left is not recorded, because the clocks of hosts may jump.
+  /// Unless \p AreComplete, others may be missing.
   /// Precondition: the directory was read before the records were.
-  void applyRecords(const std::vector<ServiceVersion> &Records, Instant Now);
+  void applyRecords(const std::vector<ServiceVersion> &Records,
+                    bool AreComplete, Instant Now);
+  /// Called when the store has been restored from an older copy: the records of
+  /// all known versions are to be written again.
+  void onStoreRestored();
   /// The versions of which the store has no record yet.
   std::vector<ServiceVersion> unrecorded() const;
   /// Called when the store has confirmed the record of a version.
--- a/Source/Core/Host/Ports.h
+++ b/Source/Core/Host/Ports.h
@@ -184,6 +184,22 @@
   int m_MalformedRecords = 0;
 };
 
+/// How far the records of software versions can be relied on.
+enum class RecordsTrust {
+  /// No host has confirmed them, or the store does not tell of restores.
+  Unconfirmed,
+  Confirmed, ///< A host has confirmed them since the store was last restored.
+  /// The store has been restored from an older copy since a host confirmed
+  /// them: what was recorded before may be gone.
+  Outdated,
+};
+
+/// The records of software versions.
+struct VersionRecords {
+  std::vector<serving::ServiceVersion> m_Versions;
+  RecordsTrust m_Trust = RecordsTrust::Unconfirmed;
+};
+
 struct GroupMembership {
   /// Rises with each change of the group, also when the store is restored from
   /// an older copy and gives out its own numbers once more.
@@ -219,14 +235,16 @@
   /// one.
   virtual Task<CrashBatch> followCrashes(Cursor From, milliseconds Wait) = 0;
   /// Adds records of software versions, which all hosts share, and removes
-  /// others, in one call. Returns false when the store has not confirmed it.
+  /// others, in one call. \p Confirms states that the records are complete
+  /// then, by the knowledge of this host. Returns false when the store has not
+  /// confirmed the call.
   virtual Task<bool>
   recordVersions(std::vector<serving::ServiceVersion> Added,
-                 std::vector<serving::ServiceVersion> Removed) = 0;
+                 std::vector<serving::ServiceVersion> Removed,
+                 bool Confirms) = 0;
   /// Reads the records of software versions. Returns nothing when the store
   /// does not respond.
-  virtual Task<std::optional<std::vector<serving::ServiceVersion>>>
-  listVersions() = 0;
+  virtual Task<std::optional<VersionRecords>> listVersions() = 0;
   /// Joins the group of \p Zone or renews the membership. Returns nothing when
   /// the store does not respond.
   virtual Task<std::optional<GroupMembership>>
--- a/Source/Core/Host/StreamTracker.cpp
+++ b/Source/Core/Host/StreamTracker.cpp
@@ -33,10 +33,27 @@
 constexpr std::size_t MaxAnnounced = 500;
 /// Age of the oldest streams that are announced then.
 constexpr std::chrono::seconds AnnouncedAge{10};
+/// A host that has followed the registrations for so long knows of all versions
+/// whose streams may still be taken up.
+constexpr std::chrono::minutes HistoryTime{5};
 
 } // namespace
 
-void StreamTracker::start() { m_State.spawn("keep_records", keepRecords()); }
+void StreamTracker::start() {
+  m_State.m_Platform.m_Store->onRestored([this] { onStoreRestored(); });
+  m_State.spawn("keep_records", keepRecords());
+}
+
+void StreamTracker::onStoreRestored() {
+  ++m_StoreRestores;
+  m_Versions.onStoreRestored();
+  m_NeedsConfirmation = true;
+  m_RecordsChanged.notifyAll();
+}
+
+bool StreamTracker::mayConfirm() const {
+  return m_NeedsConfirmation && m_KnowsAllFrom && *m_KnowsAllFrom <= bootTime();
+}
 
 Task<void> StreamTracker::keepRecords() {
   serving::CallBackoff Backoff(RecordRetryDelay);
@@ -63,26 +80,44 @@
     m_NeedsHistory = true;
     co_return Records.has_value();
   }
-  m_Versions.applyRecords(*Records, bootTime());
-  log::info(LogCategory, "streams.history", {{"versions", Records->size()}});
+  // A host that has lived through a restore needs no records to know what was
+  // before it.
+  const bool KnowsAll = m_KnowsAllFrom && *m_KnowsAllFrom <= bootTime();
+  const bool AreComplete =
+      KnowsAll || Records->m_Trust != RecordsTrust::Outdated;
+  m_Versions.applyRecords(Records->m_Versions, AreComplete, bootTime());
+  m_NeedsConfirmation = Records->m_Trust != RecordsTrust::Confirmed;
+  m_KnowsAllFrom = AreComplete ? bootTime() : bootTime() + HistoryTime;
+  log::info(
+      LogCategory, "streams.history",
+      {{"versions", Records->m_Versions.size()}, {"complete", AreComplete}});
   co_return true;
 }
 
 bool StreamTracker::hasUnwrittenRecords() const {
   return !m_Versions.unrecorded().empty() ||
-         !m_Versions.obsoleteRecords().empty();
+         !m_Versions.obsoleteRecords().empty() || mayConfirm();
 }
 
 Task<bool> StreamTracker::writeRecords() {
   const auto Added = m_Versions.unrecorded();
   const auto Removed = m_Versions.obsoleteRecords();
-  const bool Written =
-      co_await m_State.m_Platform.m_Store->recordVersions(Added, Removed);
+  const bool Confirms = mayConfirm();
+  const auto Restores = m_StoreRestores;
+  const bool Written = co_await m_State.m_Platform.m_Store->recordVersions(
+      Added, Removed, Confirms);
   m_State.m_Metrics.onStoreCall("versions", Written);
   log::info(LogCategory, "streams.versions_changed",
-            {{"added", Added}, {"removed", Removed}, {"written", Written}});
+            {{"added", Added},
+             {"removed", Removed},
+             {"confirmed", Confirms},
+             {"written", Written}});
   if (!Written)
     co_return false;
+  // What was written before a restore may be gone.
+  if (Restores != m_StoreRestores)
+    co_return true;
+  m_NeedsConfirmation = m_NeedsConfirmation && !Confirms;
   for (const serving::ServiceVersion &Version : Added)
     m_Versions.onRecorded(Version);
   for (const serving::ServiceVersion &Version : Removed)
--- a/Source/Core/Host/StreamTracker.h
+++ b/Source/Core/Host/StreamTracker.h
@@ -79,6 +79,11 @@
   /// Returns whether the store has confirmed the records.
   Task<bool> writeRecords();
   bool hasUnwrittenRecords() const;
+  /// Whether the records are to be confirmed, and this host can tell that they
+  /// are complete.
+  bool mayConfirm() const;
+  /// Called when the store has been restored from an older copy.
+  void onStoreRestored();
 
   HostState &m_State;
   OrderLeases &m_OrderLeases;
@@ -89,6 +94,14 @@
   /// The records of versions must be read before this host may conclude from
   /// them which versions a service had.
   bool m_NeedsHistory = false;
+  /// The store does not say that the records have been confirmed since it was
+  /// last restored.
+  bool m_NeedsConfirmation = false;
+  /// Value of bootTime() from which this host knows of all versions whose
+  /// streams may still be taken up.
+  std::optional<Instant> m_KnowsAllFrom;
+  /// Number of times that the store has been restored.
+  std::uint64_t m_StoreRestores = 0;
   /// Value of bootTime() at which the store had confirmed the registrations
   /// when the directory last changed.
   std::optional<Instant> m_LastConfirmedAt;
--- a/Source/UnitTests/Core/Serving/SoftwareVersionsTest.cpp
+++ b/Source/UnitTests/Core/Serving/SoftwareVersionsTest.cpp
@@ -100,9 +100,9 @@
 TEST_F(SoftwareVersionsTest, RecordStandsForTheOwnSight) {
   const Instant Restarted = Start + seconds(100);
   add("e1", "v2", Restarted);
-  m_Versions.applyRecords({{"other", "v2"}}, Restarted);
+  m_Versions.applyRecords({{"other", "v2"}}, true, Restarted);
   EXPECT_FALSE(m_Versions.soleVersion("engine", Lifetime, Restarted));
-  m_Versions.applyRecords({{"engine", "v2"}}, Restarted);
+  m_Versions.applyRecords({{"engine", "v2"}}, true, Restarted);
   EXPECT_EQ(m_Versions.soleVersion("engine", Lifetime, Restarted), "v2");
 }
 
@@ -111,7 +111,8 @@
 TEST_F(SoftwareVersionsTest, RecordedVersionCountsFromTheReadingOfItsRecord) {
   const Instant Restarted = Start + seconds(100);
   add("e1", "v2", Restarted);
-  m_Versions.applyRecords({{"engine", "v1"}, {"engine", "v2"}}, Restarted);
+  m_Versions.applyRecords({{"engine", "v1"}, {"engine", "v2"}}, true,
+                          Restarted);
   const Instant Soon = Restarted + seconds(9);
   m_Versions.update(m_Directory, Soon);
   EXPECT_TRUE(m_Versions.isMixed("engine", Lifetime, Soon));
@@ -127,15 +128,38 @@
 // version may have come and left meanwhile.
 TEST_F(SoftwareVersionsTest, InterruptionMakesTheHistoryUnknown) {
   add("e1", "v1", Start);
-  m_Versions.applyRecords({{"engine", "v1"}}, Start);
+  m_Versions.applyRecords({{"engine", "v1"}}, true, Start);
   const Instant Back = Start + seconds(60);
   m_Versions.onInterruption(Back);
   m_Versions.update(m_Directory, Back);
   EXPECT_FALSE(m_Versions.soleVersion("engine", Lifetime, Back));
-  m_Versions.applyRecords({{"engine", "v1"}}, Back);
+  m_Versions.applyRecords({{"engine", "v1"}}, true, Back);
   EXPECT_EQ(m_Versions.soleVersion("engine", Lifetime, Back), "v1");
 }
 
+// Guards against a host that starts after the store has come back from an older
+// copy, and takes the versions of the copy for all that there were (review/8).
+TEST_F(SoftwareVersionsTest, IncompleteRecordsAreNoHistory) {
+  const Instant Restarted = Start + seconds(100);
+  add("e1", "v1", Restarted);
+  m_Versions.applyRecords({{"engine", "v1"}}, false, Restarted);
+  EXPECT_FALSE(m_Versions.soleVersion("engine", Lifetime, Restarted));
+  const Instant Later = Restarted + Lifetime;
+  m_Versions.update(m_Directory, Later);
+  EXPECT_EQ(m_Versions.soleVersion("engine", Lifetime, Later), "v1");
+}
+
+// Guards against records that a host has written, that the store has lost, and
+// that nobody writes again.
+TEST_F(SoftwareVersionsTest, RecordsAreWrittenAgainAfterARestore) {
+  add("e1", "v1", Start);
+  m_Versions.onRecorded({"engine", "v1"});
+  EXPECT_TRUE(m_Versions.unrecorded().empty());
+  m_Versions.onStoreRestored();
+  EXPECT_EQ(m_Versions.unrecorded(),
+            (std::vector<ServiceVersion>{{"engine", "v1"}}));
+}
+
 // Guards against a version without a record in the store, from which hosts that
 // start learn of it, also after its record was removed and it comes back.
 TEST_F(SoftwareVersionsTest, VersionIsRecordedUntilItsStreamsHaveEnded) {
--- a/Source/UnitTests/Host/FakeStore.h
+++ b/Source/UnitTests/Host/FakeStore.h
@@ -53,14 +53,14 @@
     co_return Batch;
   }
   Task<bool> recordVersions(std::vector<serving::ServiceVersion>,
-                            std::vector<serving::ServiceVersion>) override {
+                            std::vector<serving::ServiceVersion>,
+                            bool) override {
     co_return isAnswered("versions");
   }
-  Task<std::optional<std::vector<serving::ServiceVersion>>>
-  listVersions() override {
+  Task<std::optional<VersionRecords>> listVersions() override {
     if (!isAnswered("versions"))
       co_return std::nullopt;
-    co_return std::vector<serving::ServiceVersion>();
+    co_return VersionRecords();
   }
   Task<std::optional<GroupMembership>> join(ZoneId, std::string, milliseconds,
                                             serving::FencingToken) override {
