Bound the requests that a host has at endpoints by its descriptors

Cause: the descriptors that the listeners leave were not divided; requests that endpoints leave unanswered have two connections each, for the silent endpoint and a second one. A service leaves a quarter of the limit to others. Refused before anything is sent, so the refusal is true. Ruled out: a limit in the client, by which sound endpoints would count as unreachable.

--- a/Source/Core/Core/Serving/ConnectionLimits.h
+++ b/Source/Core/Core/Serving/ConnectionLimits.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
 
 namespace sff::serving {
 
@@ -29,4 +32,33 @@
 /// Thread safety: reentrant.
 std::size_t connectionsWithin(std::size_t MemoryBytes);
 
+/// Bounds the requests that a host has at endpoints, each of which takes a
+/// connection. A service may not take the last quarter, unless it has less than
+/// a quarter itself, so that one whose endpoints do not answer leaves room for
+/// the others.
+/// Thread safety: none.
+class SendLimit {
+public:
+  /// No limit if \p MaxSends is 0.
+  explicit SendLimit(std::size_t MaxSends) : m_MaxSends(MaxSends) {}
+
+  /// Whether one more request of a service may be sent.
+  bool allows(std::string_view Service) const;
+  void onSent(const std::string &Service);
+  /// Precondition: onSent() was called for the request.
+  void onEnded(const std::string &Service);
+
+private:
+  std::size_t m_MaxSends;
+  std::size_t m_Sends = 0;
+  std::map<std::string, std::size_t, std::less<>> m_ByService;
+};
+
+/// Returns the most requests at endpoints for a process with
+/// \p MaxDescriptors: three quarters of what the listeners leave. The rest is
+/// for idle connections, health checks, the store, other hosts and files.
+/// Precondition: \p MaxDescriptors is not 0.
+/// Thread safety: reentrant.
+std::size_t sendsWithin(std::size_t MaxDescriptors);
+
 } // namespace sff::serving
--- a/Source/Core/Host/Attempt.cpp
+++ b/Source/Core/Host/Attempt.cpp
@@ -4,10 +4,11 @@
 
 Attempt::Attempt(HostState &State, EndpointId Endpoint, const Identity &Request)
     : m_State(State), m_Endpoint(std::move(Endpoint)),
-      m_Request(Request.m_Request),
+      m_Request(Request.m_Request), m_Service(Request.m_Service),
       m_Canceller(std::make_shared<http::CallCanceller>()), m_SentAt(now()),
       m_LastProgressAt(m_SentAt) {
   m_State.m_Chooser.loads().onDispatched(m_Endpoint, m_SentAt);
+  m_State.m_SendLimit.onSent(m_Service);
   m_State.m_RateLimits.onSent(m_Endpoint, m_SentAt);
   m_State.m_Admission.onSent(m_Endpoint, m_SentAt);
   m_State.m_Links.onRequestSent(m_Endpoint);
@@ -29,6 +30,7 @@
     Loads.onNotRun(m_Endpoint, now());
   else
     Loads.onFinished(m_Endpoint, now());
+  m_State.m_SendLimit.onEnded(m_Service);
   m_State.m_RejectionLimits.onFinished(m_Endpoint);
   m_State.m_Crashes.onRequestEnded(m_Endpoint, m_Request);
   m_State.m_Admission.onFinished(m_Endpoint, now());
--- a/Source/Core/Host/Attempt.h
+++ b/Source/Core/Host/Attempt.h
@@ -19,6 +19,7 @@
   /// The request of which this is a send.
   struct Identity {
     RequestId m_Request;
+    std::string m_Service;
     std::string m_Fingerprint;
     std::vector<PromptPartId> m_Parts; ///< Of the prompt.
   };
@@ -69,6 +70,7 @@
   HostState &m_State;
   EndpointId m_Endpoint;
   RequestId m_Request;
+  std::string m_Service; ///< Of the request.
   std::string m_SoftwareVersion;
   std::optional<http::Address> m_Address;
   serving::RegistrationVersion m_Registration;
--- a/Source/Core/Host/HostState.cpp
+++ b/Source/Core/Host/HostState.cpp
@@ -26,6 +26,14 @@
   return MemoryBytes > 0 ? std::min(Default, MemoryBytes / 8) : Default;
 }
 
+/// Returns the most requests at endpoints; 0 if the descriptors are not known.
+std::size_t sendLimitOf(const settings::Settings &Values) {
+  const std::int64_t Descriptors = Values.get(DescriptorsSetting);
+  return Descriptors > 0
+             ? serving::sendsWithin(static_cast<std::size_t>(Descriptors))
+             : 0;
+}
+
 } // namespace
 
 Instant bootTime() {
@@ -42,7 +50,7 @@
       m_Zone(m_Identity.m_Zone), m_Platform(std::move(Adapter)),
       m_Http(Context.get_executor()),
       m_AnswerMemory(answerCapacity(memoryOf(Values))),
-      m_ClientMemory(memoryOf(Values) / 4),
+      m_ClientMemory(memoryOf(Values) / 4), m_SendLimit(sendLimitOf(Values)),
       m_Links(Context, m_Http, *m_Platform.m_Health, m_Endpoints, m_Catalogue,
               m_Metrics),
       m_Chooser(m_Zone, std::random_device{}()),
--- a/Source/Core/Host/HostState.h
+++ b/Source/Core/Host/HostState.h
@@ -4,6 +4,7 @@
 #include "Common/Time/Clock.h"
 #include "Core/Serving/ByteBudget.h"
 #include "Core/Serving/ClientMemory.h"
+#include "Core/Serving/ConnectionLimits.h"
 #include "Core/Serving/DemandRates.h"
 #include "Core/Serving/EndpointBackoff.h"
 #include "Core/Serving/EndpointChooser.h"
@@ -101,6 +102,7 @@
   serving::ByteBudget m_AnswerMemory;
   /// Memory of the requests and connections of all clients.
   serving::ClientMemory m_ClientMemory;
+  serving::SendLimit m_SendLimit; ///< Of the requests at endpoints.
   HostMetrics m_Metrics;
   StoreStatus m_StoreStatus;
   /// Notified when the catalogue, the endpoints or their inventories change.
--- a/Source/Core/Host/RequestSessionSilence.cpp
+++ b/Source/Core/Host/RequestSessionSilence.cpp
@@ -39,7 +39,8 @@
   }
   if (!m_Route->isIdempotent() || !Assumed.canTryAnotherEndpoint() ||
       Assumed.sends() >= MaxSends ||
-      !m_State.budget(m_Service->m_Name).allows(now()) || isQuarantined() ||
+      !m_State.budget(m_Service->m_Name).allows(now()) ||
+      !m_State.m_SendLimit.allows(m_Service->m_Name) || isQuarantined() ||
       !identifyCaller().isAdmitted())
     return std::nullopt;
   auto List = candidates();
--- a/Source/UnitTests/Core/Serving/ConnectionLimitsTest.cpp
+++ b/Source/UnitTests/Core/Serving/ConnectionLimitsTest.cpp
@@ -24,5 +24,40 @@
   EXPECT_GE(connectionsWithin(120UL * 1024 * 1024), 1000U);
 }
 
+// Guards against a service whose endpoints do not answer and whose requests
+// take all connections to endpoints.
+TEST(SendLimitTest, ServiceLeavesRoomForOthers) {
+  SendLimit Limit(40);
+  int First = 0;
+  for (; Limit.allows("first"); ++First)
+    Limit.onSent("first");
+  EXPECT_EQ(First, 30);
+  int Second = 0;
+  for (; Limit.allows("second"); ++Second)
+    Limit.onSent("second");
+  EXPECT_EQ(Second, 10);
+  EXPECT_FALSE(Limit.allows("third"));
+  Limit.onEnded("first");
+  EXPECT_TRUE(Limit.allows("third"));
+  EXPECT_FALSE(Limit.allows("first"));
+}
+
+// Guards against a limit where the settings name none.
+TEST(SendLimitTest, NoDescriptorsAreNoLimit) {
+  SendLimit Limit(0);
+  Limit.onSent("first");
+  EXPECT_TRUE(Limit.allows("first"));
+}
+
+// Guards against listeners and requests at endpoints that take more descriptors
+// together than there are.
+RC_GTEST_PROP(ConnectionLimitsProperty, SendsLeaveAReserve, ()) {
+  const auto Descriptors =
+      static_cast<std::size_t>(*rc::gen::inRange(100, 100000));
+  const std::size_t Used =
+      divideDescriptors(Descriptors).sum() + sendsWithin(Descriptors);
+  RC_ASSERT(Used + Descriptors / 12 <= Descriptors);
+}
+
 } // namespace
 } // namespace sff::serving
