--- a/Source/Core/Core/Serving/AnswerEnd.h
+++ b/Source/Core/Core/Serving/AnswerEnd.h
@@ -29,8 +29,9 @@
   /// A connection from before the end of the answer is still open.
   bool m_HasOlderConnection = false;
   /// The process that the request was sent to was registered when the answer
-  /// ended. One that leaves is not.
-  bool m_WasRegistered = false;
+  /// ended, and had repeated its registration before. One that leaves is not
+  /// registered.
+  bool m_HadHeartbeats = false;
   /// Time from the send of the request, at which its process was there, until
   /// the address answered for it. A process that ended meanwhile may have been
   /// started again if this is long.
@@ -45,7 +46,7 @@
   /// Whether the answer to the question may come from a later process with the
   /// same id.
   bool needsLaterSign() const {
-    return m_Owner == AddressOwner::Same && m_WasRegistered && !m_Answering &&
+    return m_Owner == AddressOwner::Same && m_HadHeartbeats && !m_Answering &&
            m_UnseenTime >= MinRestartTime;
   }
 };
--- a/Source/Core/Core/Serving/ConnectionLimits.h
+++ b/Source/Core/Core/Serving/ConnectionLimits.h
@@ -32,17 +32,17 @@
 /// Thread safety: reentrant.
 std::size_t connectionsWithin(std::size_t MemoryBytes);
 
-/// Bounds the requests that a host has at endpoints, each of which takes a
-/// connection. A service may not take the last quarter, unless it has less than
-/// a quarter itself, so that one whose endpoints do not answer leaves room for
-/// the others.
+/// Bounds the connections of requests that a host has at endpoints: beyond it
+/// no second endpoint is tried beside a silent one. A service may not take the
+/// last quarter, unless it has less than a quarter itself, so that one whose
+/// endpoints do not answer leaves room for the others.
 /// Thread safety: none.
 class SendLimit {
 public:
   /// No limit if \p MaxSends is 0.
   explicit SendLimit(std::size_t MaxSends) : m_MaxSends(MaxSends) {}
 
-  /// Whether one more request of a service may be sent.
+  /// Whether a request of a service may be sent to one more endpoint.
   bool allows(std::string_view Service) const;
   void onSent(const std::string &Service);
   /// Precondition: onSent() was called for the request.
--- a/Source/Core/Host/RequestSession.cpp
+++ b/Source/Core/Host/RequestSession.cpp
@@ -29,8 +29,6 @@
 constexpr milliseconds RefusalBackoff{60};
 /// Retry-After for quarantined requests, which have crashed endpoints.
 constexpr milliseconds QuarantineRetryAfter{30000};
-/// Given when all connections to endpoints that the host may have are in use.
-constexpr milliseconds ConnectionsRetryAfter{1000};
 constexpr int UnauthorizedStatus = 401;
 constexpr int TooManyRequestsStatus = 429;
 /// Longest part of a caller's text in a log line.
@@ -369,12 +367,6 @@
         RefusalBackoff * std::max(1, m_History.sends()), remainingTime()));
     co_return Step::TryAgain;
   }
-  // A further send takes the connection of the one before.
-  const bool IsFirst = m_History.sends() == 0 && !m_HeadSent;
-  if (IsFirst && !m_State.m_SendLimit.allows(m_Service->m_Name)) {
-    co_await endWithFailure("connections", ConnectionsRetryAfter);
-    co_return Step::Finished;
-  }
   co_return co_await attempt(*Chosen);
 }
 
--- a/Source/Core/Host/RequestSessionEnds.cpp
+++ b/Source/Core/Host/RequestSessionEnds.cpp
@@ -12,6 +12,8 @@
 /// A proof gets this time also if the caller's is over: without it, an answer
 /// that the endpoint has completed would be thrown away.
 constexpr milliseconds MinProofTime{200};
+/// A process counts its registrations from here on.
+constexpr std::int64_t FirstHeartbeat = 1;
 /// Interval at which the registration is compared while a further heartbeat is
 /// awaited.
 constexpr milliseconds SignPollInterval{50};
@@ -117,8 +119,9 @@
   Evidence.m_Owner = Identity.m_Owner;
   Evidence.m_Asked = processOf(Answered->registration());
   Evidence.m_Answering = Identity.m_Process;
-  Evidence.m_WasRegistered =
-      Evidence.m_Asked && processOf(AtEnd) == Evidence.m_Asked;
+  Evidence.m_HadHeartbeats = Evidence.m_Asked &&
+                             processOf(AtEnd) == Evidence.m_Asked &&
+                             AtEnd.m_Heartbeat > FirstHeartbeat;
   Evidence.m_UnseenTime = now() - Answered->sentAt();
   Evidence.m_HasLaterSign = Identity.m_Notice.m_IsLeaving;
   if (Evidence.needsLaterSign() && !Evidence.m_HasLaterSign)
--- a/Source/UnitTests/Core/Serving/AnswerEndTest.cpp
+++ b/Source/UnitTests/Core/Serving/AnswerEndTest.cpp
@@ -82,7 +82,7 @@
 // its registration is still that of the process before.
 TEST(AnswerEndTest, EndAfterALongTimeNeedsASignOfTheSameProcess) {
   AnswerEndEvidence Found = evidence(AddressOwner::Same);
-  Found.m_WasRegistered = true;
+  Found.m_HadHeartbeats = true;
   Found.m_UnseenTime =
       AnswerEndEvidence::MinRestartTime - std::chrono::milliseconds(1);
   EXPECT_EQ(judgeAnswerEnd(Found), AnswerEnd::Confirmed);
@@ -97,7 +97,7 @@
   EXPECT_EQ(judgeAnswerEnd(Found), AnswerEnd::Confirmed);
   // An endpoint that leaves has no registration that could show its heartbeat.
   Found.m_Answering.reset();
-  Found.m_WasRegistered = false;
+  Found.m_HadHeartbeats = false;
   EXPECT_EQ(judgeAnswerEnd(Found), AnswerEnd::Confirmed);
 }
 
